--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets: run (a whole small deployment), test (every check), bench, capacity, fuzz.
+GO ?= go
+FUZZTIME ?= 2m
+
+.PHONY: run test build check bench fuzz capacity
+
+run:
+	$(GO) run ./cmd/hyssophaven dev
+
+build:
+	$(GO) build -o bin/hyssophaven ./cmd/hyssophaven
+
+check:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Fuzz targets run on their seed corpus as part of the tests.
+test: check
+	$(GO) build ./...
+	$(GO) test -race -timeout 12m ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+# Runs every fuzz target for FUZZTIME, one after another.
+fuzz:
+	@for pkg in $$($(GO) list ./...); do \
+	  for target in $$($(GO) test -list '^Fuzz' $$pkg | grep '^Fuzz' || true); do \
+	    echo "$$pkg $$target"; $(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$pkg || exit 1; \
+	  done; \
+	done
--- /dev/null
+++ b/finding/finding.go
@@ -0,0 +1,94 @@
+// Package finding collects problems in settings and tables with their place,
+// so that all of them are reported together instead of one at a time.
+package finding
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Finding is one problem and its place. Line and Column start at 1; 0 means
+// that the place is not known.
+type Finding struct {
+	File    string
+	Line    int
+	Column  int
+	Key     string // dotted key, such as "caller.listen"
+	Message string
+}
+
+// String formats the finding as file:line:column: key: message.
+func (f Finding) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File)
+		if f.Line > 0 {
+			fmt.Fprintf(&b, ":%d", f.Line)
+			if f.Column > 0 {
+				fmt.Fprintf(&b, ":%d", f.Column)
+			}
+		}
+		b.WriteString(": ")
+	}
+	if f.Key != "" {
+		b.WriteString(f.Key + ": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// List collects findings. The zero value is empty and ready to use.
+type List struct {
+	findings []Finding
+}
+
+// Add appends f.
+func (l *List) Add(f Finding) { l.findings = append(l.findings, f) }
+
+// Addf appends a finding about key without a place.
+func (l *List) Addf(key, format string, args ...any) {
+	l.Add(Finding{Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// All returns the findings ordered by file, line and column.
+func (l *List) All() []Finding {
+	out := slices.Clone(l.findings)
+	slices.SortStableFunc(out, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return out
+}
+
+// Err returns nil for an empty list and an *Error with all findings otherwise.
+func (l *List) Err() error {
+	if len(l.findings) == 0 {
+		return nil
+	}
+	return &Error{Findings: l.All()}
+}
+
+// Error reports one or more findings.
+type Error struct {
+	Findings []Finding
+}
+
+// Error returns one finding per line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Of returns the findings carried by err, or nil.
+func Of(err error) []Finding {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Findings
+	}
+	return nil
+}
