--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -20,6 +20,7 @@
 	_ "github.com/matryer/is"
 	_ "github.com/openai/openai-go"
 	_ "github.com/openai/openai-go/option"
+	_ "github.com/pelletier/go-toml/v2"
 	_ "github.com/sourcegraph/jsonrpc2"
 	_ "github.com/tmaxmax/go-sse"
 	_ "github.com/urfave/cli/v3"
--- a/table/row.go
+++ b/table/row.go
@@ -62,8 +62,8 @@
 	// QuarantineFor is how long a request that crashes endpoints stays refused.
 	QuarantineFor time.Duration
 
-	// RowVersion is the number of edits that the row has had. It is set by the
-	// table service and used by conditional edits.
+	// RowVersion is the table revision that last changed the row. Conditional
+	// edits name the version they are based on.
 	RowVersion uint64
 }
 
--- /dev/null
+++ b/tomlfile/tomlfile_test.go
@@ -0,0 +1,70 @@
+package tomlfile
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/finding"
+)
+
+type sample struct {
+	Name  string   `toml:"name"`
+	Count int      `toml:"count"`
+	Wait  Duration `toml:"wait"`
+	List  []string `toml:"list"`
+}
+
+// Guards against a decoder that stops at the first mistake or misplaces one.
+func TestDecodeReportsEveryMistakeWithItsPlace(t *testing.T) {
+	is := is.New(t)
+	const text = `# comment
+[a]
+name = 5
+count = "many"
+
+[[b]]
+  wait = "soon" # trailing
+colour = "red"
+list = [
+  "x",
+  "y",
+]
+name = "ok"
+`
+	var problems finding.List
+	sections := Parse("f.toml", []byte(text), &problems)
+	is.Equal(len(sections), 3)
+	var a, b sample
+	sections[1].Decode(&a, &problems)
+	sections[2].Decode(&b, &problems)
+	found := problems.All()
+	is.Equal(len(found), 4)
+	is.Equal([2]int{found[0].Line, found[0].Column}, [2]int{3, 1})
+	is.Equal(found[1].Key, "a.count")
+	is.Equal([2]int{found[2].Line, found[2].Column}, [2]int{7, 3})
+	is.Equal(found[3].Line, 8)
+	is.Equal(b.List, []string{"x", "y"})
+	is.Equal(b.Name, "ok")
+}
+
+// Guards against syntax errors without a place.
+func TestSyntaxErrorHasAPlace(t *testing.T) {
+	is := is.New(t)
+	var problems finding.List
+	Parse("f.toml", []byte("[a]\nx = \n"), &problems)
+	is.Equal(len(problems.All()), 1)
+	is.Equal(problems.All()[0].Line, 2)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[a]\nx = 1\n[[b]]\ny = \"z\"\n"))
+	f.Add([]byte("a.b = [1,\n2]\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var problems finding.List
+		for _, s := range Parse("f", data, &problems) {
+			var v sample
+			s.Decode(&v, &problems)
+		}
+	})
+}
