operator: add the operators' HTTP interface and its client

Cause: operators steer only by the table and need to see its effect. Conclusion: the command line can be built on the client.

--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/table"
+	"github.com/hyssophaven/hyssophaven/table/tablecodec"
+	"github.com/hyssophaven/hyssophaven/tablestore"
+)
+
+// maxAnswerBytes bounds what a client reads of one answer.
+const maxAnswerBytes = 64 << 20
+
+// Client talks to the operators' interface of one instance.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client for the interface at base, such as
+// "http://10.0.0.5:8081". A nil httpClient selects one with a timeout of 30 s.
+func NewClient(base, token string, httpClient *http.Client) *Client {
+	if httpClient == nil {
+		httpClient = &http.Client{Timeout: 30 * time.Second}
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: httpClient}
+}
+
+// Table returns the table as the store has it.
+func (c *Client) Table(ctx context.Context) (*table.Snapshot, error) {
+	data, err := c.call(ctx, http.MethodGet, pathTable, nil)
+	if err != nil {
+		return nil, err
+	}
+	return tablecodec.DecodeSnapshot(data)
+}
+
+// Edit sends an edit and returns the revision that it made. A refused edit
+// gives an *Error.
+func (c *Client) Edit(ctx context.Context, e table.Edit) (uint64, error) {
+	request := editRequest{Author: e.Author}
+	for _, ch := range e.Changes {
+		w := change{BasedOn: ch.BasedOn, Force: ch.Force}
+		if ch.Remove {
+			w.Remove = ch.Row.Name
+		} else {
+			set, err := tablecodec.EncodeRow(ch.Row)
+			if err != nil {
+				return 0, err
+			}
+			w.Set = set
+		}
+		request.Changes = append(request.Changes, w)
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return 0, err
+	}
+	data, err := c.call(ctx, http.MethodPost, pathEdits, body)
+	if err != nil {
+		return 0, err
+	}
+	var response editResponse
+	err = decodeAnswer(data, &response)
+	return response.Revision, err
+}
+
+// History returns up to limit accepted edits, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]tablestore.HistoryEntry, error) {
+	data, err := c.call(ctx, http.MethodGet, pathHistory+"?limit="+strconv.Itoa(limit), nil)
+	if err != nil {
+		return nil, err
+	}
+	var response historyResponse
+	err = decodeAnswer(data, &response)
+	return response.Entries, err
+}
+
+// Status returns the fleet as the instance sees it.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	data, err := c.call(ctx, http.MethodGet, pathStatus, nil)
+	if err != nil {
+		return Status{}, err
+	}
+	var s Status
+	err = decodeAnswer(data, &s)
+	return s, err
+}
+
+// BurnJSON returns the burn report as JSON.
+func (c *Client) BurnJSON(ctx context.Context) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, pathBurn, nil)
+}
+
+// LiftQuarantine ends the quarantine of a fingerprint of 16 hexadecimal digits.
+func (c *Client) LiftQuarantine(ctx context.Context, fingerprint string) error {
+	_, err := c.call(ctx, http.MethodDelete, pathQuarantine+"/"+fingerprint, nil)
+	return err
+}
+
+// WaitInForce polls until the revision is in force on every live instance or
+// ctx ends, and returns the last state seen.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64, interval time.Duration) (InForce, error) {
+	var last InForce
+	for {
+		status, err := c.Status(ctx)
+		if err == nil {
+			last = status.InForce(revision)
+			if last.Live > 0 && last.InForce == last.Live {
+				return last, nil
+			}
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return last, errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("operator address %q: %w", c.base, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if response.StatusCode/100 == 2 {
+		return data, nil
+	}
+	var failure errorResponse
+	if err := json.Unmarshal(data, &failure); err != nil || failure.Error == nil {
+		return nil, fmt.Errorf("%s %s: %s", method, path, response.Status)
+	}
+	failure.Error.Status = response.StatusCode
+	return nil, failure.Error
+}
+
+func decodeAnswer(data []byte, target any) error {
+	if err := json.Unmarshal(data, target); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/wire.go
@@ -0,0 +1,187 @@
+// Package operator is the operators' interface: HTTP with JSON for the table,
+// the status of the fleet, the burn report and quarantine. It is the one home
+// of these messages; Server answers them and Client sends them.
+package operator
+
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// Status is the fleet as one instance sees it.
+type Status struct {
+	Instance        string       `json:"instance"`
+	DataCentre      string       `json:"data_centre"`
+	TableRevision   uint64       `json:"table_revision"`
+	TableAgeSeconds float64      `json:"table_age_seconds"`
+	Ready           bool         `json:"ready"`
+	NotReadyReason  string       `json:"not_ready_reason,omitempty"`
+	Isolated        bool         `json:"isolated,omitempty"`
+	Instances       []Instance   `json:"instances"`
+	Endpoints       []Endpoint   `json:"endpoints"`
+	Leases          []Lease      `json:"leases"`
+	Queues          []Queue      `json:"queues"`
+	Quarantine      []Quarantine `json:"quarantine"`
+	Findings        []string     `json:"findings"`
+}
+
+// Instance is one instance of hyssophaven.
+type Instance struct {
+	ID              string  `json:"id"`
+	Incarnation     uint64  `json:"incarnation"`
+	DataCentre      string  `json:"data_centre"`
+	PeerAddress     string  `json:"peer_address"`
+	OperatorAddress string  `json:"operator_address,omitempty"`
+	CallerAddress   string  `json:"caller_address,omitempty"`
+	State           string  `json:"state"`
+	Leaving         bool    `json:"leaving,omitempty"`
+	TableRevision   uint64  `json:"table_revision"`
+	HeartbeatAge    float64 `json:"heartbeat_age_seconds"`
+}
+
+// Endpoint is one back end and what it holds.
+type Endpoint struct {
+	ID         string   `json:"id"`
+	Kind       string   `json:"kind"`
+	Pool       string   `json:"pool"`
+	DataCentre string   `json:"data_centre"`
+	Address    string   `json:"address"`
+	Leaving    bool     `json:"leaving,omitempty"`
+	Shard      string   `json:"shard,omitempty"`
+	Owner      string   `json:"owner,omitempty"`
+	MemoryMB   int      `json:"memory_mb,omitempty"`
+	CountedMB  int      `json:"counted_mb,omitempty"`
+	Slots      int      `json:"slots"`
+	Running    int      `json:"running"`
+	Waiting    int      `json:"waiting"`
+	InFlight   int      `json:"in_flight"`
+	ReportAge  *float64 `json:"report_age_seconds,omitempty"`
+	Trial      bool     `json:"trial,omitempty"`
+	Residents  []Entry  `json:"residents,omitempty"`
+	OpenOrders int      `json:"open_orders,omitempty"`
+}
+
+// Entry is a model or adapter on an endpoint.
+type Entry struct {
+	Name     string `json:"name"`
+	Version  string `json:"version,omitempty"`
+	MemoryMB int    `json:"memory_mb"`
+	State    string `json:"state"`
+	Running  int    `json:"running,omitempty"`
+}
+
+// Lease is a lease held by the instance that answers.
+type Lease struct {
+	Shard      string  `json:"shard"`
+	Epoch      uint64  `json:"epoch"`
+	ExpiresIn  float64 `json:"expires_in_seconds"`
+	OpenOrders int     `json:"open_orders"`
+}
+
+// Queue counts the requests of one row on the instance that answers.
+type Queue struct {
+	Row               string  `json:"row"`
+	Rank              string  `json:"rank"`
+	Queued            int     `json:"queued"`
+	InFlight          int     `json:"in_flight"`
+	ArrivalsPerSecond float64 `json:"arrivals_per_second"`
+}
+
+// Quarantine is one request content that crashed endpoints.
+type Quarantine struct {
+	Fingerprint string     `json:"fingerprint"` // 16 hexadecimal digits
+	State       string     `json:"state"`
+	Losses      int        `json:"losses"`
+	Until       *time.Time `json:"until,omitempty"`
+}
+
+// InForce tells how far an edit has spread.
+type InForce struct {
+	Revision uint64   `json:"revision"`
+	Live     int      `json:"live_instances"`
+	InForce  int      `json:"in_force"`
+	Missing  []string `json:"missing,omitempty"` // live instances at an older revision
+}
+
+// InForce returns on how many live instances the revision is in force.
+func (s Status) InForce(revision uint64) InForce {
+	f := InForce{Revision: revision}
+	for _, i := range s.Instances {
+		if i.State == "dead" {
+			continue
+		}
+		f.Live++
+		if i.TableRevision >= revision {
+			f.InForce++
+		} else {
+			f.Missing = append(f.Missing, i.ID)
+		}
+	}
+	return f
+}
+
+// statusOf converts the control goroutine's status for the wire.
+func statusOf(s control.Status) Status {
+	out := Status{
+		Instance: string(s.Self.ID), DataCentre: string(s.Self.DataCentre),
+		TableRevision: s.TableRevision, TableAgeSeconds: s.TableAge.Seconds(),
+		Ready: s.Ready, NotReadyReason: s.NotReadyReason, Isolated: s.Isolated,
+		Findings: s.Findings,
+	}
+	for _, i := range s.Instances {
+		out.Instances = append(out.Instances, instanceOf(i))
+	}
+	for _, e := range s.Endpoints {
+		out.Endpoints = append(out.Endpoints, endpointOf(e))
+	}
+	for _, l := range s.Leases {
+		out.Leases = append(out.Leases, Lease{Shard: l.Shard, Epoch: l.Epoch, ExpiresIn: l.ExpiresIn.Seconds(), OpenOrders: l.OpenOrders})
+	}
+	for _, q := range s.Queues {
+		out.Queues = append(out.Queues, Queue{Row: q.Row, Rank: q.Rank.String(), Queued: q.Queued, InFlight: q.InFlight, ArrivalsPerSecond: q.Rate})
+	}
+	for _, q := range s.Quarantine {
+		w := Quarantine{Fingerprint: formatFingerprint(q.Fingerprint), State: q.State, Losses: q.Losses}
+		if !q.Until.IsZero() {
+			until := q.Until.UTC()
+			w.Until = &until
+		}
+		out.Quarantine = append(out.Quarantine, w)
+	}
+	return out
+}
+
+func instanceOf(i control.InstanceStatus) Instance {
+	return Instance{
+		ID: string(i.Instance.ID), Incarnation: uint64(i.Instance.Incarnation), DataCentre: string(i.Instance.DataCentre),
+		PeerAddress: i.Instance.PeerAddress, OperatorAddress: i.Instance.OperatorAddress, CallerAddress: i.Instance.CallerAddress,
+		State: i.State, Leaving: i.Leaving, TableRevision: i.TableRevision, HeartbeatAge: i.HeartbeatAge.Seconds(),
+	}
+}
+
+func endpointOf(e control.EndpointStatus) Endpoint {
+	out := Endpoint{
+		ID: string(e.Endpoint.ID), Kind: kindName(e.Endpoint.Kind), Pool: e.Endpoint.Pool,
+		DataCentre: string(e.Endpoint.DataCentre), Address: e.Endpoint.Address, Leaving: e.Endpoint.Leaving,
+		Shard: e.Shard, Owner: string(e.Owner), MemoryMB: e.Endpoint.MemoryMB, CountedMB: e.CountedMB,
+		Slots: e.Endpoint.Slots, Running: e.Running, Waiting: e.Waiting, InFlight: e.InFlight,
+		Trial: e.Trial, OpenOrders: e.OpenOrders,
+	}
+	if e.HasReport {
+		age := e.ReportAge.Seconds()
+		out.ReportAge = &age
+	}
+	for _, r := range e.Residents {
+		out.Residents = append(out.Residents, Entry{Name: r.Name, Version: r.Version, MemoryMB: r.MemoryMB, State: r.State, Running: r.Running})
+	}
+	return out
+}
+
+func kindName(k fleet.EndpointKind) string {
+	if k == fleet.PlainService {
+		return "service"
+	}
+	return "replica"
+}
