standin: add HTTP codecs, platform and service stand-ins

The edges need a codec for the platform and for engines, and tests need outside systems that can fail on demand.

--- /dev/null
+++ b/engine/enginehttp/handler.go
@@ -0,0 +1,178 @@
+package enginehttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+)
+
+// Backend is an engine that a handler serves. An *engine.Error with
+// ExecutedNo is answered as a refusal; any other error of Generate, Order or
+// of a stream cuts the connection, as the death of an engine does.
+type Backend interface {
+	engine.Client
+}
+
+// Reporter is the part of a Backend that publishes load reports. Plain
+// services publish their load in the same format.
+type Reporter interface {
+	Report(ctx context.Context) (engine.Report, error)
+}
+
+// NewHandler serves b. An empty bearerToken allows every caller.
+func NewHandler(b Backend, bearerToken string) http.Handler {
+	h := handler{backend: b}
+	r := chi.NewRouter()
+	r.Use(jsonhttp.RequireBearer(bearerToken))
+	r.Post(pathGenerate, h.generate)
+	r.Post(pathOrders, h.order)
+	r.Get(pathState, h.state)
+	r.Get(pathReport, reportHandler(b))
+	r.Get(pathEvents, h.events)
+	return r
+}
+
+// NewReportHandler serves only the load reports of r.
+func NewReportHandler(r Reporter) http.Handler {
+	router := chi.NewRouter()
+	router.Get(pathReport, reportHandler(r))
+	return router
+}
+
+func reportHandler(b Reporter) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		report, err := b.Report(r.Context())
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		jsonhttp.Answer(w, http.StatusOK, newReportMessage(report))
+	}
+}
+
+type handler struct{ backend Backend }
+
+// fail answers a refusal and cuts the connection on any other error.
+func fail(w http.ResponseWriter, err error) {
+	var e *engine.Error
+	if !errors.As(err, &e) || e.Executed != engine.ExecutedNo {
+		panic(http.ErrAbortHandler)
+	}
+	status, code := http.StatusServiceUnavailable, codeRefused
+	if e.Kind == engine.NotResident {
+		status, code = http.StatusNotFound, codeNotResident
+	}
+	jsonhttp.Fail(w, status, jsonhttp.Error{Code: code, Message: err.Error(), Executed: e.Executed.String()})
+}
+
+func badRequest(w http.ResponseWriter, err error) {
+	jsonhttp.Fail(w, http.StatusBadRequest, jsonhttp.Error{Code: "bad_request", Message: err.Error(), Executed: "no"})
+}
+
+func (h handler) generate(w http.ResponseWriter, r *http.Request) {
+	var m generateMessage
+	if !jsonhttp.Decode(w, r, maxRequest, &m) {
+		return
+	}
+	request, err := m.request()
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	stream, err := h.backend.Generate(r.Context(), request)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	for {
+		c, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if writeChunk(w, c) != nil || controller.Flush() != nil {
+			return // the client has gone
+		}
+	}
+}
+
+// writeChunk writes c as one event.
+func writeChunk(w io.Writer, c engine.Chunk) error {
+	data, err := json.Marshal(newChunkMessage(c))
+	if err != nil {
+		return err
+	}
+	var event sse.Message
+	if c.Final {
+		event.Type = sse.Type(endEvent)
+	}
+	event.AppendData(string(data))
+	_, err = event.WriteTo(w)
+	return err
+}
+
+func (h handler) order(w http.ResponseWriter, r *http.Request) {
+	var m orderMessage
+	if !jsonhttp.Decode(w, r, maxRequest, &m) {
+		return
+	}
+	o, err := m.order()
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	result, err := h.backend.Order(r.Context(), o)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	jsonhttp.Answer(w, http.StatusOK, orderResultMessage{
+		OrderID: o.ID, Accepted: result.Accepted, Reason: result.Reason, HighestToken: tokenMessage(result.HighestToken),
+	})
+}
+
+func (h handler) state(w http.ResponseWriter, r *http.Request) {
+	s, err := h.backend.State(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	jsonhttp.Answer(w, http.StatusOK, stateMessage{
+		BootID: s.BootID, HighestToken: tokenMessage(s.HighestToken), MemoryMB: s.MemoryMB,
+		UsedMB: s.UsedMB, Residents: newResidentMessages(s.Residents),
+	})
+}
+
+func (h handler) events(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	events, err := h.backend.CacheEvents(r.Context(), after)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	m := cacheEventsMessage{Events: make([]cacheEventMessage, len(events))}
+	for i, e := range events {
+		m.Events[i] = cacheEventMessage(e)
+	}
+	jsonhttp.Answer(w, http.StatusOK, m)
+}
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,125 @@
+// Package jsonhttp holds what the JSON protocols share: bounded decoding of
+// bodies, one error format, and the check of bearer tokens.
+package jsonhttp
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Error is the body of every answer that is not a success.
+type Error struct {
+	Code     string `json:"code"`
+	Message  string `json:"message"`
+	Executed string `json:"executed,omitempty"` // "no", "yes" or empty for unknown
+}
+
+type envelope struct {
+	Error *Error `json:"error"`
+}
+
+// Answer writes v as a JSON answer with the given status. A failed write is
+// not reported, because it means that the client has gone.
+func Answer(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte(`{"error":{"code":"internal","message":"answer can't be encoded"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// Fail writes e as a JSON answer with the given status.
+func Fail(w http.ResponseWriter, status int, e Error) {
+	Answer(w, status, envelope{Error: &e})
+}
+
+// Decode reads a request body of at most limit bytes into v. If it fails, it
+// has answered the request and reports false.
+func Decode(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		status, code := http.StatusBadRequest, "bad_request"
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			status, code = http.StatusRequestEntityTooLarge, "too_large"
+		}
+		Fail(w, status, Error{Code: code, Message: err.Error(), Executed: "no"})
+		return false
+	}
+	if err := unmarshal(body, v); err != nil {
+		Fail(w, http.StatusBadRequest, Error{Code: "bad_request", Message: err.Error(), Executed: "no"})
+		return false
+	}
+	return true
+}
+
+// unmarshal decodes exactly one JSON value and refuses unknown fields.
+func unmarshal(body []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
+
+// ReadAll reads an answer's body and fails if it is longer than limit bytes.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return nil, fmt.Errorf("answer is longer than %d bytes", limit)
+	}
+	return data, nil
+}
+
+// ParseError decodes the body of an answer that is not a success. It reports
+// false if the body is not in the error format.
+func ParseError(body []byte) (Error, bool) {
+	var e envelope
+	if json.Unmarshal(body, &e) != nil || e.Error == nil || e.Error.Code == "" {
+		return Error{}, false
+	}
+	return *e.Error, true
+}
+
+// RequireBearer returns middleware that refuses requests without the bearer
+// token. An empty token switches the check off.
+func RequireBearer(token string) func(http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(token))
+	return func(next http.Handler) http.Handler {
+		if token == "" {
+			return next
+		}
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if !found || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+				Fail(w, http.StatusUnauthorized, Error{Code: "unauthorized", Message: "missing or wrong bearer token", Executed: "no"})
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// SetBearer adds the bearer token to r unless token is empty.
+func SetBearer(r *http.Request, token string) {
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+}
--- /dev/null
+++ b/standin/platform/stores.go
@@ -0,0 +1,128 @@
+package standinplatform
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/hyssophaven/hyssophaven/platform"
+)
+
+type tableStore struct{ p *Platform }
+
+// Read implements platform.TableStore.
+func (t tableStore) Read(ctx context.Context, q platform.Query) ([]platform.Record, error) {
+	var out []platform.Record
+	err := t.p.call(ctx, Tables, false, func() error {
+		out = t.p.selectRecords(q)
+		return nil
+	})
+	return out, err
+}
+
+// Commit implements platform.TableStore.
+func (t tableStore) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	var versions []uint64
+	err := t.p.call(ctx, Tables, true, func() error {
+		var err error
+		versions, err = t.p.commit(txn)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return versions, nil
+}
+
+func (p *Platform) selectRecords(q platform.Query) []platform.Record {
+	var out []platform.Record
+	if q.Prefix != "" {
+		for key, r := range p.records {
+			if strings.HasPrefix(key, q.Prefix) {
+				out = append(out, r)
+			}
+		}
+	}
+	for _, key := range q.Keys {
+		if r, ok := p.records[key]; ok {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Record) int { return cmp.Compare(a.Key, b.Key) })
+	return slices.CompactFunc(out, func(a, b platform.Record) bool { return a.Key == b.Key })
+}
+
+func (p *Platform) commit(t platform.Txn) ([]uint64, error) {
+	for _, c := range t.Conditions {
+		if have := p.records[c.Key].Version; have != c.Version {
+			n := p.counts[Tables]
+			n.Conflicts++
+			p.counts[Tables] = n
+			return nil, fmt.Errorf("%w: record %q has version %d, not %d", platform.ErrConflict, c.Key, have, c.Version)
+		}
+	}
+	versions := make([]uint64, len(t.Writes))
+	for i, w := range t.Writes {
+		last := max(p.records[w.Key].Version, p.deleted[w.Key])
+		if w.Delete {
+			delete(p.records, w.Key)
+			p.deleted[w.Key] = last
+			continue
+		}
+		delete(p.deleted, w.Key)
+		p.records[w.Key] = platform.Record{Key: w.Key, Value: bytes.Clone(w.Value), Version: last + 1}
+		versions[i] = last + 1
+	}
+	return versions, nil
+}
+
+type objectStore struct{ p *Platform }
+
+// Put implements platform.ObjectStore.
+func (o objectStore) Put(ctx context.Context, name string, data []byte) error {
+	return o.p.call(ctx, Objects, true, func() error {
+		o.p.objects[name] = bytes.Clone(data)
+		return nil
+	})
+}
+
+// Get implements platform.ObjectStore.
+func (o objectStore) Get(ctx context.Context, name string) ([]byte, error) {
+	var out []byte
+	err := o.p.call(ctx, Objects, false, func() error {
+		data, ok := o.p.objects[name]
+		if !ok {
+			return fmt.Errorf("%w: object %q", platform.ErrNotFound, name)
+		}
+		out = bytes.Clone(data)
+		return nil
+	})
+	return out, err
+}
+
+// List implements platform.ObjectStore.
+func (o objectStore) List(ctx context.Context, prefix string) ([]string, error) {
+	var out []string
+	err := o.p.call(ctx, Objects, false, func() error {
+		for name := range maps.Keys(o.p.objects) {
+			if strings.HasPrefix(name, prefix) {
+				out = append(out, name)
+			}
+		}
+		slices.Sort(out)
+		return nil
+	})
+	return out, err
+}
+
+// Delete implements platform.ObjectStore.
+func (o objectStore) Delete(ctx context.Context, name string) error {
+	return o.p.call(ctx, Objects, true, func() error {
+		delete(o.p.objects, name)
+		return nil
+	})
+}
--- /dev/null
+++ b/standin/service/faults.go
@@ -0,0 +1,83 @@
+package standinservice
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+)
+
+// Faults are the faults of a service. The counted ones apply to the next
+// calls, one fault per call, in the order of the fields.
+type Faults struct {
+	Delay       time.Duration // wait before every execution
+	AnswerDelay time.Duration // wait after every execution
+	Refuse      int           // calls to refuse before executing
+	Cut         int           // calls to execute and then cut without an answer
+	Garbage     int           // calls to execute and then answer with garbage
+}
+
+// fault is what happens to one call.
+type fault struct {
+	delay, answerDelay   time.Duration
+	refuse, cut, garbage bool
+}
+
+type faultsMessage struct {
+	Delay       jsonhttp.Duration `json:"delay,omitempty"`
+	AnswerDelay jsonhttp.Duration `json:"answer_delay,omitempty"`
+	Refuse      int               `json:"refuse,omitempty"`
+	Cut         int               `json:"cut,omitempty"`
+	Garbage     int               `json:"garbage,omitempty"`
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(f Faults) { s.owner.Do(func() { s.faults = f }) }
+
+// Faults returns the faults as they stand now.
+func (s *Service) Faults() Faults {
+	var f Faults
+	s.owner.Do(func() { f = s.faults })
+	return f
+}
+
+// takeFault uses up the fault of one call.
+func (s *Service) takeFault() fault {
+	var out fault
+	s.owner.Do(func() {
+		f := &s.faults
+		out = fault{delay: f.Delay, answerDelay: f.AnswerDelay}
+		switch {
+		case f.Refuse > 0:
+			f.Refuse--
+			out.refuse = true
+		case f.Cut > 0:
+			f.Cut--
+			out.cut = true
+		case f.Garbage > 0:
+			f.Garbage--
+			out.garbage = true
+		}
+	})
+	return out
+}
+
+func (s *Service) getFaults(w http.ResponseWriter, _ *http.Request) {
+	f := s.Faults()
+	jsonhttp.Answer(w, http.StatusOK, faultsMessage{
+		Delay: jsonhttp.Duration(f.Delay), AnswerDelay: jsonhttp.Duration(f.AnswerDelay),
+		Refuse: f.Refuse, Cut: f.Cut, Garbage: f.Garbage,
+	})
+}
+
+func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
+	var m faultsMessage
+	if !jsonhttp.Decode(w, r, maxBody, &m) {
+		return
+	}
+	s.SetFaults(Faults{
+		Delay: time.Duration(m.Delay), AnswerDelay: time.Duration(m.AnswerDelay),
+		Refuse: m.Refuse, Cut: m.Cut, Garbage: m.Garbage,
+	})
+	jsonhttp.Answer(w, http.StatusOK, m)
+}
--- /dev/null
+++ b/standin/service/ledger.go
@@ -0,0 +1,62 @@
+package standinservice
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+)
+
+// Entry is one execution of a call that is not idempotent.
+type Entry struct {
+	Sequence  uint64    `json:"sequence"`
+	Call      string    `json:"call"` // method and path
+	Reference string    `json:"reference"`
+	At        time.Time `json:"at"`
+}
+
+// Ledger is every execution so far, in order.
+type Ledger struct {
+	Entries []Entry `json:"entries"`
+	// Doubles is the number of executions of a call and reference beyond the first.
+	Doubles int `json:"doubles"`
+}
+
+// Executions returns how often the call with the given reference ran.
+func (l Ledger) Executions(reference string) int {
+	n := 0
+	for _, e := range l.Entries {
+		if e.Reference == reference {
+			n++
+		}
+	}
+	return n
+}
+
+// Ledger returns a copy of the ledger.
+func (s *Service) Ledger() Ledger {
+	var out Ledger
+	s.owner.Do(func() { out = Ledger{Entries: slices.Clone(s.ledger.Entries), Doubles: s.ledger.Doubles} })
+	return out
+}
+
+// record appends an execution. It runs on the owner goroutine.
+func (s *Service) record(call, reference string) uint64 {
+	sequence := uint64(len(s.ledger.Entries) + 1)
+	s.ledger.Entries = append(s.ledger.Entries, Entry{Sequence: sequence, Call: call, Reference: reference, At: time.Now()})
+	key := execution{call, reference}
+	s.executed[key]++
+	if s.executed[key] > 1 {
+		s.ledger.Doubles++
+	}
+	return sequence
+}
+
+func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
+	ledger := s.Ledger()
+	if ledger.Entries == nil {
+		ledger.Entries = []Entry{}
+	}
+	jsonhttp.Answer(w, http.StatusOK, ledger)
+}
