--- a/admission/admission.go
+++ b/admission/admission.go
@@ -44,6 +44,9 @@
 	LoadAdapter bool
 	Token       fleet.Token
 	MemoryMB    int // memory of the adapter to load
+	// Version is the resident version of the adapter, or of the model without
+	// one. It differs from the request's when the version changed meanwhile.
+	Version string
 	// Trial marks the run of a request that is suspected of crashing
 	// endpoints; it runs alone on the endpoint.
 	Trial bool
--- /dev/null
+++ b/admission/stats.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// RowStats is the load of one row on this instance.
+type RowStats struct {
+	Row      string
+	Rank     fleet.Rank
+	Queued   int
+	InFlight int
+	Rate     float64 // arrivals per second, refused ones included
+	SlotTime float64 // mean seconds from grant to end; 0 if not measured
+}
+
+// Slots is the demand of the row in slots: what its arrivals occupy in the
+// long run, and at least what runs and waits now.
+func (s RowStats) Slots() float64 {
+	return max(s.Rate*s.SlotTime, float64(s.InFlight+s.Queued))
+}
+
+// Stats is the load of this instance.
+type Stats struct {
+	Rows     []RowStats // ordered by name
+	Queued   [fleet.RankCount]int
+	InFlight [fleet.RankCount]int
+}
+
+// Stats returns the load of this instance for heartbeats and status.
+func (q *Queue) Stats(now time.Time) Stats {
+	s := Stats{Rows: make([]RowStats, 0, len(q.rows)), Queued: q.queued, InFlight: q.running}
+	for _, w := range q.rows {
+		s.Rows = append(s.Rows, RowStats{
+			Row: w.name, Rank: w.rank, Queued: w.queued, InFlight: w.inFlight,
+			Rate: w.rateAt(now), SlotTime: w.slotTime,
+		})
+	}
+	slices.SortFunc(s.Rows, func(a, b RowStats) int { return cmp.Compare(a.Row, b.Row) })
+	return s
+}
+
+// EndpointInFlight returns how many requests this instance has in flight on an
+// endpoint.
+func (q *Queue) EndpointInFlight(id fleet.EndpointID) int {
+	if i, ok := q.router.Index(id); ok {
+		return q.router.InFlight(i)
+	}
+	return 0
+}
--- /dev/null
+++ b/admission/view.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/routing"
+)
+
+// View is what the queue knows of the fleet. It is replaced as a whole and
+// must not be changed after it was handed to the queue.
+type View struct {
+	Endpoints []EndpointView
+	// Rows holds this instance's share of the limits of each row that has
+	// any. For a row that is missing here the limits in the request apply whole.
+	Rows map[string]RowShare
+	// Floors is the share of slot time that each rank keeps under contention.
+	Floors [fleet.RankCount]float64
+	// UrgentReserve is the part of each window that only urgent requests use.
+	UrgentReserve float64
+}
+
+// EndpointView is one endpoint as this instance may use it.
+type EndpointView struct {
+	Endpoint fleet.Endpoint
+	// Window is this instance's share of the endpoint's slots, from Shares.
+	Window    int
+	Closed    bool               // no new work; a leaving endpoint is closed as well
+	Residents []routing.Resident // models and adapters that may take new requests
+	// Running and Waiting are from the last load report, taken at ReportedAt
+	// by this process's clock; zero if there is none.
+	Running    int
+	Waiting    int
+	ReportedAt time.Time
+}
+
+// RowShare is this instance's share of a row's fleet-wide limits.
+type RowShare struct {
+	LimitInFlight bool // InFlight applies
+	InFlight      int
+	LimitRate     bool // PerSecond and Burst apply
+	PerSecond     float64
+	Burst         int
+}
+
+// routingEndpoints converts the view for the router.
+func (v *View) routingEndpoints(fifo bool) []routing.Endpoint {
+	out := make([]routing.Endpoint, len(v.Endpoints))
+	for i, e := range v.Endpoints {
+		reserved := 0
+		if !fifo && e.Window > 1 {
+			reserved = min(int(v.UrgentReserve*float64(e.Window)+0.5), e.Window-1)
+		}
+		out[i] = routing.Endpoint{
+			Endpoint: e.Endpoint, Window: e.Window, Reserved: reserved, Closed: e.Closed,
+			Residents: e.Residents, Running: e.Running, Waiting: e.Waiting, ReportedAt: e.ReportedAt,
+		}
+	}
+	return out
+}
