--- /dev/null
+++ b/lease/leaserecord/leaserecord.go
@@ -0,0 +1,89 @@
+// Package leaserecord encodes lease records as stored in the platform's table
+// service, and turns the actions of package lease into store transactions.
+package leaserecord
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/lease"
+	"github.com/hyssophaven/hyssophaven/platform"
+)
+
+// Prefix is the key prefix of all lease records.
+const Prefix = "lease/"
+
+// Key returns the key of a shard's record.
+func Key(s lease.Shard) string { return Prefix + string(s) }
+
+type wire struct {
+	Holder      string `json:"holder"`
+	Incarnation uint64 `json:"incarnation"`
+	Epoch       uint64 `json:"epoch"`
+	Attempt     uint64 `json:"attempt"`
+	Released    bool   `json:"released,omitempty"`
+}
+
+// Encode returns the stored form of a record.
+func Encode(r lease.Record) ([]byte, error) {
+	return json.Marshal(wire{string(r.Holder), uint64(r.Incarnation), r.Epoch, r.Attempt, r.Released})
+}
+
+// Decode parses a stored record.
+func Decode(value []byte) (lease.Record, error) {
+	var w wire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return lease.Record{}, fmt.Errorf("decode lease record: %w", err)
+	}
+	if w.Epoch == 0 {
+		return lease.Record{}, fmt.Errorf("decode lease record: epoch is 0")
+	}
+	return lease.Record{
+		Holder: fleet.InstanceID(w.Holder), Incarnation: fleet.Incarnation(w.Incarnation),
+		Epoch: w.Epoch, Attempt: w.Attempt, Released: w.Released,
+	}, nil
+}
+
+// Query returns the store query for a read.
+func Query(r lease.Read) platform.Query {
+	keys := make([]string, len(r.Shards))
+	for i, s := range r.Shards {
+		keys[i] = Key(s)
+	}
+	return platform.Query{Keys: keys}
+}
+
+// Versioned decodes records read from the store. One record that cannot be
+// decoded fails the whole read, because taking it for missing would start a
+// new epoch beside a holder.
+func Versioned(records []platform.Record) ([]lease.Versioned, error) {
+	out := make([]lease.Versioned, 0, len(records))
+	for _, rec := range records {
+		shard, ok := strings.CutPrefix(rec.Key, Prefix)
+		if !ok {
+			return nil, fmt.Errorf("record %q is not a lease record", rec.Key)
+		}
+		r, err := Decode(rec.Value)
+		if err != nil {
+			return nil, fmt.Errorf("record %q: %w", rec.Key, err)
+		}
+		out = append(out, lease.Versioned{Shard: lease.Shard(shard), Record: r, Version: rec.Version})
+	}
+	return out, nil
+}
+
+// Txn returns the store transaction for a commit.
+func Txn(c lease.Commit) (platform.Txn, error) {
+	var txn platform.Txn
+	for _, w := range c.Writes {
+		value, err := Encode(w.Record)
+		if err != nil {
+			return platform.Txn{}, fmt.Errorf("encode lease record of %q: %w", w.Shard, err)
+		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: Key(w.Shard), Version: w.IfVersion})
+		txn.Writes = append(txn.Writes, platform.Write{Key: Key(w.Shard), Value: value})
+	}
+	return txn, nil
+}
