control: compose the decision packages in one goroutine

Cause: membership, leases, ledgers, placement, admission and quarantine act on each other, and all their state must have one owner.

Conclusion: services only post events and perform actions.

--- a/control/api.go
+++ b/control/api.go
@@ -42,4 +42,6 @@
 	Isolated bool
 	// AliveIncarnations holds the incarnation of every live instance.
 	AliveIncarnations map[fleet.InstanceID]fleet.Incarnation
+	// ReadReports are the endpoints whose load reports this instance reads.
+	ReadReports []fleet.Endpoint
 }
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,279 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/lease"
+	"github.com/hyssophaven/hyssophaven/ledger"
+	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/placement"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/quarantine"
+	"github.com/hyssophaven/hyssophaven/retry"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+// Config sets up the control state of one instance.
+type Config struct {
+	Self          fleet.Instance
+	Shards        int // over which the endpoints' ledgers are spread
+	MaxOrderDelay time.Duration
+	Admission     admission.Config
+	UrgentReserve float64 // part of every endpoint's slots
+	Placement     placement.Options
+	Loads         placement.LoadLimit // of the weight store, shared by all instances
+	Membership    membership.Config
+	Lease         lease.Config
+	Quarantine    quarantine.Config
+}
+
+// core is the control state. It composes the decision packages: each event
+// goes to those that it concerns, and the actions of one become events of
+// another. It does no I/O and reads no clock.
+type core struct {
+	config Config
+	out    []Action
+	// replies holds the callers that wait for an answer to Admit.
+	replies map[uint64]chan<- answer
+
+	table    table.Replica
+	listing  platform.Listing
+	listed   bool // a listing was read
+	stopping bool
+	replaced bool // a newer incarnation of this instance runs
+
+	members    *membership.State
+	leases     *lease.State
+	queue      *admission.Queue
+	suspects   *quarantine.State
+	retries    *retry.Budget
+	ownership  ownership
+	plans      plans
+	requests   requests
+	reports    map[fleet.EndpointID]report
+	demands    []admission.MemberDemand // of every live instance, at the last view
+
+	viewStale bool
+	snapshot  *Snapshot
+	findings  map[string][]string // placement findings by pool
+}
+
+func newCore(c Config, now time.Time) *core {
+	c.Membership.Self = c.Self
+	c.Lease.Self, c.Lease.Incarnation = c.Self.ID, c.Self.Incarnation
+	c.Quarantine.Self, c.Quarantine.Incarnation = c.Self.ID, c.Self.Incarnation
+	c.Admission.DataCentre = c.Self.DataCentre
+	core := &core{
+		config:    c,
+		replies:   make(map[uint64]chan<- answer),
+		members:   membership.New(c.Membership, now),
+		leases:    lease.New(c.Lease),
+		queue:     admission.NewQueue(c.Admission),
+		suspects:  quarantine.New(c.Quarantine),
+		retries:   retry.NewBudget(retry.Config{}),
+		ownership: newOwnership(),
+		plans:     newPlans(),
+		requests:  newRequests(),
+		reports:   make(map[fleet.EndpointID]report),
+		findings:  make(map[string][]string),
+	}
+	core.publish(now)
+	return core
+}
+
+// step handles one event and returns what has to be done.
+func (c *core) step(now time.Time, ev Event) []Action {
+	c.out = nil
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick(now)
+	case arrive:
+		c.arrive(now, ev)
+	case finish:
+		c.finish(now, ev.outcome)
+	case cancel:
+		c.cancel(now, ev.id)
+	case ListingRead:
+		c.listingRead(now, ev.Listing)
+	case HeadRead:
+		c.headRead(now, ev)
+	case TableRead:
+		c.tableRead(now, ev.Snapshot)
+	case HeartbeatReceived:
+		c.heartbeat(now, ev.Heartbeat)
+	case NoticesReceived:
+		c.quarantine(now, quarantine.NoticesReceived{From: ev.From, Notices: ev.Notices})
+	case LeaseResult:
+		c.lease(now, ev.Event)
+	case LedgerResult:
+		c.ledger(now, ev.Endpoint, ev.Event)
+	case LedgerAdopted:
+		c.ledgerAdopted(now, ev)
+	case RecordsRead:
+		c.recordsRead(now, ev)
+	case PlanAdopted:
+		c.planAdopted(now, ev)
+	case PlanCommitted:
+		c.planCommitted(now, ev)
+	case QuarantineResult:
+		c.quarantine(now, ev.Event)
+	case ReportRead:
+		c.reportRead(now, ev)
+	case ProbeDone:
+		c.probeDone(now, ev)
+	case StopRequested:
+		c.stop(now)
+	case liftRequest:
+		c.quarantine(now, quarantine.Lifted{Fingerprint: ev.fingerprint})
+	case statusRequest:
+		ev.reply <- c.status(now)
+	}
+	return c.out
+}
+
+func (c *core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *core) changed(what string, fields ...Field) {
+	c.emit(Change{What: what, Detail: fields})
+}
+
+// tick does everything that depends on time alone.
+func (c *core) tick(now time.Time) {
+	if c.members.HeartbeatDue(now) {
+		c.membership(now, membership.Tick{Own: c.ownHeartbeat(now)})
+	}
+	c.updatePreferences(now)
+	c.lease(now, lease.Tick{})
+	c.tickOwnership(now)
+	c.quarantine(now, quarantine.Tick{})
+	c.tickPlans(now)
+	c.tickRequests(now)
+	if due, ok := c.queue.NextDeadline(); ok && !now.Before(due) {
+		c.admit(now, admission.Tick{})
+	}
+	if c.viewStale {
+		c.rebuildView(now)
+	}
+	c.publish(now)
+}
+
+func (c *core) stop(now time.Time) {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.changed("stop requested")
+	c.membership(now, membership.LeaveRequested{})
+	c.lease(now, lease.LeaveRequested{})
+	c.publish(now)
+}
+
+func (c *core) listingRead(now time.Time, l platform.Listing) {
+	c.listing, c.listed = l, true
+	c.membership(now, membership.ListingRead{Instances: l.Instances})
+	c.endpointsChanged(now)
+	c.rebuildView(now)
+	c.publish(now)
+}
+
+func (c *core) headRead(now time.Time, ev HeadRead) {
+	c.membership(now, membership.StoreContact{Sent: ev.Sent})
+	c.table.Confirmed(ev.Revision, ev.Sent)
+	if c.table.Heard(ev.Revision) && ev.Revision > 0 {
+		c.emit(FetchTable{Revision: ev.Revision})
+	}
+}
+
+func (c *core) tableRead(now time.Time, s *table.Snapshot) {
+	if !c.table.Adopt(s) {
+		return
+	}
+	c.changed("table adopted", Field{"revision", strconv.FormatUint(s.Revision, 10)})
+	c.rebuildView(now)
+	c.publish(now)
+}
+
+// membership passes an event to the membership state and handles its actions.
+func (c *core) membership(now time.Time, ev membership.Event) {
+	for _, a := range c.members.Step(now, ev) {
+		switch a := a.(type) {
+		case membership.MemberChanged:
+			c.memberChanged(now, a)
+		case membership.RevisionSeen:
+			if c.table.Heard(a.Revision) {
+				c.emit(FetchTable{Revision: a.Revision, From: a.Member})
+			}
+		case membership.IsolationChanged:
+			c.changed("isolation changed", Field{"isolated", strconv.FormatBool(a.Isolated)})
+			c.publish(now)
+		case membership.Replaced:
+			c.replaced = true
+			c.changed("replaced by a newer incarnation")
+			c.stop(now)
+		case membership.SendHeartbeat:
+			c.emit(a)
+		}
+	}
+}
+
+func (c *core) memberChanged(now time.Time, a membership.MemberChanged) {
+	if a.Before.Status != a.After.Status {
+		c.changed("instance "+a.After.Status.String(), Field{"instance", string(a.After.Instance.ID)})
+	}
+	c.quarantine(now, quarantine.MembersChanged{Alive: c.members.AliveIncarnations()})
+	c.viewStale = true
+}
+
+func (c *core) heartbeat(now time.Time, h membership.Heartbeat) {
+	c.membership(now, membership.HeartbeatReceived{Heartbeat: h})
+	c.confirmThroughPeer(now, h)
+	c.quarantine(now, quarantine.NoticesReceived{From: h.Member.ID, Complete: true, Notices: h.Suspects})
+	c.viewStale = true
+}
+
+// confirmThroughPeer takes over a peer's confirmation by the store: the table
+// was the newest one TableAge before the heartbeat was received, or earlier.
+func (c *core) confirmThroughPeer(now time.Time, h membership.Heartbeat) {
+	if h.TableAge > 0 && h.TableAge < maxTableAge {
+		c.table.Confirmed(h.TableRevision, now.Add(-h.TableAge))
+	}
+}
+
+// maxTableAge stands for a table that the store has never confirmed.
+const maxTableAge = 1000 * time.Hour
+
+func (c *core) tableAge(now time.Time) time.Duration {
+	at := c.table.ConfirmedAt()
+	if at.IsZero() {
+		return maxTableAge
+	}
+	return now.Sub(at)
+}
+
+func (c *core) revision() uint64 {
+	if s := c.table.Current(); s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
+// endpoint returns the listed endpoint with the given id.
+func (c *core) endpoint(id fleet.EndpointID) (fleet.Endpoint, bool) {
+	for _, e := range c.listing.Endpoints {
+		if e.ID == id {
+			return e, true
+		}
+	}
+	return fleet.Endpoint{}, false
+}
+
+// ledgerSettings returns how the ledger of an endpoint works.
+func (c *core) ledgerSettings(e fleet.Endpoint) ledger.Settings {
+	return ledger.Settings{
+		Replica: e.ID, CapacityMB: e.MemoryMB, ChecksTokens: e.ChecksTokens,
+		MaxOrderDelay: c.config.MaxOrderDelay,
+	}
+}
--- /dev/null
+++ b/control/planning.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/lease"
+	"github.com/hyssophaven/hyssophaven/ledger"
+	"github.com/hyssophaven/hyssophaven/placement"
+)
+
+// planInterval is the time between plans; demand that moves tenfold within a
+// minute changes by less than a quarter in it.
+const planInterval = time.Second
+
+// plans is the state of the pools' plans.
+type plans struct {
+	// current are the newest known plans of all pools.
+	current map[string]PoolPlan
+	targets map[string]map[fleet.EndpointID][]ledger.Item
+	held    map[string]*heldPlan // pools that this instance plans
+}
+
+// heldPlan is a pool whose plan lease this instance holds.
+type heldPlan struct {
+	epoch      uint64
+	planner    *placement.Planner
+	lastPlan   time.Time
+	persisting bool
+}
+
+func newPlans() plans {
+	return plans{
+		current: make(map[string]PoolPlan),
+		targets: make(map[string]map[fleet.EndpointID][]ledger.Item),
+		held:    make(map[string]*heldPlan),
+	}
+}
+
+// target returns what an endpoint should hold by the newest plan of its pool.
+func (p *plans) target(e fleet.Endpoint) []ledger.Item { return p.targets[e.Pool][e.ID] }
+
+// take replaces a pool's plan if it is newer and reports whether it was.
+func (p *plans) take(plan PoolPlan) bool {
+	if plan.Version == 0 || plan.Version <= p.current[plan.Pool].Version {
+		return false
+	}
+	p.current[plan.Pool] = plan
+	p.targets[plan.Pool] = plan.Stored.Targets()
+	return true
+}
+
+func (c *core) planAdopted(now time.Time, ev PlanAdopted) {
+	epoch, _, held := c.leases.Holds(lease.Shard(planPrefix+ev.Plan.Pool), now)
+	if !held || epoch != ev.Epoch {
+		return
+	}
+	if !ev.OK {
+		c.emit(AdoptPlan{Pool: ev.Plan.Pool, Epoch: epoch})
+		return
+	}
+	planner := placement.NewPlanner(c.config.Placement)
+	if ev.Plan.Version > 0 {
+		planner.Restore(now, ev.Plan.Stored)
+		if c.plans.take(ev.Plan) {
+			c.targetsChanged(now, ev.Plan.Pool)
+		}
+	}
+	c.plans.held[ev.Plan.Pool] = &heldPlan{epoch: epoch, planner: planner}
+}
+
+// tickPlans makes a new plan for each pool that this instance plans.
+func (c *core) tickPlans(now time.Time) {
+	for _, pool := range sortedKeys(c.plans.held) {
+		h := c.plans.held[pool]
+		if h.persisting || now.Sub(h.lastPlan) < planInterval || c.table.Current() == nil {
+			continue
+		}
+		shard := lease.Shard(planPrefix + pool)
+		if epoch, _, ok := c.leases.Holds(shard, now); !ok || epoch != h.epoch || c.ownership.handingOver[shard] {
+			continue
+		}
+		h.lastPlan = now
+		c.plan(now, pool, h)
+	}
+}
+
+func (c *core) plan(now time.Time, pool string, h *heldPlan) {
+	plan := h.planner.Plan(now, c.planInput(now, pool))
+	c.findings[pool] = c.findings[pool][:0]
+	for _, f := range plan.Findings {
+		c.findings[pool] = append(c.findings[pool], f.String())
+	}
+	if len(plan.Moves) == 0 && c.plans.current[pool].Version > 0 {
+		return
+	}
+	for _, m := range plan.Moves {
+		verb := "add"
+		if m.Remove {
+			verb = "remove"
+		}
+		c.changed("move planned", Field{"endpoint", string(m.Replica)}, Field{"action", verb}, Field{"name", m.Name}, Field{"cause", m.Cause.String()})
+	}
+	h.persisting = true
+	c.emit(PersistPlan{Pool: pool, Shard: lease.Shard(planPrefix + pool), Epoch: h.epoch, Stored: h.planner.Stored(now), Version: c.plans.current[pool].Version})
+}
+
+func (c *core) planCommitted(now time.Time, ev PlanCommitted) {
+	h := c.plans.held[ev.Pool]
+	if h == nil || h.epoch != ev.Epoch {
+		return
+	}
+	h.persisting = false
+	if !ev.Applied {
+		// The planner has gone ahead of the store, so it starts again from there.
+		delete(c.plans.held, ev.Pool)
+		c.emit(AdoptPlan{Pool: ev.Pool, Epoch: ev.Epoch})
+		return
+	}
+	if c.plans.take(PoolPlan{Pool: ev.Pool, Stored: h.planner.Stored(now), Version: ev.Version}) {
+		c.targetsChanged(now, ev.Pool)
+	}
+}
+
+// targetsChanged tells the owned ledgers of a pool what to hold.
+func (c *core) targetsChanged(now time.Time, pool string) {
+	for _, e := range c.listing.Endpoints {
+		if o := c.ownership.owned[e.ID]; e.Pool == pool && o != nil && o.adopted {
+			c.ledger(now, e.ID, ledger.Want{Target: c.plans.target(e)})
+		}
+	}
+}
+
+// planInput gathers what a pool's plan depends on.
+func (c *core) planInput(now time.Time, pool string) placement.Input {
+	t := c.table.Current()
+	in := placement.Input{Rows: placement.RowsOf(t, pool)}
+	for _, d := range c.fleetDemand(now) {
+		pd, ok := placement.DemandOf(t, d.Row)
+		if !ok {
+			continue
+		}
+		pd.Busy, pd.Queued, pd.Rate = float64(d.InFlight), float64(d.Queued), d.ArrivalRate
+		if d.ArrivalRate > 0 {
+			pd.SlotSeconds = d.Slots / d.ArrivalRate
+		}
+		in.Demand = append(in.Demand, pd)
+	}
+	for _, e := range c.listing.Endpoints {
+		if e.Kind != fleet.ModelEngine || e.Pool != pool {
+			continue
+		}
+		in.Replicas = append(in.Replicas, placement.Replica{
+			ID: e.ID, DataCentre: e.DataCentre, CapacityMB: e.MemoryMB, Slots: e.Slots,
+			Leaving: c.leaving(e), Held: c.heldEntries(e.ID),
+		})
+	}
+	return in
+}
+
+// heldEntries returns the ledger entries of an endpoint as far as known.
+func (c *core) heldEntries(id fleet.EndpointID) []ledger.Entry {
+	if o := c.ownership.owned[id]; o != nil && o.adopted {
+		var entries []ledger.Entry
+		for _, s := range o.replica.Entries() {
+			entries = append(entries, s.Entry)
+		}
+		return entries
+	}
+	return c.ownership.stored[id].Entries
+}
+
+// recordsRead takes over the stored ledgers and plans.
+func (c *core) recordsRead(now time.Time, ev RecordsRead) {
+	for _, r := range ev.Ledgers {
+		c.ownership.stored[r.Replica] = r
+	}
+	listed := make(map[fleet.EndpointID]bool)
+	for _, e := range c.listing.Endpoints {
+		listed[e.ID] = true
+	}
+	maps.DeleteFunc(c.ownership.stored, func(id fleet.EndpointID, _ ledger.Record) bool { return !listed[id] })
+	for _, p := range ev.Plans {
+		if c.plans.take(p) {
+			c.targetsChanged(now, p.Pool)
+		}
+	}
+	c.viewStale = true
+}
+
+// allFindings returns the findings of every pool that this instance plans.
+func (c *core) allFindings() []string {
+	var out []string
+	for _, pool := range sortedKeys(c.findings) {
+		if c.plans.held[pool] != nil {
+			out = append(out, slices.Clone(c.findings[pool])...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/control/view.go
@@ -0,0 +1,292 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/ledger"
+	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/routing"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+// Floors that apply where the table has no row for a rank.
+var defaultFloors = [fleet.RankCount]float64{fleet.Urgent: 0.5, fleet.Prompt: 0.1, fleet.Patient: 0.05}
+
+// report is the newest known load report of an endpoint.
+type report struct {
+	takenAt   time.Time // by this process's clock; the read is counted from its start
+	bootID    string
+	running   int
+	waiting   int
+	slots     int
+	leaving   bool
+	residents []membership.Resident
+}
+
+func (c *core) reportRead(now time.Time, ev ReportRead) {
+	r := ev.Report
+	c.takeReport(ev.Endpoint, report{
+		takenAt: ev.Sent, bootID: r.BootID, running: r.Running, waiting: r.Waiting,
+		slots: r.Slots, leaving: r.Leaving, residents: residentsOf(r.Residents),
+	})
+	if r.Running == 0 && r.Waiting == 0 && c.suspects.Reserved(ev.Endpoint) {
+		c.endpointIdle(now, ev.Endpoint)
+	}
+}
+
+func residentsOf(in []engine.Resident) []membership.Resident {
+	out := make([]membership.Resident, len(in))
+	for i, r := range in {
+		out[i] = membership.Resident{Name: r.Name, Version: r.Version, Ready: r.Ready}
+	}
+	return out
+}
+
+// takeReport keeps the newest report of an endpoint.
+func (c *core) takeReport(id fleet.EndpointID, r report) {
+	old, ok := c.reports[id]
+	if ok && !r.takenAt.After(old.takenAt) {
+		return
+	}
+	c.reports[id] = r
+	c.viewStale = true
+	if r.leaving != old.leaving {
+		c.changed("endpoint leaving mark changed", Field{"endpoint", string(id)})
+	}
+}
+
+// takePeerReports takes over the reports that peers have read.
+func (c *core) takePeerReports(now time.Time) {
+	for _, r := range c.members.Reports(now) {
+		c.takeReport(r.Endpoint, report{
+			takenAt: now.Add(-r.Age), bootID: r.BootID, running: r.Running, waiting: r.Waiting,
+			slots: r.Slots, leaving: r.Leaving, residents: r.Residents,
+		})
+	}
+}
+
+func (c *core) bootID(id fleet.EndpointID) string { return c.reports[id].bootID }
+
+// leaving reports whether an endpoint must get no new work, by the platform's
+// list or by its own report.
+func (c *core) leaving(e fleet.Endpoint) bool { return e.Leaving || c.reports[e.ID].leaving }
+
+// rebuildView gives the admission queue its view of the fleet.
+func (c *core) rebuildView(now time.Time) {
+	c.viewStale = false
+	c.takePeerReports(now)
+	c.demands = c.memberDemands(now)
+	view := &admission.View{
+		Endpoints: c.endpointViews(), Floors: c.floors(),
+		UrgentReserve: c.config.UrgentReserve, Rows: c.limitShares(),
+	}
+	c.admit(now, admission.ViewChanged{View: view})
+}
+
+func (c *core) endpointViews() []admission.EndpointView {
+	floors := c.floors()
+	served := c.routes()
+	var out []admission.EndpointView
+	for _, e := range c.listing.Endpoints {
+		r := c.reports[e.ID]
+		slots := e.Slots
+		if r.slots > 0 {
+			slots = r.slots
+		}
+		out = append(out, admission.EndpointView{
+			Endpoint: e, Closed: c.leaving(e) || c.suspects.Reserved(e.ID),
+			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID, served), admission.Contended{
+				Key: string(e.ID), Total: slots, Floors: floors,
+			}),
+			Residents: served.residents[e.ID], Running: r.running, Waiting: r.waiting, ReportedAt: r.takenAt,
+		})
+	}
+	return out
+}
+
+// residents returns what may be routed to an endpoint.
+func (c *core) residents(e fleet.Endpoint) []routing.Resident {
+	view := c.ledgerView(e.ID)
+	var out []routing.Resident
+	for _, entry := range view.Entries {
+		if !entry.Servable && !entry.Loadable {
+			continue
+		}
+		out = append(out, routing.Resident{
+			Name: entry.Name, Version: entry.Version, MemoryMB: entry.MemoryMB, Token: view.Token,
+			Ready: entry.Servable || c.reportedReady(e.ID, entry.Name, entry.Version),
+		})
+	}
+	return out
+}
+
+func (c *core) ledgerView(id fleet.EndpointID) ledger.View {
+	if o := c.ownership.owned[id]; o != nil && o.adopted {
+		return o.replica.View()
+	}
+	return ledger.ViewOf(c.ownership.stored[id])
+}
+
+func (c *core) reportedReady(id fleet.EndpointID, name, version string) bool {
+	return slices.ContainsFunc(c.reports[id].residents, func(r membership.Resident) bool {
+		return r.Ready && r.Name == name && r.Version == version
+	})
+}
+
+// memberDemands returns the demand of every live instance, this one included.
+func (c *core) memberDemands(now time.Time) []admission.MemberDemand {
+	t := c.table.Current()
+	out := []admission.MemberDemand{{Member: c.config.Self.ID, Rows: demandsOf(t, c.ownDemand(now))}}
+	for _, m := range c.members.Members() {
+		if m.Heartbeat != nil && (m.Status == membership.Alive || m.Status == membership.Suspect) {
+			out = append(out, admission.MemberDemand{Member: m.Instance.ID, Rows: demandsOf(t, m.Heartbeat.Demand)})
+		}
+	}
+	return out
+}
+
+func demandsOf(t *table.Snapshot, rows []membership.RowDemand) []admission.Demand {
+	if t == nil {
+		return nil
+	}
+	out := make([]admission.Demand, 0, len(rows))
+	for _, d := range rows {
+		if row, ok := t.Row(d.Row); ok {
+			out = append(out, admission.Demand{Row: d.Row, Rank: row.Rank, Weight: row.Weight, Slots: d.Slots, Rate: d.ArrivalRate})
+		}
+	}
+	return out
+}
+
+// routes tells which table rows each endpoint serves.
+type routes struct {
+	residents map[fleet.EndpointID][]routing.Resident
+	rows      map[fleet.EndpointID][]string
+	replicas  map[string]int // row to number of endpoints that serve it
+}
+
+func (c *core) routes() routes {
+	out := routes{
+		residents: make(map[fleet.EndpointID][]routing.Resident, len(c.listing.Endpoints)),
+		rows:      make(map[fleet.EndpointID][]string, len(c.listing.Endpoints)),
+		replicas:  make(map[string]int),
+	}
+	byTarget := rowsByTarget(c.table.Current())
+	for _, e := range c.listing.Endpoints {
+		residents := c.residents(e)
+		out.residents[e.ID] = residents
+		rows := slices.Clone(byTarget[servedBy{pool: e.Pool}])
+		for _, r := range residents {
+			rows = append(rows, byTarget[servedBy{name: r.Name}]...)
+		}
+		out.rows[e.ID] = rows
+		for _, row := range rows {
+			out.replicas[row]++
+		}
+	}
+	return out
+}
+
+// servedBy is what serves a row: a model or adapter, or a pool of plain services.
+type servedBy struct{ name, pool string }
+
+func rowsByTarget(t *table.Snapshot) map[servedBy][]string {
+	out := make(map[servedBy][]string)
+	if t == nil {
+		return out
+	}
+	for _, row := range t.Rows() {
+		if row.Kind == table.KindService {
+			out[servedBy{pool: row.Pool}] = append(out[servedBy{pool: row.Pool}], row.Name)
+			continue
+		}
+		serving, ok := t.Resolve(row.Name)
+		if !ok {
+			continue
+		}
+		target := servedBy{name: serving.Model.Name}
+		if serving.Adapter != nil {
+			target.name = serving.Adapter.Name
+		}
+		out[target] = append(out[target], row.Name)
+	}
+	return out
+}
+
+// endpointDemands returns the members' demand for what an endpoint serves. The
+// demand of a row is spread evenly over the endpoints that serve it.
+func (c *core) endpointDemands(e fleet.EndpointID, served routes) []admission.MemberDemand {
+	out := make([]admission.MemberDemand, len(c.demands))
+	for i, m := range c.demands {
+		out[i].Member = m.Member
+		for _, d := range m.Rows {
+			if slices.Contains(served.rows[e], d.Row) {
+				d.Slots /= float64(served.replicas[d.Row])
+				out[i].Rows = append(out[i].Rows, d)
+			}
+		}
+	}
+	return out
+}
+
+func (c *core) floors() [fleet.RankCount]float64 {
+	floors := defaultFloors
+	if t := c.table.Current(); t != nil {
+		for _, r := range fleet.Ranks() {
+			if row, ok := t.Row(r.String()); ok && row.Kind == table.KindRank {
+				floors[r] = row.Floor
+			}
+		}
+	}
+	return floors
+}
+
+// limitShares returns this instance's share of every limited row.
+func (c *core) limitShares() map[string]admission.RowShare {
+	t := c.table.Current()
+	if t == nil {
+		return nil
+	}
+	out := make(map[string]admission.RowShare)
+	for _, row := range t.Rows() {
+		if row.Limits != (table.Limits{}) {
+			out[row.Name] = admission.LimitShare(c.config.Self.ID, c.demands, row.Name, row.Limits)
+		}
+	}
+	return out
+}
+
+// publish makes a new snapshot for traffic goroutines.
+func (c *core) publish(now time.Time) {
+	s := &Snapshot{
+		Self: c.config.Self, Table: c.table.Current(), Endpoints: c.listing.Endpoints,
+		Isolated: c.members.Isolated(now), AliveIncarnations: c.members.AliveIncarnations(),
+	}
+	for _, e := range c.listing.Endpoints {
+		if c.members.ReadsReport(e.ID, e.DataCentre) || c.suspects.Reserved(e.ID) {
+			s.ReadReports = append(s.ReadReports, e)
+		}
+	}
+	s.NotReadyReason = c.notReadyReason(s)
+	s.Ready = s.NotReadyReason == ""
+	c.snapshot = s
+}
+
+func (c *core) notReadyReason(s *Snapshot) string {
+	switch {
+	case c.stopping:
+		return "stopping"
+	case s.Table == nil:
+		return "no table yet"
+	case !c.listed:
+		return "platform's list not read yet"
+	case s.Isolated:
+		return "cut off from the store and from all peers"
+	default:
+		return ""
+	}
+}
