--- a/engine/prefix.go
+++ b/engine/prefix.go
@@ -2,9 +2,9 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// prefixBytes is the length of the prompt prefix that PrefixHash covers. Prompts
+// PrefixBytes is the length of the prompt prefix that PrefixHash covers. Prompts
 // of one adapter share their instructions, which are at the start.
-const prefixBytes = 256
+const PrefixBytes = 256
 
 // PrefixHash returns the hash by which cache events name the prompt prefix of
 // a request.
@@ -14,6 +14,6 @@
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(adapter)
 	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(prompt[:min(len(prompt), prefixBytes)])
+	_, _ = d.WriteString(prompt[:min(len(prompt), PrefixBytes)])
 	return d.Sum64()
 }
