--- a/engine/engine.go
+++ b/engine/engine.go
@@ -50,6 +50,14 @@
 	Close() error
 }
 
+// BufferedStream is a Stream that knows whether Next would return without
+// waiting. A relay then sends several chunks with one write.
+type BufferedStream interface {
+	Stream
+	// Buffered reports whether a whole chunk has been received already.
+	Buffered() bool
+}
+
 // OrderKind is what an order changes.
 type OrderKind uint8
 
--- /dev/null
+++ b/gateway/model.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/openai"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+const (
+	// bytesPerToken estimates the tokens of a prompt; 4 is usual for English text.
+	bytesPerToken = 4
+	// usualAnswerTokens is the estimate for callers that set no limit.
+	usualAnswerTokens = 256
+
+	// The pause before a request is admitted again.
+	retryFirst = 10 * time.Millisecond
+	retryMax   = 500 * time.Millisecond
+)
+
+// modelCall is one request that a model answers. It is used by the goroutine
+// of its request only.
+type modelCall struct {
+	g       *Gateway
+	ctx     context.Context
+	id      string // request id of the caller
+	req     openai.Request
+	serving table.Serving
+	out     output
+	admit   admission.Request
+	arrived time.Time
+
+	next     int // index of the next chunk; all chunks below it are relayed
+	bytes    int64
+	tokens   int
+	firstAt  time.Time
+	lastAt   time.Time
+	executed engine.Executed // what is known of all attempts so far
+	failure  *failure        // of the latest attempt
+}
+
+func newModelCall(g *Gateway, w http.ResponseWriter, r *http.Request, req openai.Request, s table.Serving, arrived time.Time) *modelCall {
+	c := &modelCall{
+		g: g, ctx: r.Context(), id: r.Header.Get(HeaderRequestID), req: req, serving: s,
+		arrived: arrived, executed: engine.ExecutedNo,
+	}
+	if req.Stream {
+		c.out = newStreamOutput(g, w, r, req, arrived)
+	} else {
+		c.out = &wholeOutput{g: g, w: w, req: req, id: c.id, created: arrived}
+	}
+	answer := req.MaxTokens
+	if answer == 0 {
+		answer = usualAnswerTokens
+	}
+	c.admit = admission.Request{
+		Row: s.Row.Name, Rank: s.Row.Rank, Weight: s.Row.Weight, Limits: s.Row.Limits, Targets: s.Row.Targets,
+		Pool: s.Model.Pool, Model: s.Model.Name, Version: s.Model.Version,
+		Tokens:      len(req.Prompt)/bytesPerToken + answer,
+		Fingerprint: openai.Fingerprint(s.Row.Name, req.Prompt),
+		Prefix:      openai.PrefixHash(s.Model.Name, req.Prompt),
+	}
+	if s.Adapter != nil {
+		c.admit.Adapter, c.admit.Version = s.Adapter.Name, s.Adapter.Version
+	}
+	return c
+}
+
+// run serves the call and records it.
+func (c *modelCall) run() {
+	outcome := c.serve()
+	now := time.Now()
+	c.g.counters.chunks.Add(int64(c.next))
+	s := Served{Row: c.admit.Row, Rank: c.admit.Rank, Between: c.between(), Whole: now.Sub(c.arrived), Outcome: outcome}
+	if !c.firstAt.IsZero() {
+		s.FirstToken = c.firstAt.Sub(c.arrived)
+	}
+	c.g.record(s)
+}
+
+// between returns the mean time between tokens so far.
+func (c *modelCall) between() time.Duration {
+	if c.tokens < 2 {
+		return 0
+	}
+	return c.lastAt.Sub(c.firstAt) / time.Duration(c.tokens-1)
+}
+
+// serve admits the call and relays its answer, on another endpoint from the
+// first missing chunk if one is lost.
+func (c *modelCall) serve() Outcome {
+	pause := backoff.ExponentialBackOff{
+		InitialInterval: retryFirst, MaxInterval: retryMax,
+		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+	pause.Reset()
+	for attempt := range c.g.cfg.Limits.MaxAttempts {
+		if attempt > 0 {
+			if !sleep(c.ctx, pause.NextBackOff()) {
+				return OutcomeCancelled
+			}
+			c.admit.Readmitted = true
+		}
+		c.admit.ID = c.g.sequence.Add(1)
+		grant, err := c.g.control.Admit(c.ctx, c.admit)
+		if err != nil {
+			return c.refused(err)
+		}
+		if attempt > 0 && c.next > 0 {
+			c.g.counters.resumed.Add(1)
+		}
+		switch c.attempt(grant) {
+		case admission.ResultAnswered:
+			return OutcomeAnswered
+		case admission.ResultCancelled:
+			return OutcomeCancelled
+		}
+	}
+	c.failure.executed = c.executed
+	c.out.fail(c.failure)
+	return OutcomeFailed
+}
+
+func (c *modelCall) refused(err error) Outcome {
+	if c.ctx.Err() != nil {
+		return OutcomeCancelled
+	}
+	c.out.fail(refusalFailure(err, c.executed))
+	if c.executed == engine.ExecutedNo {
+		return OutcomeRefused
+	}
+	return OutcomeFailed
+}
+
+// attempt runs the call on the granted endpoint and finishes the grant, also
+// when the goroutine panics.
+func (c *modelCall) attempt(grant admission.Grant) (result admission.Result) {
+	start, before := time.Now(), c.tokens
+	result = admission.ResultFailed
+	defer func() {
+		now := time.Now()
+		o := admission.Outcome{
+			ID: c.admit.ID, Endpoint: grant.Endpoint.ID, Result: result,
+			Fingerprint: c.admit.Fingerprint, Trial: grant.Trial,
+			Tokens: c.tokens - before, Between: c.between(),
+			Duration: now.Sub(start), Total: now.Sub(c.arrived),
+		}
+		if !c.firstAt.IsZero() {
+			o.FirstToken = c.firstAt.Sub(c.arrived)
+		}
+		c.g.control.Finish(o)
+	}()
+	client := c.g.cfg.Engine(grant.Endpoint)
+	if grant.LoadAdapter {
+		if f, exclude := c.loadAdapter(client, grant); f != nil {
+			if c.ctx.Err() != nil {
+				return admission.ResultCancelled
+			}
+			c.failure = f
+			if exclude {
+				c.exclude(grant)
+			}
+			return admission.ResultFailed
+		}
+	}
+	return c.relay(client, grant)
+}
+
+func (c *modelCall) exclude(grant admission.Grant) {
+	if !slices.Contains(c.admit.Exclude, grant.Endpoint.ID) {
+		// A copy, because the control goroutine may still hold the old slice.
+		c.admit.Exclude = append(slices.Clone(c.admit.Exclude), grant.Endpoint.ID)
+	}
+}
+
+// engineRequestID returns an id that no other request of the fleet has, so
+// that an answer to another request is always recognised. Callers choose
+// their own ids, which may be equal.
+func (c *modelCall) engineRequestID() string {
+	self := c.g.control.Snapshot().Self
+	return fmt.Sprintf("%s.%s.%x.%x", c.id, self.ID, uint64(self.Incarnation), c.g.sequence.Add(1))
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/openai"
+)
+
+// relay runs one attempt on an engine. Chunks are relayed only after they are
+// known to belong to this request and to follow the last one relayed.
+func (c *modelCall) relay(client engine.Client, grant admission.Grant) admission.Result {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	var stalled atomic.Bool
+	stall := c.g.cfg.Limits.EngineStall
+	watch := time.AfterFunc(stall, func() {
+		stalled.Store(true)
+		cancel()
+	})
+	defer watch.Stop()
+	id := c.engineRequestID()
+	stream, err := client.Generate(ctx, engine.GenerateRequest{
+		RequestID: id, Model: c.admit.Model, Adapter: c.admit.Adapter, Version: c.admit.Version,
+		Prompt: c.req.Prompt, MaxTokens: c.req.MaxTokens, Priority: c.admit.Rank, ResumeFrom: c.next,
+	})
+	if err != nil {
+		return c.engineFailed(grant, err, stalled.Load())
+	}
+	defer func() { _ = stream.Close() }()
+	buffered, _ := stream.(engine.BufferedStream)
+	for {
+		chunk, err := stream.Next()
+		if err == nil {
+			err = c.check(chunk, id)
+		} else if errors.Is(err, io.EOF) {
+			err = &engine.Error{Kind: engine.Truncated, Err: errors.New("no final chunk")}
+		}
+		if err != nil {
+			if flushErr := c.out.flush(); flushErr != nil {
+				return admission.ResultCancelled
+			}
+			return c.engineFailed(grant, err, stalled.Load())
+		}
+		c.account(chunk)
+		watch.Reset(stall)
+		more := !chunk.Final && buffered != nil && buffered.Buffered()
+		if err := c.out.text(chunk.Text, more || chunk.Final); err != nil {
+			return admission.ResultCancelled
+		}
+		if chunk.Final {
+			u := openai.Usage{PromptTokens: chunk.PromptTokens, CompletionTokens: chunk.CompletionTokens}
+			if err := c.out.end(chunk.FinishReason, u); err != nil {
+				return admission.ResultCancelled
+			}
+			return admission.ResultAnswered
+		}
+	}
+}
+
+// account notes a chunk that has passed the check.
+func (c *modelCall) account(chunk engine.Chunk) {
+	c.executed = engine.ExecutedYes
+	c.next++
+	c.bytes += int64(len(chunk.Text))
+	if chunk.Tokens == 0 {
+		return
+	}
+	c.lastAt = time.Now()
+	if c.firstAt.IsZero() {
+		c.firstAt = c.lastAt
+	}
+	c.tokens += chunk.Tokens
+}
+
+var (
+	errOtherRequest = errors.New("the chunk belongs to another request")
+	errOutOfOrder   = errors.New("the chunk is out of order")
+	errBadChunk     = errors.New("the chunk has impossible values")
+	errTooLarge     = errors.New("the answer is too large")
+)
+
+// check verifies that a chunk is the next one of this request.
+func (c *modelCall) check(chunk engine.Chunk, id string) error {
+	switch {
+	case chunk.RequestID != id:
+		return &engine.Error{Kind: engine.Crossed, Err: errOtherRequest}
+	case chunk.Index != c.next:
+		return &engine.Error{Kind: engine.Malformed, Err: errOutOfOrder}
+	case chunk.Tokens < 0, chunk.PromptTokens < 0, chunk.CompletionTokens < 0,
+		chunk.Final && chunk.FinishReason != "stop" && chunk.FinishReason != "length":
+		return &engine.Error{Kind: engine.Malformed, Err: errBadChunk}
+	case c.bytes+int64(len(chunk.Text)) > c.g.cfg.Limits.MaxAnswerBytes:
+		return &engine.Error{Kind: engine.Malformed, Err: errTooLarge}
+	}
+	return nil
+}
+
+// engineFailed classifies the end of an attempt that gave no whole answer and
+// notes the answer for the caller in case no other endpoint can go on.
+func (c *modelCall) engineFailed(grant admission.Grant, err error, stalled bool) admission.Result {
+	if c.ctx.Err() != nil {
+		return admission.ResultCancelled
+	}
+	c.exclude(grant)
+	executed := engine.ExecutedUnknown
+	var e *engine.Error
+	if errors.As(err, &e) {
+		executed = e.Executed
+	}
+	if executed == engine.ExecutedUnknown && c.executed == engine.ExecutedNo {
+		c.executed = engine.ExecutedUnknown
+	}
+	if executed == engine.ExecutedYes {
+		c.executed = engine.ExecutedYes
+	}
+	kind, known := engine.ErrorKindOf(err)
+	if !known || stalled {
+		kind = engine.Cancelled // the stream was given up without an answer of the engine
+	}
+	if stalled {
+		c.g.counters.stalled.Add(1)
+	}
+	code := openai.CodeEndpointLost
+	result := admission.ResultLost
+	switch kind {
+	case engine.Crossed, engine.Malformed:
+		code, result = openai.CodeEndpointAnswer, admission.ResultFailed
+		c.countBadAnswer(kind)
+	case engine.Refused, engine.NotResident:
+		code, result = openai.CodeEndpointUnreachable, admission.ResultFailed
+	case engine.Truncated:
+		c.g.counters.truncated.Add(1)
+	case engine.Unreachable:
+		if executed == engine.ExecutedNo {
+			// The request never reached the endpoint, so it is no suspect of
+			// having crashed it.
+			code, result = openai.CodeEndpointUnreachable, admission.ResultFailed
+		}
+	}
+	if result == admission.ResultLost {
+		c.g.counters.lost.Add(1)
+	}
+	c.failure = failf(code, c.executed, "endpoint %s gave no whole answer: %v", grant.Endpoint.ID, err).after(retrySoon)
+	return result
+}
+
+func (c *modelCall) countBadAnswer(kind engine.ErrorKind) {
+	if kind == engine.Crossed {
+		c.g.counters.crossed.Add(1)
+		return
+	}
+	c.g.counters.malformed.Add(1)
+}
--- /dev/null
+++ b/gateway/roundtrip.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/openai"
+)
+
+// serviceAnswer is a plain service's whole answer.
+type serviceAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// hopHeaders concern one connection only and are not relayed.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns a copy of h without the headers of the connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// newRequest returns the request to send to an endpoint.
+func (c *serviceCall) newRequest(ctx context.Context, address string) (*http.Request, error) {
+	u, err := url.Parse("http://" + address + c.target)
+	if err != nil {
+		return nil, err
+	}
+	r := (&http.Request{
+		Method: c.r.Method, URL: u, Host: c.r.Host, Header: endToEnd(c.r.Header),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
+	}).WithContext(ctx)
+	r.Header.Del("Content-Length")
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header.Set("User-Agent", "") // keeps the transport from adding its own
+	}
+	if len(c.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(c.body))
+		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.body)), nil }
+	}
+	if c.once {
+		forbidResend(r)
+	}
+	return r, nil
+}
+
+// forbidResend keeps http.Transport from sending the request a second time
+// when a reused connection breaks: it repeats requests whose method is safe or
+// that have a header stored as "Idempotency-Key". The other spelling is equal
+// on the wire, and a body without GetBody cannot be sent again.
+func forbidResend(r *http.Request) {
+	if v, ok := r.Header[HeaderKey]; ok {
+		delete(r.Header, HeaderKey)
+		r.Header[strings.ToLower(HeaderKey)] = v
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		if r.Body == nil {
+			r.Body = io.NopCloser(bytes.NewReader(nil))
+		}
+		r.GetBody = nil
+	}
+}
+
+// roundTrip sends the call once and reads the whole answer.
+func (c *serviceCall) roundTrip(ctx context.Context, grant admission.Grant) (*serviceAnswer, *failure) {
+	req, err := c.newRequest(ctx, grant.Endpoint.Address)
+	if err != nil {
+		return nil, failf(openai.CodeInternal, engine.ExecutedNo, "request to endpoint %s cannot be formed: %v", grant.Endpoint.ID, err)
+	}
+	resp, err := c.g.services.RoundTrip(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, failf(openai.CodeEndpointUnreachable, engine.ExecutedNo, "endpoint %s cannot be reached: %v", grant.Endpoint.ID, err).after(retrySoon)
+		}
+		return nil, lostService(grant, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	limit := c.g.cfg.Limits.MaxAnswerBytes
+	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
+	if err != nil {
+		return nil, lostService(grant, err)
+	}
+	if int64(len(body)) > limit {
+		f := failf(openai.CodeAnswerTooLarge, engine.ExecutedYes, "the answer of endpoint %s is larger than %d bytes", grant.Endpoint.ID, limit)
+		return &serviceAnswer{status: resp.StatusCode}, f
+	}
+	return &serviceAnswer{status: resp.StatusCode, header: endToEnd(resp.Header), body: body}, nil
+}
+
+func lostService(grant admission.Grant, err error) *failure {
+	return failf(openai.CodeEndpointLost, engine.ExecutedUnknown, "endpoint %s gave no whole answer: %v", grant.Endpoint.ID, err)
+}
+
+// writeService relays a service's answer to its caller.
+func (g *Gateway) writeService(w http.ResponseWriter, a *serviceAnswer) error {
+	h := w.Header()
+	for name, values := range a.header {
+		if name == "Content-Length" || name == HeaderRequestID || name == HeaderExecuted {
+			continue
+		}
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // relayed as it is, not guessed from the body
+	}
+	h.Set(HeaderExecuted, engine.ExecutedYes.String())
+	if len(a.body) == 0 && a.header.Get("Content-Length") != "" {
+		// The answer to HEAD announces a body that it does not hold.
+		if n, err := strconv.Atoi(a.header.Get("Content-Length")); err == nil && n > 0 {
+			return g.writeHead(w, a.status, n)
+		}
+	}
+	return g.writeWhole(w, a.status, a.body)
+}
+
+func (g *Gateway) writeHead(w http.ResponseWriter, status, length int) error {
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	g.extendWrite(http.NewResponseController(w))
+	w.WriteHeader(status)
+	return nil
+}
