--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -19,13 +19,15 @@
 type Loss struct {
 	Endpoint fleet.EndpointID
 	BootID   string // boot of the endpoint that ended; distinguishes repeated deaths
+	// Attempt is set if the endpoint died, or may have died, in that trial.
+	Attempt uint64
 }
 
 // Trial is a claim to run a suspect, or its run.
 type Trial struct {
 	Holder      fleet.InstanceID
 	Incarnation fleet.Incarnation
-	Attempt     uint64 // unique among the claims of one incarnation
+	Attempt     uint64 // unique in the fleet
 	Endpoint    fleet.EndpointID
 	BootID      string // boot of the endpoint when the trial was started
 	// Running is set by a write of its own before the request is sent. A
@@ -37,7 +39,7 @@
 // fingerprint is cleared.
 type Record struct {
 	Losses []Loss // ordered by endpoint and boot
-	// Until is the end of the quarantine by the wall clock. Clocks of
+	// Until is the end of the quarantine by the wall clock, to the second. Clocks of
 	// different machines may differ by seconds, which is small against the
 	// length of a quarantine; safety does not depend on it.
 	Until time.Time
@@ -50,7 +52,10 @@
 	Losses      []Loss // losses known to the sender and not cleared
 	Cleared     []Loss // losses for which the fingerprint is cleared
 	Until       time.Time
-	Trial       *Trial // a trial of the sender
+	// Since is when the newest loss was seen, by the wall clock. Receivers
+	// forget the fingerprint at the same time as the sender.
+	Since time.Time
+	Trial *Trial // a trial of the sender
 	// InFlight is the number of runs of the fingerprint on the sender that
 	// are not trials. No trial starts while there are any.
 	InFlight int
