--- /dev/null
+++ b/placement/grow.go
@@ -0,0 +1,179 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// growRounds bounds the rounds of flow and growth in one plan.
+const growRounds = 8
+
+// grow adds replicas for demand that the present ones cannot serve, the most
+// valuable first, until no addition gains enough.
+func (w *work) grow() {
+	left := w.p.opt.MaxMoves
+	if left == 0 {
+		left = max(4, len(w.reps)/10)
+	}
+	for range growRounds {
+		w.flow()
+		added := 0
+		for _, row := range w.shortRows() {
+			for left > 0 && w.growRow(row) {
+				added++
+				left--
+			}
+		}
+		if added == 0 || left == 0 {
+			return
+		}
+	}
+}
+
+// shortRows returns the models with unmet demand, the most valuable first.
+func (w *work) shortRows() []int {
+	var out []int
+	value := make([]float64, len(w.rows))
+	for i := range w.rows {
+		r := &w.rows[i]
+		for k, u := range r.unmet {
+			value[i] += rankWorth[k] * r.Weight * u
+		}
+		if r.Base == "" && len(r.copies) > 0 && value[i] > 0 {
+			out = append(out, i)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int {
+		return cmp.Or(cmp.Compare(value[b], value[a]), cmp.Compare(w.rows[a].order, w.rows[b].order))
+	})
+	return out
+}
+
+// growRow adds one replica of the row if that gains enough. Free memory is
+// used first; then items whose rows stay reachable make room.
+func (w *work) growRow(row int) bool {
+	r := &w.rows[row]
+	best, bestGain := -1, w.leastGain(row)
+	for i := range w.reps {
+		if rep := &w.reps[i]; !rep.Leaving && rep.free >= r.MemoryMB && !w.has(i, row) {
+			if g := w.gain(i, row, nil); g > bestGain {
+				best, bestGain = i, g
+			}
+		}
+	}
+	if best >= 0 {
+		w.grown(best, row)
+		return true
+	}
+	var bestRoom room
+	bestNet, found := w.leastGain(row), false
+	for i := range w.reps {
+		if w.reps[i].Leaving || w.reps[i].CapacityMB < r.MemoryMB || w.has(i, row) {
+			continue
+		}
+		room, ok := w.roomOn(i, r.MemoryMB, extraCopy, w.served(i))
+		if !ok {
+			continue
+		}
+		margin := 1 + w.p.opt.Margin
+		if w.p.opt.Mode == Greedy {
+			margin = 1
+		}
+		if net := w.gain(i, row, room.victims) - room.loss*margin; net > bestNet {
+			bestRoom, bestNet, found = room, net, true
+		}
+	}
+	if found {
+		w.displace(bestRoom)
+		w.take(bestRoom)
+		w.grown(bestRoom.rep, row)
+	}
+	return found
+}
+
+// served allows victims that have been in the plan for the least time.
+func (w *work) served(rep int) func(victim) bool {
+	return func(v victim) bool {
+		for _, it := range w.reps[rep].items {
+			if it.row == v.row {
+				return w.p.opt.Mode == Greedy || w.now.Sub(it.since) >= w.p.opt.MinServe
+			}
+		}
+		return false
+	}
+}
+
+// leastGain is the worth of half a slot of the row's least urgent demand.
+func (w *work) leastGain(row int) float64 {
+	r := &w.rows[row]
+	least := 0.0
+	for k, d := range r.demand {
+		if d > 0 {
+			least = rankWorth[k] * r.Weight * slotMargin
+		}
+	}
+	return least
+}
+
+// gain returns the worth of the unmet demand that the replica could serve
+// without the victims.
+func (w *work) gain(rep, row int, out []victim) float64 {
+	r, target := &w.rows[row], &w.reps[rep]
+	sum, used := 0.0, 0.0
+	for k, u := range r.unmet {
+		spare := target.spare(k) - used
+		for _, it := range target.items {
+			if slices.ContainsFunc(out, func(v victim) bool { return v.row == it.row }) {
+				for _, f := range it.flow[:k+1] {
+					spare += f
+				}
+			}
+		}
+		take := max(0, min(u, spare))
+		used += take
+		sum += rankWorth[k] * r.Weight * take
+	}
+	return sum
+}
+
+// grown adds the row and moves unmet demand to the replica.
+func (w *work) grown(rep, row int) {
+	r := &w.rows[row]
+	unmet := r.unmet
+	var flow [len(unmet)]float64
+	for k, u := range unmet {
+		flow[k] = min(u, w.reps[rep].spare(k))
+	}
+	load := w.reps[rep].load
+	w.add(rep, row, CauseDemand)
+	items := w.reps[rep].items
+	items[len(items)-1].flow = flow
+	for k := range unmet {
+		load[k] += flow[k]
+		r.unmet[k] = unmet[k] - flow[k]
+	}
+	w.reps[rep].load = load
+}
+
+// displace moves the flow of the victims to the other replicas of their rows.
+func (w *work) displace(r room) {
+	for _, v := range r.victims {
+		row := &w.rows[v.row]
+		for _, it := range w.reps[r.rep].items {
+			if it.row != v.row || row.base >= 0 {
+				continue
+			}
+			for k, f := range it.flow {
+				w.reps[r.rep].load[k] -= f
+				for _, c := range row.copies {
+					if c != r.rep && f > 0 {
+						part := min(f, w.reps[c].spare(k))
+						w.reps[c].load[k] += part
+						f -= part
+					}
+				}
+				row.unmet[k] += f
+			}
+		}
+	}
+}
--- /dev/null
+++ b/placement/room.go
@@ -0,0 +1,199 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// class is what the removal of an item sacrifices, cheapest first.
+type class uint8
+
+const (
+	extraCopy  class = iota // the row keeps its minimum and its second data centre
+	secondCopy              // the row stays reachable
+	soleCopy                // the row becomes unreachable
+)
+
+// classify returns what is lost when the row leaves the replica. A copy that
+// cannot serve yet does not make the row reachable.
+func (w *work) classify(rep, row int) class {
+	r := &w.rows[row]
+	others, serving := 0, 0
+	centres := map[fleet.DataCentre]bool{}
+	for _, c := range r.copies {
+		if c != rep {
+			others++
+			centres[w.reps[c].DataCentre] = true
+			if w.serves(c, row) {
+				serving++
+			}
+		}
+	}
+	if others == 0 || serving == 0 && w.serves(rep, row) {
+		return soleCopy
+	}
+	worst := extraCopy
+	if others < max(1, r.MinReplicas) || len(centres) < min(2, w.centres) {
+		worst = secondCopy
+	}
+	for _, a := range r.adapters {
+		if w.has(rep, a) {
+			worst = max(worst, w.classify(rep, a))
+		}
+	}
+	return worst
+}
+
+// victim is an item that may leave a replica.
+type victim struct {
+	row    int
+	class  class
+	memory int
+	loss   float64 // worth of the demand that no other replica takes over
+}
+
+// victims returns the items of the replica up to the given class, cheapest
+// first: by class, then the least urgent rank, then loss and weight.
+func (w *work) victims(rep int, up class) []victim {
+	var out []victim
+	for _, it := range w.reps[rep].items {
+		if w.p.opt.Mode == Hysteresis && w.now.Sub(it.since) < w.p.opt.MinServe && !it.since.Equal(w.now) && up != extraCopy {
+			continue
+		}
+		c := w.classify(rep, it.row)
+		if c > up {
+			continue
+		}
+		v := victim{row: it.row, class: c, memory: it.memory, loss: w.loss(rep, it)}
+		for _, a := range w.rows[it.row].adapters {
+			for _, o := range w.reps[rep].items {
+				if o.row == a {
+					v.memory += o.memory
+				}
+			}
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b victim) int {
+		x, y := &w.rows[a.row], &w.rows[b.row]
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(y.Rank, x.Rank), cmp.Compare(a.loss, b.loss),
+			cmp.Compare(x.Weight, y.Weight), cmp.Compare(b.row, a.row))
+	})
+	return out
+}
+
+// loss returns the worth of the demand that the item serves and that the other
+// replicas of its row have no free slots for.
+func (w *work) loss(rep int, it item) float64 {
+	r := &w.rows[it.row]
+	sum := 0.0
+	for k, f := range it.flow {
+		for _, c := range r.copies {
+			if c != rep && f > 0 {
+				f -= w.reps[c].spare(k)
+			}
+		}
+		sum += rankWorth[k] * r.Weight * max(0, f)
+	}
+	return sum
+}
+
+// room is a set of victims on one replica that frees enough memory.
+type room struct {
+	rep     int
+	victims []victim
+	class   class
+	loss    float64
+	count   int
+}
+
+// roomOn returns the cheapest victims on the replica that free need MB.
+func (w *work) roomOn(rep, need int, up class, allowed func(victim) bool) (room, bool) {
+	r := room{rep: rep}
+	free := w.reps[rep].free
+	if free < 0 {
+		return r, false
+	}
+	for _, v := range w.victims(rep, up) {
+		if free >= need {
+			break
+		}
+		if !allowed(v) || slices.ContainsFunc(r.victims, func(o victim) bool { return w.rows[v.row].base == o.row }) {
+			continue
+		}
+		r.victims = append(r.victims, v)
+		r.class = max(r.class, v.class)
+		r.loss += v.loss
+		r.count++
+		free += v.memory
+	}
+	return r, free >= need
+}
+
+// take removes the victims.
+func (w *work) take(r room) {
+	for _, v := range r.victims {
+		if w.has(r.rep, v.row) {
+			w.remove(r.rep, v.row, CauseRoom)
+		}
+	}
+}
+
+// freest returns the replica with room for need MB that suits the row best: in
+// a data centre without the row, then with the fewest busy slots, then with
+// the most free memory.
+func (w *work) freest(row, need int, only func(rep int) bool) (int, bool) {
+	best := -1
+	var bestNew bool
+	taken := w.centresOf(row)
+	for i := range w.reps {
+		rep := &w.reps[i]
+		if rep.Leaving || rep.free < need || only != nil && !only(i) || w.has(i, row) {
+			continue
+		}
+		fresh := !taken[rep.DataCentre]
+		if best >= 0 {
+			b := &w.reps[best]
+			if fresh != bestNew {
+				if !fresh {
+					continue
+				}
+			} else if c := cmp.Or(cmp.Compare(rep.busy(), b.busy()), cmp.Compare(b.free, rep.free)); c >= 0 {
+				continue
+			}
+		}
+		best, bestNew = i, fresh
+	}
+	return best, best >= 0
+}
+
+// centresOf returns the data centres in which the row has a copy.
+func (w *work) centresOf(row int) map[fleet.DataCentre]bool {
+	out := map[fleet.DataCentre]bool{}
+	for _, c := range w.rows[row].copies {
+		out[w.reps[c].DataCentre] = true
+	}
+	return out
+}
+
+// cheapest returns the cheapest room for the row over all replicas.
+func (w *work) cheapest(row, need int, up class, only func(rep int) bool, allowed func(victim) bool) (room, bool) {
+	var best room
+	found := false
+	for i := range w.reps {
+		if w.reps[i].Leaving || w.reps[i].CapacityMB < need || only != nil && !only(i) || w.has(i, row) {
+			continue
+		}
+		r, ok := w.roomOn(i, need, up, allowed)
+		if !ok {
+			continue
+		}
+		c := cmp.Or(cmp.Compare(r.class, best.class), cmp.Compare(r.loss, best.loss), cmp.Compare(r.count, best.count))
+		if !found || c < 0 {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/placement/share.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// LoadLimit bounds loads from the weight store.
+type LoadLimit struct {
+	PerSecond float64
+	AtOnce    int
+}
+
+// Share returns the part of the fleet's limit that belongs to self, in
+// proportion to the loads that every owner wants. Whole loads at once are
+// dealt by largest remainder, ties to the smaller instance id, so owners that
+// know the same wants never exceed the limit together.
+func Share(limit LoadLimit, wanted map[fleet.InstanceID]int, self fleet.InstanceID) LoadLimit {
+	total := 0
+	for _, n := range wanted {
+		total += max(n, 0)
+	}
+	if wanted[self] <= 0 || total == 0 {
+		return LoadLimit{}
+	}
+	type part struct {
+		id        fleet.InstanceID
+		whole     int
+		remainder int
+	}
+	parts := make([]part, 0, len(wanted))
+	left := limit.AtOnce
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
+		product := limit.AtOnce * max(wanted[id], 0)
+		parts = append(parts, part{id, product / total, product % total})
+		left -= product / total
+	}
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(b.remainder, a.remainder) })
+	out := LoadLimit{PerSecond: limit.PerSecond * float64(wanted[self]) / float64(total)}
+	for i, p := range parts {
+		if p.id == self {
+			out.AtOnce = p.whole
+			if i < left {
+				out.AtOnce++
+			}
+		}
+	}
+	return out
+}
