engines: add the services that act for the control goroutine

Cause: the control goroutine does no I/O. Conclusion: each service finds control by name and posts events to it.

--- a/control/action.go
+++ b/control/action.go
@@ -80,4 +80,3 @@
 
 // Field is a named detail of a Change.
 type Field struct{ Name, Value string }
-
--- a/control/api.go
+++ b/control/api.go
@@ -44,4 +44,6 @@
 	AliveIncarnations map[fleet.InstanceID]fleet.Incarnation
 	// ReadReports are the endpoints whose load reports this instance reads.
 	ReadReports []fleet.Endpoint
+	// PeerAddresses are the peer listeners of all other known instances.
+	PeerAddresses []string
 }
--- a/control/core.go
+++ b/control/core.go
@@ -12,7 +12,6 @@
 	"github.com/hyssophaven/hyssophaven/placement"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
-	"github.com/hyssophaven/hyssophaven/retry"
 	"github.com/hyssophaven/hyssophaven/table"
 )
 
@@ -45,16 +44,16 @@
 	stopping bool
 	replaced bool // a newer incarnation of this instance runs
 
-	members    *membership.State
-	leases     *lease.State
-	queue      *admission.Queue
-	suspects   *quarantine.State
-	retries    *retry.Budget
-	ownership  ownership
-	plans      plans
-	requests   requests
-	reports    map[fleet.EndpointID]report
-	demands    []admission.MemberDemand // of every live instance, at the last view
+	members   *membership.State
+	leases    *lease.State
+	queue     *admission.Queue
+	suspects  *quarantine.State
+	retries   *retryBudget
+	ownership ownership
+	plans     plans
+	requests  requests
+	reports   map[fleet.EndpointID]report
+	demands   []admission.MemberDemand // of every live instance, at the last view
 
 	viewStale bool
 	snapshot  *Snapshot
@@ -73,7 +72,7 @@
 		leases:    lease.New(c.Lease),
 		queue:     admission.NewQueue(c.Admission),
 		suspects:  quarantine.New(c.Quarantine),
-		retries:   retry.NewBudget(retry.Config{}),
+		retries:   new(retryBudget),
 		ownership: newOwnership(),
 		plans:     newPlans(),
 		requests:  newRequests(),
--- a/control/service.go
+++ b/control/service.go
@@ -31,7 +31,6 @@
 	inbox    chan Event
 	quit     chan struct{}
 	ended    chan struct{}
-	nextID   atomic.Uint64
 	snapshot atomic.Pointer[Snapshot]
 	bus      *kernel.Bus
 	observe  func(Event, time.Duration) // for measurements; may be nil
@@ -114,9 +113,8 @@
 	}
 }
 
-// Admit implements Control. It sets the request's ID, which the grant carries.
+// Admit implements Control.
 func (s *Service) Admit(ctx context.Context, r admission.Request) (admission.Grant, error) {
-	r.ID = s.nextID.Add(1)
 	reply := make(chan answer, 1)
 	select {
 	case s.inbox <- arrive{request: r, reply: reply}:
@@ -130,7 +128,6 @@
 		if a.refusal != nil {
 			return admission.Grant{}, a.refusal
 		}
-		a.grant.ID = r.ID
 		return a.grant, nil
 	case <-ctx.Done():
 		// A grant that was made meanwhile is taken back by the same event.
--- a/control/view.go
+++ b/control/view.go
@@ -271,6 +271,11 @@
 			s.ReadReports = append(s.ReadReports, e)
 		}
 	}
+	for _, m := range c.members.Members() {
+		if m.Instance.PeerAddress != "" {
+			s.PeerAddresses = append(s.PeerAddresses, m.Instance.PeerAddress)
+		}
+	}
 	s.NotReadyReason = c.notReadyReason(s)
 	s.Ready = s.NotReadyReason == ""
 	c.snapshot = s
--- /dev/null
+++ b/engines/engines.go
@@ -0,0 +1,173 @@
+// Package engines is the service that talks to model engines on behalf of the
+// control goroutine: it sends orders, reads states and load reports, and probes
+// endpoints. It also gives the request path its engine clients.
+package engines
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/ledger"
+	"github.com/hyssophaven/hyssophaven/worker"
+)
+
+// ServiceName is the name of the service on the kernel.
+const ServiceName = "engines"
+
+const (
+	// orderTimeout bounds the wait for an answer to an order; after it the
+	// order's outcome is unknown.
+	orderTimeout = 30 * time.Second
+	readTimeout  = 2 * time.Second
+	probeTimeout = time.Second
+	// maxReportReads bounds the load reports that are read at once.
+	maxReportReads = 16
+)
+
+// Control is what the service needs of the service "control".
+type Control interface {
+	Post(control.Event)
+	Snapshot() *control.Snapshot
+}
+
+// Dial returns a client for an endpoint. It must not block.
+type Dial func(fleet.Endpoint) engine.Client
+
+// Config sets up the service.
+type Config struct {
+	Dial           Dial
+	ReportInterval time.Duration
+	Vars           *expvar.Map
+}
+
+// Service implements kernel.Service.
+type Service struct {
+	config  Config
+	control Control
+	group   *worker.Group
+	clients sync.Map // address to engine.Client
+}
+
+// New returns a service that is not started yet.
+func New(c Config) *Service { return &Service{config: c, group: worker.NewGroup()} }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Requires implements kernel.Service.
+func (s *Service) Requires() []string { return []string{control.ServiceName} }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.control, err = kernel.Lookup[Control](k, control.ServiceName); err != nil {
+		return err
+	}
+	b := k.Bus()
+	err = errors.Join(
+		kernel.Subscribe(b, "engines.order", func(_ context.Context, a control.SendOrder) {
+			s.group.Go(func(ctx context.Context) { s.sendOrder(ctx, a) })
+		}),
+		kernel.Subscribe(b, "engines.query", func(_ context.Context, a control.QueryEngine) {
+			s.group.Go(func(ctx context.Context) { s.query(ctx, a) })
+		}),
+		kernel.Subscribe(b, "engines.probe", func(_ context.Context, a control.Probe) {
+			s.group.Go(func(ctx context.Context) { s.probe(ctx, a) })
+		}),
+	)
+	if err != nil {
+		return err
+	}
+	s.group.Every(s.config.ReportInterval, nil, s.readReports)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
+
+// Client returns the client for an endpoint; all callers share it.
+func (s *Service) Client(e fleet.Endpoint) engine.Client {
+	if c, ok := s.clients.Load(e.Address); ok {
+		return c.(engine.Client)
+	}
+	c, _ := s.clients.LoadOrStore(e.Address, s.config.Dial(e))
+	return c.(engine.Client)
+}
+
+// sendOrder sends one order. The lease is checked right before, because this
+// goroutine may have been paused since the order was decided.
+func (s *Service) sendOrder(ctx context.Context, a control.SendOrder) {
+	reply := func(ev ledger.Event) {
+		s.control.Post(control.LedgerResult{Endpoint: a.Endpoint.ID, Event: ev})
+	}
+	if a.Endpoint.Address == "" || !time.Now().Before(a.Send.NotAfter) {
+		s.config.Vars.Add("orders_not_sent", 1)
+		reply(ledger.OrderFailed{ID: a.Send.Order.ID, NotExecuted: true})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	s.config.Vars.Add("orders_sent", 1)
+	result, err := s.Client(a.Endpoint).Order(ctx, a.Send.Order)
+	if err != nil {
+		s.config.Vars.Add("orders_failed", 1)
+		var e *engine.Error
+		reply(ledger.OrderFailed{ID: a.Send.Order.ID, NotExecuted: errors.As(err, &e) && e.Executed == engine.ExecutedNo})
+		return
+	}
+	reply(ledger.OrderAnswered{ID: a.Send.Order.ID, Result: result})
+}
+
+func (s *Service) query(ctx context.Context, a control.QueryEngine) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var ev ledger.Event = ledger.ObserveFailed{Query: a.Query.ID}
+	if a.Endpoint.Address != "" {
+		if state, err := s.Client(a.Endpoint).State(ctx); err == nil {
+			ev = ledger.Observed{Query: a.Query.ID, State: state}
+		}
+	}
+	s.control.Post(control.LedgerResult{Endpoint: a.Endpoint.ID, Event: ev})
+}
+
+func (s *Service) probe(ctx context.Context, a control.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	state, err := s.Client(a.Endpoint).State(ctx)
+	s.control.Post(control.ProbeDone{Endpoint: a.Endpoint.ID, OK: err == nil, BootID: state.BootID})
+}
+
+// readReports reads the load reports that are this instance's part, a bounded
+// number at a time.
+func (s *Service) readReports(ctx context.Context) {
+	places := make(chan struct{}, maxReportReads)
+	var wg sync.WaitGroup
+	for _, e := range s.control.Snapshot().ReadReports {
+		places <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-places }()
+			s.readReport(ctx, e)
+		})
+	}
+	wg.Wait()
+}
+
+func (s *Service) readReport(ctx context.Context, e fleet.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := time.Now()
+	report, err := s.Client(e).Report(ctx)
+	s.config.Vars.Add("report_reads", 1)
+	if err != nil {
+		s.config.Vars.Add("report_failures", 1)
+		return
+	}
+	s.control.Post(control.ReportRead{Endpoint: e.ID, Report: report, Sent: sent})
+}
--- a/membership/types.go
+++ b/membership/types.go
@@ -37,6 +37,7 @@
 	ArrivalRate float64 // requests per second
 	Queued      int
 	InFlight    int
+	Slots       float64 // what the arrivals occupy in the long run, at least Queued + InFlight
 }
 
 // RetryCounts are the counts behind the retry ratio, over the last 10 s.
--- a/membership/views.go
+++ b/membership/views.go
@@ -214,6 +214,7 @@
 		sum.Row = r.Row
 		sum.ArrivalRate += r.ArrivalRate
 		sum.Queued += r.Queued
+		sum.Slots += r.Slots
 		sum.InFlight += r.InFlight
 		total[r.Row] = sum
 	}
