--- /dev/null
+++ b/dev/sample.go
@@ -0,0 +1,121 @@
+package dev
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+// Deployment describes a sample deployment and its sizes.
+type Deployment struct {
+	Name        string
+	DataCentres []fleet.DataCentre
+	Pool        string // model pool
+	Replicas    int
+	ServicePool string // plain service
+	Services    int
+	ModelPrefix string
+	Models      int
+	Adapters    int
+
+	LoadsPerSecond    float64
+	LoadsAtOnce       int
+	AdaptersInTransit int
+	AdapterLoadTime   time.Duration
+
+	Work          []table.Row
+	NotIdempotent []string
+}
+
+const (
+	replicaMemoryMB = 80_000
+	replicaSlots    = 16
+	serviceSlots    = 32
+	modelMemoryMB   = 14_000
+	adapterMemoryMB = 160
+	// modelSizes is the number of different model sizes, 1,000 MB apart.
+	modelSizes = 6
+)
+
+// Deployments returns the sample deployments by name.
+func Deployments() map[string]Deployment {
+	return map[string]Deployment{
+		"ladang-petik": {
+			Name: "ladang-petik", DataCentres: []fleet.DataCentre{"kul-a", "kul-b", "kul-c"},
+			Pool: "language-models", Replicas: 12, ServicePool: "booking", Services: 3,
+			ModelPrefix: "ladang", Models: 20, Adapters: 60,
+			LoadsPerSecond: 1.5, LoadsAtOnce: 10, AdaptersInTransit: 90, AdapterLoadTime: 10 * time.Millisecond,
+			NotIdempotent: []string{"POST /bookings", "POST /holds"},
+			Work: []table.Row{
+				work("slot-confirmation", "ladang-01", fleet.Urgent, 3, targets(500*time.Millisecond, 3*time.Second)),
+				work("date-lookup", "ladang-02", fleet.Urgent, 2, targets(500*time.Millisecond, 3*time.Second)),
+				work("growers-answer", "ladang-03", fleet.Prompt, 2, targets(2*time.Second, 20*time.Second)),
+				work("visit-summary", "ladang-04", fleet.Patient, 1, targets(0, 5*time.Minute)),
+			},
+		},
+		"tsagaan-nuur": {
+			Name: "tsagaan-nuur", DataCentres: []fleet.DataCentre{"ub-khan-uul", "ub-sukhbaatar", "ub-bayanzurkh"},
+			Pool: "drafting-models", Replicas: 18, ServicePool: "booking-desk", Services: 3,
+			ModelPrefix: "nuur", Models: 25, Adapters: 100,
+			LoadsPerSecond: 2, LoadsAtOnce: 6, AdaptersInTransit: 50, AdapterLoadTime: 8 * time.Millisecond,
+			NotIdempotent: []string{"POST /bookings", "POST /holds"},
+			Work: []table.Row{
+				work("deposit-question", "nuur-01", fleet.Urgent, 3, targets(500*time.Millisecond, 3*time.Second)),
+				work("date-lookup", "nuur-02", fleet.Urgent, 2, targets(500*time.Millisecond, 3*time.Second)),
+				work("contract-draft", "nuur-03", fleet.Prompt, 3, targets(2*time.Second, 20*time.Second)),
+				work("rider-summary", "nuur-04", fleet.Patient, 1, targets(0, 5*time.Minute)),
+			},
+		},
+	}
+}
+
+func work(name, base string, rank fleet.Rank, weight float64, t table.Targets) table.Row {
+	return table.Row{Name: name, Kind: table.KindWork, Rank: rank, Weight: weight, Base: base, Targets: t}
+}
+
+func targets(first, whole time.Duration) table.Targets {
+	return table.Targets{FirstToken: first, WholeAnswer: whole}
+}
+
+// Rows returns the deployment's sample table.
+func (d Deployment) Rows() []table.Row {
+	rows := []table.Row{
+		{Name: "urgent", Kind: table.KindRank, Rank: fleet.Urgent, Weight: 1, Floor: 0.5},
+		{Name: "prompt", Kind: table.KindRank, Rank: fleet.Prompt, Weight: 1, Floor: 0.15},
+		{Name: "patient", Kind: table.KindRank, Rank: fleet.Patient, Weight: 1, Floor: 0.05},
+		{
+			Name: d.ServicePool, Kind: table.KindService, Rank: fleet.Urgent, Weight: 1, Pool: d.ServicePool,
+			NotIdempotent: d.NotIdempotent, Targets: table.Targets{WholeAnswer: 5 * time.Second},
+		},
+	}
+	for i := range d.Models {
+		rows = append(rows, table.Row{
+			Name: d.model(i), Kind: table.KindModel, Rank: d.rank(i), Weight: 1, Pool: d.Pool,
+			Version: "1", MemoryMB: modelMemoryMB + 1000*(i%modelSizes), Targets: rankTargets(d.rank(i)),
+		})
+	}
+	for i := range d.Adapters {
+		rows = append(rows, table.Row{
+			Name: fmt.Sprintf("%s-adapter-%02d", d.ModelPrefix, i+1), Kind: table.KindAdapter, Rank: d.rank(i), Weight: 1,
+			Base: d.model(i % d.Models), Version: "1", MemoryMB: adapterMemoryMB, Targets: rankTargets(d.rank(i)),
+		})
+	}
+	return append(rows, d.Work...)
+}
+
+func (d Deployment) model(i int) string { return fmt.Sprintf("%s-%02d", d.ModelPrefix, i+1) }
+
+func (d Deployment) rank(i int) fleet.Rank { return fleet.Ranks()[i%fleet.RankCount] }
+
+func rankTargets(r fleet.Rank) table.Targets {
+	switch r {
+	case fleet.Urgent:
+		return targets(time.Second, 10*time.Second)
+	case fleet.Prompt:
+		return targets(3*time.Second, 30*time.Second)
+	default:
+		return targets(0, 5*time.Minute)
+	}
+}
