admission: divide windows between urgent and lower ranks

Change: windows for urgent and lower ranks that add up to the slots only under an urgent flood, a reserve sized by expected urgent work, and a virtual-time bench of the overload cases.

--- a/admission/arrive.go
+++ b/admission/arrive.go
@@ -160,19 +160,22 @@
 // capacity is how many slots of an endpoint a rank can expect to use.
 func (q *Queue) capacity(i int, rank fleet.Rank) float64 {
 	e := &q.endpoints[i]
-	at := q.router.Endpoint(i)
-	if at.Closed {
+	if q.router.Endpoint(i).Closed {
 		return 0
 	}
-	window := float64(at.Window)
-	free := window
-	if rank != fleet.Urgent {
-		free -= float64(at.Reserved)
+	if q.config.Policy == FIFO {
+		return float64(e.window.Total)
 	}
+	free := float64(e.window.Total)
 	for r := range rank {
 		free -= e.average[r]
 	}
-	return max(free, q.view.Floors[rank]*window, minCapacity*window)
+	if rank == fleet.Urgent {
+		free = min(free, float64(e.window.Urgent))
+	} else {
+		free = min(free, float64(e.window.Lower))
+	}
+	return max(free, e.window.Floors[rank], minCapacity*float64(e.window.Total))
 }
 
 func (q *Queue) retryAfter(wait float64) time.Duration {
--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -17,7 +17,8 @@
 	average [fleet.RankCount]float64 // decayed mean of running
 	updated time.Time                // time of average
 	virtual [fleet.RankCount]float64 // virtual time of each rank
-	targets []*target                // that it can serve
+	window  Window
+	targets []*target // that it can serve
 }
 
 // account brings the decayed slot time up to now.
@@ -36,8 +37,8 @@
 // belowFloor reports whether a rank has had less than its floor of the window.
 // The bound on running keeps a rank from taking many slots at once while its
 // average is still catching up.
-func (e *endpoint) belowFloor(r int, floor float64, window int) bool {
-	slots := floor * float64(window)
+func (e *endpoint) belowFloor(r int) bool {
+	slots := e.window.Floors[r]
 	return e.average[r] < slots && float64(e.running[r]) < math.Ceil(slots)
 }
 
@@ -53,13 +54,12 @@
 		best[r] = q.due(i, fleet.Rank(r))
 	}
 	e.account(now)
-	window := q.router.Endpoint(i).Window
 	var next *item
 	for r, it := range best {
 		if it == nil {
 			continue
 		}
-		if q.config.Policy == Ranked && e.belowFloor(r, q.view.Floors[r], window) {
+		if q.config.Policy == Ranked && e.belowFloor(r) {
 			next = it
 			break
 		}
--- /dev/null
+++ b/admission/policy_bench_test.go
@@ -0,0 +1,78 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/routing"
+)
+
+var simPolicies = []simPolicy{
+	{"ranked, best of two", admission.Ranked, routing.BestOfTwo, true},
+	{"fifo, round robin", admission.FIFO, routing.RoundRobin, false},
+	{"fifo, least loaded", admission.FIFO, routing.LeastLoaded, false},
+}
+
+var simCases = []simCase{
+	{"no flood, 80%", -1, 0, 0.8},
+	{"patient flood, 5 times", 2, 5, 0.8},
+	{"prompt flood, 5 times", 1, 5, 0.8},
+	{"urgent flood, 5 times", 0, 5, 0.8},
+}
+
+var simSeeds = []uint64{1, 2, 3, 4, 5}
+
+// BenchmarkPolicies plays the overload cases under virtual time and prints one
+// row per case and policy, summed over the seeds. Attainment counts requests
+// sent, so a refused one misses; slots is the part of all slot time that went
+// to answers within their targets.
+func BenchmarkPolicies(b *testing.B) {
+	for range b.N {
+		fmt.Printf("\n| case | policy | urgent | prompt | patient | worst seed | slots urgent | prompt | patient | refused | expired |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+		for _, c := range simCases {
+			for _, p := range simPolicies {
+				playSeeds(p, c)
+			}
+		}
+	}
+}
+
+func playSeeds(p simPolicy, c simCase) {
+	type outcome struct {
+		seed    int
+		results [fleet.RankCount]simResult
+	}
+	done := make(chan outcome, len(simSeeds))
+	for i, seed := range simSeeds {
+		go func() { done <- outcome{i, newSim(p, c, seed).run()} }()
+	}
+	var sum [fleet.RankCount]simResult
+	worst := [fleet.RankCount]float64{1, 1, 1}
+	for range simSeeds {
+		o := <-done
+		for r, res := range o.results {
+			sum[r].sent += res.sent
+			sum[r].answered += res.answered
+			sum[r].attained += res.attained
+			sum[r].refused += res.refused
+			sum[r].expired += res.expired
+			sum[r].goodSlots += res.goodSlots
+			worst[r] = min(worst[r], float64(res.attained)/float64(max(res.sent, 1)))
+		}
+	}
+	capacity := simReplicas * simSlots * simMeasured.Seconds() * float64(len(simSeeds))
+	fmt.Printf("| %s | %s |", c.name, p.name)
+	refused, expired := 0, 0
+	for _, res := range sum {
+		fmt.Printf(" %.2f%% |", 100*float64(res.attained)/float64(max(res.sent, 1)))
+		refused += res.refused
+		expired += res.expired
+	}
+	fmt.Printf(" %.1f / %.1f / %.1f |", 100*worst[0], 100*worst[1], 100*worst[2])
+	for _, res := range sum {
+		fmt.Printf(" %.1f%% |", 100*res.goodSlots/capacity)
+	}
+	fmt.Printf(" %d | %d |\n", refused, expired)
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -213,7 +213,10 @@
 		if !ok {
 			e.updated = now
 		}
-		e.targets = nil
+		e.targets, e.window = nil, Window{}
+		if i < len(v.Endpoints) {
+			e.window = v.Endpoints[i].Window
+		}
 		q.endpoints[i] = e
 	}
 	q.replaceRows(now)
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -14,6 +14,11 @@
 // so that an instance without demand can serve its first request at once.
 const idleShare = 0.25
 
+// urgentHeadroom sizes the slots kept for urgent arrivals: their mean number
+// in flight, which is Poisson distributed when nothing waits, plus that many
+// standard deviations.
+const urgentHeadroom = 1.6
+
 // Demand is what one row of one instance wants.
 type Demand struct {
 	Row    string
@@ -29,40 +34,107 @@
 	Rows   []Demand
 }
 
-// Contended is something that all instances share.
+// Contended is an endpoint that all instances share.
 type Contended struct {
-	Key    string // breaks ties; the endpoint or row
-	Total  int
+	Key    string // the endpoint's ID; breaks ties
+	Slots  int
+	Floors [fleet.RankCount]float64 // share of slot time of each rank
+}
+
+// Window bounds what one instance has in flight on an endpoint.
+type Window struct {
+	Total  int // all requests
+	Urgent int // urgent requests
+	Lower  int // requests of the other ranks
+	// Floors is the part of the window that each rank keeps under contention,
+	// in slots.
 	Floors [fleet.RankCount]float64
 }
 
-// Shares returns the share of one instance of an endpoint's slots. Instances
-// with equal views compute shares that add up to the total exactly. Slots go
-// to ranks in strict order above their floors, inside a rank to rows by weight
-// up to their demand, and for each row to instances by demand.
-func Shares(self fleet.InstanceID, members []MemberDemand, c Contended) int {
+// WholeWindow is the window of an instance that has all slots to itself and
+// keeps a part of them free for urgent arrivals.
+func WholeWindow(slots, reserved int, floors [fleet.RankCount]float64) Window {
+	w := Window{Total: slots, Urgent: slots, Lower: slots - reserved}
+	for r, f := range floors {
+		w.Floors[r] = f * float64(slots)
+	}
+	return w
+}
+
+// Shares returns one instance's window on an endpoint. See AllShares.
+func Shares(self fleet.InstanceID, members []MemberDemand, c Contended) Window {
 	members = ordered(members)
-	for i, n := range AllShares(members, c) {
-		if members[i].Member == self {
-			return n
-		}
+	at := slices.IndexFunc(members, func(m MemberDemand) bool { return m.Member == self })
+	if at < 0 {
+		return Window{}
 	}
-	return 0
+	return AllShares(members, c)[at]
 }
 
-// AllShares returns the shares of all members, which must be ordered by ID.
-func AllShares(members []MemberDemand, c Contended) []int {
-	idle := idleSlots(c.Total, len(members))
-	rest := float64(c.Total - idle)
+// AllShares divides an endpoint's slots between the members, which must be
+// ordered by ID. Instances with equal views compute equal windows.
+//
+// The slots for the lower ranks add up to what the expected urgent work
+// leaves, and the urgent ones to what the floors of the lower ranks leave. At
+// an urgent flood the two add up to the slots exactly. Otherwise an urgent
+// request may be sent to a full endpoint, whose engine serves it by priority:
+// an exact division left each of 7 instances 2 of 16 slots, and urgent
+// requests waited for one of those while slots of other instances were freed.
+//
+// Within a rank, slots go to rows by weight up to their demand, and for each
+// row to instances by demand.
+func AllShares(members []MemberDemand, c Contended) []Window {
 	rows := gather(members)
+	names := ids(members)
+	urgentSlots, lowerSlots := split(rows, c)
+
 	weights := make([]float64, len(members))
-	used := 0.0
-	for rank, slots := range rankSlots(rows, rest, c.Floors) {
-		used += slots
-		divideRank(rows, fleet.Rank(rank), slots, weights)
+	divideRank(rows, fleet.Urgent, float64(urgentSlots), weights)
+	urgent := apportion(c.Key+"/urgent", urgentSlots, idleSlots(urgentSlots, len(members)), names, weights)
+
+	weights = make([]float64, len(members))
+	idle := idleSlots(lowerSlots, len(members))
+	left := float64(lowerSlots - idle)
+	given := rankSlots(rows, left, float64(c.Slots), c.Floors)
+	for r := fleet.Prompt; r <= fleet.Patient; r++ {
+		divideRank(rows, r, given[r], weights)
+		left -= given[r]
 	}
-	spread(rows, rest-used, weights)
-	return apportion(c.Key, c.Total, idle, ids(members), weights)
+	spread(rows, left, weights)
+	lower := apportion(c.Key+"/lower", lowerSlots, idle, names, weights)
+
+	out := make([]Window, len(members))
+	for i := range out {
+		w := Window{Urgent: urgent[i], Lower: lower[i], Total: min(urgent[i]+lower[i], c.Slots)}
+		for r, f := range c.Floors {
+			part := float64(lower[i]) / float64(max(lowerSlots, 1))
+			if r == int(fleet.Urgent) {
+				part = float64(urgent[i]) / float64(max(urgentSlots, 1))
+			}
+			w.Floors[r] = f * float64(c.Slots) * part
+		}
+		out[i] = w
+	}
+	return out
+}
+
+// split divides the slots of an endpoint between urgent and lower ranks.
+func split(rows []*rowDemand, c Contended) (urgent, lower int) {
+	if c.Slots <= 1 {
+		return c.Slots, c.Slots
+	}
+	var demand [fleet.RankCount]float64
+	for _, r := range rows {
+		demand[r.rank] += r.total
+	}
+	kept := 0.0
+	for r := fleet.Prompt; r <= fleet.Patient; r++ {
+		kept += min(demand[r], c.Floors[r]*float64(c.Slots))
+	}
+	floor := int(math.Ceil(kept))
+	u := demand[fleet.Urgent]
+	expected := int(math.Ceil(u + urgentHeadroom*math.Sqrt(u)))
+	return c.Slots - floor, max(c.Slots-expected, floor, 1)
 }
 
 // LimitShare returns this instance's share of a row's fleet-wide limits.
@@ -145,19 +217,19 @@
 	return rows
 }
 
-// rankSlots divides the slots between the ranks: each gets its demand up to
-// its floor, and the rest goes by strict order.
-func rankSlots(rows []*rowDemand, slots float64, floors [fleet.RankCount]float64) [fleet.RankCount]float64 {
+// rankSlots divides slots between the lower ranks: each gets its demand up to
+// its floor, which is a share of all slots, and the rest goes by strict order.
+func rankSlots(rows []*rowDemand, slots, all float64, floors [fleet.RankCount]float64) [fleet.RankCount]float64 {
 	var demand, given [fleet.RankCount]float64
 	for _, r := range rows {
 		demand[r.rank] += r.total
 	}
 	left := slots
-	for r := range given {
-		given[r] = min(demand[r], floors[r]*slots, left)
+	for r := fleet.Prompt; r <= fleet.Patient; r++ {
+		given[r] = min(demand[r], floors[r]*all, left)
 		left -= given[r]
 	}
-	for r := range given {
+	for r := fleet.Prompt; r <= fleet.Patient; r++ {
 		more := min(demand[r]-given[r], left)
 		given[r] += more
 		left -= more
@@ -190,16 +262,22 @@
 	}
 }
 
-// spread divides slots that nobody asked for in proportion to all demand.
+// spread divides slots of the lower ranks that nobody asked for in proportion
+// to their demand.
 func spread(rows []*rowDemand, slots float64, weights []float64) {
 	total := 0.0
 	for _, r := range rows {
-		total += r.total
+		if r.rank != fleet.Urgent {
+			total += r.total
+		}
 	}
 	if total <= 0 || slots <= 0 {
 		return
 	}
 	for _, r := range rows {
+		if r.rank == fleet.Urgent {
+			continue
+		}
 		for i, d := range r.members {
 			weights[i] += slots * d / total
 		}
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -18,10 +18,16 @@
 	SlotTime float64 // mean seconds from grant to end; 0 if not measured
 }
 
+// backlogHorizon is the time in which a backlog should be worked off.
+const backlogHorizon = 10 * time.Second
+
 // Slots is the demand of the row in slots: what its arrivals occupy in the
-// long run, and at least what runs and waits now.
+// long run, and what works off its backlog.
 func (s RowStats) Slots() float64 {
-	return max(s.Rate*s.SlotTime, float64(s.InFlight+s.Queued))
+	if s.SlotTime <= 0 {
+		return float64(s.InFlight + s.Queued)
+	}
+	return s.SlotTime * (s.Rate + float64(s.Queued)/backlogHorizon.Seconds())
 }
 
 // Stats is the load of this instance.
--- a/admission/view.go
+++ b/admission/view.go
@@ -14,17 +14,12 @@
 	// Rows holds this instance's share of the limits of each row that has
 	// any. For a row that is missing here the limits in the request apply whole.
 	Rows map[string]RowShare
-	// Floors is the share of slot time that each rank keeps under contention.
-	Floors [fleet.RankCount]float64
-	// UrgentReserve is the part of each window that only urgent requests use.
-	UrgentReserve float64
 }
 
 // EndpointView is one endpoint as this instance may use it.
 type EndpointView struct {
-	Endpoint fleet.Endpoint
-	// Window is this instance's share of the endpoint's slots, from Shares.
-	Window    int
+	Endpoint  fleet.Endpoint
+	Window    Window             // from Shares
 	Closed    bool               // no new work; a leaving endpoint is closed as well
 	Residents []routing.Resident // models and adapters that may take new requests
 	// Running and Waiting are from the last load report, taken at ReportedAt
@@ -47,12 +42,12 @@
 func (v *View) routingEndpoints(fifo bool) []routing.Endpoint {
 	out := make([]routing.Endpoint, len(v.Endpoints))
 	for i, e := range v.Endpoints {
-		reserved := 0
-		if !fifo && e.Window > 1 {
-			reserved = min(int(v.UrgentReserve*float64(e.Window)+0.5), e.Window-1)
+		w := e.Window
+		if fifo {
+			w.Urgent, w.Lower = w.Total, w.Total
 		}
 		out[i] = routing.Endpoint{
-			Endpoint: e.Endpoint, Window: e.Window, Reserved: reserved, Closed: e.Closed,
+			Endpoint: e.Endpoint, Window: w.Total, Urgent: w.Urgent, Lower: w.Lower, Closed: e.Closed,
 			Residents: e.Residents, Running: e.Running, Waiting: e.Waiting, ReportedAt: e.ReportedAt,
 		}
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -69,7 +69,7 @@
 	}
 	for _, s := range old {
 		if _, ok := r.byID[s.ID]; !ok && s.inFlight > 0 {
-			s.Closed, s.Window, s.Residents = true, 0, nil
+			s.Closed, s.Residents = true, nil
 			r.byID[s.ID] = len(r.endpoints)
 			r.endpoints = append(r.endpoints, s)
 		}
@@ -161,7 +161,10 @@
 	if s.Closed || s.inFlight >= s.Window+extra {
 		return false
 	}
-	return urgent || s.lower < s.Window-s.Reserved+extra
+	if urgent {
+		return s.inFlight-s.lower < s.Urgent+extra
+	}
+	return s.lower < s.Lower+extra
 }
 
 // Sent records that a request was sent to the endpoint.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -65,11 +65,10 @@
 // Endpoint is one endpoint as the control state sees it.
 type Endpoint struct {
 	fleet.Endpoint
-	// Window is this instance's share of the endpoint's slots; the instance
-	// keeps at most that many requests in flight there.
-	Window int
-	// Reserved is the part of Window that only urgent requests may use.
-	Reserved  int
+	// Window is how many requests this instance may have in flight there.
+	Window    int
+	Urgent    int  // bound on urgent requests in flight
+	Lower     int  // bound on other requests in flight
 	Closed    bool // no new work
 	Residents []Resident
 	// Running and Waiting are from the last load report, taken at ReportedAt
@@ -100,6 +99,6 @@
 	Fingerprint uint64 // equal content prefers the same endpoint; 0 for none
 	Prefix      uint64 // hash of model and prompt prefix; 0 for none
 	Exclude     []fleet.EndpointID
-	Urgent      bool // may use the reserved part of the window
+	Urgent      bool // counts against the window's part for urgent requests
 	Extra       int  // slots beyond the window that this request may use
 }
