daemon, dev: assemble an entry instance and a whole deployment

Cause: the path from caller to engine must run from end to end. Change: daemon registers the services of an instance; dev starts stand-ins and instances on loopback with a sample table; gossip connects the control goroutine with peers. Conclusion: one process holds the whole path.

--- a/control/core.go
+++ b/control/core.go
@@ -21,7 +21,6 @@
 	Shards        int // over which the endpoints' ledgers are spread
 	MaxOrderDelay time.Duration
 	Admission     admission.Config
-	UrgentReserve float64 // part of every endpoint's slots
 	Placement     placement.Options
 	Loads         placement.LoadLimit // of the weight store, shared by all instances
 	Membership    membership.Config
--- a/control/view.go
+++ b/control/view.go
@@ -80,10 +80,7 @@
 	c.viewStale = false
 	c.takePeerReports(now)
 	c.demands = c.memberDemands(now)
-	view := &admission.View{
-		Endpoints: c.endpointViews(), Floors: c.floors(),
-		UrgentReserve: c.config.UrgentReserve, Rows: c.limitShares(),
-	}
+	view := &admission.View{Endpoints: c.endpointViews(), Rows: c.limitShares()}
 	c.admit(now, admission.ViewChanged{View: view})
 }
 
@@ -100,7 +97,7 @@
 		out = append(out, admission.EndpointView{
 			Endpoint: e, Closed: c.leaving(e) || c.suspects.Reserved(e.ID),
 			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID, served), admission.Contended{
-				Key: string(e.ID), Total: slots, Floors: floors,
+				Key: string(e.ID), Slots: slots, Floors: floors,
 			}),
 			Residents: served.residents[e.ID], Running: r.running, Waiting: r.waiting, ReportedAt: r.takenAt,
 		})
--- /dev/null
+++ b/daemon/config.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/engine/enginehttp"
+	"github.com/hyssophaven/hyssophaven/engines"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/gateway"
+	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/placement"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/routing"
+	"github.com/hyssophaven/hyssophaven/settings"
+)
+
+func controlConfig(s settings.Settings, self fleet.Instance) control.Config {
+	queue := admission.Config{Seed: uint64(self.Incarnation)}
+	switch s.Admission.Policy {
+	case "round-robin":
+		queue.Policy, queue.Routing = admission.FIFO, routing.RoundRobin
+	case "least-loaded":
+		queue.Policy, queue.Routing = admission.FIFO, routing.LeastLoaded
+	}
+	for _, r := range fleet.Ranks() {
+		queue.QueueBound[r] = s.Admission.MaxQueued
+	}
+	modes := map[string]placement.Mode{"static": placement.Static, "greedy": placement.Greedy}
+	c := control.Config{
+		Self: self, Shards: s.Endpoints.Shards, MaxOrderDelay: time.Duration(s.Endpoints.MaxOrderDelay),
+		Admission: queue, Placement: placement.Options{Mode: modes[s.Admission.Placement]},
+		Loads:      placement.LoadLimit{PerSecond: s.WeightStore.LoadsPerSecond, AtOnce: s.WeightStore.AtOnce},
+		Membership: membership.Config{HeartbeatEvery: time.Duration(s.Peers.Heartbeat)},
+	}
+	c.Lease.Seed = uint64(self.Incarnation)
+	return c
+}
+
+func gatewayConfig(s settings.Settings, i *Instance, e *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t *tls.Config) gateway.Config {
+	return gateway.Config{
+		Listener: i.listeners.callers, TLS: t,
+		Engine: e.Client, Table: tables, Objects: objects, Log: i.log,
+		BalancerWait: time.Duration(s.Instance.BalancerWait),
+		Limits: gateway.Limits{
+			MaxBodyBytes: s.Callers.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout),
+			WriteTimeout: time.Duration(s.Callers.WriteTimeout), IdleTimeout: time.Duration(s.Callers.IdleTimeout),
+		},
+	}
+}
+
+// dialer makes engine clients that share their connections.
+type dialer struct{ http *http.Client }
+
+func newDialer() *dialer { return &dialer{http: enginehttp.NewHTTPClient(0)} }
+
+func (d *dialer) client(e fleet.Endpoint) engine.Client {
+	return enginehttp.NewClient(e.Address, enginehttp.Options{HTTP: d.http})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,230 @@
+// Package daemon assembles one entry instance: it creates the services from
+// the settings and registers them on a kernel.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hyssophaven/hyssophaven/certs"
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/engines"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/gateway"
+	"github.com/hyssophaven/hyssophaven/gossip"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/listing"
+	"github.com/hyssophaven/hyssophaven/operator"
+	"github.com/hyssophaven/hyssophaven/peer"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/platform/guard"
+	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+	"github.com/hyssophaven/hyssophaven/records"
+	"github.com/hyssophaven/hyssophaven/settings"
+	"github.com/hyssophaven/hyssophaven/tablesync"
+)
+
+// recordsInterval is the time between reads of the fleet's ledgers and plans.
+const recordsInterval = time.Second
+
+// Instance is one entry instance. Create it with New; Start and Stop may be
+// called once.
+type Instance struct {
+	self      fleet.Instance
+	kernel    *kernel.Kernel
+	control   *control.Service
+	gateway   *gateway.Gateway
+	peers     *peer.Service
+	client    *platformhttp.Client
+	listeners listeners
+	log       *log.Logger
+	vars      *expvar.Map
+}
+
+// listeners are the bound addresses of an instance.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+// New binds the listeners and registers all services. Counters are published
+// under the instance's name in expvar.
+func New(s settings.Settings, logger *log.Logger) (*Instance, error) {
+	k, err := kernel.New()
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{kernel: k, log: logger, vars: new(expvar.Map).Init()}
+	if i.listeners, err = listen(s); err != nil {
+		return nil, err
+	}
+	i.self = fleet.Instance{
+		ID: fleet.InstanceID(s.Instance.ID), Incarnation: newIncarnation(), DataCentre: fleet.DataCentre(s.Instance.DataCentre),
+		PeerAddress: advertised(s, i.listeners.peers), CallerAddress: i.listeners.callers.Addr().String(),
+		OperatorAddress: i.listeners.operators.Addr().String(),
+	}
+	if err := i.assemble(s); err != nil {
+		i.listeners.close()
+		return nil, err
+	}
+	publishVars(s.Instance.ID, i.vars)
+	return i, nil
+}
+
+// newIncarnation grows from start to start as long as the wall clock does not
+// go back over a restart; the platform replaces instances under new names.
+func newIncarnation() fleet.Incarnation { return fleet.Incarnation(time.Now().UnixNano()) }
+
+// advertised returns the address that peers connect to. A listener on port 0
+// advertises the port that it was given.
+func advertised(s settings.Settings, l net.Listener) string {
+	if _, port, err := net.SplitHostPort(s.Peers.Advertise); err == nil && port != "0" {
+		return s.Peers.Advertise
+	}
+	return l.Addr().String()
+}
+
+func listen(s settings.Settings) (listeners, error) {
+	var l listeners
+	var errs [3]error
+	l.callers, errs[0] = net.Listen("tcp", s.Callers.Listen)
+	l.operators, errs[1] = net.Listen("tcp", s.Operators.Listen)
+	l.peers, errs[2] = net.Listen("tcp", s.Peers.Listen)
+	if err := errors.Join(errs[:]...); err != nil {
+		l.close()
+		return l, fmt.Errorf("bind listeners: %w", err)
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// assemble creates the services and registers them.
+func (i *Instance) assemble(s settings.Settings) error {
+	i.client = platformhttp.NewClient(s.Platform.Address, platformhttp.Options{
+		BearerToken: s.Platform.Token, Timeout: time.Duration(s.Platform.Timeout),
+	})
+	bounds := guard.DefaultConfig()
+	bounds.Timeout = time.Duration(s.Platform.Timeout)
+	tables := guard.TableStore(i.client.Tables(), bounds, i.group("table_store"))
+	objects := guard.ObjectStore(i.client.Objects(), bounds, i.group("object_store"))
+	tlsConfigs, err := i.tls(s.TLS)
+	if err != nil {
+		return err
+	}
+	dialer := newDialer()
+	i.control = control.New(controlConfig(s, i.self))
+	engineService := engines.New(engines.Config{
+		Dial: dialer.client, ReportInterval: time.Duration(s.Endpoints.ReportInterval), Vars: i.group("engines"),
+	})
+	if i.gateway, err = gateway.New(gatewayConfig(s, i, engineService, tables, objects, tlsConfigs.callers)); err != nil {
+		return err
+	}
+	i.peers, err = peer.New(peer.Options{
+		Self: i.self, Secret: []byte(s.Peers.Secret), Listener: i.listeners.peers,
+		ServerTLS: tlsConfigs.peerServer, ClientTLS: tlsConfigs.peerClient, HandlerService: gossip.ReceiverName,
+	})
+	if err != nil {
+		return err
+	}
+	i.vars.Set("gateway", i.gateway.Vars())
+	i.register(s, engineService, tables, objects, tlsConfigs)
+	return nil
+}
+
+// group returns a map of counters under the given name.
+func (i *Instance) group(name string) *expvar.Map {
+	m := new(expvar.Map).Init()
+	i.vars.Set(name, m)
+	return m
+}
+
+func (i *Instance) register(s settings.Settings, engineService *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t tlsConfigs) {
+	k := i.kernel
+	k.Register(i.control)
+	k.Register(engineService)
+	k.Register(i.gateway)
+	k.Register(listing.New(i.client.Instances(), time.Duration(s.Platform.ListInterval), time.Duration(s.Platform.Timeout), i.group("listing")))
+	k.Register(records.New(records.Config{Self: i.self, Store: tables, ReadInterval: recordsInterval, Vars: i.group("records")}))
+	k.Register(tablesync.New(tablesync.Config{
+		Records: tables, Objects: objects, Interval: time.Duration(s.Platform.TableInterval),
+		Timeout: time.Duration(s.Platform.Timeout), Vars: i.group("table"),
+	}))
+	k.Register(gossip.NewReceiver())
+	k.Register(gossip.NewSender())
+	k.Register(i.peers)
+	k.Register(operator.NewServer(operator.Config{
+		Listener: i.listeners.operators, TLS: t.operators, Token: s.Operators.Token, Vars: i.group("operators"),
+	}))
+	k.Register(newChangeLog(i.log, i.group("changes")))
+}
+
+// tlsConfigs are nil where TLS is not configured.
+type tlsConfigs struct {
+	callers, operators, peerServer, peerClient *tls.Config
+}
+
+func (i *Instance) tls(t settings.TLS) (tlsConfigs, error) {
+	var out tlsConfigs
+	vars := i.group("certificates")
+	for _, c := range []struct {
+		settings settings.Certificate
+		server   **tls.Config
+		client   **tls.Config
+	}{{t.Callers, &out.callers, nil}, {t.Operators, &out.operators, nil}, {t.Peers, &out.peerServer, &out.peerClient}} {
+		if !c.settings.Enabled() {
+			continue
+		}
+		source, err := certs.New(certs.Files{Cert: c.settings.CertFile, Key: c.settings.KeyFile, ClientCA: c.settings.ClientCAFile}, vars)
+		if err != nil {
+			return out, err
+		}
+		*c.server = source.Server()
+		if c.client != nil {
+			*c.client = source.Client()
+		}
+	}
+	return out, nil
+}
+
+// Self returns the instance's identity with its bound addresses.
+func (i *Instance) Self() fleet.Instance { return i.self }
+
+// Control returns the instance's control service.
+func (i *Instance) Control() *control.Service { return i.control }
+
+// Vars returns the instance's counters.
+func (i *Instance) Vars() *expvar.Map { return i.vars }
+
+// Start starts all services.
+func (i *Instance) Start(ctx context.Context) error {
+	if err := i.kernel.Start(ctx); err != nil {
+		i.listeners.close()
+		return err
+	}
+	i.log.Info("instance started", "instance", i.self.ID, "callers", i.self.CallerAddress, "operators", i.self.OperatorAddress, "peers", i.self.PeerAddress)
+	return nil
+}
+
+// Stop shuts the instance down gracefully: readiness fails, leases are given
+// up, and the gateway serves until the balancer has had time to notice and
+// every request in flight has ended. No request is cut unless ctx ends first.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.control.Post(control.StopRequested{})
+	err := i.kernel.Stop(ctx)
+	i.client.Close()
+	i.log.Info("instance stopped", "instance", i.self.ID)
+	return err
+}
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,220 @@
+// Package dev runs a whole small deployment in one process on loopback: entry
+// instances, a stand-in platform, model engines and a booking service, with a
+// sample table. It is meant for trying hyssophaven out and for tests.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"github.com/hyssophaven/hyssophaven/daemon"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/settings"
+	"github.com/hyssophaven/hyssophaven/standin"
+	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
+	standinplatform "github.com/hyssophaven/hyssophaven/standin/platform"
+	standinservice "github.com/hyssophaven/hyssophaven/standin/service"
+	"github.com/hyssophaven/hyssophaven/table"
+	"github.com/hyssophaven/hyssophaven/tablestore"
+	"github.com/hyssophaven/hyssophaven/tomlfile"
+)
+
+// Options set up a deployment. The zero value is not usable: Deployment and
+// Log must be set.
+type Options struct {
+	Deployment Deployment
+	Instances  int    // entry instances; 0 means 3
+	Listen     string // callers' address of the first instance; empty means a free port
+	Log        *log.Logger
+	// Engine changes the configuration of an engine before it is started; may be nil.
+	Engine func(*standinengine.Config)
+	// Settings changes the settings of an instance before it is started; may be nil.
+	Settings func(*settings.Settings)
+	// ListLag is the age of the platform's list; 0 means 1 s.
+	ListLag time.Duration
+}
+
+// Running is a deployment that serves.
+type Running struct {
+	Options   Options
+	Token     string // operators' bearer token
+	Platform  *standinplatform.Platform
+	Engines   []*standinengine.Engine
+	Services  []*standinservice.Service
+	Instances []*daemon.Instance
+
+	secret          string
+	platformAddress string
+	parts           []*standin.Running
+}
+
+const (
+	defaultInstances = 3
+	defaultListLag   = time.Second
+	loopback         = "127.0.0.1:0"
+)
+
+// Start starts everything and returns when the instances have started; they
+// become ready within a few seconds.
+func Start(ctx context.Context, o Options) (*Running, error) {
+	if o.Instances == 0 {
+		o.Instances = defaultInstances
+	}
+	if o.ListLag == 0 {
+		o.ListLag = defaultListLag
+	}
+	r := &Running{Options: o, Token: uuid.NewString(), secret: uuid.NewString()}
+	steps := []func(context.Context) error{r.startPlatform, r.startEngines, r.startServices, r.seedTable, r.startInstances}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return nil, errors.Join(err, r.Stop(context.WithoutCancel(ctx)))
+		}
+	}
+	return r, nil
+}
+
+func (r *Running) startPlatform(ctx context.Context) error {
+	d := r.Options.Deployment
+	r.Platform = standinplatform.New(standinplatform.Config{
+		ListLag: r.Options.ListLag,
+		Weights: standinplatform.WeightConfig{LoadsPerSecond: d.LoadsPerSecond, Loads: d.LoadsAtOnce, AdapterLoads: d.AdaptersInTransit},
+	})
+	part, err := r.serve(ctx, "platform", r.Platform)
+	if err == nil {
+		r.platformAddress = part.Address()
+	}
+	return err
+}
+
+func (r *Running) serve(ctx context.Context, name string, p standin.Part) (*standin.Running, error) {
+	part, err := standin.Start(ctx, name, p, loopback)
+	if err != nil {
+		p.Close()
+		return nil, fmt.Errorf("start stand-in %s: %w", name, err)
+	}
+	r.parts = append(r.parts, part)
+	return part, nil
+}
+
+func (r *Running) startEngines(ctx context.Context) error {
+	d := r.Options.Deployment
+	for i := range d.Replicas {
+		c := standinengine.Config{
+			ID: fmt.Sprintf("%s-%02d", d.Pool, i+1), MemoryMB: replicaMemoryMB, Slots: replicaSlots,
+			AdapterLoadTime: d.AdapterLoadTime, Weights: r.Platform.Weights(), ChecksTokens: true, Seed: uint64(i + 1),
+		}
+		if r.Options.Engine != nil {
+			r.Options.Engine(&c)
+		}
+		e := standinengine.New(c)
+		part, err := r.serve(ctx, c.ID, e)
+		if err != nil {
+			return err
+		}
+		r.Engines = append(r.Engines, e)
+		r.Platform.PutEndpoint(fleet.Endpoint{
+			ID: fleet.EndpointID(c.ID), Kind: fleet.ModelEngine, Pool: d.Pool, DataCentre: d.DataCentres[i%len(d.DataCentres)],
+			Address: part.Address(), ChecksTokens: c.ChecksTokens, MemoryMB: c.MemoryMB, Slots: c.Slots,
+		})
+	}
+	return nil
+}
+
+func (r *Running) startServices(ctx context.Context) error {
+	d := r.Options.Deployment
+	for i := range d.Services {
+		c := standinservice.Config{ID: fmt.Sprintf("%s-%02d", d.ServicePool, i+1), Work: 5 * time.Millisecond, Slots: serviceSlots}
+		s := standinservice.New(c)
+		part, err := r.serve(ctx, c.ID, s)
+		if err != nil {
+			return err
+		}
+		r.Services = append(r.Services, s)
+		r.Platform.PutEndpoint(fleet.Endpoint{
+			ID: fleet.EndpointID(c.ID), Kind: fleet.PlainService, Pool: d.ServicePool,
+			DataCentre: d.DataCentres[i%len(d.DataCentres)], Address: part.Address(), Slots: serviceSlots,
+		})
+	}
+	return nil
+}
+
+func (r *Running) seedTable(ctx context.Context) error {
+	edit := table.Edit{Author: "dev"}
+	for _, row := range r.Options.Deployment.Rows() {
+		edit.Changes = append(edit.Changes, table.Change{Row: row})
+	}
+	if _, err := tablestore.New(r.Platform.Tables()).Edit(ctx, edit); err != nil {
+		return fmt.Errorf("write sample table: %w", err)
+	}
+	return nil
+}
+
+func (r *Running) startInstances(ctx context.Context) error {
+	for i := range r.Options.Instances {
+		listen := loopback
+		if i == 0 && r.Options.Listen != "" {
+			listen = r.Options.Listen
+		}
+		if _, err := r.StartInstance(ctx, i, listen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartInstance starts an entry instance beside the others and lists it.
+func (r *Running) StartInstance(ctx context.Context, number int, listen string) (*daemon.Instance, error) {
+	s := r.settings(number, listen)
+	i, err := daemon.New(s, r.Options.Log.With("instance", s.Instance.ID))
+	if err != nil {
+		return nil, err
+	}
+	self := i.Self()
+	r.Platform.PutInstance(platform.ListedInstance{ID: self.ID, DataCentre: self.DataCentre, PeerAddress: self.PeerAddress})
+	if err := i.Start(ctx); err != nil {
+		return nil, err
+	}
+	r.Instances = append(r.Instances, i)
+	return i, nil
+}
+
+func (r *Running) settings(number int, listen string) settings.Settings {
+	d := r.Options.Deployment
+	s := settings.Default()
+	s.Instance.DataCentre = string(d.DataCentres[number%len(d.DataCentres)])
+	s.Instance.ID = fmt.Sprintf("%s-entry-%d", s.Instance.DataCentre, number+1)
+	s.Instance.BalancerWait = tomlfile.Duration(500 * time.Millisecond)
+	s.Callers.Listen, s.Operators.Listen, s.Peers.Listen, s.Peers.Advertise = listen, loopback, loopback, loopback
+	s.Operators.Token, s.Peers.Secret = r.Token, r.secret
+	s.Platform.Address = r.platformAddress
+	s.WeightStore = settings.WeightStore{LoadsPerSecond: d.LoadsPerSecond, AtOnce: d.LoadsAtOnce, AdaptersInTransit: d.AdaptersInTransit}
+	if r.Options.Settings != nil {
+		r.Options.Settings(&s)
+	}
+	return s
+}
+
+// Stop stops the instances gracefully and then the stand-ins.
+func (r *Running) Stop(ctx context.Context) error {
+	errs := make([]error, len(r.Instances))
+	done := make(chan struct{})
+	for n, i := range r.Instances {
+		go func() {
+			errs[n] = i.Stop(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range r.Instances {
+		<-done
+	}
+	for _, p := range r.parts {
+		errs = append(errs, p.Stop(ctx))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,139 @@
+// Package gossip connects the control goroutine with the peers: Receiver
+// passes on what peers send, Sender sends what the control goroutine decides.
+// They are two services, because the peer service needs the receiver first.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/peer"
+	"github.com/hyssophaven/hyssophaven/quarantine"
+	"github.com/hyssophaven/hyssophaven/table/tablecodec"
+)
+
+// Names of the services on the kernel.
+const (
+	ReceiverName = "gossip.receiver"
+	SenderName   = "gossip.sender"
+)
+
+// errNoTable is the answer to a peer while this instance has no table itself.
+var errNoTable = errors.New("gossip: no table is in force here yet")
+
+// Control is what the services need of the service "control".
+type Control interface {
+	Post(control.Event)
+	Snapshot() *control.Snapshot
+}
+
+// Receiver implements kernel.Service and peer.Handler.
+type Receiver struct {
+	control Control
+
+	mu      sync.Mutex
+	encoded peer.Snapshot // of the newest table that was asked for
+}
+
+// NewReceiver returns a receiver that is not started yet.
+func NewReceiver() *Receiver { return &Receiver{} }
+
+// Name implements kernel.Service.
+func (r *Receiver) Name() string { return ReceiverName }
+
+// Requires implements kernel.Service.
+func (r *Receiver) Requires() []string { return []string{control.ServiceName} }
+
+// Start implements kernel.Service.
+func (r *Receiver) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	r.control, err = kernel.Lookup[Control](k, control.ServiceName)
+	return err
+}
+
+// Stop implements kernel.Service.
+func (r *Receiver) Stop(context.Context) error { return nil }
+
+// HandleHeartbeat implements peer.Handler.
+func (r *Receiver) HandleHeartbeat(h membership.Heartbeat) {
+	r.control.Post(control.HeartbeatReceived{Heartbeat: h})
+}
+
+// HandleNotices implements peer.Handler.
+func (r *Receiver) HandleNotices(from fleet.Instance, notices []quarantine.Notice) {
+	r.control.Post(control.NoticesReceived{From: from.ID, Notices: notices})
+}
+
+// EncodedTable implements peer.Handler.
+func (r *Receiver) EncodedTable(context.Context) (peer.Snapshot, error) {
+	t := r.control.Snapshot().Table
+	if t == nil {
+		return peer.Snapshot{}, errNoTable
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.encoded.Revision != t.Revision {
+		data, err := tablecodec.EncodeSnapshot(t)
+		if err != nil {
+			return peer.Snapshot{}, err
+		}
+		r.encoded = peer.Snapshot{Revision: t.Revision, Data: data}
+	}
+	return r.encoded, nil
+}
+
+// ClaimStatus implements peer.Handler. Claims are judged by their record in
+// the store alone.
+func (r *Receiver) ClaimStatus(context.Context, string) (peer.ClaimStatus, error) {
+	return peer.ClaimNotKnown, nil
+}
+
+// Sender implements kernel.Service.
+type Sender struct {
+	control Control
+	network peer.Network
+}
+
+// NewSender returns a sender that is not started yet.
+func NewSender() *Sender { return &Sender{} }
+
+// Name implements kernel.Service.
+func (s *Sender) Name() string { return SenderName }
+
+// Requires implements kernel.Service.
+func (s *Sender) Requires() []string { return []string{control.ServiceName, peer.ServiceName} }
+
+// Start implements kernel.Service.
+func (s *Sender) Start(_ context.Context, k *kernel.Kernel) error {
+	var errs [2]error
+	s.control, errs[0] = kernel.Lookup[Control](k, control.ServiceName)
+	s.network, errs[1] = kernel.Lookup[peer.Network](k, peer.ServiceName)
+	if err := errors.Join(errs[:]...); err != nil {
+		return err
+	}
+	return errors.Join(
+		kernel.Subscribe(k.Bus(), "gossip.heartbeat", s.sendHeartbeat),
+		kernel.Subscribe(k.Bus(), "gossip.notices", s.sendNotices),
+	)
+}
+
+// Stop implements kernel.Service.
+func (s *Sender) Stop(context.Context) error { return nil }
+
+// sendHeartbeat queues the heartbeat for each target; the network never waits.
+func (s *Sender) sendHeartbeat(ctx context.Context, a membership.SendHeartbeat) {
+	for _, to := range a.To {
+		s.network.Send(ctx, to.PeerAddress, a.Heartbeat)
+	}
+}
+
+func (s *Sender) sendNotices(ctx context.Context, a quarantine.TellPeers) {
+	for _, address := range s.control.Snapshot().PeerAddresses {
+		s.network.Suspect(ctx, address, a.Notices)
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"net"
-	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -37,7 +36,7 @@
 	c.required("instance", "id", s.Instance.ID)
 	c.required("instance", "data_centre", s.Instance.DataCentre)
 	c.addresses(s)
-	c.platformURL(s.Platform.URL)
+	c.platform(&s.Platform)
 	c.secret("operators", "token", &s.Operators.Token, s.Operators.TokenFile, !s.TLS.Operators.clientAuth())
 	c.secret("peers", "secret", &s.Peers.Secret, s.Peers.SecretFile, true)
 	c.durations(s)
@@ -119,11 +118,13 @@
 	return unspecified(a) || unspecified(b) || net.ParseIP(a).Equal(net.ParseIP(b))
 }
 
-func (c checker) platformURL(raw string) {
-	u, err := url.Parse(raw)
-	if raw == "" || err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.problemf("platform", "url", "is %q; must be an http or https address", raw)
+func (c checker) platform(p *Platform) {
+	if p.Address == "" {
+		c.problemf("platform", "address", "must be set to an address, such as \"10.0.0.2:9000\"")
+	} else {
+		c.hostPort("platform", "address", p.Address)
 	}
+	c.secret("platform", "token", &p.Token, p.TokenFile, false)
 }
 
 // secret reads the value from its file if one is named.
@@ -177,7 +178,6 @@
 	checkRange(c, "callers", "max_body_bytes", s.Callers.MaxBodyBytes, 1024, 1<<30)
 	checkRange(c, "endpoints", "shards", s.Endpoints.Shards, 1, maxShards)
 	checkRange(c, "admission", "max_queued", s.Admission.MaxQueued, 1, 1_000_000)
-	checkRange(c, "admission", "urgent_reserve", s.Admission.UrgentReserve, 0, 0.9)
 	checkRange(c, "weight_store", "loads_per_second", s.WeightStore.LoadsPerSecond, 0.01, 10_000)
 	checkRange(c, "weight_store", "at_once", s.WeightStore.AtOnce, 1, 10_000)
 	checkRange(c, "weight_store", "adapters_in_transit", s.WeightStore.AdaptersInTransit, 1, 100_000)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,8 +61,9 @@
 
 // Platform configures access to the platform's services.
 type Platform struct {
-	URL           string            `toml:"url"`
+	Address       string            `toml:"address"` // host:port
 	TokenFile     string            `toml:"token_file"`
+	Token         string            `toml:"token"`
 	Timeout       tomlfile.Duration `toml:"timeout"`
 	ListInterval  tomlfile.Duration `toml:"list_interval"`
 	TableInterval tomlfile.Duration `toml:"table_interval"`
@@ -79,10 +80,9 @@
 
 // Admission selects the policy under load.
 type Admission struct {
-	Policy        string  `toml:"policy"` // "rank", "round-robin" or "least-loaded"
-	Placement     string  `toml:"placement"`
-	MaxQueued     int     `toml:"max_queued"`
-	UrgentReserve float64 `toml:"urgent_reserve"` // part of every endpoint's slots
+	Policy    string `toml:"policy"` // "rank", "round-robin" or "least-loaded"
+	Placement string `toml:"placement"`
+	MaxQueued int    `toml:"max_queued"`
 }
 
 // WeightStore gives the limits of the platform's weight store, which all
@@ -124,7 +124,7 @@
 		Peers:       Peers{Heartbeat: tomlfile.Duration(500 * time.Millisecond)},
 		Platform:    Platform{Timeout: seconds(2), ListInterval: seconds(1), TableInterval: seconds(2)},
 		Endpoints:   Endpoints{ReportInterval: tomlfile.Duration(500 * time.Millisecond), MaxOrderDelay: seconds(300), Shards: 64},
-		Admission:   Admission{Policy: "rank", Placement: "adaptive", MaxQueued: 10_000, UrgentReserve: 0.15},
+		Admission:   Admission{Policy: "rank", Placement: "adaptive", MaxQueued: 10_000},
 		WeightStore: WeightStore{LoadsPerSecond: 1.5, AtOnce: 10, AdaptersInTransit: 90},
 		Log:         Log{Level: "info"},
 	}
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/peer"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
@@ -36,7 +37,7 @@
 // Peers is what the service needs of the service "peers".
 type Peers interface {
 	// TableSnapshot returns a peer's encoded table.
-	TableSnapshot(ctx context.Context, address string) ([]byte, error)
+	TableSnapshot(ctx context.Context, address string) (peer.Snapshot, error)
 }
 
 // Config sets up the service.
@@ -69,7 +70,7 @@
 func (s *Service) Name() string { return ServiceName }
 
 // Requires implements kernel.Service.
-func (s *Service) Requires() []string { return []string{control.ServiceName, "peers"} }
+func (s *Service) Requires() []string { return []string{control.ServiceName, peer.ServiceName} }
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -77,7 +78,7 @@
 	if s.control, err = kernel.Lookup[Control](k, control.ServiceName); err != nil {
 		return err
 	}
-	if s.peers, err = kernel.Lookup[Peers](k, "peers"); err != nil {
+	if s.peers, err = kernel.Lookup[Peers](k, peer.ServiceName); err != nil {
 		return err
 	}
 	if err := kernel.Subscribe(k.Bus(), "table.fetch", s.fetchWanted); err != nil {
@@ -168,13 +169,13 @@
 func (s *Service) fetchFromPeer(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.config.Timeout)
 	defer cancel()
-	data, err := s.peers.TableSnapshot(ctx, address)
+	snapshot, err := s.peers.TableSnapshot(ctx, address)
 	if err != nil {
 		s.config.Vars.Add("peer_fetch_failures", 1)
 		return false
 	}
 	s.config.Vars.Add("peer_fetches", 1)
-	return s.take(data)
+	return s.take(snapshot.Data)
 }
 
 func (s *Service) take(data []byte) bool {
@@ -204,19 +205,6 @@
 	}
 }
 
-// EncodedSnapshot returns the table in force for a peer, or nil before there is one.
-func (s *Service) EncodedSnapshot() []byte {
-	t := s.control.Snapshot().Table
-	if t == nil {
-		return nil
-	}
-	data, err := tablecodec.EncodeSnapshot(t)
-	if err != nil {
-		return nil
-	}
-	return data
-}
-
 // Load returns the table as the store has it.
 func (s *Service) Load(ctx context.Context) (*table.Snapshot, error) { return s.store.Load(ctx) }
 
