peer: add messages between instances over jsonrpc2

Change: authenticated jsonrpc2 over TCP with bounded frames and queues, heartbeats as differences per connection, kernel service "peers", and the codec of quarantine records. Conclusion: control can implement peer.Handler and use peer.Network.

--- a/membership/state.go
+++ b/membership/state.go
@@ -268,8 +268,8 @@
 		m.saidLeaving = m.saidLeaving || d.Leaving
 		s.setStoreFresh(m, !d.StoreStale)
 		s.changed(now, before, m)
-		s.revision(d.TableRevision, via)
 	}
+	s.revision(sum.TableRevision, via)
 }
 
 func (s *State) tick(now time.Time) {
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -162,9 +162,10 @@
 	demand := make(map[string]RowDemand)
 	add := func(h *Heartbeat, suspect bool) {
 		sum.Members = append(sum.Members, MemberDigest{
-			Member: h.Member, TableRevision: h.TableRevision, Leaving: h.Leaving,
-			Suspect: suspect, StoreStale: h.TableAge >= s.cfg.StoreStaleAfter, Leases: h.Leases,
+			Member: h.Member, Leaving: h.Leaving, Suspect: suspect,
+			StoreStale: h.TableAge >= s.cfg.StoreStaleAfter, Leases: h.Leases,
 		})
+		sum.TableRevision = max(sum.TableRevision, h.TableRevision)
 		sum.WantedLoads += h.WantedLoads
 		sum.Retries.Requests += h.Retries.Requests
 		sum.Retries.Retries += h.Retries.Retries
--- a/membership/types.go
+++ b/membership/types.go
@@ -71,6 +71,7 @@
 	// RelayIncarnation and Sequence order the summaries of one relay.
 	RelayIncarnation fleet.Incarnation
 	Sequence         uint64
+	TableRevision    uint64         // highest of the members
 	Members          []MemberDigest // members that are not dead
 	Demand           []RowDemand    // sums over the members
 	Reports          []EndpointReport
@@ -80,12 +81,11 @@
 
 // MemberDigest is one member of a data centre in a summary.
 type MemberDigest struct {
-	Member        fleet.Instance
-	TableRevision uint64
-	Leaving       bool
-	Suspect       bool
-	StoreStale    bool // the store did not confirm the revision lately
-	Leases        []lease.Held
+	Member     fleet.Instance
+	Leaving    bool
+	Suspect    bool
+	StoreStale bool // the store did not confirm the revision lately
+	Leases     []lease.Held
 }
 
 // Status is how sure it is that a member runs.
--- /dev/null
+++ b/peer/service.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/quarantine"
+)
+
+// Service is the kernel service "peers". It accepts connections of peers and
+// passes their messages to the Handler, and is the Network to them.
+type Service struct {
+	opts  Options
+	count Counters
+
+	mu      sync.Mutex
+	links   map[string]*link
+	stopped bool // also before the start
+
+	ctx    context.Context // ends with Stop
+	cancel context.CancelFunc
+	server *server
+	wg     sync.WaitGroup
+}
+
+var (
+	_ kernel.Service = (*Service)(nil)
+	_ Network        = (*Service)(nil)
+)
+
+// New returns a service that is not started yet.
+func New(opts Options) (*Service, error) {
+	if len(opts.Secret) == 0 {
+		return nil, errors.New("peer: the shared secret is empty")
+	}
+	if (opts.ServerTLS == nil) != (opts.ClientTLS == nil) {
+		return nil, errors.New("peer: TLS is configured for one direction only")
+	}
+	return &Service{opts: opts.withDefaults(), links: make(map[string]*link), stopped: true}, nil
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Requires implements kernel.Service.
+func (s *Service) Requires() []string { return []string{s.opts.HandlerService} }
+
+// Counters returns the counters, which change all the time.
+func (s *Service) Counters() *Counters { return &s.count }
+
+// Address returns the address of the listener, once started.
+func (s *Service) Address() string { return s.server.listener.Addr().String() }
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, k *kernel.Kernel) error {
+	handler, err := kernel.Lookup[Handler](k, s.opts.HandlerService)
+	if err != nil {
+		return err
+	}
+	listener := s.opts.Listener
+	if listener == nil {
+		var lc net.ListenConfig
+		if listener, err = lc.Listen(ctx, "tcp", s.opts.Listen); err != nil {
+			return fmt.Errorf("listen for peers: %w", err)
+		}
+	}
+	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	s.server = newServer(s.opts, &s.count, handler, listener)
+	s.wg.Go(func() { s.server.run(s.ctx) })
+	s.mu.Lock()
+	s.stopped = false
+	s.mu.Unlock()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.cancel()
+	err := s.server.listener.Close()
+	ended := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// put changes the outbox of the link to address, which is started if need be.
+func (s *Service) put(address string, change func(o *outbox)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	l := s.links[address]
+	if l != nil && l.out.put(func() { change(&l.out) }) {
+		return true
+	}
+	l = newLink(address, s.opts, &s.count)
+	s.links[address] = l
+	l.out.put(func() { change(&l.out) })
+	s.wg.Go(func() {
+		l.run(s.ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.links[address] == l {
+			delete(s.links, address)
+		}
+	})
+	return true
+}
+
+// Send implements Network.
+func (s *Service) Send(ctx context.Context, address string, h membership.Heartbeat) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.put(address, func(o *outbox) {
+		if o.heartbeat != nil {
+			s.count.HeartbeatsReplaced.Add(1)
+		}
+		o.heartbeat = &h
+	})
+}
+
+// Suspect implements Network.
+func (s *Service) Suspect(ctx context.Context, address string, notices []quarantine.Notice) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.put(address, func(o *outbox) {
+		o.notices = append(o.notices, notices...)
+		if over := len(o.notices) - maxQueuedNotices; over > 0 {
+			s.count.NoticesDropped.Add(int64(over))
+			o.notices = o.notices[over:]
+		}
+	})
+}
+
+// connection waits for a connection to the address.
+func (s *Service) connection(ctx context.Context, address string) (connected, error) {
+	answer := make(chan connected, 1)
+	if !s.put(address, func(o *outbox) { o.asks = append(o.asks, answer) }) {
+		return connected{}, ErrStopped
+	}
+	select {
+	case c := <-answer:
+		return c, c.err
+	case <-ctx.Done():
+		return connected{}, ctx.Err()
+	}
+}
+
+func (s *Service) call(ctx context.Context, address, method string, params, result any) error {
+	c, err := s.connection(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = c.conn.Call(ctx, method, params, result)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		return fmt.Errorf("%w: %s: connection closed during %s", ErrUnreachable, address, method)
+	}
+	if err != nil {
+		return fmt.Errorf("%s at %s: %w", method, address, err)
+	}
+	return nil
+}
+
+// Hello implements Network.
+func (s *Service) Hello(ctx context.Context, address string) (fleet.Instance, error) {
+	c, err := s.connection(ctx, address)
+	return c.peer, err
+}
+
+// ClaimStatus implements Network.
+func (s *Service) ClaimStatus(ctx context.Context, address, claim string) (ClaimStatus, error) {
+	var status ClaimStatus
+	err := s.call(ctx, address, methodClaimStatus, claim, &status)
+	if err == nil && status > ClaimOutcomeUnknown {
+		return ClaimOutcomeUnknown, fmt.Errorf("%s at %s: unknown status %d", methodClaimStatus, address, status)
+	}
+	return status, err
+}
