admission: give each rank a window of its own

Cause: patient work held the slots that prompt work needed. Change: Window has a bound per rank, computed from the demand of the more urgent ranks and the floors of the others; routing counts per rank and weighs the own data centre less on busy endpoints.

--- a/admission/arrive.go
+++ b/admission/arrive.go
@@ -49,7 +49,7 @@
 	cost := w.cost(r.Tokens)
 	query := routing.Query{
 		Key: f.target.key, Fingerprint: r.Fingerprint, Prefix: r.Prefix,
-		Exclude: r.Exclude, Urgent: f.rank == fleet.Urgent,
+		Exclude: r.Exclude, Rank: f.rank,
 	}
 	if r.Readmitted {
 		query.Extra = readmittedExtra
@@ -170,12 +170,7 @@
 	for r := range rank {
 		free -= e.average[r]
 	}
-	if rank == fleet.Urgent {
-		free = min(free, float64(e.window.Urgent))
-	} else {
-		free = min(free, float64(e.window.Lower))
-	}
-	return max(free, e.window.Floors[rank], minCapacity*float64(e.window.Total))
+	return max(min(free, float64(e.window.Ranks[rank])), e.window.Floors[rank], minCapacity*float64(e.window.Total))
 }
 
 func (q *Queue) retryAfter(wait float64) time.Duration {
--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -82,12 +82,11 @@
 
 // due returns the waiting request of a rank that is served next on an endpoint.
 func (q *Queue) due(i int, rank fleet.Rank) *item {
-	urgent := rank == fleet.Urgent
 	id := q.router.Endpoint(i).ID
-	if !q.router.Free(i, urgent, readmittedExtra) {
+	if !q.router.Free(i, rank, readmittedExtra) {
 		return nil
 	}
-	normal := q.router.Free(i, urgent, 0)
+	normal := q.router.Free(i, rank, 0)
 	var front, regular *item
 	for _, t := range q.endpoints[i].targets {
 		if t.length == 0 {
--- a/admission/machine_test.go
+++ b/admission/machine_test.go
@@ -51,7 +51,7 @@
 		}
 		window := rapid.IntRange(0, 5).Draw(t, "window")
 		e.Window = WholeWindow(window, rapid.IntRange(0, window).Draw(t, "reserved"), floors)
-		e.Window.Urgent = rapid.IntRange(0, window).Draw(t, "urgent")
+		e.Window.Ranks[fleet.Urgent] = rapid.IntRange(0, window).Draw(t, "urgent")
 		for _, name := range []string{"m0", "m1"} {
 			if rapid.Bool().Draw(t, "model") {
 				e.Residents = append(e.Residents, routing.Resident{Name: name, Version: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version"), Ready: true})
@@ -123,15 +123,13 @@
 	if r.Readmitted {
 		extra = readmittedExtra
 	}
-	urgent, lower := m.onEndpoint(a.Grant.Endpoint.ID)
-	within := urgent+lower <= w.Total+extra
-	if m.q.config.Policy == Ranked && r.Rank == fleet.Urgent {
-		within = within && urgent <= w.Urgent+extra
-	} else if m.q.config.Policy == Ranked {
-		within = within && lower <= w.Lower+extra
+	total, ofRank := m.onEndpoint(a.Grant.Endpoint.ID, r.Rank)
+	within := total <= w.Total+extra
+	if m.q.config.Policy == Ranked {
+		within = within && ofRank <= w.Ranks[r.Rank]+extra
 	}
 	if !within {
-		t.Fatalf("%d urgent and %d lower in flight on %s, window %+v, readmitted %v", urgent, lower, a.Grant.Endpoint.ID, w, r.Readmitted)
+		t.Fatalf("%d requests, %d of rank %s, in flight on %s, window %+v, readmitted %v", total, ofRank, r.Rank, a.Grant.Endpoint.ID, w, r.Readmitted)
 	}
 	m.checkResidents(t, r, a.Grant, m.view.Endpoints[i])
 }
@@ -146,17 +144,17 @@
 	}
 }
 
-func (m *machine) onEndpoint(id fleet.EndpointID) (urgent, lower int) {
+func (m *machine) onEndpoint(id fleet.EndpointID, rank fleet.Rank) (total, ofRank int) {
 	for _, g := range m.running {
-		switch {
-		case g.endpoint != id:
-		case g.request.Rank == fleet.Urgent:
-			urgent++
-		default:
-			lower++
+		if g.endpoint != id {
+			continue
+		}
+		total++
+		if g.request.Rank == rank {
+			ofRank++
 		}
 	}
-	return urgent, lower
+	return total, ofRank
 }
 
 // check compares the queue's account with the machine's, and that no request
@@ -186,7 +184,7 @@
 		}
 		for _, p := range f.target.places {
 			e := m.q.router.Endpoint(p.Endpoint)
-			if m.q.router.Free(p.Endpoint, f.rank == fleet.Urgent, extra) && !slices.Contains(r.Exclude, e.ID) {
+			if m.q.router.Free(p.Endpoint, f.rank, extra) && !slices.Contains(r.Exclude, e.ID) {
 				t.Fatalf("request %d waits while %s has room", id, e.ID)
 			}
 		}
--- a/admission/policy_bench_test.go
+++ b/admission/policy_bench_test.go
@@ -26,11 +26,11 @@
 
 // BenchmarkPolicies plays the overload cases under virtual time and prints one
 // row per case and policy, summed over the seeds. Attainment counts requests
-// sent, so a refused one misses; slots is the part of all slot time that went
-// to answers within their targets.
+// sent, so a refused one misses; slots is the part of all slot time that each
+// rank had, and goodput the part that went to urgent answers within target.
 func BenchmarkPolicies(b *testing.B) {
 	for range b.N {
-		fmt.Printf("\n| case | policy | urgent | prompt | patient | worst seed | slots urgent | prompt | patient | refused | expired |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+		fmt.Printf("\n| case | policy | urgent | prompt | patient | worst seed | slots urgent | prompt | patient | urgent goodput | refused | expired |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		for _, c := range simCases {
 			for _, p := range simPolicies {
 				playSeeds(p, c)
@@ -59,6 +59,7 @@
 			sum[r].refused += res.refused
 			sum[r].expired += res.expired
 			sum[r].goodSlots += res.goodSlots
+			sum[r].busySlots += res.busySlots
 			worst[r] = min(worst[r], float64(res.attained)/float64(max(res.sent, 1)))
 		}
 	}
@@ -72,7 +73,8 @@
 	}
 	fmt.Printf(" %.1f / %.1f / %.1f |", 100*worst[0], 100*worst[1], 100*worst[2])
 	for _, res := range sum {
-		fmt.Printf(" %.1f%% |", 100*res.goodSlots/capacity)
+		fmt.Printf(" %.1f%% |", 100*res.busySlots/capacity)
 	}
+	fmt.Printf(" %.1f%% |", 100*sum[fleet.Urgent].goodSlots/capacity)
 	fmt.Printf(" %d | %d |\n", refused, expired)
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -181,7 +181,7 @@
 	e := &q.endpoints[i]
 	e.account(now)
 	e.running[f.queueRank]--
-	q.router.Done(now, i, f.queueRank == fleet.Urgent)
+	q.router.Done(now, i, f.queueRank)
 	for q.fill(now, i) {
 	}
 }
@@ -254,7 +254,7 @@
 	e.account(now)
 	e.running[f.rank]++
 	q.charge(e, f, cost)
-	q.router.Sent(now, p.Endpoint, f.rank == fleet.Urgent, r.Prefix)
+	q.router.Sent(now, p.Endpoint, f.rank, r.Prefix)
 	f.row.inFlight++
 	q.running[min(r.Rank, fleet.Patient)]++
 	at := q.router.Endpoint(p.Endpoint).Endpoint
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -14,10 +14,15 @@
 // so that an instance without demand can serve its first request at once.
 const idleShare = 0.25
 
-// urgentHeadroom sizes the slots kept for urgent arrivals: their mean number
-// in flight, which is Poisson distributed when nothing waits, plus that many
-// standard deviations.
-const urgentHeadroom = 1.6
+const (
+	// rankHeadroom sizes the slots kept for the arrivals of more urgent ranks:
+	// their mean number in flight, which is Poisson distributed when nothing
+	// waits, plus that many standard deviations.
+	rankHeadroom = 1.6
+	// spareForHeadroom is the part of the slots that nobody needs that may be
+	// kept free in this way. Without that bound lower ranks starved at 80% load.
+	spareForHeadroom = 0.8
+)
 
 // Demand is what one row of one instance wants.
 type Demand struct {
@@ -43,9 +48,8 @@
 
 // Window bounds what one instance has in flight on an endpoint.
 type Window struct {
-	Total  int // all requests
-	Urgent int // urgent requests
-	Lower  int // requests of the other ranks
+	Total int                  // all requests
+	Ranks [fleet.RankCount]int // requests of each rank
 	// Floors is the part of the window that each rank keeps under contention,
 	// in slots.
 	Floors [fleet.RankCount]float64
@@ -54,7 +58,7 @@
 // WholeWindow is the window of an instance that has all slots to itself and
 // keeps a part of them free for urgent arrivals.
 func WholeWindow(slots, reserved int, floors [fleet.RankCount]float64) Window {
-	w := Window{Total: slots, Urgent: slots, Lower: slots - reserved}
+	w := Window{Total: slots, Ranks: [fleet.RankCount]int{slots, slots - reserved, slots - reserved}}
 	for r, f := range floors {
 		w.Floors[r] = f * float64(slots)
 	}
@@ -74,67 +78,69 @@
 // AllShares divides an endpoint's slots between the members, which must be
 // ordered by ID. Instances with equal views compute equal windows.
 //
-// The slots for the lower ranks add up to what the expected urgent work
-// leaves, and the urgent ones to what the floors of the lower ranks leave. At
-// an urgent flood the two add up to the slots exactly. Otherwise an urgent
-// request may be sent to a full endpoint, whose engine serves it by priority:
-// an exact division left each of 7 instances 2 of 16 slots, and urgent
-// requests waited for one of those while slots of other instances were freed.
+// Each rank has a window of its own. It is what the expected work of the more
+// urgent ranks and the floors of the other ranks leave, so the windows of all
+// ranks and instances add up to the slots under a flood of any rank. Otherwise
+// they add up to more, and a request may be sent to a full endpoint, whose
+// engine serves it by priority: an exact division left each of 7 instances 2
+// of 16 slots, and urgent requests waited for one of those while slots of
+// other instances were freed.
 //
 // Within a rank, slots go to rows by weight up to their demand, and for each
 // row to instances by demand.
 func AllShares(members []MemberDemand, c Contended) []Window {
 	rows := gather(members)
 	names := ids(members)
-	urgentSlots, lowerSlots := split(rows, c)
-
-	weights := make([]float64, len(members))
-	divideRank(rows, fleet.Urgent, float64(urgentSlots), weights)
-	urgent := apportion(c.Key+"/urgent", urgentSlots, idleSlots(urgentSlots, len(members)), names, weights)
-
-	weights = make([]float64, len(members))
-	idle := idleSlots(lowerSlots, len(members))
-	left := float64(lowerSlots - idle)
-	given := rankSlots(rows, left, float64(c.Slots), c.Floors)
-	for r := fleet.Prompt; r <= fleet.Patient; r++ {
-		divideRank(rows, r, given[r], weights)
-		left -= given[r]
-	}
-	spread(rows, left, weights)
-	lower := apportion(c.Key+"/lower", lowerSlots, idle, names, weights)
-
 	out := make([]Window, len(members))
-	for i := range out {
-		w := Window{Urgent: urgent[i], Lower: lower[i], Total: min(urgent[i]+lower[i], c.Slots)}
-		for r, f := range c.Floors {
-			part := float64(lower[i]) / float64(max(lowerSlots, 1))
-			if r == int(fleet.Urgent) {
-				part = float64(urgent[i]) / float64(max(urgentSlots, 1))
-			}
-			w.Floors[r] = f * float64(c.Slots) * part
+	for r, slots := range rankWindows(rows, c) {
+		weights := make([]float64, len(members))
+		idle := idleSlots(slots, len(members))
+		spread(rows, fleet.Rank(r), float64(slots-idle), weights)
+		shares := apportion(c.Key+"/"+fleet.Rank(r).String(), slots, idle, names, weights)
+		for i, n := range shares {
+			w := &out[i]
+			w.Ranks[r] = n
+			w.Total = min(w.Total+n, c.Slots)
+			w.Floors[r] = c.Floors[r] * float64(c.Slots) * float64(n) / float64(max(slots, 1))
 		}
-		out[i] = w
 	}
 	return out
 }
 
-// split divides the slots of an endpoint between urgent and lower ranks.
-func split(rows []*rowDemand, c Contended) (urgent, lower int) {
-	if c.Slots <= 1 {
-		return c.Slots, c.Slots
-	}
-	var demand [fleet.RankCount]float64
+// rankWindows returns the slots that each rank may use over all instances.
+func rankWindows(rows []*rowDemand, c Contended) [fleet.RankCount]int {
+	var demand, kept, windows [fleet.RankCount]float64
+	total, allKept := 0.0, 0.0
+	slots := float64(c.Slots)
 	for _, r := range rows {
 		demand[r.rank] += r.total
+		total += r.total
 	}
-	kept := 0.0
-	for r := fleet.Prompt; r <= fleet.Patient; r++ {
-		kept += min(demand[r], c.Floors[r]*float64(c.Slots))
+	for r := range kept {
+		kept[r] = min(demand[r], c.Floors[r]*slots)
+		allKept += kept[r]
+	}
+	ahead := 0.0 // demand of the more urgent ranks
+	for r := range windows {
+		allKept -= kept[r]
+		headroom := rankHeadroom * math.Sqrt(ahead)
+		if total < slots {
+			headroom = min(headroom, spareForHeadroom*(slots-total))
+		}
+		windows[r] = max(slots-allKept-ahead-headroom, kept[r])
+		ahead += demand[r]
 	}
-	floor := int(math.Ceil(kept))
-	u := demand[fleet.Urgent]
-	expected := int(math.Ceil(u + urgentHeadroom*math.Sqrt(u)))
-	return c.Slots - floor, max(c.Slots-expected, floor, 1)
+	return roundWindows(windows, kept, c.Slots)
+}
+
+// roundWindows rounds the windows of the ranks to whole slots, no rank below
+// its floor and every rank at least at one.
+func roundWindows(windows, kept [fleet.RankCount]float64, slots int) [fleet.RankCount]int {
+	var out [fleet.RankCount]int
+	for r, w := range windows {
+		out[r] = min(max(int(w+0.5), int(math.Ceil(kept[r])), 1), slots)
+	}
+	return out
 }
 
 // LimitShare returns this instance's share of a row's fleet-wide limits.
@@ -217,73 +223,36 @@
 	return rows
 }
 
-// rankSlots divides slots between the lower ranks: each gets its demand up to
-// its floor, which is a share of all slots, and the rest goes by strict order.
-func rankSlots(rows []*rowDemand, slots, all float64, floors [fleet.RankCount]float64) [fleet.RankCount]float64 {
-	var demand, given [fleet.RankCount]float64
-	for _, r := range rows {
-		demand[r.rank] += r.total
-	}
-	left := slots
-	for r := fleet.Prompt; r <= fleet.Patient; r++ {
-		given[r] = min(demand[r], floors[r]*all, left)
-		left -= given[r]
-	}
-	for r := fleet.Prompt; r <= fleet.Patient; r++ {
-		more := min(demand[r]-given[r], left)
-		given[r] += more
-		left -= more
-	}
-	return given
-}
-
-// divideRank divides the slots of a rank between its rows by weight, none
-// getting more than its demand, and each row's slots between the members.
-func divideRank(rows []*rowDemand, rank fleet.Rank, slots float64, weights []float64) {
+// spread divides the slots of a rank between its rows by weight, none getting
+// more than its demand, and each row's slots between the members by demand.
+// Slots that nobody asked for are divided by demand.
+func spread(rows []*rowDemand, rank fleet.Rank, slots float64, weights []float64) {
 	var open []*rowDemand
-	weight := 0.0
+	weight, total := 0.0, 0.0
 	for _, r := range rows {
 		if r.rank == rank {
 			open = append(open, r)
 			weight += r.weight
+			total += r.total
 		}
 	}
 	// Rows that want least for their weight are satisfied first.
 	slices.SortStableFunc(open, func(a, b *rowDemand) int {
 		return cmp.Compare(a.total/a.weight, b.total/b.weight)
 	})
+	unused := max(slots-total, 0)
+	left := slots - unused
 	for _, r := range open {
-		given := min(r.total, slots*r.weight/weight)
-		slots -= given
+		given := min(r.total, left*r.weight/weight)
+		left -= given
 		weight -= r.weight
+		given += unused * r.total / total
 		for i, d := range r.members {
 			weights[i] += given * d / r.total
 		}
 	}
 }
 
-// spread divides slots of the lower ranks that nobody asked for in proportion
-// to their demand.
-func spread(rows []*rowDemand, slots float64, weights []float64) {
-	total := 0.0
-	for _, r := range rows {
-		if r.rank != fleet.Urgent {
-			total += r.total
-		}
-	}
-	if total <= 0 || slots <= 0 {
-		return
-	}
-	for _, r := range rows {
-		if r.rank == fleet.Urgent {
-			continue
-		}
-		for i, d := range r.members {
-			weights[i] += slots * d / total
-		}
-	}
-}
-
 // apportion divides a total by the largest-remainder method. The idle part is
 // given in single slots, in the order of a hash of key and member, which also
 // breaks ties. Without any weight all members count the same.
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -113,7 +113,6 @@
 	running   int
 	waiting   [fleet.RankCount][]*simRequest
 	report    simReport
-	busy      [fleet.RankCount]float64 // slot seconds served while measured
 }
 
 type simReport struct {
@@ -134,7 +133,9 @@
 // simResult counts the requests of a rank that arrived while measured.
 type simResult struct {
 	sent, answered, attained, refused, expired int
-	goodSlots                                  float64 // slot seconds of attained requests
+	// Slot seconds of requests that ended while measured, and of them those
+	// that arrived while measured and met their targets.
+	busySlots, goodSlots float64
 }
 
 func newSim(p simPolicy, c simCase, seed uint64) *sim {
@@ -312,7 +313,7 @@
 		first = s.now
 	}
 	if s.measuring() {
-		e.busy[r.rank] += r.service.Seconds()
+		s.results[r.rank].busySlots += r.service.Seconds()
 	}
 	total, firstToken := s.now.Sub(r.arrived), first.Sub(r.arrived)
 	if r.counted {
@@ -321,7 +322,9 @@
 		t := simTargets[r.rank]
 		if total <= t.WholeAnswer && (t.FirstToken == 0 || firstToken <= t.FirstToken) {
 			res.attained++
-			res.goodSlots += r.service.Seconds()
+			if s.measuring() {
+				res.goodSlots += r.service.Seconds()
+			}
 		}
 	}
 	s.serve(e)
--- a/admission/view.go
+++ b/admission/view.go
@@ -44,10 +44,10 @@
 	for i, e := range v.Endpoints {
 		w := e.Window
 		if fifo {
-			w.Urgent, w.Lower = w.Total, w.Total
+			w.Ranks[fleet.Urgent] = w.Total // all requests are in this rank
 		}
 		out[i] = routing.Endpoint{
-			Endpoint: e.Endpoint, Window: w.Total, Urgent: w.Urgent, Lower: w.Lower, Closed: e.Closed,
+			Endpoint: e.Endpoint, Window: w.Total, Ranks: w.Ranks, Closed: e.Closed,
 			Residents: e.Residents, Running: e.Running, Waiting: e.Waiting, ReportedAt: e.ReportedAt,
 		}
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -9,9 +9,12 @@
 
 // Scores are in units of the endpoint's slots: 1 is a full endpoint.
 const (
-	maxCandidates   = 16  // scored per decision; more did not change the choice measurably
-	bestFew         = 4   // candidates that the random pair is taken from
-	otherDataCentre = 0.5 // the own data centre is used up to half more load
+	maxCandidates = 16 // scored per decision; more did not change the choice measurably
+	bestFew       = 4  // candidates that the random pair is taken from
+	// otherDataCentre is what an idle endpoint of another data centre counts as
+	// load. It falls to 0 for a full endpoint: when all are full, preferring
+	// the own data centre would load those with most instances more.
+	otherDataCentre = 0.5
 	adapterToLoad   = 0.2
 	prefixCached    = 0.3
 	// affinityLean is how much more load the first endpoint of equal content
@@ -44,7 +47,7 @@
 }
 
 func (r *Router) usable(q *Query, p Place) bool {
-	if !r.Free(p.Endpoint, q.Urgent, q.Extra) {
+	if !r.Free(p.Endpoint, q.Rank, q.Extra) {
 		return false
 	}
 	return len(q.Exclude) == 0 || !slices.Contains(q.Exclude, r.endpoints[p.Endpoint].ID)
@@ -116,7 +119,7 @@
 	load := max(s.Running+s.Waiting+s.change, s.inFlight)
 	c := candidate{place: p, score: float64(load) / float64(max(s.Slots, 1))}
 	if s.DataCentre != r.home {
-		c.score += otherDataCentre
+		c.score += otherDataCentre * max(1-c.score, 0)
 	}
 	if q.Key.Adapter != "" && !p.Resident.Ready {
 		c.score += adapterToLoad
--- a/routing/router.go
+++ b/routing/router.go
@@ -30,7 +30,7 @@
 	Endpoint
 	hash     uint64
 	inFlight int
-	lower    int // of them not urgent
+	ranks    [fleet.RankCount]int // inFlight by rank
 	// change is the growth of own work in flight since the load report was taken.
 	change  int
 	history history
@@ -155,25 +155,18 @@
 // InFlight returns how many requests of this instance run on the endpoint.
 func (r *Router) InFlight(i int) int { return r.endpoints[i].inFlight }
 
-// Free reports whether the endpoint has room for a request.
-func (r *Router) Free(i int, urgent bool, extra int) bool {
+// Free reports whether the endpoint has room for a request of the rank; extra
+// is how many requests beyond the window count as room.
+func (r *Router) Free(i int, rank fleet.Rank, extra int) bool {
 	s := &r.endpoints[i]
-	if s.Closed || s.inFlight >= s.Window+extra {
-		return false
-	}
-	if urgent {
-		return s.inFlight-s.lower < s.Urgent+extra
-	}
-	return s.lower < s.Lower+extra
+	return !s.Closed && s.inFlight < s.Window+extra && s.ranks[rank] < s.Ranks[rank]+extra
 }
 
 // Sent records that a request was sent to the endpoint.
-func (r *Router) Sent(now time.Time, i int, urgent bool, prefix uint64) {
+func (r *Router) Sent(now time.Time, i int, rank fleet.Rank, prefix uint64) {
 	s := &r.endpoints[i]
 	s.inFlight++
-	if !urgent {
-		s.lower++
-	}
+	s.ranks[rank]++
 	s.change++
 	s.history.add(now, 1)
 	if prefix != 0 {
@@ -182,12 +175,10 @@
 }
 
 // Done records that a request sent to the endpoint has ended.
-func (r *Router) Done(now time.Time, i int, urgent bool) {
+func (r *Router) Done(now time.Time, i int, rank fleet.Rank) {
 	s := &r.endpoints[i]
 	s.inFlight--
-	if !urgent {
-		s.lower--
-	}
+	s.ranks[rank]--
 	s.change--
 	s.history.add(now, -1)
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -67,9 +67,8 @@
 	fleet.Endpoint
 	// Window is how many requests this instance may have in flight there.
 	Window    int
-	Urgent    int  // bound on urgent requests in flight
-	Lower     int  // bound on other requests in flight
-	Closed    bool // no new work
+	Ranks     [fleet.RankCount]int // bounds on the requests of each rank
+	Closed    bool                 // no new work
 	Residents []Resident
 	// Running and Waiting are from the last load report, taken at ReportedAt
 	// by this process's clock. A zero ReportedAt means that there is none.
@@ -99,6 +98,6 @@
 	Fingerprint uint64 // equal content prefers the same endpoint; 0 for none
 	Prefix      uint64 // hash of model and prompt prefix; 0 for none
 	Exclude     []fleet.EndpointID
-	Urgent      bool // counts against the window's part for urgent requests
-	Extra       int  // slots beyond the window that this request may use
+	Rank        fleet.Rank
+	Extra       int // requests beyond the window that this one may make
 }
