--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -214,7 +214,7 @@
 		i.listeners.close()
 		return err
 	}
-	i.log.Info("instance started", "instance", i.self.ID, "callers", i.self.CallerAddress, "operators", i.self.OperatorAddress, "peers", i.self.PeerAddress)
+	i.log.Info("instance started", "callers", i.self.CallerAddress, "operators", i.self.OperatorAddress, "peers", i.self.PeerAddress)
 	return nil
 }
 
@@ -225,6 +225,6 @@
 	i.control.Post(control.StopRequested{})
 	err := i.kernel.Stop(ctx)
 	i.client.Close()
-	i.log.Info("instance stopped", "instance", i.self.ID)
+	i.log.Info("instance stopped")
 	return err
 }
