--- a/cli/cli.go
+++ b/cli/cli.go
@@ -3,10 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"runtime"
-	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 )
@@ -18,38 +17,61 @@
 	ExitBadUsage = 2 // unknown command, flag or argument
 )
 
+// usageError is a wrong use of the command line.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+func usageErrorf(format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...)}
+}
+
 // Run executes the command line and returns the process's exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	unknown := false
 	root := &cli.Command{
-		Name:      "hyssophaven",
-		Usage:     "serve many language models and adapters on few accelerators",
-		Writer:    stdout,
-		ErrWriter: stderr,
-		Commands:  []*cli.Command{devCommand(), serveCommand(), standinCommand(), versionCommand()},
+		Name:           "hyssophaven",
+		Usage:          "serve many language models and adapters on few accelerators",
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // Run reports the error
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &usageError{message: err.Error()}
+		},
+		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
+			unknown = true
+			fmt.Fprintf(stderr, "hyssophaven: unknown command %q; see hyssophaven --help\n", name)
+		},
+		Commands: []*cli.Command{
+			devCommand(), serveCommand(), checkCommand(), tableCommand(), statusCommand(), quarantineCommand(),
+			standinCommand(), versionCommand(),
+		},
+	}
+	for _, c := range root.Commands {
+		setUsageErrors(c, root.OnUsageError)
 	}
-	if err := root.Run(ctx, args); err != nil {
+	err := root.Run(ctx, args)
+	var usage *usageError
+	switch {
+	case unknown:
+		return ExitBadUsage
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, errFindings):
+		return ExitFailure
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, "hyssophaven:", err)
+		return ExitBadUsage
+	default:
 		fmt.Fprintln(stderr, "hyssophaven:", err)
 		return ExitFailure
 	}
-	return ExitOK
 }
 
-func versionCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "version",
-		Usage: "print version, commit and Go version",
-		Action: func(_ context.Context, c *cli.Command) error {
-			version, commit := "devel", "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version = info.Main.Version
-				for _, s := range info.Settings {
-					if s.Key == "vcs.revision" {
-						commit = s.Value
-					}
-				}
-			}
-			_, err := fmt.Fprintf(c.Root().Writer, "hyssophaven %s commit %s %s\n", version, commit, runtime.Version())
-			return err
-		},
+// setUsageErrors makes subcommands report wrong flags as usage errors too.
+func setUsageErrors(c *cli.Command, handler cli.OnUsageErrorFunc) {
+	c.OnUsageError = handler
+	for _, sub := range c.Commands {
+		setUsageErrors(sub, handler)
 	}
 }
--- /dev/null
+++ b/cli/operatorflags.go
@@ -0,0 +1,20 @@
+package cli
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssophaven/hyssophaven/operator"
+)
+
+// operatorFlags are the flags of every command that asks an instance's
+// operator interface.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "operator", Usage: "operator interface of any instance, such as `http://10.0.0.5:8081`", Required: true, Sources: cli.EnvVars("HYSSOPHAVEN_OPERATOR")},
+		&cli.StringFlag{Name: "token", Usage: "operators' bearer token", Sources: cli.EnvVars("HYSSOPHAVEN_TOKEN")},
+	}
+}
+
+func operatorClient(c *cli.Command) *operator.Client {
+	return operator.NewClient(c.String("operator"), c.String("token"), nil)
+}
--- a/control/api.go
+++ b/control/api.go
@@ -42,6 +42,8 @@
 	Isolated bool
 	// AliveIncarnations holds the incarnation of every live instance.
 	AliveIncarnations map[fleet.InstanceID]fleet.Incarnation
+	// Routable holds the name of every row that some endpoint serves.
+	Routable map[string]bool
 	// ReadReports are the endpoints whose load reports this instance reads.
 	ReadReports []fleet.Endpoint
 	// PeerAddresses are the peer listeners of all other known instances.
--- a/control/core.go
+++ b/control/core.go
@@ -54,6 +54,7 @@
 	reports   map[fleet.EndpointID]report
 	demands   []admission.MemberDemand // of every live instance, at the last view
 
+	served    routes // at the last view
 	viewStale bool
 	snapshot  *Snapshot
 	findings  map[string][]string // placement findings by pool
--- a/control/view.go
+++ b/control/view.go
@@ -80,13 +80,13 @@
 	c.viewStale = false
 	c.takePeerReports(now)
 	c.demands = c.memberDemands(now)
+	c.served = c.routes()
 	view := &admission.View{Endpoints: c.endpointViews(), Rows: c.limitShares()}
 	c.admit(now, admission.ViewChanged{View: view})
 }
 
 func (c *core) endpointViews() []admission.EndpointView {
 	floors := c.floors()
-	served := c.routes()
 	var out []admission.EndpointView
 	for _, e := range c.listing.Endpoints {
 		r := c.reports[e.ID]
@@ -96,10 +96,10 @@
 		}
 		out = append(out, admission.EndpointView{
 			Endpoint: e, Closed: c.leaving(e) || c.suspects.Reserved(e.ID),
-			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID, served), admission.Contended{
+			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID), admission.Contended{
 				Key: string(e.ID), Slots: slots, Floors: floors,
 			}),
-			Residents: served.residents[e.ID], Running: r.running, Waiting: r.waiting, ReportedAt: r.takenAt,
+			Residents: c.served.residents[e.ID], Running: r.running, Waiting: r.waiting, ReportedAt: r.takenAt,
 		})
 	}
 	return out
@@ -164,10 +164,12 @@
 	residents map[fleet.EndpointID][]routing.Resident
 	rows      map[fleet.EndpointID][]string
 	replicas  map[string]int // row to number of endpoints that serve it
+	routable  map[string]bool
 }
 
 func (c *core) routes() routes {
 	out := routes{
+		routable:  make(map[string]bool),
 		residents: make(map[fleet.EndpointID][]routing.Resident, len(c.listing.Endpoints)),
 		rows:      make(map[fleet.EndpointID][]string, len(c.listing.Endpoints)),
 		replicas:  make(map[string]int),
@@ -183,6 +185,7 @@
 		out.rows[e.ID] = rows
 		for _, row := range rows {
 			out.replicas[row]++
+			out.routable[row] = true
 		}
 	}
 	return out
@@ -216,13 +219,13 @@
 
 // endpointDemands returns the members' demand for what an endpoint serves. The
 // demand of a row is spread evenly over the endpoints that serve it.
-func (c *core) endpointDemands(e fleet.EndpointID, served routes) []admission.MemberDemand {
+func (c *core) endpointDemands(e fleet.EndpointID) []admission.MemberDemand {
 	out := make([]admission.MemberDemand, len(c.demands))
 	for i, m := range c.demands {
 		out[i].Member = m.Member
 		for _, d := range m.Rows {
-			if slices.Contains(served.rows[e], d.Row) {
-				d.Slots /= float64(served.replicas[d.Row])
+			if slices.Contains(c.served.rows[e], d.Row) {
+				d.Slots /= float64(c.served.replicas[d.Row])
 				out[i].Rows = append(out[i].Rows, d)
 			}
 		}
@@ -261,7 +264,7 @@
 func (c *core) publish(now time.Time) {
 	s := &Snapshot{
 		Self: c.config.Self, Table: c.table.Current(), Endpoints: c.listing.Endpoints,
-		Isolated: c.members.Isolated(now), AliveIncarnations: c.members.AliveIncarnations(),
+		Routable: c.served.routable, Isolated: c.members.Isolated(now), AliveIncarnations: c.members.AliveIncarnations(),
 	}
 	for _, e := range c.listing.Endpoints {
 		if c.members.ReadsReport(e.ID, e.DataCentre) || c.suspects.Reserved(e.ID) {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -200,6 +200,50 @@
 	return s
 }
 
+// reachInterval is the time between looks at what can be served.
+const reachInterval = 100 * time.Millisecond
+
+// WaitReachable waits until every instance is ready and can route every model
+// and adapter of the sample table.
+func (r *Running) WaitReachable(ctx context.Context) error {
+	return r.waitRoutable(ctx, func(row table.Row) bool { return row.Kind == table.KindModel || row.Kind == table.KindAdapter })
+}
+
+// WaitFirst waits until every instance is ready and can route the sample
+// table's first kind of work.
+func (r *Running) WaitFirst(ctx context.Context) error {
+	name := r.Options.Deployment.Work[0].Name
+	return r.waitRoutable(ctx, func(row table.Row) bool { return row.Name == name })
+}
+
+func (r *Running) waitRoutable(ctx context.Context, wanted func(table.Row) bool) error {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	for {
+		missing := ""
+		for _, i := range r.Instances {
+			s := i.Control().Snapshot()
+			if !s.Ready {
+				missing = fmt.Sprintf("instance %s: %s", s.Self.ID, s.NotReadyReason)
+				break
+			}
+			for _, row := range r.Options.Deployment.Rows() {
+				if wanted(row) && !s.Routable[row.Name] {
+					missing = fmt.Sprintf("row %s on instance %s", row.Name, s.Self.ID)
+				}
+			}
+		}
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("not reachable: %s: %w", missing, ctx.Err())
+		}
+	}
+}
+
 // Stop stops the instances gracefully and then the stand-ins.
 func (r *Running) Stop(ctx context.Context) error {
 	errs := make([]error, len(r.Instances))
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -15,6 +15,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	stopped bool // no task is started any more
 }
 
 // NewGroup returns an empty group.
@@ -23,8 +26,14 @@
 	return &Group{ctx: ctx, cancel: cancel}
 }
 
-// Go runs task in its own goroutine. Its context ends when the group is stopped.
+// Go runs task in its own goroutine. Its context ends when the group is
+// stopped; after that no task is run.
 func (g *Group) Go(task func(context.Context)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
 	g.wg.Go(func() { task(g.ctx) })
 }
 
@@ -49,6 +58,9 @@
 
 // Stop ends the contexts of all tasks and waits for them until ctx ends.
 func (g *Group) Stop(ctx context.Context) error {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
 	g.cancel()
 	done := make(chan struct{})
 	go func() {
