engine/enginehttp: read events with a bounded buffered reader

go-sse's reader hands events to a callback, so a stream that is pulled needs a coroutine: 0.41 to 0.57 µs and 2 allocations per event, and 16 KB per idle stream. The new reader takes 0.05 to 0.07 µs without allocation and 11 KB (GOMAXPROCS=2 go test -run '^$' -bench 'StreamNext|ReadEvents' -benchmem -count 3 ./engine/enginehttp, on a busy machine; memory from a trial with 2,000 idle streams).

--- a/engine/enginehttp/bench_test.go
+++ b/engine/enginehttp/bench_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"net/http/httptest"
 	"strconv"
 	"sync"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/tmaxmax/go-sse"
+
 	"github.com/hyssophaven/hyssophaven/engine"
 )
 
@@ -76,6 +79,32 @@
 	}
 }
 
+// Compares the event reader with that of go-sse on the same bytes.
+func BenchmarkReadEvents(b *testing.B) {
+	b.Run("bufio", func(b *testing.B) {
+		r := newEventReader(bytes.NewReader(encodeAnswer(b, b.N)))
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			if _, _, err := r.next(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("go-sse", func(b *testing.B) {
+		read := sse.Read(bytes.NewReader(encodeAnswer(b, b.N)), &sse.ReadConfig{MaxEventSize: maxEvent})
+		next, stop := iter.Pull2(iter.Seq2[sse.Event, error](read))
+		defer stop()
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			if _, err, ok := next(); err != nil || !ok {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
 func processorTime() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
--- /dev/null
+++ b/engine/enginehttp/events.go
@@ -0,0 +1,93 @@
+package enginehttp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// eventBuffer is the buffer held per open stream. Events are about 100 bytes;
+// longer lines are collected in pieces.
+const eventBuffer = 1 << 10
+
+// eventReader reads server-sent events of at most maxEvent bytes. It knows the
+// fields "event" and "data" and lines that end in LF or CRLF.
+//
+// It takes the place of go-sse's reader, which calls back and so needs a
+// coroutine per stream. In BenchmarkReadEvents an event costs 0.41 to 0.57 µs
+// with go-sse and 0.05 to 0.07 µs with this reader, and an idle stream held
+// 16 KB instead of 11 KB, of the 32 KB that a whole relayed stream may hold.
+type eventReader struct {
+	r    *bufio.Reader
+	name []byte
+	data []byte
+	size int // bytes of the current event
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the name and data of the next event, which are valid until the
+// following call. It returns io.EOF at the end of the body; an event without
+// its blank line is then dropped.
+func (e *eventReader) next() (name string, data []byte, err error) {
+	e.name, e.data, e.size = e.name[:0], e.data[:0], 0
+	found := false
+	for {
+		line, err := e.line()
+		if err != nil {
+			return "", nil, err
+		}
+		if len(line) == 0 {
+			if found {
+				return string(e.name), e.data, nil
+			}
+			e.size = 0
+			continue
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "data":
+			if found && len(e.data) > 0 {
+				e.data = append(e.data, '\n')
+			}
+			e.data = append(e.data, value...)
+			found = true
+		case "event":
+			e.name = append(e.name[:0], value...)
+			found = true
+		}
+	}
+}
+
+var errEventTooLong = fmt.Errorf("event is longer than %d bytes", maxEvent)
+
+// line returns the next line without its end.
+func (e *eventReader) line() ([]byte, error) {
+	line, err := e.r.ReadSlice('\n')
+	if e.size += len(line); e.size > maxEvent {
+		return nil, errEventTooLong
+	}
+	if err == nil {
+		return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, err
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		line, err = e.r.ReadSlice('\n')
+		if e.size += len(line); e.size > maxEvent {
+			return nil, errEventTooLong
+		}
+		long = append(long, line...)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(long[:len(long)-1], []byte("\r")), nil
+}
--- a/engine/enginehttp/stream.go
+++ b/engine/enginehttp/stream.go
@@ -5,12 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"strconv"
 	"time"
 
 	"github.com/tidwall/gjson"
-	"github.com/tmaxmax/go-sse"
 
 	"github.com/hyssophaven/hyssophaven/engine"
 )
@@ -24,8 +22,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	body      io.ReadCloser
-	next      func() (sse.Event, error, bool)
-	stop      func()
+	events    *eventReader
 	requestID string
 	index     int
 	received  bool
@@ -34,8 +31,7 @@
 }
 
 func newStream(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, r engine.GenerateRequest) *stream {
-	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent})))
-	return &stream{ctx: ctx, cancel: cancel, body: body, next: next, stop: stop, requestID: r.RequestID, index: r.ResumeFrom}
+	return &stream{ctx: ctx, cancel: cancel, body: body, events: newEventReader(body), requestID: r.RequestID, index: r.ResumeFrom}
 }
 
 // Next implements engine.Stream.
@@ -60,14 +56,14 @@
 }
 
 func (s *stream) read() (engine.Chunk, error) {
-	event, err, ok := s.next()
-	if !ok {
-		err = io.ErrUnexpectedEOF
+	name, data, err := s.events.next()
+	if errors.Is(err, errEventTooLong) {
+		return engine.Chunk{}, &engine.Error{Kind: engine.Malformed, Executed: s.executed(), Err: err}
 	}
 	if err != nil {
 		return engine.Chunk{}, readError(s.ctx, err, s.executed())
 	}
-	c, err := parseChunk(event)
+	c, err := parseChunk(name, string(data))
 	if err != nil {
 		return engine.Chunk{}, &engine.Error{Kind: engine.Malformed, Executed: s.executed(), Err: err}
 	}
@@ -93,11 +89,10 @@
 func (s *stream) Close() error {
 	if s.finished {
 		timer := time.AfterFunc(drainTimeout, s.cancel)
-		_, _, _ = s.next()
+		_, _, _ = s.events.next()
 		timer.Stop()
 	}
 	s.cancel()
-	s.stop()
 	err := s.body.Close()
 	if s.err == nil {
 		s.err = &engine.Error{Kind: engine.Cancelled, Executed: s.executed(), Err: errors.New("stream is closed")}
@@ -105,19 +100,18 @@
 	return err
 }
 
-// parseChunk decodes one event. In BenchmarkStreamNext an event costs 2.8 to
-// 3.2 µs and 10 allocations with encoding/json, and 1.1 to 1.4 µs and 2
-// allocations with gjson, of which go-sse takes about 0.6 µs.
-func parseChunk(event sse.Event) (engine.Chunk, error) {
-	final := event.Type == endEvent
-	if !final && event.Type != "" {
-		return engine.Chunk{}, fmt.Errorf("unknown event %q", event.Type)
-	}
-	if !gjson.Valid(event.Data) {
+// parseChunk decodes one event. With encoding/json an event cost 2.8 to 3.2 µs
+// and 10 allocations in BenchmarkStreamNext, with gjson 1.1 to 1.5 µs and 2.
+func parseChunk(event, data string) (engine.Chunk, error) {
+	final := event == endEvent
+	if !final && event != "" {
+		return engine.Chunk{}, fmt.Errorf("unknown event %q", event)
+	}
+	if !gjson.Valid(data) {
 		return engine.Chunk{}, errors.New("chunk is not JSON")
 	}
 	c := engine.Chunk{Final: final}
-	object := gjson.Parse(event.Data)
+	object := gjson.Parse(data)
 	if !object.IsObject() {
 		return engine.Chunk{}, errors.New("chunk is not a JSON object")
 	}
@@ -133,7 +127,7 @@
 		return engine.Chunk{}, errors.New("chunk has no request id")
 	}
 	if final != (c.FinishReason == "stop" || c.FinishReason == "length") {
-		return engine.Chunk{}, fmt.Errorf("event %q has finish reason %q", event.Type, c.FinishReason)
+		return engine.Chunk{}, fmt.Errorf("event %q has finish reason %q", event, c.FinishReason)
 	}
 	return c, nil
 }
