--- /dev/null
+++ b/openai/decode_test.go
@@ -0,0 +1,131 @@
+package openai
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against bad input that is accepted, or that is refused without the
+// parameter at fault.
+func TestBadInputNamesTheParameter(t *testing.T) {
+	for _, c := range []struct {
+		kind       Kind
+		body       string
+		code       Code
+		param      string
+		reasonable string // why the case is here
+	}{
+		{Chat, ``, CodeInvalidJSON, "", "empty body"},
+		{Chat, `{`, CodeInvalidJSON, "", "cut body"},
+		{Chat, `{} {}`, CodeInvalidJSON, "", "two documents"},
+		{Chat, `null`, CodeInvalidType, "", "null is no object"},
+		{Chat, `[]`, CodeInvalidType, "", "a list is no object"},
+		{Chat, `{"messages":[{"role":"user","content":"a"}]}`, CodeMissingParameter, "model", "no model"},
+		{Chat, `{"model":7}`, CodeInvalidType, "model", "wrong type of a shared member"},
+		{Chat, `{"model":"m"}`, CodeMissingParameter, "messages", "no messages"},
+		{Chat, `{"model":"m","messages":{}}`, CodeInvalidType, "messages", "messages is no list"},
+		{Chat, `{"model":"m","messages":[{"role":"king","content":"a"}]}`, CodeInvalidValue, "messages[0].role", "unknown role"},
+		{Chat, `{"model":"m","messages":[{"role":"user"}]}`, CodeMissingParameter, "messages[0].content", "no content"},
+		{Chat, `{"model":"m","messages":[{"role":"user","content":3}]}`, CodeInvalidType, "messages[0].content", "content is a number"},
+		{Chat, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, CodeUnsupported, "messages[0].content[0].type", "an image"},
+		{Chat, `{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}]}`, CodeMissingParameter, "messages[0].content[0].text", "a text part without text"},
+		{Chat, `{"model":"m","n":2,"messages":[{"role":"user","content":"a"}]}`, CodeUnsupported, "n", "several answers"},
+		{Chat, `{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"a"}]}`, CodeInvalidValue, "max_tokens", "no tokens"},
+		{Chat, `{"model":"m","max_completion_tokens":-1,"messages":[{"role":"user","content":"a"}]}`, CodeInvalidValue, "max_completion_tokens", "negative tokens"},
+		{Chat, `{"model":"m","stream_options":{"include_usage":true},"messages":[{"role":"user","content":"a"}]}`, CodeInvalidValue, "stream_options", "options without a stream"},
+		{Completion, `{"model":"m"}`, CodeMissingParameter, "prompt", "no prompt"},
+		{Completion, `{"model":"m","prompt":["a","b"]}`, CodeUnsupported, "prompt", "several prompts"},
+		{Completion, `{"model":"m","prompt":[1,2]}`, CodeInvalidType, "prompt", "token ids"},
+		{Completion, `{"model":"m","prompt":"a","best_of":3}`, CodeUnsupported, "best_of", "several answers"},
+	} {
+		t.Run(c.reasonable, func(t *testing.T) {
+			is := is.New(t)
+			_, err := decode(c.kind, []byte(c.body))
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Code, c.code)
+			is.Equal(e.Param, c.param)
+			is.Equal(e.HTTPStatus(), 400)
+		})
+	}
+}
+
+func decode(kind Kind, body []byte) (Request, error) {
+	if kind == Chat {
+		return DecodeChat(body)
+	}
+	return DecodeCompletion(body)
+}
+
+// Guards against members that are lost and against refusing unknown members.
+func TestDecodeReadsAllMembers(t *testing.T) {
+	is := is.New(t)
+	r, err := DecodeChat([]byte(`{"model":"m","max_tokens":5,"max_completion_tokens":9,"stream":true,"temperature":0.2,
+		"stream_options":{"include_usage":true},"brand_new":{"a":[1]},"messages":[{"role":"user","content":"hi","name":"x"}]}`))
+	is.NoErr(err)
+	is.Equal(r, Request{Kind: Chat, Model: "m", MaxTokens: 9, Stream: true, IncludeUsage: true,
+		Prompt: `{"messages":[{"role":"user","name":"x","content":"hi"}]}`})
+	r, err = DecodeCompletion([]byte(`{"model":"m","prompt":["once"],"max_tokens":3}`))
+	is.NoErr(err)
+	is.Equal(r, Request{Kind: Completion, Model: "m", MaxTokens: 3, Prompt: "once"})
+}
+
+// Guards against equal content with different fingerprints, which would let a
+// crashing request escape its quarantine, and against different conversations
+// with one canonical form.
+func TestCanonicalFormFollowsContentOnly(t *testing.T) {
+	is := is.New(t)
+	prompt := func(messages string) string {
+		r, err := DecodeChat([]byte(`{"model":"m","messages":` + messages + `}`))
+		is.NoErr(err)
+		return r.Prompt
+	}
+	plain := prompt(`[{"role":"user","content":"a<b"}]`)
+	is.Equal(plain, prompt(` [ {"content":[{"type":"text","text":"a"},{"type":"text","text":"\u003cb"}],"role":"user","x":1} ]`))
+	is.True(plain != prompt(`[{"role":"system","content":"a<b"}]`))
+	is.True(prompt(`[{"role":"user","content":"a"},{"role":"user","content":"b"}]`) !=
+		prompt(`[{"role":"user","content":"a\"},{\"role\":\"user\",\"content\":\"b"}]`))
+	is.Equal(Fingerprint("row", plain), Fingerprint("row", plain))
+	is.True(Fingerprint("row", plain) != Fingerprint("other", plain))
+	is.True(Fingerprint("a", "bc") != Fingerprint("ab", "c"))
+}
+
+// Guards against decoders that panic, accept what they can't represent, or
+// whose canonical form depends on anything but the content.
+func FuzzDecodeChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"a"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"assistant","content":null,"tool_calls":[{}]}],"tools":[{}]}`))
+	f.Add([]byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":[{"type":"text","text":"\ud800"}]}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := DecodeChat(body)
+		checkDecoded(t, r, err)
+		if err == nil && !json.Valid([]byte(r.Prompt)) {
+			t.Fatalf("canonical form %q is not JSON", r.Prompt)
+		}
+	})
+}
+
+// Guards against the same faults in the completion call.
+func FuzzDecodeCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"a"}`))
+	f.Add([]byte(`{"model":"m","prompt":["a"],"best_of":1,"n":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := DecodeCompletion(body)
+		checkDecoded(t, r, err)
+	})
+}
+
+func checkDecoded(t *testing.T, r Request, err error) {
+	var e *Error
+	switch {
+	case err == nil && (r.Model == "" || r.MaxTokens < 0):
+		t.Fatalf("accepted %+v", r)
+	case err != nil && !errors.As(err, &e):
+		t.Fatalf("error %v is no *Error", err)
+	case err != nil && !json.Valid(AppendError(nil, e)):
+		t.Fatalf("error %v has no valid encoding", err)
+	}
+}
