--- /dev/null
+++ b/gateway/fakes_test.go
@@ -0,0 +1,332 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+// fakeControl grants the first endpoint of the pool that is not excluded.
+type fakeControl struct {
+	mu        sync.Mutex
+	snapshot  *control.Snapshot
+	endpoints []fleet.Endpoint
+	refuse    func(admission.Request) *admission.Refusal
+	grant     func(*admission.Grant) // changes a grant before it is given
+	asked     []admission.Request
+	open      map[uint64]bool
+	finished  []admission.Outcome
+	doubled   int // outcomes without an open grant
+}
+
+func (c *fakeControl) Name() string                                { return "control" }
+func (c *fakeControl) Requires() []string                          { return nil }
+func (c *fakeControl) Start(context.Context, *kernel.Kernel) error { return nil }
+func (c *fakeControl) Stop(context.Context) error                  { return nil }
+
+func (c *fakeControl) Admit(ctx context.Context, r admission.Request) (admission.Grant, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, r)
+	if ctx.Err() != nil {
+		return admission.Grant{}, ctx.Err()
+	}
+	if c.refuse != nil {
+		if refusal := c.refuse(r); refusal != nil {
+			return admission.Grant{}, refusal
+		}
+	}
+	for _, e := range c.endpoints {
+		if e.Pool == r.Pool && !slices.Contains(r.Exclude, e.ID) {
+			g := admission.Grant{Endpoint: e}
+			if c.grant != nil {
+				c.grant(&g)
+			}
+			c.open[r.ID] = true
+			return g, nil
+		}
+	}
+	return admission.Grant{}, &admission.Refusal{Reason: admission.ReasonNoEndpoint}
+}
+
+func (c *fakeControl) Finish(o admission.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.open[o.ID] {
+		c.doubled++
+	}
+	delete(c.open, o.ID)
+	c.finished = append(c.finished, o)
+}
+
+func (c *fakeControl) Snapshot() *control.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snapshot
+}
+
+// results returns the results of all finished grants in order.
+func (c *fakeControl) results() []admission.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []admission.Result
+	for _, o := range c.finished {
+		out = append(out, o.Result)
+	}
+	return out
+}
+
+// fakeEngine answers with words; what happens before can be scripted.
+type fakeEngine struct {
+	engine.Client
+	generate func(ctx context.Context, r engine.GenerateRequest) (engine.Stream, error)
+	order    func(engine.Order) (engine.OrderResult, error)
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, r engine.GenerateRequest) (engine.Stream, error) {
+	return e.generate(ctx, r)
+}
+
+func (e *fakeEngine) Order(_ context.Context, o engine.Order) (engine.OrderResult, error) {
+	return e.order(o)
+}
+
+var words = strings.SplitAfter("the slot on friday is free ", " ")[:6]
+
+// wordStream is an answer of one word a chunk. Before sending the chunk of an
+// index it calls the hook of that index, which may replace the chunk.
+type wordStream struct {
+	ctx  context.Context
+	r    engine.GenerateRequest
+	next int
+	hook map[int]func(*engine.Chunk) error
+}
+
+func newWords(ctx context.Context, r engine.GenerateRequest, hook map[int]func(*engine.Chunk) error) engine.Stream {
+	return &wordStream{ctx: ctx, r: r, next: r.ResumeFrom, hook: hook}
+}
+
+func (s *wordStream) Next() (engine.Chunk, error) {
+	if s.next > len(words) {
+		return engine.Chunk{}, io.EOF
+	}
+	c := engine.Chunk{RequestID: s.r.RequestID, Index: s.next}
+	if s.next < len(words) {
+		c.Text, c.Tokens = words[s.next], 1
+	} else {
+		c.Final, c.FinishReason, c.PromptTokens, c.CompletionTokens = true, "stop", 3, len(words)
+	}
+	if hook := s.hook[s.next]; hook != nil {
+		if err := hook(&c); err != nil {
+			return engine.Chunk{}, err
+		}
+	}
+	s.next++
+	return c, s.ctx.Err()
+}
+
+func (s *wordStream) Close() error { return nil }
+
+// lose makes a chunk fail as if the connection to the engine had broken.
+func lose(*engine.Chunk) error { return &engine.Error{Kind: engine.Truncated} }
+
+// fakeStore is a table and an object store whose calls can be made to fail.
+type fakeStore struct {
+	mu      sync.Mutex
+	records map[string]platform.Record
+	objects map[string][]byte
+	fail    func(op string) error // "read", "commit", "applied" (after the commit took effect), "put", "get"
+	called  chan string
+}
+
+func (s *fakeStore) failure(op string) error {
+	if s.fail == nil {
+		return nil
+	}
+	return s.fail(op)
+}
+
+func (s *fakeStore) Read(_ context.Context, q platform.Query) ([]platform.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure("read"); err != nil {
+		return nil, err
+	}
+	if r, ok := s.records[q.Keys[0]]; ok {
+		return []platform.Record{r}, nil
+	}
+	return nil, nil
+}
+
+func (s *fakeStore) Commit(_ context.Context, t platform.Txn) ([]uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure("commit"); err != nil {
+		return nil, err
+	}
+	key, version := t.Writes[0].Key, t.Conditions[0].Version
+	if s.records[key].Version != version {
+		return nil, platform.ErrConflict
+	}
+	s.records[key] = platform.Record{Key: key, Value: t.Writes[0].Value, Version: version + 1}
+	return []uint64{version + 1}, s.failure("applied")
+}
+
+func (s *fakeStore) Put(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.failure("put"); err != nil {
+		return err
+	}
+	s.objects[name] = data
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if data, ok := s.objects[name]; ok {
+		return data, s.failure("get")
+	}
+	return nil, platform.ErrNotFound
+}
+
+func (s *fakeStore) List(context.Context, string) ([]string, error) { return nil, nil }
+func (s *fakeStore) Delete(context.Context, string) error           { return nil }
+
+// rig is a gateway on a listener with fakes around it.
+type rig struct {
+	*Gateway
+	is      *is.I
+	url     string
+	control *fakeControl
+	store   *fakeStore
+	engines map[fleet.EndpointID]*fakeEngine
+	kernel  *kernel.Kernel
+	stop    func(context.Context) error // stops the kernel once
+}
+
+var testTable = []table.Row{
+	{Name: "base", Kind: table.KindModel, Pool: "models", Weight: 1, Version: "v1"},
+	{Name: "tuned", Kind: table.KindAdapter, Base: "base", Weight: 1, Version: "v7"},
+	{Name: "drafts", Kind: table.KindWork, Base: "tuned", Rank: fleet.Prompt, Weight: 2},
+	{Name: "booking", Kind: table.KindService, Pool: "desk", NotIdempotent: []string{"POST /bookings", "POST /holds/*"}},
+	{Name: "strict", Kind: table.KindService, Pool: "desk", NotIdempotent: []string{"POST /bookings"}, RequireKey: true},
+	{Name: "urgent", Kind: table.KindRank},
+}
+
+func newRig(t *testing.T, change func(*Config)) *rig {
+	t.Helper()
+	r := &rig{is: is.New(t), engines: make(map[fleet.EndpointID]*fakeEngine)}
+	self := fleet.Instance{ID: "i1", Incarnation: 5}
+	r.control = &fakeControl{
+		open: make(map[uint64]bool),
+		snapshot: &control.Snapshot{
+			Self: self, Table: table.NewSnapshot(1, testTable), Ready: true,
+			AliveIncarnations: map[fleet.InstanceID]fleet.Incarnation{"i1": 5, "i2": 8},
+		},
+	}
+	for _, id := range []fleet.EndpointID{"e1", "e2"} {
+		r.control.endpoints = append(r.control.endpoints, fleet.Endpoint{ID: id, Pool: "models"})
+		r.engines[id] = &fakeEngine{generate: func(ctx context.Context, q engine.GenerateRequest) (engine.Stream, error) {
+			return newWords(ctx, q, nil), nil
+		}}
+	}
+	r.store = &fakeStore{records: make(map[string]platform.Record), objects: make(map[string][]byte)}
+	cfg := Config{
+		Address: "127.0.0.1:0", Table: r.store, Objects: r.store,
+		Engine: func(e fleet.Endpoint) engine.Client { return r.engines[e.ID] },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	g, err := New(cfg)
+	r.is.NoErr(err)
+	r.Gateway = g
+	r.kernel, err = kernel.New()
+	r.is.NoErr(err)
+	r.kernel.Register(r.control)
+	r.kernel.Register(g)
+	r.is.NoErr(r.kernel.Start(t.Context()))
+	r.url = "http://" + g.Addr().String()
+	var once sync.Once
+	r.stop = func(ctx context.Context) (err error) {
+		once.Do(func() { err = r.kernel.Stop(ctx) })
+		return err
+	}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		r.is.NoErr(r.stop(context.Background()))
+		r.is.Equal(r.control.doubled, 0)   // every grant is finished at most once
+		r.is.Equal(len(r.control.open), 0) // and at least once
+	})
+	return r
+}
+
+// hook scripts the first attempt on an endpoint at a chunk.
+func (r *rig) hook(id fleet.EndpointID, index int, f func(*engine.Chunk) error) {
+	r.engines[id].generate = func(ctx context.Context, q engine.GenerateRequest) (engine.Stream, error) {
+		return newWords(ctx, q, map[int]func(*engine.Chunk) error{index: f}), nil
+	}
+}
+
+// addService adds a replica of the plain service.
+func (r *rig) addService(t *testing.T, h http.HandlerFunc) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.is.NoErr(err)
+	s := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = s.Close()
+		<-done
+	})
+	r.control.endpoints = append(r.control.endpoints, fleet.Endpoint{
+		ID: fleet.EndpointID("s" + l.Addr().String()), Pool: "desk", Kind: fleet.PlainService, Address: l.Addr().String(),
+	})
+}
+
+// reply is an answer as the caller sees it.
+type reply struct {
+	status   int
+	executed string
+	header   http.Header
+	body     string
+}
+
+// call sends a request with header name and value pairs.
+func (r *rig) call(method, path, body string, header ...string) reply {
+	req, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	r.is.NoErr(err)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	r.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	r.is.NoErr(err)
+	return reply{resp.StatusCode, resp.Header.Get(HeaderExecuted), resp.Header, string(data)}
+}
