burn: count service levels and report burn rates

Nothing counted which requests met their targets, so operators could not see whether an error budget is being spent.

Package burn decides on counts, windows, burn rates and when to write; burnstore hands requests from traffic to its goroutine, keeps one document per incarnation in the object store and builds the report; the gateway tells it targets and refusal codes; the operators' interface answers GET /v1/burn.

--- /dev/null
+++ b/burn/burncodec/report.go
@@ -0,0 +1,213 @@
+package burncodec
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/burn"
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// Report is a burn report as operators get it. Attainments and rates are
+// shares of 1.
+type Report struct {
+	Time      time.Time `json:"time"`
+	Objective float64   `json:"objective"`
+	// Complete is false if documents of other incarnations could not be read;
+	// OthersAsOf tells when the documents that are counted were read.
+	Complete   bool      `json:"complete"`
+	OthersAsOf time.Time `json:"others_as_of"`
+	Unread     int       `json:"unread_documents"`
+	Sources    int       `json:"incarnations"`
+	Lost       uint64    `json:"requests_not_counted"`
+	Ranks      []Level   `json:"ranks"`
+	Rows       []Level   `json:"rows"`
+	Floods     []Flood   `json:"floods"`
+	Moves      []Move    `json:"moves"`
+	Timeline   []Point   `json:"timeline"`
+}
+
+// Level is the service level of a rank, or of a row under its rank.
+type Level struct {
+	Row           string   `json:"row,omitempty"`
+	Rank          string   `json:"rank"`
+	Alert         string   `json:"alert,omitempty"`
+	Windows       []Window `json:"windows"`
+	Targets       []Target `json:"targets"`
+	PeriodValid   uint64   `json:"period_valid"`
+	PeriodErrors  uint64   `json:"period_errors"`
+	BudgetLeft    float64  `json:"budget_left"`
+	BudgetSeconds float64  `json:"budget_period_seconds"`
+}
+
+// Window is the service level over the time before the report.
+type Window struct {
+	Seconds    float64 `json:"seconds"`
+	Asked      uint64  `json:"asked"`
+	Good       uint64  `json:"good"`
+	Late       uint64  `json:"late"`
+	Refused    Refused `json:"refused"`
+	Failed     uint64  `json:"failed"`
+	Cancelled  uint64  `json:"cancelled"`
+	Valid      uint64  `json:"valid"`
+	Errors     uint64  `json:"errors"`
+	Attainment float64 `json:"attainment"`
+	BurnRate   float64 `json:"burn_rate"`
+}
+
+// Refused counts refusals by their class.
+type Refused struct {
+	Overload    uint64 `json:"overload"`
+	Deadline    uint64 `json:"deadline"`
+	Limit       uint64 `json:"limit"`
+	Unavailable uint64 `json:"unavailable"`
+	Caller      uint64 `json:"caller"`
+}
+
+// Target is the attainment of one target among answers over six hours.
+type Target struct {
+	Name       string  `json:"name"`
+	Met        uint64  `json:"met"`
+	Missed     uint64  `json:"missed"`
+	Attainment float64 `json:"attainment"`
+}
+
+// Flood tells what the other ranks kept while one rank flooded.
+type Flood struct {
+	Rank            string `json:"rank"`
+	MedianPerMinute uint64 `json:"median_per_minute"`
+	PeakPerMinute   uint64 `json:"peak_per_minute"`
+	Minutes         int    `json:"minutes"`
+	Others          []Kept `json:"others"`
+}
+
+// Kept compares a rank's service in flooded and in other minutes.
+type Kept struct {
+	Rank               string  `json:"rank"`
+	ValidFlood         uint64  `json:"valid_flood"`
+	ValidCalm          uint64  `json:"valid_calm"`
+	AttainmentFlood    float64 `json:"attainment_flood"`
+	AttainmentCalm     float64 `json:"attainment_calm"`
+	GoodPerMinuteFlood float64 `json:"good_per_minute_flood"`
+	GoodPerMinuteCalm  float64 `json:"good_per_minute_calm"`
+}
+
+// Move counts model moves of one kind, by window and over the budget period.
+type Move struct {
+	Action  string   `json:"action"`
+	Cause   string   `json:"cause"`
+	Windows []uint64 `json:"windows"`
+	Period  uint64   `json:"period"`
+}
+
+// Point is one step of the timeline.
+type Point struct {
+	Start   time.Time    `json:"start"`
+	Seconds float64      `json:"seconds"`
+	Ranks   []PointLevel `json:"ranks"`
+	Moves   uint64       `json:"moves"`
+}
+
+// PointLevel is a rank within one step of the timeline.
+type PointLevel struct {
+	Rank       string  `json:"rank"`
+	Asked      uint64  `json:"asked"`
+	Valid      uint64  `json:"valid"`
+	Errors     uint64  `json:"errors"`
+	Attainment float64 `json:"attainment"`
+	BurnRate   float64 `json:"burn_rate"`
+}
+
+// Coverage tells which documents a report is built from.
+type Coverage struct {
+	Unread     int       // documents that could not be read
+	OthersAsOf time.Time // when the others' documents were read; zero if never
+	Complete   bool
+}
+
+// EncodeReport returns the report as JSON.
+func EncodeReport(r burn.Report, c Coverage) ([]byte, error) {
+	w := Report{
+		Time: r.Time, Objective: r.Objective, Complete: c.Complete, OthersAsOf: c.OthersAsOf, Unread: c.Unread,
+		Sources: r.Sources, Lost: r.Lost,
+		// Empty lists, so that readers never meet null.
+		Rows: []Level{}, Floods: []Flood{}, Moves: []Move{},
+	}
+	for _, l := range r.Ranks {
+		w.Ranks = append(w.Ranks, levelOf("", l.Rank.String(), &l.Level))
+	}
+	for i := range r.Rows {
+		w.Rows = append(w.Rows, levelOf(r.Rows[i].Key.Row, r.Rows[i].Key.Rank.String(), &r.Rows[i].Level))
+	}
+	for _, f := range r.Floods {
+		w.Floods = append(w.Floods, floodOf(f))
+	}
+	for _, m := range r.Moves {
+		w.Moves = append(w.Moves, Move{Action: m.Move.Action, Cause: m.Move.Cause, Windows: m.Windows[:], Period: m.Period})
+	}
+	for i := range r.Timeline {
+		w.Timeline = append(w.Timeline, pointOf(&r.Timeline[i], r.Step))
+	}
+	return json.Marshal(w)
+}
+
+// DecodeReport is the inverse of EncodeReport.
+func DecodeReport(data []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("read burn report: %w", err)
+	}
+	return r, nil
+}
+
+func levelOf(row, rank string, l *burn.Level) Level {
+	out := Level{
+		Row: row, Rank: rank, Alert: l.Alert.String(), PeriodValid: l.Budget.Valid(), PeriodErrors: l.Budget.Errors(),
+		BudgetLeft: l.BudgetLeft, BudgetSeconds: burn.BudgetPeriod.Seconds(),
+	}
+	for i := range l.Windows {
+		out.Windows = append(out.Windows, windowOf(&l.Windows[i]))
+	}
+	for _, t := range l.Targets {
+		out.Targets = append(out.Targets, Target{Name: t.Target.String(), Met: t.Met, Missed: t.Missed, Attainment: t.Attainment})
+	}
+	return out
+}
+
+func windowOf(w *burn.Window) Window {
+	c := &w.Counts
+	return Window{
+		Seconds: w.Length.Seconds(), Asked: c[burn.Asked], Good: c[burn.Good], Late: c[burn.Late],
+		Refused: Refused{
+			Overload: c[burn.RefusedOverload], Deadline: c[burn.RefusedDeadline], Limit: c[burn.RefusedLimit],
+			Unavailable: c[burn.RefusedUnavailable], Caller: c[burn.RefusedCaller],
+		},
+		Failed: c[burn.Failed], Cancelled: c[burn.Cancelled], Valid: c.Valid(), Errors: c.Errors(),
+		Attainment: w.Attainment, BurnRate: w.BurnRate,
+	}
+}
+
+func floodOf(f burn.Flood) Flood {
+	out := Flood{Rank: f.Rank.String(), MedianPerMinute: f.Median, PeakPerMinute: f.Peak, Minutes: f.Minutes}
+	for _, k := range f.Others {
+		out.Others = append(out.Others, Kept{
+			Rank: k.Rank.String(), ValidFlood: k.ValidFlood, ValidCalm: k.ValidCalm,
+			AttainmentFlood: k.DuringFlood, AttainmentCalm: k.DuringCalm,
+			GoodPerMinuteFlood: k.GoodPerMinuteFlood, GoodPerMinuteCalm: k.GoodPerMinuteCalm,
+		})
+	}
+	return out
+}
+
+func pointOf(p *burn.Point, step time.Duration) Point {
+	out := Point{Start: p.Start, Seconds: step.Seconds(), Moves: p.Moves}
+	for i, l := range p.Ranks {
+		out.Ranks = append(out.Ranks, PointLevel{
+			Rank: rankName(i), Asked: l.Asked, Valid: l.Valid, Errors: l.Errors, Attainment: l.Attainment, BurnRate: l.BurnRate,
+		})
+	}
+	return out
+}
+
+func rankName(i int) string { return fleet.Rank(i).String() }
--- /dev/null
+++ b/burnstore/sample.go
@@ -0,0 +1,49 @@
+package burnstore
+
+import (
+	"github.com/hyssophaven/hyssophaven/burn"
+	"github.com/hyssophaven/hyssophaven/gateway"
+	"github.com/hyssophaven/hyssophaven/openai"
+)
+
+// sampleOf translates what the gateway tells of a request.
+func sampleOf(r gateway.Served) burn.Sample {
+	s := burn.Sample{Row: r.Row, Rank: r.Rank, Took: r.Whole}
+	switch r.Outcome {
+	case gateway.OutcomeAnswered:
+		s.Targets = [burn.TargetCount]burn.Measured{
+			burn.FirstToken:    {Took: r.FirstToken, Limit: r.Targets.FirstToken},
+			burn.BetweenTokens: {Took: r.Between, Limit: r.Targets.BetweenTokens},
+			burn.WholeAnswer:   {Took: r.Whole, Limit: r.Targets.WholeAnswer},
+		}
+	case gateway.OutcomeRefused:
+		s.Result, s.Class = burn.Refused, classOf(r.Code)
+	case gateway.OutcomeCancelled:
+		s.Result = burn.HungUp
+	case gateway.OutcomeFailed:
+		s.Result = burn.NotAnswered
+		if r.Code == openai.CodeInProgress {
+			// The key is in use by the caller's own first request.
+			s.Result, s.Class = burn.Refused, burn.Caller
+		}
+	}
+	return s
+}
+
+// classOf groups the codes of refusals. The content of a quarantined request
+// crashes endpoints, which is taken for the caller's fault.
+func classOf(code openai.Code) burn.RefusalClass {
+	switch code {
+	case openai.CodeOverloaded, openai.CodeQueueFull:
+		return burn.Overload
+	case openai.CodeDeadlineExceeded:
+		return burn.Deadline
+	case openai.CodeLimitReached:
+		return burn.Limit
+	case openai.CodeModelNotFound, openai.CodeServiceNotFound, openai.CodeQuarantined, openai.CodeKeyReused,
+		openai.CodeKeyInvalid, openai.CodeKeyRequired, openai.CodeInvalidJSON, openai.CodeInvalidValue, openai.CodeInProgress:
+		return burn.Caller
+	default:
+		return burn.Unavailable
+	}
+}
--- a/control/planning.go
+++ b/control/planning.go
@@ -101,7 +101,7 @@
 		if m.Remove {
 			verb = "remove"
 		}
-		c.changed("move planned", Field{"endpoint", string(m.Replica)}, Field{"action", verb}, Field{"name", m.Name}, Field{"cause", m.Cause.String()})
+		c.changed(ChangeMovePlanned, Field{"endpoint", string(m.Replica)}, Field{"action", verb}, Field{"name", m.Name}, Field{"cause", m.Cause.String()})
 	}
 	h.persisting = true
 	c.emit(PersistPlan{Pool: pool, Shard: lease.Shard(planPrefix + pool), Epoch: h.epoch, Stored: h.planner.Stored(now), Version: c.plans.current[pool].Version})
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -41,10 +41,10 @@
 	return c
 }
 
-func gatewayConfig(s settings.Settings, i *Instance, e *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t *tls.Config) gateway.Config {
+func gatewayConfig(s settings.Settings, i *Instance, e *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t *tls.Config, r gateway.Recorder) gateway.Config {
 	return gateway.Config{
 		Listener: i.listeners.callers, TLS: t,
-		Engine: e.Client, Table: tables, Objects: objects, Log: i.log,
+		Engine: e.Client, Table: tables, Objects: objects, Recorder: r, Log: i.log,
 		BalancerWait: time.Duration(s.Instance.BalancerWait),
 		Limits: gateway.Limits{
 			MaxBodyBytes: s.Callers.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hyssophaven/hyssophaven/burnstore"
 	"github.com/hyssophaven/hyssophaven/certs"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/engines"
@@ -129,7 +130,8 @@
 	engineService := engines.New(engines.Config{
 		Dial: dialer.client, ReportInterval: time.Duration(s.Endpoints.ReportInterval), Vars: i.group("engines"),
 	})
-	if i.gateway, err = gateway.New(gatewayConfig(s, i, engineService, tables, objects, tlsConfigs.callers)); err != nil {
+	counts := burnstore.New(burnstore.Config{Self: i.self, Objects: objects, Vars: i.group("burn")})
+	if i.gateway, err = gateway.New(gatewayConfig(s, i, engineService, tables, objects, tlsConfigs.callers, counts)); err != nil {
 		return err
 	}
 	i.peers, err = peer.New(peer.Options{
@@ -140,6 +142,7 @@
 		return err
 	}
 	i.vars.Set("gateway", i.gateway.Vars())
+	i.kernel.Register(counts)
 	i.register(s, engineService, tables, objects, tlsConfigs)
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,8 +117,14 @@
 // Name implements kernel.Service.
 func (g *Gateway) Name() string { return Name }
 
-// Requires implements kernel.Service.
-func (g *Gateway) Requires() []string { return []string{controlName} }
+// Requires implements kernel.Service. A recorder that is a service stops after
+// the gateway, so that it gets the last requests.
+func (g *Gateway) Requires() []string {
+	if s, ok := g.cfg.Recorder.(kernel.Service); ok {
+		return []string{controlName, s.Name()}
+	}
+	return []string{controlName}
+}
 
 // Vars returns the gateway's counters.
 func (g *Gateway) Vars() *expvar.Map { return g.counters.vars }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -79,7 +79,13 @@
 	outcome := c.serve()
 	now := time.Now()
 	c.g.counters.chunks.Add(int64(c.next))
-	s := Served{Row: c.admit.Row, Rank: c.admit.Rank, Between: c.between(), Whole: now.Sub(c.arrived), Outcome: outcome}
+	s := Served{
+		Row: c.admit.Row, Rank: c.admit.Rank, Between: c.between(), Whole: now.Sub(c.arrived),
+		Outcome: outcome, Targets: c.admit.Targets,
+	}
+	if outcome == OutcomeRefused || outcome == OutcomeFailed {
+		s.Code = c.failure.err.Code
+	}
 	if !c.firstAt.IsZero() {
 		s.FirstToken = c.firstAt.Sub(c.arrived)
 	}
@@ -133,7 +139,8 @@
 	if c.ctx.Err() != nil {
 		return OutcomeCancelled
 	}
-	c.out.fail(refusalFailure(err, c.executed))
+	c.failure = refusalFailure(err, c.executed)
+	c.out.fail(c.failure)
 	if c.executed == engine.ExecutedNo {
 		return OutcomeRefused
 	}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/openai"
+	"github.com/hyssophaven/hyssophaven/table"
 )
 
 // Outcome is how a request ended for its caller.
@@ -26,6 +28,8 @@
 	Between    time.Duration // mean time between tokens; 0 if unknown
 	Whole      time.Duration // from arrival to the end
 	Outcome    Outcome
+	Targets    table.Targets // of the row when the request arrived
+	Code       openai.Code   // why it was refused or failed; empty otherwise
 }
 
 // Recorder counts served requests. Record must be safe for concurrent use and
@@ -54,7 +58,7 @@
 	vars := new(expvar.Map)
 	add := func(name string) *expvar.Int {
 		v := new(expvar.Int)
-		vars.Set("hyssophaven.gateway."+name, v)
+		vars.Set(name, v)
 		return v
 	}
 	return counters{
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -124,16 +124,19 @@
 	}
 }
 
-func (c *serviceCall) record(o Outcome) {
-	c.g.record(Served{Row: c.row.Name, Rank: c.row.Rank, Whole: time.Since(c.arrived), Outcome: o})
+func (c *serviceCall) record(o Outcome) { c.g.record(c.served(o)) }
+
+func (c *serviceCall) served(o Outcome) Served {
+	return Served{Row: c.row.Name, Rank: c.row.Rank, Whole: time.Since(c.arrived), Outcome: o, Targets: c.row.Targets}
 }
 
 func (c *serviceCall) recordFailure(f *failure) {
+	s := c.served(OutcomeFailed)
 	if f.executed == engine.ExecutedNo {
-		c.record(OutcomeRefused)
-		return
+		s.Outcome = OutcomeRefused
 	}
-	c.record(OutcomeFailed)
+	s.Code = f.err.Code
+	c.g.record(s)
 }
 
 // exchange admits the call, sends it and returns the whole answer. A call that
--- a/operator/server.go
+++ b/operator/server.go
@@ -41,6 +41,11 @@
 	History(ctx context.Context, limit int) ([]tablestore.HistoryEntry, error)
 }
 
+// Burn is what the operators' interface needs of the service "burn".
+type Burn interface {
+	ReportJSON(ctx context.Context) ([]byte, error)
+}
+
 // Config configures the operators' listener.
 type Config struct {
 	Listener net.Listener
@@ -56,6 +61,7 @@
 	tokenHash [sha256.Size]byte
 	control   Control
 	table     Table
+	burn      Burn
 	http      *http.Server
 	ended     chan struct{}
 }
@@ -69,13 +75,14 @@
 func (s *Server) Name() string { return ServiceName }
 
 // Requires implements kernel.Service.
-func (s *Server) Requires() []string { return []string{"control", "table"} }
+func (s *Server) Requires() []string { return []string{"control", "table", "burn"} }
 
 // Start implements kernel.Service.
 func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
-	var errs [2]error
+	var errs [3]error
 	s.control, errs[0] = kernel.Lookup[Control](k, "control")
 	s.table, errs[1] = kernel.Lookup[Table](k, "table")
+	s.burn, errs[2] = kernel.Lookup[Burn](k, "burn")
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
@@ -106,6 +113,7 @@
 	r.Post(pathEdits, s.postEdit)
 	r.Get(pathHistory, s.getHistory)
 	r.Get(pathStatus, s.getStatus)
+	r.Get(pathBurn, s.getBurn)
 	r.Delete(pathQuarantine+"/{fingerprint}", s.deleteQuarantine)
 	r.Method(http.MethodGet, pathVars, expvar.Handler())
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
@@ -225,6 +233,11 @@
 	writeResult(w, data, err)
 }
 
+func (s *Server) getBurn(w http.ResponseWriter, r *http.Request) {
+	data, err := s.burn.ReportJSON(r.Context())
+	writeResult(w, data, err)
+}
+
 func (s *Server) deleteQuarantine(w http.ResponseWriter, r *http.Request) {
 	fingerprint, err := parseFingerprint(chi.URLParam(r, "fingerprint"))
 	if err != nil {
