--- /dev/null
+++ b/burn/report_test.go
@@ -0,0 +1,163 @@
+package burn
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// counting is a state with a clock that moves on with what is counted.
+type counting struct {
+	state *State
+	now   time.Time
+}
+
+func newCounting() *counting {
+	return &counting{state: NewState(source(0), DefaultWriteInterval, noon), now: noon}
+}
+
+func (c *counting) add(n int, s Sample) {
+	for range n {
+		c.state.Step(c.now, Ended{Sample: s})
+	}
+}
+
+func (c *counting) report() Report {
+	return Set{source(0): c.state.Document(c.now)}.Total().Report(c.now, DefaultObjective)
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+// Guards against refusals for the caller's own fault or cancelled requests in
+// the error budget, and against refusals of the fleet that are left out of it.
+func TestWhatCountsAsAnError(t *testing.T) {
+	row := Sample{Row: "a", Rank: fleet.Prompt}
+	with := func(r Result, class RefusalClass) Sample {
+		s := row
+		s.Result, s.Class = r, class
+		return s
+	}
+	late := row
+	late.Targets[FirstToken] = Measured{Took: 2 * time.Second, Limit: time.Second}
+	for name, c := range map[string]struct {
+		sample        Sample
+		valid, errors uint64
+	}{
+		"good":                {row, 1, 0},
+		"late":                {late, 1, 1},
+		"refused overload":    {with(Refused, Overload), 1, 1},
+		"refused deadline":    {with(Refused, Deadline), 1, 1},
+		"refused limit":       {with(Refused, Limit), 1, 1},
+		"refused unavailable": {with(Refused, Unavailable), 1, 1},
+		"refused caller":      {with(Refused, Caller), 0, 0},
+		"failed":              {with(NotAnswered, 0), 1, 1},
+		"cancelled":           {with(HungUp, 0), 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			counts := newCounting()
+			counts.add(1, c.sample)
+			w := counts.report().Ranks[fleet.Prompt].Level.Windows[0].Counts
+			is.Equal(w[Asked], uint64(1))
+			is.Equal(w.Valid(), c.valid)
+			is.Equal(w.Errors(), c.errors)
+		})
+	}
+}
+
+// Guards against targets that are mixed up and against answers that count
+// towards targets their row does not have.
+func TestTargetsAreCountedApart(t *testing.T) {
+	is := is.New(t)
+	c := newCounting()
+	c.add(3, Sample{Row: "a", Targets: [TargetCount]Measured{
+		FirstToken:    {Took: time.Second, Limit: 2 * time.Second},
+		BetweenTokens: {Took: 30 * time.Millisecond, Limit: 20 * time.Millisecond},
+		WholeAnswer:   {Took: time.Minute},
+	}})
+	l := c.report().Rows[0].Level
+	is.Equal(l.Targets[FirstToken].Met, uint64(3))
+	is.Equal(l.Targets[BetweenTokens].Missed, uint64(3))
+	is.Equal(l.Targets[WholeAnswer].Met+l.Targets[WholeAnswer].Missed, uint64(0))
+	is.True(near(l.Windows[0].Attainment, 0)) // one missed target makes an answer late
+}
+
+// Guards against burn rates and budgets that are computed over the wrong
+// window or with the wrong sign.
+func TestBurnRateAndBudget(t *testing.T) {
+	is := is.New(t)
+	c := newCounting()
+	good := Sample{Row: "a"}
+	bad := Sample{Row: "a", Result: NotAnswered}
+	c.add(900, good)
+	c.now = c.now.Add(2 * time.Hour)
+	c.add(80, good)
+	c.add(20, bad)
+	r := c.report()
+	l := r.Ranks[fleet.Urgent].Level
+	is.True(near(l.Windows[0].BurnRate, 20)) // 20 of 100 in five minutes
+	is.True(near(l.Windows[1].BurnRate, 20))
+	is.True(near(l.Windows[2].BurnRate, 2)) // 20 of 1,000 in six hours
+	is.True(near(l.BudgetLeft, -1))
+	is.Equal(l.Alert, FastBurn)
+	is.True(near(r.Rows[0].Level.Windows[2].BurnRate, 2)) // rows use hours for this window
+	c.now = c.now.Add(10 * time.Minute)
+	is.Equal(c.report().Ranks[fleet.Urgent].Level.Alert, NoAlert) // it is over
+	is.Equal(len(r.Timeline), 72)
+	is.Equal(r.Timeline[71].Ranks[fleet.Urgent].Errors, uint64(20))
+	var asked uint64
+	for _, p := range r.Timeline {
+		asked += p.Ranks[fleet.Urgent].Asked
+	}
+	is.Equal(asked, uint64(1000)) // every request is in one step
+}
+
+// Guards against moves that are counted as requests or under another cause.
+func TestMovesAreCountedByCause(t *testing.T) {
+	is := is.New(t)
+	c := newCounting()
+	c.state.Step(c.now, Moved{Move: Move{Action: "add", Cause: "demand"}})
+	c.now = c.now.Add(30 * time.Minute)
+	c.state.Step(c.now, Moved{Move: Move{Action: "add", Cause: "demand"}})
+	c.state.Step(c.now, Moved{Move: Move{Action: "remove", Cause: "room"}})
+	r := c.report()
+	is.Equal(r.Moves, []MoveCount{
+		{Move: Move{Action: "add", Cause: "demand"}, Windows: [3]uint64{1, 2, 2}, Period: 2},
+		{Move: Move{Action: "remove", Cause: "room"}, Windows: [3]uint64{1, 1, 1}, Period: 1},
+	})
+	is.Equal(r.Ranks[fleet.Urgent].Level.Budget, Counts{})
+}
+
+// Guards against floods that are missed or blamed on the wrong rank, and
+// against an account of the other ranks that mixes flooded and calm minutes.
+func TestFloodShowsWhatOtherRanksKept(t *testing.T) {
+	is := is.New(t)
+	c := newCounting()
+	urgent := Sample{Row: "u", Rank: fleet.Urgent}
+	refused := Sample{Row: "p", Rank: fleet.Patient, Result: Refused}
+	for minute := range 60 {
+		c.add(10, urgent)
+		if minute >= 40 && minute < 50 {
+			c.add(1, Sample{Row: "u", Rank: fleet.Urgent, Result: NotAnswered})
+			c.add(200, refused)
+		}
+		c.add(30, Sample{Row: "p", Rank: fleet.Patient})
+		c.now = c.now.Add(time.Minute)
+	}
+	floods := c.report().Floods
+	is.Equal(len(floods), 1)
+	f := floods[0]
+	is.Equal(f.Rank, fleet.Patient)
+	is.Equal(f.Minutes, 10)
+	is.Equal(f.Median, uint64(30))
+	is.Equal(f.Peak, uint64(230))
+	is.Equal(len(f.Others), 2)
+	is.Equal(f.Others[0].Rank, fleet.Urgent)
+	is.True(near(f.Others[0].DuringFlood, 100.0/110))
+	is.True(near(f.Others[0].DuringCalm, 1))
+	is.True(near(f.Others[0].GoodPerMinuteFlood, 10))
+}
