--- a/control/requests.go
+++ b/control/requests.go
@@ -14,7 +14,7 @@
 	// connections broke; without an answer the endpoint counts as lost.
 	probeTimeout = 2 * time.Second
 	// trialTimeout bounds the wait of a suspected request for its trial.
-	trialTimeout = 30 * time.Second
+	trialTimeout = 3 * time.Minute
 	// stoppingRetryAfter is told to callers that still reach a stopping or
 	// isolated instance; the balancer sends them elsewhere.
 	stoppingRetryAfter = time.Second
