control: count one death of an endpoint once

Cause: TestCrashingRequestCostsAtMostTwoEndpoints saw an innocent request quarantined. A request whose broken connection was reported after the probe had ended started a second probe, which blamed requests granted since the restart. Change: a probe concerns only requests granted under the boot that died, and a death that is known is not probed again. Conclusion: suspects are taken from the right boot only.

--- a/control/requests.go
+++ b/control/requests.go
@@ -27,6 +27,7 @@
 	// held are requests that wait for a trial or for a probe.
 	held   map[uint64]heldRequest
 	probes map[fleet.EndpointID]*probe
+	dead   map[fleet.EndpointID]string // last boot of an endpoint that is known to have died
 }
 
 type running struct {
@@ -60,6 +61,7 @@
 		byPlace: make(map[fleet.EndpointID]map[uint64]bool),
 		held:    make(map[uint64]heldRequest),
 		probes:  make(map[fleet.EndpointID]*probe),
+		dead:    make(map[fleet.EndpointID]string),
 	}
 }
 
--- a/control/trials.go
+++ b/control/trials.go
@@ -13,12 +13,13 @@
 // connectionLost starts a probe of the endpoint, because a broken connection
 // is a crash only if the endpoint has died; a cut network punishes nobody.
 func (c *core) connectionLost(now time.Time, r running) {
-	if _, ok := c.requests.probes[r.endpoint]; ok {
-		return
+	if _, probing := c.requests.probes[r.endpoint]; probing || c.requests.dead[r.endpoint] == r.bootID && r.bootID != "" {
+		return // this death is being looked into, or is known already
 	}
 	p := &probe{bootID: r.bootID, since: now}
 	for id := range c.requests.byPlace[r.endpoint] {
-		if other := c.requests.running[id]; other.request.Fingerprint != 0 {
+		// Requests granted since a restart were not there when it died.
+		if other := c.requests.running[id]; other.request.Fingerprint != 0 && other.bootID == r.bootID {
 			p.lost = append(p.lost, other)
 		}
 	}
@@ -51,6 +52,7 @@
 }
 
 func (c *core) endpointLost(now time.Time, id fleet.EndpointID, p *probe) {
+	c.requests.dead[id] = p.bootID
 	c.changed("endpoint lost", Field{"endpoint", string(id)}, Field{"in_flight", fmt.Sprint(len(p.lost))})
 	loss := quarantine.Loss{Endpoint: id, BootID: p.bootID}
 	var prints []quarantine.Fingerprint
