--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,216 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func endpoint(i, slots int, residents ...Resident) Endpoint {
+	return Endpoint{
+		Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Pool: "m", DataCentre: "a", Slots: slots},
+		Window:   slots, Ranks: [fleet.RankCount]int{slots, slots, slots}, Lower: slots, Residents: residents,
+	}
+}
+
+func model(name string) Resident { return Resident{Name: name, Version: "1", Ready: true} }
+
+var queryM = Query{Key: Key{Pool: "m", Model: "m", Version: "1"}}
+
+// Guards against a choice that is closed, excluded, full or without the model.
+func TestChooseOnlyUsable(t *testing.T) {
+	for _, policy := range []Policy{BestOfTwo, RoundRobin, LeastLoaded} {
+		t.Run(policy.String(), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				r := New(Config{Policy: policy, DataCentre: "a", Seed: 1})
+				var all []Endpoint
+				usable := map[fleet.EndpointID]bool{}
+				q := queryM
+				for i := range rapid.IntRange(0, 40).Draw(t, "endpoints") {
+					e := endpoint(i, rapid.IntRange(0, 2).Draw(t, "slots"), model("m"))
+					kind := rapid.IntRange(0, 6).Draw(t, "kind")
+					switch kind {
+					case 0:
+						e.Closed = true
+					case 1:
+						e.Leaving = true
+					case 2:
+						q.Exclude = append(q.Exclude, e.ID)
+					case 3:
+						e.Residents = []Resident{{Name: "m", Version: "1"}} // not ready
+					}
+					usable[e.ID] = kind > 3 && e.Window > 0
+					all = append(all, e)
+				}
+				r.Replace(epoch, all)
+				q.Fingerprint = rapid.Uint64Range(0, 3).Draw(t, "fingerprint")
+				p, ok := r.Choose(&q)
+				if ok && !usable[r.Endpoint(p.Endpoint).ID] {
+					t.Fatalf("chose %+v", r.Endpoint(p.Endpoint))
+				}
+				for id, u := range usable {
+					if u && !ok {
+						t.Fatalf("nothing chosen although %s is usable", id)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against equal content being spread, and against all content being
+// drawn to the same endpoint.
+func TestEqualContentPrefersOneEndpoint(t *testing.T) {
+	is := is.New(t)
+	chosen := map[int]bool{}
+	for fingerprint := uint64(1); fingerprint <= 64; fingerprint++ {
+		first := -1
+		for seed := range uint64(5) { // five instances
+			r := New(Config{DataCentre: "a", Seed: seed})
+			var all []Endpoint
+			for i := range 40 {
+				all = append(all, endpoint(i, 8, model("m")))
+			}
+			r.Replace(epoch, all)
+			q := queryM
+			q.Fingerprint = fingerprint
+			p, ok := r.Choose(&q)
+			is.True(ok)
+			if first >= 0 {
+				is.Equal(p.Endpoint, first)
+			}
+			first = p.Endpoint
+		}
+		chosen[first] = true
+	}
+	is.True(len(chosen) > 15)
+}
+
+// Guards against herding: instances that see the same old report must not all
+// choose the endpoint that it shows as idle.
+func TestNoHerdingOnOldReports(t *testing.T) {
+	is := is.New(t)
+	sent := map[int]int{}
+	for seed := range uint64(50) {
+		r := New(Config{DataCentre: "a", Seed: seed})
+		var all []Endpoint
+		for i := range 8 {
+			e := endpoint(i, 16, model("m"))
+			e.Running, e.ReportedAt = i, epoch
+			all = append(all, e)
+		}
+		r.Replace(epoch, all)
+		for range 4 {
+			q := queryM
+			p, ok := r.Choose(&q)
+			is.True(ok)
+			r.Sent(epoch, p.Endpoint, fleet.Urgent, 0)
+			sent[p.Endpoint]++
+		}
+	}
+	for _, n := range sent {
+		is.True(n < 150) // of 200
+	}
+	is.True(len(sent) >= 3)
+}
+
+// Guards against load that is counted twice or forgotten when a report that
+// was taken before or after a request was sent comes in.
+func TestReportIsCorrectedByWhatWasSentSince(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{DataCentre: "a"})
+	e := endpoint(0, 8, model("m"))
+	r.Replace(epoch, []Endpoint{e})
+	r.Sent(epoch.Add(time.Second), 0, fleet.Urgent, 0)
+	r.Sent(epoch.Add(2*time.Second), 0, fleet.Urgent, 0)
+	e.ReportedAt, e.Running = epoch.Add(1500*time.Millisecond), 1
+	r.Replace(epoch.Add(3*time.Second), []Endpoint{e})
+	is.Equal(r.endpoints[0].change, 1)
+	e.ReportedAt, e.Running = epoch.Add(2500*time.Millisecond), 2
+	r.Replace(epoch.Add(3*time.Second), []Endpoint{e})
+	is.Equal(r.endpoints[0].change, 0)
+	r.Done(epoch.Add(3*time.Second), 0, fleet.Urgent)
+	is.Equal(r.endpoints[0].change, -1)
+}
+
+// Guards against preferences that are ignored or stronger than load.
+func TestPreferences(t *testing.T) {
+	is := is.New(t)
+	choose := func(change func(home, other *Endpoint), prefix uint64) fleet.EndpointID {
+		r := New(Config{DataCentre: "a", Seed: 1})
+		home, other := endpoint(0, 8, model("m"), Resident{Name: "x", Ready: true}), endpoint(1, 8, model("m"), Resident{Name: "x", Ready: true})
+		change(&home, &other)
+		r.Replace(epoch, []Endpoint{home, other})
+		r.CacheEvent("e1", 7, false)
+		q := queryM
+		q.Prefix = prefix
+		q.Key.Adapter, q.Key.Version = "x", ""
+		p, ok := r.Choose(&q)
+		is.True(ok)
+		return r.Endpoint(p.Endpoint).ID
+	}
+	is.Equal(choose(func(_, o *Endpoint) { o.DataCentre = "b" }, 0), fleet.EndpointID("e0"))
+	is.Equal(choose(func(h, o *Endpoint) { o.DataCentre, h.Running = "b", 7 }, 0), fleet.EndpointID("e1"))
+	is.Equal(choose(func(_, o *Endpoint) { o.Residents = []Resident{model("m"), {Name: "x"}} }, 0), fleet.EndpointID("e0"))
+	is.Equal(choose(func(_, o *Endpoint) { o.Running = 1 }, 7), fleet.EndpointID("e1")) // prefix cached there
+	is.Equal(choose(func(_, o *Endpoint) { o.Running = 5 }, 7), fleet.EndpointID("e0"))
+}
+
+// BenchmarkChoose measures one decision over the size to design for: 5,400
+// replicas and 440 models, 4 models per replica.
+func BenchmarkChoose(b *testing.B) {
+	for _, policy := range []Policy{BestOfTwo, RoundRobin, LeastLoaded} {
+		b.Run(policy.String(), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			var all []Endpoint
+			for i := range 5400 {
+				e := endpoint(i, 16)
+				e.DataCentre, e.Running, e.ReportedAt = fleet.DataCentre(fmt.Sprint(i%12)), random.IntN(16), epoch
+				for k := range 4 {
+					e.Residents = append(e.Residents, model(fmt.Sprint("m", (i*4+k)%440)))
+				}
+				all = append(all, e)
+			}
+			r := New(Config{Policy: policy, DataCentre: "3", Seed: 1})
+			r.Replace(epoch, all)
+			var keys []Key
+			for m := range 440 {
+				keys = append(keys, Key{Pool: "m", Model: fmt.Sprint("m", m), Version: "1"})
+				r.Places(keys[m])
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q := Query{Key: keys[i%440], Fingerprint: random.Uint64(), Prefix: uint64(i % 1000)}
+				p, ok := r.Choose(&q)
+				if ok {
+					r.Sent(epoch, p.Endpoint, fleet.Urgent, q.Prefix)
+					r.Done(epoch, p.Endpoint, fleet.Urgent)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReplace measures the change of the view at that size.
+func BenchmarkReplace(b *testing.B) {
+	var all []Endpoint
+	for i := range 5400 {
+		e := endpoint(i, 16)
+		for k := range 4 {
+			e.Residents = append(e.Residents, model(fmt.Sprint("m", (i*4+k)%440)))
+		}
+		all = append(all, e)
+	}
+	r := New(Config{})
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Replace(epoch, all)
+	}
+}
