daemon: export every counter from the start

Counters of an expvar.Map appeared with their first use only, so a page of metrics could not be compared with an instance.

--- a/burnpage/page.go
+++ b/burnpage/page.go
@@ -43,8 +43,8 @@
 		title, note string
 		draw        func(burncodec.Report) (*plot.Plot, error)
 	}{
-		{"Burn rate by rank", "Steps of five minutes. At a rate of 1 the error budget is spent exactly by the end of its period.", burnPlot},
-		{"Attainment by rank", "Share of the valid requests that were answered within every target.", attainmentPlot},
+		{"Burn rate by rank", "Steps of five minutes. Grey lines: at 1 the error budget is spent exactly by the end of its period, 6 is a slow burn, 14.4 a fast burn.", burnPlot},
+		{"Attainment by rank", "Share of the valid requests that were answered within every target. Grey line: the objective.", attainmentPlot},
 		{"Requests asked by rank", "Everything that callers asked of the fleet, also what was refused or cancelled.", askedPlot},
 		{"Model moves planned", "Per five minutes; the table below shows their causes.", movesPlot},
 	} {
--- a/burnpage/plots.go
+++ b/burnpage/plots.go
@@ -115,19 +115,14 @@
 	return nil
 }
 
-// guide draws a horizontal line with its meaning.
-func guide(p *plot.Plot, y float64, text string) error {
+// guide draws a horizontal line, which the note above the plot explains.
+func guide(p *plot.Plot, y float64) error {
 	line, err := plotter.NewLine(plotter.XYs{{X: p.X.Min, Y: y}, {X: p.X.Max, Y: y}})
 	if err != nil {
 		return err
 	}
 	line.LineStyle = draw.LineStyle{Color: guideColor, Width: vg.Points(0.8), Dashes: []vg.Length{1, 2}}
-	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: []plotter.XY{{X: p.X.Min, Y: y}}, Labels: []string{" " + text}})
-	if err != nil {
-		return err
-	}
-	labels.TextStyle[0].Color = guideColor
-	p.Add(line, labels)
+	p.Add(line)
 	return nil
 }
 
@@ -144,14 +139,11 @@
 		return nil, err
 	}
 	p.Y.Max = math.Max(2, 1.15*highest)
-	for _, g := range []struct {
-		y    float64
-		text string
-	}{{1, "1: the whole budget"}, {6, "6: slow burn"}, {14.4, "14.4: fast burn"}} {
-		if g.y > p.Y.Max {
+	for _, y := range []float64{1, 6, 14.4} {
+		if y > p.Y.Max {
 			break
 		}
-		if err := guide(p, g.y, g.text); err != nil {
+		if err := guide(p, y); err != nil {
 			return nil, err
 		}
 	}
@@ -172,7 +164,7 @@
 	}
 	p.Legend.Top = false
 	p.Y.Min, p.Y.Max = math.Max(0, math.Min(98, lowest-2)), 100.2
-	return p, guide(p, 100*r.Objective, fmt.Sprintf("objective %.4g%%", 100*r.Objective))
+	return p, guide(p, 100*r.Objective)
 }
 
 func askedPlot(r burncodec.Report) (*plot.Plot, error) {
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -35,6 +35,14 @@
 	authority *x509.CertPool
 }
 
+// Counters returns the counters of a process's sources, all of them 0.
+func Counters() *expvar.Map {
+	vars := new(expvar.Map).Init()
+	vars.Add("reloads", 0)
+	vars.Add("reload_failures", 0)
+	return vars
+}
+
 // New reads the files. Counters of reloads go to vars.
 func New(files Files, vars *expvar.Map) (*Source, error) {
 	s := &Source{files: files, vars: vars}
--- a/control/action.go
+++ b/control/action.go
@@ -78,9 +78,5 @@
 	Detail []Field
 }
 
-// ChangeMovePlanned is the change that tells of a planned model move, with its
-// fields endpoint, action, name and cause.
-const ChangeMovePlanned = "move planned"
-
 // Field is a named detail of a Change.
 type Field struct{ Name, Value string }
--- a/control/core.go
+++ b/control/core.go
@@ -163,7 +163,7 @@
 		return
 	}
 	c.stopping = true
-	c.changed("stop requested")
+	c.changed(ChangeStopRequested)
 	c.membership(now, membership.LeaveRequested{})
 	c.lease(now, lease.LeaveRequested{})
 	c.publish(now)
@@ -189,7 +189,7 @@
 	if !c.table.Adopt(s) {
 		return
 	}
-	c.changed("table adopted", Field{"revision", strconv.FormatUint(s.Revision, 10)})
+	c.changed(ChangeTableAdopted, Field{"revision", strconv.FormatUint(s.Revision, 10)})
 	c.rebuildView(now)
 	c.publish(now)
 }
@@ -205,11 +205,11 @@
 				c.emit(FetchTable{Revision: a.Revision, From: a.Member})
 			}
 		case membership.IsolationChanged:
-			c.changed("isolation changed", Field{"isolated", strconv.FormatBool(a.Isolated)})
+			c.changed(ChangeIsolation, Field{"isolated", strconv.FormatBool(a.Isolated)})
 			c.publish(now)
 		case membership.Replaced:
 			c.replaced = true
-			c.changed("replaced by a newer incarnation")
+			c.changed(ChangeReplaced)
 			c.stop(now)
 		case membership.SendHeartbeat:
 			c.emit(a)
@@ -219,7 +219,7 @@
 
 func (c *core) memberChanged(now time.Time, a membership.MemberChanged) {
 	if a.Before.Status != a.After.Status {
-		c.changed("instance "+a.After.Status.String(), Field{"instance", string(a.After.Instance.ID)})
+		c.changed(changeInstance(a.After.Status), Field{"instance", string(a.After.Instance.ID)})
 	}
 	c.quarantine(now, quarantine.MembersChanged{Alive: c.members.AliveIncarnations()})
 	c.viewStale = true
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -116,7 +116,7 @@
 }
 
 func (c *core) gained(a lease.Gained) {
-	c.changed("lease gained", Field{"shard", string(a.Shard)}, Field{"epoch", fmt.Sprint(a.Epoch)})
+	c.changed(ChangeLeaseGained, Field{"shard", string(a.Shard)}, Field{"epoch", fmt.Sprint(a.Epoch)})
 	c.adopt(a.Shard, a.Epoch)
 }
 
@@ -134,7 +134,7 @@
 }
 
 func (c *core) lost(now time.Time, a lease.Lost) {
-	c.changed("lease lost", Field{"shard", string(a.Shard)}, Field{"epoch", fmt.Sprint(a.Epoch)})
+	c.changed(ChangeLeaseLost, Field{"shard", string(a.Shard)}, Field{"epoch", fmt.Sprint(a.Epoch)})
 	delete(c.ownership.handingOver, a.Shard)
 	if pool, ok := strings.CutPrefix(string(a.Shard), planPrefix); ok {
 		delete(c.plans.held, pool)
--- a/control/service.go
+++ b/control/service.go
@@ -33,6 +33,7 @@
 	ended    chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 	bus      *kernel.Bus
+	counters counters
 	observe  func(Event, time.Duration) // for measurements; may be nil
 }
 
@@ -44,6 +45,7 @@
 		quit:   make(chan struct{}),
 		ended:  make(chan struct{}),
 	}
+	s.counters = newCounters(func() int { return len(s.inbox) })
 	s.snapshot.Store(&Snapshot{Self: c.Self, NotReadyReason: "starting"})
 	return s
 }
@@ -93,12 +95,16 @@
 
 func (s *Service) handle(core *core, ev Event) {
 	now := time.Now()
-	for _, a := range core.step(now, ev) {
+	actions := core.step(now, ev)
+	for _, a := range actions {
 		publish(s.bus, a)
 	}
 	if core.snapshot != s.snapshot.Load() {
 		s.snapshot.Store(core.snapshot)
+		s.counters.snapshots.Add(1)
 	}
+	s.counters.events.Add(1)
+	s.counters.actions.Add(int64(len(actions)))
 	if s.observe != nil {
 		s.observe(ev, time.Since(now))
 	}
--- a/control/trials.go
+++ b/control/trials.go
@@ -51,7 +51,7 @@
 }
 
 func (c *core) endpointLost(now time.Time, id fleet.EndpointID, p *probe) {
-	c.changed("endpoint lost", Field{"endpoint", string(id)}, Field{"in_flight", fmt.Sprint(len(p.lost))})
+	c.changed(ChangeEndpointLost, Field{"endpoint", string(id)}, Field{"in_flight", fmt.Sprint(len(p.lost))})
 	loss := quarantine.Loss{Endpoint: id, BootID: p.bootID}
 	var prints []quarantine.Fingerprint
 	var longest time.Duration
@@ -122,7 +122,7 @@
 		return
 	}
 	delete(c.requests.held, a.Request)
-	c.changed("trial started", Field{"endpoint", string(e.ID)}, Field{"fingerprint", fmt.Sprintf("%016x", uint64(a.Fingerprint))})
+	c.changed(ChangeTrialStarted, Field{"endpoint", string(e.ID)}, Field{"fingerprint", fmt.Sprintf("%016x", uint64(a.Fingerprint))})
 	c.requests.running[a.Request] = running{request: h.request}
 	c.grant(now, a.Request, admission.Grant{Endpoint: e, Trial: true, Version: h.request.Version})
 }
--- a/control/view.go
+++ b/control/view.go
@@ -55,7 +55,7 @@
 	c.reports[id] = r
 	c.viewStale = true
 	if r.leaving != old.leaving {
-		c.changed("endpoint leaving mark changed", Field{"endpoint", string(id)})
+		c.changed(ChangeEndpointLeaving, Field{"endpoint", string(id)})
 	}
 }
 
--- a/daemon/changelog.go
+++ b/daemon/changelog.go
@@ -16,7 +16,12 @@
 	vars *expvar.Map
 }
 
-func newChangeLog(l *log.Logger, vars *expvar.Map) *changeLog { return &changeLog{log: l, vars: vars} }
+func newChangeLog(l *log.Logger, vars *expvar.Map) *changeLog {
+	for _, what := range control.ChangeNames() {
+		vars.Add(what, 0) // exported from the start
+	}
+	return &changeLog{log: l, vars: vars}
+}
 
 // Name implements kernel.Service.
 func (c *changeLog) Name() string { return "changes" }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,6 +142,8 @@
 		return err
 	}
 	i.vars.Set("gateway", i.gateway.Vars())
+	i.vars.Set("peers", peerVars(i.peers.Counters()))
+	i.vars.Set("control", i.control.Vars())
 	i.kernel.Register(counts)
 	i.register(s, engineService, tables, objects, tlsConfigs)
 	return nil
@@ -181,7 +183,8 @@
 
 func (i *Instance) tls(t settings.TLS) (tlsConfigs, error) {
 	var out tlsConfigs
-	vars := i.group("certificates")
+	vars := certs.Counters()
+	i.vars.Set("certificates", vars)
 	for _, c := range []struct {
 		settings settings.Certificate
 		server   **tls.Config
--- a/engines/engines.go
+++ b/engines/engines.go
@@ -55,8 +55,16 @@
 	clients sync.Map // address to engine.Client
 }
 
+// counterNames are all counters, so that each is exported from the start.
+var counterNames = []string{"orders_sent", "orders_not_sent", "orders_failed", "report_reads", "report_failures"}
+
 // New returns a service that is not started yet.
-func New(c Config) *Service { return &Service{config: c, group: worker.NewGroup()} }
+func New(c Config) *Service {
+	for _, name := range counterNames {
+		c.Vars.Add(name, 0)
+	}
+	return &Service{config: c, group: worker.NewGroup()}
+}
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -31,6 +31,8 @@
 
 // New returns a service that reads list after each interval. Counters go to vars.
 func New(list platform.InstanceList, interval, timeout time.Duration, vars *expvar.Map) *Service {
+	vars.Add("reads", 0) // exported from the start
+	vars.Add("failures", 0)
 	return &Service{list: list, interval: interval, timeout: timeout, vars: vars, group: worker.NewGroup()}
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -66,8 +66,14 @@
 	ended     chan struct{}
 }
 
+// counterNames are all counters, so that each is exported from the start.
+var counterNames = []string{"unauthorized", "bad_requests", "edits"}
+
 // NewServer returns a server that is not started yet.
 func NewServer(c Config) *Server {
+	for _, name := range counterNames {
+		c.Vars.Add(name, 0)
+	}
 	return &Server{config: c, tokenHash: sha256.Sum256([]byte(c.Token)), ended: make(chan struct{})}
 }
 
--- a/records/records.go
+++ b/records/records.go
@@ -48,8 +48,24 @@
 	group   *worker.Group
 }
 
+// callNames are the counters of store calls. Each has a second counter of
+// calls that failed, with the ending failedSuffix.
+var callNames = []string{
+	"lease_reads", "lease_commits", "ledger_reads", "ledger_commits", "plan_reads", "plan_commits",
+	"quarantine_reads", "quarantine_commits", "fleet_reads",
+}
+
+const failedSuffix = "_failed"
+
 // New returns a service that is not started yet.
-func New(c Config) *Service { return &Service{config: c, group: worker.NewGroup()} }
+func New(c Config) *Service {
+	c.Vars.Add("bad_records", 0) // all counters are exported from the start
+	for _, name := range callNames {
+		c.Vars.Add(name, 0)
+		c.Vars.Add(name+failedSuffix, 0)
+	}
+	return &Service{config: c, group: worker.NewGroup()}
+}
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
@@ -171,7 +187,7 @@
 func (s *Service) count(name string, err error) {
 	s.config.Vars.Add(name, 1)
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		s.config.Vars.Add(name+"_failed", 1)
+		s.config.Vars.Add(name+failedSuffix, 1)
 	}
 }
 
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -61,8 +61,14 @@
 	stored  atomic.Uint64                  // highest revision written to the object store
 }
 
+// counterNames are all counters, so that each is exported from the start.
+var counterNames = []string{"head_reads", "head_failures", "load_failures", "peer_fetches", "peer_fetch_failures", "bad_snapshots"}
+
 // New returns a service that is not started yet.
 func New(c Config) *Service {
+	for _, name := range counterNames {
+		c.Vars.Add(name, 0)
+	}
 	return &Service{config: c, store: tablestore.New(c.Records), group: worker.NewGroup(), wake: make(chan struct{}, 1)}
 }
 
