gateway: refuse calls that come before the first table

A call in the first moments of an instance dereferenced the missing table; the handler panicked and the caller saw a broken connection. Such calls get 503 instance_not_ready with executed no and Retry-After.

--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -28,15 +28,29 @@
 	})
 	r.Get("/healthz", g.healthz)
 	r.Get("/readyz", g.readyz)
-	r.Get("/v1/models", g.listModels)
-	r.Get("/v1/models/*", g.getModel)
-	r.Post("/v1/chat/completions", g.answerHandler(openai.DecodeChat))
-	r.Post("/v1/completions", g.answerHandler(openai.DecodeCompletion))
-	r.HandleFunc("/services/{name}", g.serveService)
-	r.HandleFunc("/services/{name}/*", g.serveService)
+	r.Group(func(r chi.Router) {
+		r.Use(g.requireTable)
+		r.Get("/v1/models", g.listModels)
+		r.Get("/v1/models/*", g.getModel)
+		r.Post("/v1/chat/completions", g.answerHandler(openai.DecodeChat))
+		r.Post("/v1/completions", g.answerHandler(openai.DecodeCompletion))
+		r.HandleFunc("/services/{name}", g.serveService)
+		r.HandleFunc("/services/{name}/*", g.serveService)
+	})
 	return r
 }
 
+// requireTable refuses calls that come before the instance has its first table.
+func (g *Gateway) requireTable(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.control.Snapshot().Table == nil {
+			g.fail(w, failf(openai.CodeNotReady, engine.ExecutedNo, "this instance has no table yet").after(retrySoon))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // prepare sets what all answers have in common.
 func (g *Gateway) prepare(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/openai/error.go
+++ b/openai/error.go
@@ -38,6 +38,7 @@
 	CodeQuarantined         Code = "request_quarantined"
 	CodeIsolated            Code = "instance_isolated"
 	CodeStopping            Code = "instance_stopping"
+	CodeNotReady            Code = "instance_not_ready"
 	CodeRetryBudget         Code = "retry_budget_exhausted"
 	CodeTrialUnavailable    Code = "trial_unavailable"
 	CodeEndpointUnreachable Code = "endpoint_unreachable"
@@ -68,6 +69,7 @@
 	CodeQuarantined:         http.StatusUnprocessableEntity,
 	CodeIsolated:            http.StatusServiceUnavailable,
 	CodeStopping:            http.StatusServiceUnavailable,
+	CodeNotReady:            http.StatusServiceUnavailable,
 	CodeRetryBudget:         http.StatusServiceUnavailable,
 	CodeTrialUnavailable:    http.StatusServiceUnavailable,
 	CodeEndpointUnreachable: http.StatusServiceUnavailable,
