--- a/control/change.go
+++ b/control/change.go
@@ -25,6 +25,6 @@
 	return []string{
 		ChangeStopRequested, ChangeTableAdopted, ChangeIsolation, ChangeReplaced, ChangeLeaseGained, ChangeLeaseLost,
 		ChangeMovePlanned, ChangeEndpointLost, ChangeEndpointLeaving, ChangeTrialStarted,
-		changeInstance(membership.Alive), changeInstance(membership.Suspect), changeInstance(membership.Dead),
+		changeInstance(membership.Listed), changeInstance(membership.Alive), changeInstance(membership.Suspect), changeInstance(membership.Dead),
 	}
 }
