--- a/control/core.go
+++ b/control/core.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophaven/hyssophaven/placement"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
+	"github.com/hyssophaven/hyssophaven/retry"
 	"github.com/hyssophaven/hyssophaven/table"
 )
 
@@ -47,7 +48,7 @@
 	leases    *lease.State
 	queue     *admission.Queue
 	suspects  *quarantine.State
-	retries   *retryBudget
+	retries   *retry.Budget
 	ownership ownership
 	plans     plans
 	requests  requests
@@ -72,7 +73,7 @@
 		leases:    lease.New(c.Lease),
 		queue:     admission.NewQueue(c.Admission),
 		suspects:  quarantine.New(c.Quarantine),
-		retries:   new(retryBudget),
+		retries:   retry.New(now),
 		ownership: newOwnership(),
 		plans:     newPlans(),
 		requests:  newRequests(),
@@ -164,7 +165,7 @@
 		return
 	}
 	c.stopping = true
-	c.changed("stop requested")
+	c.changed(ChangeStopRequested)
 	c.membership(now, membership.LeaveRequested{})
 	c.lease(now, lease.LeaveRequested{})
 	c.publish(now)
@@ -190,7 +191,7 @@
 	if !c.table.Adopt(s) {
 		return
 	}
-	c.changed("table adopted", Field{"revision", strconv.FormatUint(s.Revision, 10)})
+	c.changed(ChangeTableAdopted, Field{"revision", strconv.FormatUint(s.Revision, 10)})
 	c.rebuildView(now)
 	c.publish(now)
 }
@@ -206,11 +207,11 @@
 				c.emit(FetchTable{Revision: a.Revision, From: a.Member})
 			}
 		case membership.IsolationChanged:
-			c.changed("isolation changed", Field{"isolated", strconv.FormatBool(a.Isolated)})
+			c.changed(ChangeIsolation, Field{"isolated", strconv.FormatBool(a.Isolated)})
 			c.publish(now)
 		case membership.Replaced:
 			c.replaced = true
-			c.changed("replaced by a newer incarnation")
+			c.changed(ChangeReplaced)
 			c.stop(now)
 		case membership.SendHeartbeat:
 			c.emit(a)
@@ -220,7 +221,10 @@
 
 func (c *core) memberChanged(now time.Time, a membership.MemberChanged) {
 	if a.Before.Status != a.After.Status {
-		c.changed("instance "+a.After.Status.String(), Field{"instance", string(a.After.Instance.ID)})
+		c.changed(changeInstance(a.After.Status), Field{"instance", string(a.After.Instance.ID)})
+	}
+	if a.After.Status == membership.Dead {
+		c.retries.Forget(a.After.Instance.ID)
 	}
 	c.quarantine(now, quarantine.MembersChanged{Alive: c.members.AliveIncarnations()})
 	c.viewStale = true
@@ -229,6 +233,7 @@
 func (c *core) heartbeat(now time.Time, h membership.Heartbeat) {
 	c.membership(now, membership.HeartbeatReceived{Heartbeat: h})
 	c.confirmThroughPeer(now, h)
+	c.retries.Merge(now, h.Member.ID, retry.Counts{Requests: uint32(h.Retries.Requests), Retries: uint32(h.Retries.Retries)})
 	c.quarantine(now, quarantine.NoticesReceived{From: h.Member.ID, Complete: true, Notices: h.Suspects})
 	c.viewStale = true
 }
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -10,7 +10,7 @@
 
 // ownHeartbeat returns what this instance tells its peers.
 func (c *core) ownHeartbeat(now time.Time) membership.Heartbeat {
-	requests, retries := c.retries.Counts(now)
+	retries := c.retries.Own(now)
 	return membership.Heartbeat{
 		TableRevision: c.revision(),
 		TableAge:      c.tableAge(now),
@@ -18,7 +18,7 @@
 		Demand:        c.ownDemand(now),
 		Reports:       c.ownReports(now),
 		WantedLoads:   c.ownWantedLoads(),
-		Retries:       membership.RetryCounts{Requests: requests, Retries: retries},
+		Retries:       membership.RetryCounts{Requests: int(retries.Requests), Retries: int(retries.Retries)},
 		Suspects:      c.suspects.Notices(now),
 	}
 }
--- a/control/requests.go
+++ b/control/requests.go
@@ -13,8 +13,12 @@
 	// probeTimeout bounds the wait for a probe of an endpoint whose
 	// connections broke; without an answer the endpoint counts as lost.
 	probeTimeout = 2 * time.Second
-	// trialTimeout bounds the wait of a suspected request for its trial.
-	trialTimeout = 3 * time.Minute
+	// holdTimeout bounds the wait of a request for its trial or for the retry
+	// budget.
+	holdTimeout = 3 * time.Minute
+	// candidateInterval is the time between updates of the endpoints on which
+	// a trial may run.
+	candidateInterval = time.Second
 	// stoppingRetryAfter is told to callers that still reach a stopping or
 	// isolated instance; the balancer sends them elsewhere.
 	stoppingRetryAfter = time.Second
@@ -25,9 +29,10 @@
 	running map[uint64]running
 	byPlace map[fleet.EndpointID]map[uint64]bool
 	// held are requests that wait for a trial or for a probe.
-	held   map[uint64]heldRequest
-	probes map[fleet.EndpointID]*probe
-	dead   map[fleet.EndpointID]string // last boot of an endpoint that is known to have died
+	held      map[uint64]heldRequest
+	refreshed time.Time // when the candidates of trials were last updated
+	probes    map[fleet.EndpointID]*probe
+	dead      map[fleet.EndpointID]string // last boot of an endpoint that is known to have died
 }
 
 type running struct {
@@ -40,11 +45,19 @@
 type heldRequest struct {
 	request admission.Request
 	since   time.Time
-	// probe is the endpoint whose probe decides whether a trial is needed;
-	// empty while waiting for a trial.
-	probe fleet.EndpointID
+	wait    waitReason
+	probe   fleet.EndpointID // with waitProbe
 }
 
+// waitReason is why a request is held back before it is queued.
+type waitReason uint8
+
+const (
+	waitTrial waitReason = iota // its content is suspected; it runs in a trial
+	waitProbe                   // a probe decides whether its content is suspected
+	waitRetry                   // the retry budget is used up for now
+)
+
 // probe asks whether an endpoint whose connections broke has died.
 type probe struct {
 	bootID string // when the connections broke
@@ -75,15 +88,12 @@
 	case c.stopping && !r.Readmitted && c.replaced:
 		c.refuse(r.ID, admission.ReasonStopping, stoppingRetryAfter)
 		return
-	case r.Readmitted && !c.retries.Allow(now):
-		c.refuse(r.ID, admission.ReasonRetryBudget, stoppingRetryAfter)
-		return
 	}
 	if !r.Readmitted {
 		c.retries.Request(now)
 	}
 	if place, ok := c.probeOf(r); ok {
-		c.requests.held[r.ID] = heldRequest{request: r, since: now, probe: place}
+		c.requests.held[r.ID] = heldRequest{request: r, since: now, wait: waitProbe, probe: place}
 		return
 	}
 	c.screen(now, r)
@@ -115,10 +125,20 @@
 		c.requests.held[r.ID] = heldRequest{request: r, since: now}
 		c.wantTrial(now, r)
 	default:
-		c.admit(now, admission.Arrive{Request: r})
+		c.queueRequest(now, r)
 	}
 }
 
+// queueRequest passes a request to the admission queue. A retry waits until the
+// budget allows it; refusing it would lose work that was accepted.
+func (c *core) queueRequest(now time.Time, r admission.Request) {
+	if r.Readmitted && !c.retries.Allow(now) {
+		c.requests.held[r.ID] = heldRequest{request: r, since: now, wait: waitRetry}
+		return
+	}
+	c.admit(now, admission.Arrive{Request: r})
+}
+
 func (c *core) wantTrial(now time.Time, r admission.Request) {
 	c.quarantine(now, quarantine.TrialWanted{
 		Request: r.ID, Fingerprint: quarantine.Fingerprint(r.Fingerprint),
@@ -132,7 +152,7 @@
 	var out []quarantine.Candidate
 	load := make(map[fleet.EndpointID]int)
 	for _, v := range c.endpointViews() {
-		if v.Closed || slices.Contains(r.Exclude, v.Endpoint.ID) || !serves(v, r) {
+		if c.leaving(v.Endpoint) || slices.Contains(r.Exclude, v.Endpoint.ID) || !serves(v, r) {
 			continue
 		}
 		out = append(out, quarantine.Candidate{Endpoint: v.Endpoint.ID, BootID: c.bootID(v.Endpoint.ID)})
@@ -277,16 +297,45 @@
 			c.probeDone(now, ProbeDone{Endpoint: id})
 		}
 	}
-	for id, h := range c.requests.held {
-		if h.probe != "" || now.Sub(h.since) <= trialTimeout {
-			continue
+	refresh := now.Sub(c.requests.refreshed) >= candidateInterval
+	if refresh {
+		c.requests.refreshed = now
+	}
+	for _, id := range sortedKeys(c.requests.held) {
+		h := c.requests.held[id]
+		switch {
+		case h.wait == waitProbe:
+		case now.Sub(h.since) > holdTimeout:
+			c.giveUpHeld(now, id, h)
+		case h.wait == waitRetry:
+			delete(c.requests.held, id)
+			c.retryHeld(now, h)
+		case refresh:
+			c.wantTrial(now, h.request)
 		}
-		delete(c.requests.held, id)
-		c.quarantine(now, quarantine.TrialWithdrawn{Request: id, Fingerprint: quarantine.Fingerprint(h.request.Fingerprint)})
-		c.refuse(id, admission.ReasonTrialsBlocked, trialTimeout)
 	}
 }
 
+// retryHeld tries again to queue a retry and keeps the time since it waits.
+func (c *core) retryHeld(now time.Time, h heldRequest) {
+	c.queueRequest(now, h.request)
+	if again, ok := c.requests.held[h.request.ID]; ok {
+		again.since = h.since
+		c.requests.held[h.request.ID] = again
+	}
+}
+
+// giveUpHeld refuses a request that was held back for too long.
+func (c *core) giveUpHeld(now time.Time, id uint64, h heldRequest) {
+	delete(c.requests.held, id)
+	if h.wait == waitRetry {
+		c.refuse(id, admission.ReasonRetryBudget, holdTimeout)
+		return
+	}
+	c.quarantine(now, quarantine.TrialWithdrawn{Request: id, Fingerprint: quarantine.Fingerprint(h.request.Fingerprint)})
+	c.refuse(id, admission.ReasonTrialsBlocked, holdTimeout)
+}
+
 // refuseAll answers every caller that still waits when the goroutine ends.
 func (c *core) refuseAll(reason admission.Reason) {
 	for _, id := range sortedKeys(c.replies) {
--- a/control/trials.go
+++ b/control/trials.go
@@ -44,7 +44,7 @@
 		c.quarantine(now, quarantine.Ended{Fingerprint: f})
 	}
 	for _, id := range sortedKeys(c.requests.held) {
-		if h := c.requests.held[id]; h.probe == ev.Endpoint {
+		if h := c.requests.held[id]; h.wait == waitProbe && h.probe == ev.Endpoint {
 			delete(c.requests.held, id)
 			c.screen(now, h.request)
 		}
@@ -53,7 +53,7 @@
 
 func (c *core) endpointLost(now time.Time, id fleet.EndpointID, p *probe) {
 	c.requests.dead[id] = p.bootID
-	c.changed("endpoint lost", Field{"endpoint", string(id)}, Field{"in_flight", fmt.Sprint(len(p.lost))})
+	c.changed(ChangeEndpointLost, Field{"endpoint", string(id)}, Field{"in_flight", fmt.Sprint(len(p.lost))})
 	loss := quarantine.Loss{Endpoint: id, BootID: p.bootID}
 	var prints []quarantine.Fingerprint
 	var longest time.Duration
@@ -102,7 +102,7 @@
 			for _, id := range a.Requests {
 				if h, ok := c.requests.held[id]; ok {
 					delete(c.requests.held, id)
-					c.admit(now, admission.Arrive{Request: h.request})
+					c.queueRequest(now, h.request)
 				}
 			}
 		case quarantine.RefuseRequests:
@@ -124,7 +124,7 @@
 		return
 	}
 	delete(c.requests.held, a.Request)
-	c.changed("trial started", Field{"endpoint", string(e.ID)}, Field{"fingerprint", fmt.Sprintf("%016x", uint64(a.Fingerprint))})
+	c.changed(ChangeTrialStarted, Field{"endpoint", string(e.ID)}, Field{"fingerprint", fmt.Sprintf("%016x", uint64(a.Fingerprint))})
 	c.requests.running[a.Request] = running{request: h.request}
 	c.grant(now, a.Request, admission.Grant{Endpoint: e, Trial: true, Version: h.request.Version})
 }
