load: add the open-loop load generator

Change: hyssophaven load runs a seeded scenario (streams, floods, plain service calls, faults by time) against callers' URLs and reports attainment, goodput, codes and latencies per rank as table, JSON and SVG; answers are checked by marker. Conclusion: ready to run against instances; not yet run against one.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -25,7 +25,7 @@
 		Usage:     "serve many language models and adapters on few accelerators",
 		Writer:    stdout,
 		ErrWriter: stderr,
-		Commands:  []*cli.Command{versionCommand()},
+		Commands:  []*cli.Command{versionCommand(), loadCommand()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintln(stderr, "hyssophaven:", err)
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+	maxWrongKept    = 20 // wrong answers described in the result
+)
+
+// Result is what callers saw of a whole run.
+type Result struct {
+	Seed     uint64        `json:"seed"`
+	Duration time.Duration `json:"duration_ns"`
+	Ranks    []RankResult  `json:"ranks"` // most urgent first; only ranks with requests
+	// Late is by how much the generator itself started requests too late.
+	Late        Percentiles `json:"generator_late"`
+	Wrong       []string    `json:"wrong,omitempty"` // the first wrong answers
+	FaultErrors []string    `json:"fault_errors,omitempty"`
+}
+
+// RankResult is the result of one rank.
+type RankResult struct {
+	Rank     string `json:"rank"`
+	Sent     int    `json:"sent"`
+	Answered int    `json:"answered"` // whole and passed the check
+	Attained int    `json:"attained"` // answered within all targets
+	// Attainment is the attained part of what was sent, Goodput the attained
+	// requests per second of the scenario.
+	Attainment float64        `json:"attainment"`
+	Goodput    float64        `json:"goodput_per_second"`
+	Codes      map[string]int `json:"codes"` // refusals and failures by code
+	FirstToken Percentiles    `json:"first_token"`
+	Between    Percentiles    `json:"between_tokens"`
+	Whole      Percentiles    `json:"whole_answer"`
+	Seconds    []Second       `json:"seconds"` // by scheduled arrival
+}
+
+// Second counts the requests that arrived within one second.
+type Second struct {
+	Sent     int `json:"sent"`
+	Attained int `json:"attained"`
+	Refused  int `json:"refused"`
+}
+
+// Percentiles are those of a latency, in milliseconds, over answered requests.
+type Percentiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// histograms are the latencies of one rank.
+type histograms struct{ first, between, whole *hdrhistogram.Histogram }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+// record clamps to the range of the histogram, so that it cannot fail.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMax))
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(v int64) float64 { return float64(v) / 1000 }
+	if h.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	return Percentiles{
+		P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+	}
+}
+
+// collect adds up the samples until the channel is closed.
+func collect(s *Scenario, samples <-chan sample) *Result {
+	out := &Result{Seed: s.Seed, Duration: time.Duration(s.Duration)}
+	var ranks [fleet.RankCount]RankResult
+	var latencies [fleet.RankCount]histograms
+	seconds := int((out.Duration + time.Second - 1) / time.Second)
+	for i, r := range fleet.Ranks() {
+		ranks[i] = RankResult{Rank: r.String(), Codes: map[string]int{}, Seconds: make([]Second, seconds)}
+		latencies[i] = histograms{newHistogram(), newHistogram(), newHistogram()}
+	}
+	late := newHistogram()
+	for p := range samples {
+		w := &s.Streams[p.request.Stream]
+		rank, _ := fleet.ParseRank(w.Rank) // checked when the scenario was read
+		record(late, p.late)
+		if p.wrong != nil && len(out.Wrong) < maxWrongKept {
+			out.Wrong = append(out.Wrong, p.wrong.Error())
+		}
+		ranks[rank].add(w, p, &latencies[rank])
+	}
+	out.Late = percentiles(late)
+	for i, r := range ranks {
+		if r.Sent == 0 {
+			continue
+		}
+		r.Attainment = float64(r.Attained) / float64(r.Sent)
+		r.Goodput = float64(r.Attained) / out.Duration.Seconds()
+		r.FirstToken, r.Between, r.Whole = percentiles(latencies[i].first), percentiles(latencies[i].between), percentiles(latencies[i].whole)
+		out.Ranks = append(out.Ranks, r)
+	}
+	return out
+}
+
+func (r *RankResult) add(w *Stream, p sample, h *histograms) {
+	second := &r.Seconds[min(int(p.request.At/time.Second), len(r.Seconds)-1)]
+	r.Sent++
+	second.Sent++
+	code := p.answer.Code
+	if p.wrong != nil {
+		code = CodeWrong
+	}
+	if code != "" {
+		r.Codes[code]++
+		second.Refused++
+		return
+	}
+	r.Answered++
+	a := p.answer
+	record(h.whole, a.Whole)
+	if a.FirstToken > 0 {
+		record(h.first, a.FirstToken)
+	}
+	if a.Tokens > 1 {
+		record(h.between, a.Between)
+	}
+	if w.Targets.met(a) {
+		r.Attained++
+		second.Attained++
+	}
+}
+
+func (t Targets) met(a Answer) bool {
+	within := func(d time.Duration, target Duration) bool { return target == 0 || d <= time.Duration(target) }
+	return within(a.FirstToken, t.FirstToken) && within(a.Between, t.BetweenTokens) && within(a.Whole, t.WholeAnswer)
+}
+
+// WrongAnswers is the number of answers that failed the check.
+func (r *Result) WrongAnswers() int {
+	n := 0
+	for _, k := range r.Ranks {
+		n += k.Codes[CodeWrong]
+	}
+	return n
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options change how a scenario is run.
+type Options struct {
+	// Check replaces the scenario's check of answers if it is not nil.
+	Check AnswerCheck
+	// Client replaces the HTTP client if it is not nil.
+	Client *http.Client
+}
+
+// sample is one request and what became of it.
+type sample struct {
+	request Request
+	answer  Answer
+	late    time.Duration // start after the scheduled time
+	wrong   error
+}
+
+// Run generates the load of a scenario and returns what callers saw. When ctx
+// ends, no more requests are sent and those in flight are given up.
+func Run(ctx context.Context, s *Scenario, o Options) (*Result, error) {
+	check := o.Check
+	if check == nil {
+		var err error
+		if check, err = AnswerCheckNamed(s.Check); err != nil {
+			return nil, err
+		}
+	}
+	client := o.Client
+	if client == nil {
+		client = newClient()
+		defer client.CloseIdleConnections()
+	}
+	samples, faults := make(chan sample, 1024), make(chan error, len(s.Faults))
+	collected := make(chan *Result, 1)
+	go func() { collected <- collect(s, samples) }()
+
+	start := time.Now()
+	for i, f := range s.Faults {
+		go func() { faults <- runFault(ctx, client, i, f, start) }()
+	}
+	wait := generate(ctx, s, start, func(r Request, due time.Time) {
+		late := time.Since(due)
+		ctx, cancel := context.WithDeadline(ctx, due.Add(time.Duration(s.Timeout)))
+		defer cancel()
+		a := send(ctx, client, &s.Streams[r.Stream], r, due)
+		p := sample{request: r, answer: a, late: late}
+		if a.Code == "" {
+			p.wrong = check(r, a)
+		}
+		samples <- p
+	})
+	wait()
+	close(samples)
+	result := <-collected
+	for range s.Faults {
+		if err := <-faults; err != nil {
+			result.FaultErrors = append(result.FaultErrors, err.Error())
+		}
+	}
+	return result, ctx.Err()
+}
+
+// generate starts one goroutine per request at its scheduled time. The result
+// waits for all of them.
+func generate(ctx context.Context, s *Scenario, start time.Time, do func(Request, time.Time)) (wait func()) {
+	schedule := NewSchedule(s)
+	var requests sync.WaitGroup
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		r, ok := schedule.Next()
+		if !ok || !sleepUntil(ctx, timer, start.Add(r.At)) {
+			break
+		}
+		requests.Go(func() { do(r, start.Add(r.At)) })
+	}
+	return requests.Wait
+}
+
+// sleepUntil reports false if ctx ends first.
+func sleepUntil(ctx context.Context, timer *time.Timer, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer.Reset(d)
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func runFault(ctx context.Context, client *http.Client, index int, f Fault, start time.Time) error {
+	timer := time.NewTimer(time.Until(start.Add(time.Duration(f.At))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return fmt.Errorf("fault %d not caused: %w", index+1, ctx.Err())
+	}
+	if err := callFault(ctx, client, f); err != nil {
+		return fmt.Errorf("fault %d: %w", index+1, err)
+	}
+	return nil
+}
