--- a/dev/dev.go
+++ b/dev/dev.go
@@ -106,7 +106,7 @@
 	d := r.Options.Deployment
 	for i := range d.Replicas {
 		c := standinengine.Config{
-			ID: fmt.Sprintf("%s-%02d", d.Pool, i+1), MemoryMB: replicaMemoryMB, Slots: replicaSlots,
+			ID: r.EngineID(i), MemoryMB: replicaMemoryMB, Slots: replicaSlots,
 			AdapterLoadTime: d.AdapterLoadTime, Weights: r.Platform.Weights(), ChecksTokens: true, Seed: uint64(i + 1),
 		}
 		if r.Options.Engine != nil {
@@ -126,6 +126,11 @@
 	return nil
 }
 
+// EngineID returns the endpoint name of the engine with the given index.
+func (r *Running) EngineID(index int) string {
+	return fmt.Sprintf("%s-%02d", r.Options.Deployment.Pool, index+1)
+}
+
 func (r *Running) startServices(ctx context.Context) error {
 	d := r.Options.Deployment
 	for i := range d.Services {
