--- a/ledger/decide.go
+++ b/ledger/decide.go
@@ -28,7 +28,7 @@
 	case r.saving == nil && r.dirty:
 		out = append(out, r.persist())
 	}
-	if len(r.open) == 0 && !r.query.pending && !now.Before(r.pollAt(now)) {
+	if len(r.open) == 0 && !r.query.pending && !now.Before(r.pollAt()) {
 		r.query = query{id: r.query.id + 1, pending: true, at: now, generation: r.generation}
 		out = append(out, Query{ID: r.query.id})
 	}
@@ -36,7 +36,7 @@
 }
 
 // pollAt returns when the engine's state is read next.
-func (r *Replica) pollAt(time.Time) time.Time {
+func (r *Replica) pollAt() time.Time {
 	busy := slices.ContainsFunc(r.entries, func(e *entry) bool {
 		return e.State != Ready && !(e.State == Reserved && r.shared(e))
 	})
@@ -56,11 +56,17 @@
 			r.retire(now, e)
 		}
 	}
+	if r.readAfter != r.generation {
+		return // the effect of the last order was not read yet
+	}
 	for _, e := range r.entries {
 		if r.order == nil && !r.wanted(e) {
 			r.unload(now, e)
 		}
 	}
+	if r.Counted() > r.capacity {
+		return // the engine holds more than was ordered
+	}
 	for _, it := range r.target {
 		if e := r.find(it.Key()); e != nil && r.order == nil && r.wanted(e) {
 			r.load(now, e)
@@ -104,8 +110,8 @@
 	switch e.State {
 	case Draining:
 		e.State, e.drainSince, e.postponed = Reserved, time.Time{}, 0
-		if e.resident {
-			e.State = Loading
+		if e.ready { // no unload order was sent since it was ready
+			e.State = Ready
 		}
 	case Unloading, Settling:
 		// Where tokens are ignored, a late unload would cut running requests.
--- a/ledger/observe.go
+++ b/ledger/observe.go
@@ -35,11 +35,11 @@
 	}
 	if st.BootID != r.boot {
 		if r.boot != "" {
-			r.restarted(now)
+			r.restarted()
 		}
 		r.boot, r.dirty = st.BootID, true
 	}
-	r.observed = true
+	r.observed, r.readAfter = true, r.generation
 	r.addUnknown(st)
 	unaccounted := st.UsedMB - r.set.OverheadMB
 	for _, res := range st.Residents {
@@ -53,10 +53,10 @@
 
 // restarted makes what was resident load again. Orders sent before the restart
 // may still take effect, so nothing is closed.
-func (r *Replica) restarted(now time.Time) {
+func (r *Replica) restarted() {
 	for _, e := range r.entries {
 		if e.State == Ready || e.State == Loading {
-			e.State, e.retryAt = Reserved, now
+			e.State, e.retryAt = Reserved, time.Time{}
 		}
 	}
 }
@@ -87,24 +87,27 @@
 			res, e.resident = c, true
 		}
 	}
-	e.running = res.Running
 	if e.resident && (res.MemoryMB > e.MemoryMB || e.Freed) {
 		e.MemoryMB, e.Freed, r.dirty = max(res.MemoryMB, e.MemoryMB), false, true
 	}
 	fenced := func(t fleet.Token) bool { return !r.set.ChecksTokens || !st.HighestToken.Less(t) }
+	e.running, e.ready = res.Running, e.resident && res.Ready && fenced(e.LoadToken)
 	from := e.State
 	switch e.State {
 	case Reserved:
-		if e.resident && res.Ready && r.shared(e) && fenced(e.LoadToken) && e.UnloadToken.Less(e.LoadToken) {
+		if e.ready && r.shared(e) && !e.LoadToken.Less(e.UnloadToken) {
 			e.State = Ready // loaded by a request
 		}
 	case Loading:
-		if e.resident && res.Ready && fenced(e.LoadToken) {
+		switch {
+		case e.ready:
 			e.State = Ready
+		case e.resident && fenced(e.LoadToken):
+			e.retryAt = now.Add(r.set.Resend) // the load is in progress
 		}
 	case Ready:
 		if !e.resident {
-			e.State, e.retryAt = Reserved, now // lost by the engine
+			e.State = Reserved // lost by the engine
 		}
 	case Unloading:
 		if !e.resident && (!r.tokensProve() || fenced(e.UnloadToken)) {
@@ -112,7 +115,7 @@
 		}
 	case Settling:
 		if e.resident {
-			e.State, e.retryAt = Unloading, now // a late load took effect
+			e.State = Unloading // a late load took effect
 		}
 	}
 	if r.tokensProve() && e.LoadToken.Less(st.HighestToken) && e.State >= Unloading {
@@ -122,7 +125,7 @@
 		e.UnloadSenders = nil
 	}
 	if e.State != from {
-		r.dirty = true
+		e.retryAt, r.dirty = time.Time{}, true
 	}
 }
 
--- a/ledger/query.go
+++ b/ledger/query.go
@@ -71,10 +71,9 @@
 	for _, e := range r.entries {
 		ve := viewEntry(e.Entry)
 		ve.Loadable = ve.Loadable && loadable[e.Key()]
-		if ve.Servable || ve.Loadable {
-			v.Entries = append(v.Entries, ve)
-		}
+		v.Entries = append(v.Entries, ve)
 	}
+	v.Entries = usable(v.Entries)
 	return v
 }
 
@@ -83,17 +82,32 @@
 func ViewOf(rec Record) View {
 	v := View{Replica: rec.Replica, Token: rec.Seen}
 	for _, e := range rec.Entries {
-		if ve := viewEntry(e); ve.Servable || ve.Loadable {
-			v.Entries = append(v.Entries, ve)
-		}
+		v.Entries = append(v.Entries, viewEntry(e))
 	}
+	v.Entries = usable(v.Entries)
 	return v
 }
 
+// usable drops entries that may neither be used nor loaded. An adapter can be
+// used only beside its base.
+func usable(all []ViewEntry) []ViewEntry {
+	var out []ViewEntry
+	for _, e := range all {
+		based := e.Base == "" || slices.ContainsFunc(all, func(b ViewEntry) bool { return b.Name == e.Base && b.Servable })
+		if based && (e.Servable || e.Loadable) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func viewEntry(e Entry) ViewEntry {
 	return ViewEntry{
 		Name: e.Name, Base: e.Base, Version: e.Version, MemoryMB: e.MemoryMB,
 		Servable: e.State == Ready,
-		Loadable: (e.State == Reserved || e.State == Ready) && slices.Contains(e.LoadSenders, Sender{}),
+		// After an unload only the owner's load order, with a newer token, makes
+		// a late unload harmless.
+		Loadable: (e.State == Reserved || e.State == Ready) && slices.Contains(e.LoadSenders, Sender{}) &&
+			!e.LoadToken.Less(e.UnloadToken),
 	}
 }
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -40,6 +40,7 @@
 	// generation counts orders that were sent or returned. A state read that
 	// overlaps such a change is not used.
 	generation uint64
+	readAfter  uint64 // generation of the last read that was used
 	query      query
 	queryAt    time.Time // earliest next state read
 }
@@ -56,6 +57,7 @@
 	postponed      int
 	retryAt        time.Time // earliest next order
 	resident       bool
+	ready          bool // resident, serving, and safe from earlier unload orders
 	running        int
 	readAt         time.Time // when the read that showed this was sent
 }
@@ -140,7 +142,7 @@
 	for i, e := range ev.Record.Entries {
 		r.entries[i] = &entry{Entry: cloneEntry(e)}
 		if e.State >= Draining {
-			r.entries[i].drainSince = now
+			r.entries[i].drainSince, r.entries[i].drainUntil = now, now.Add(r.set.DrainDeadline)
 		}
 	}
 	r.forgetSenders()
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -75,7 +75,9 @@
 	for _, st := range s.record.Entries {
 		e := r.find(st.Key())
 		if e != nil && st.State == Draining && e.State == Draining && e.drainSince.IsZero() {
-			e.drainSince, e.drainUntil = now, now.Add(r.set.DrainDeadline)
+			// Requests seen by an earlier read may have started before.
+			e.drainSince, e.drainUntil, e.readAt = now, now.Add(r.set.DrainDeadline), time.Time{}
+			r.generation++
 		}
 	}
 	if s.order == nil {
--- /dev/null
+++ b/placement/placementrecord/record.go
@@ -0,0 +1,87 @@
+// Package placementrecord encodes stored plans as JSON for the table service.
+package placementrecord
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/placement"
+)
+
+// MaxBytes bounds an encoded plan: 5,400 replicas with 20 items each take
+// about 10 MB.
+const MaxBytes = 16 << 20
+
+type item struct {
+	Name       string `json:"name"`
+	Base       string `json:"base,omitempty"`
+	Version    string `json:"version"`
+	MemoryMB   int    `json:"memory_mb"`
+	AgeSeconds int64  `json:"age_s"`
+}
+
+type replica struct {
+	ID    string `json:"id"`
+	Items []item `json:"items"`
+}
+
+type plan struct {
+	Revision uint64    `json:"revision"`
+	Replicas []replica `json:"replicas"`
+}
+
+// Encode returns the plan's stored form. Ages are kept in whole seconds.
+func Encode(s placement.Stored) ([]byte, error) {
+	out := plan{Revision: s.Revision, Replicas: []replica{}}
+	for _, p := range s.Items {
+		if n := len(out.Replicas); n == 0 || out.Replicas[n-1].ID != string(p.Replica) {
+			out.Replicas = append(out.Replicas, replica{ID: string(p.Replica)})
+		}
+		last := &out.Replicas[len(out.Replicas)-1]
+		last.Items = append(last.Items, item{p.Name, p.Base, p.Version, p.MemoryMB, int64(p.Age / time.Second)})
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode plan: %w", err)
+	}
+	if len(data) > MaxBytes {
+		return nil, fmt.Errorf("plan has %d bytes, more than %d", len(data), MaxBytes)
+	}
+	return data, nil
+}
+
+// maxAge keeps ages within time.Duration.
+const maxAge = int64(100 * 365 * 24 * time.Hour / time.Second)
+
+// Decode reads a stored plan.
+func Decode(data []byte) (placement.Stored, error) {
+	var in plan
+	if len(data) > MaxBytes {
+		return placement.Stored{}, fmt.Errorf("plan has %d bytes, more than %d", len(data), MaxBytes)
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		return placement.Stored{}, fmt.Errorf("decode plan: %w", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return placement.Stored{}, fmt.Errorf("decode plan: data after the plan")
+	}
+	out := placement.Stored{Revision: in.Revision}
+	for _, r := range in.Replicas {
+		for _, it := range r.Items {
+			if it.Name == "" || it.MemoryMB < 0 || it.AgeSeconds < 0 || it.AgeSeconds > maxAge {
+				return placement.Stored{}, fmt.Errorf("decode plan: replica %q has an item without name or with a value out of range", r.ID)
+			}
+			out.Items = append(out.Items, placement.Placed{
+				Replica: fleet.EndpointID(r.ID), Name: it.Name, Base: it.Base, Version: it.Version,
+				MemoryMB: it.MemoryMB, Age: time.Duration(it.AgeSeconds) * time.Second,
+			})
+		}
+	}
+	return out, nil
+}
