--- a/burnstore/bench_test.go
+++ b/burnstore/bench_test.go
@@ -27,7 +27,7 @@
 	for b.Loop() {
 		s.Record(r)
 	}
-	b.ReportMetric(float64(s.dropped())/float64(b.N), "dropped/op")
+	b.ReportMetric(float64(s.dropped.Value())/float64(b.N), "dropped/op")
 	_ = s.Stop(b.Context())
 }
 
--- a/burnstore/burnstore.go
+++ b/burnstore/burnstore.go
@@ -46,9 +46,10 @@
 	Vars          *expvar.Map
 }
 
-// counterNames are all counters, so that each is exported from the start.
+// counterNames are the counters beside those of requests, so that each is
+// exported from the start.
 var counterNames = []string{
-	"requests_counted", "requests_dropped", "moves_counted", "moves_dropped",
+	"moves_counted", "moves_dropped",
 	"writes", "write_failures", "bytes_written", "documents_read", "read_failures", "bad_documents",
 	"documents_deleted", "delete_failures", "reports",
 }
@@ -60,6 +61,10 @@
 	group   *worker.Group // reads and deletions
 	ended   chan struct{}
 
+	counted *expvar.Int
+	dropped *expvar.Int
+	told    int64 // dropped requests that the counting goroutine has told of
+
 	events  chan burn.Event // requests and moves; senders never wait
 	written chan burn.Event
 	current chan chan burn.Document
@@ -88,6 +93,9 @@
 		events: make(chan burn.Event, samplesWaiting), written: make(chan burn.Event, 1),
 		current: make(chan chan burn.Document), quit: make(chan context.Context, 1), others: make(chan others, 1),
 	}
+	s.counted, s.dropped = new(expvar.Int), new(expvar.Int)
+	c.Vars.Set("requests_counted", s.counted)
+	c.Vars.Set("requests_dropped", s.dropped)
 	s.others <- others{total: burn.NewTotal()}
 	return s
 }
@@ -130,7 +138,7 @@
 	select {
 	case s.events <- burn.Ended{Sample: sampleOf(r)}:
 	default:
-		s.config.Vars.Add("requests_dropped", 1)
+		s.dropped.Add(1)
 	}
 }
 
@@ -161,7 +169,6 @@
 	state := burn.NewState(s.source(), s.config.WriteInterval, time.Now())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var dropped int64
 	for {
 		select {
 		case ev := <-s.events:
@@ -170,11 +177,7 @@
 		case ev := <-s.written:
 			s.do(state.Step(time.Now(), ev))
 		case <-ticker.C:
-			if n := s.dropped(); n > dropped {
-				state.Step(time.Now(), burn.Lost{Samples: uint64(n - dropped)})
-				dropped = n
-			}
-			s.do(state.Step(time.Now(), burn.Tick{}))
+			s.do(state.Step(time.Now(), s.tick()))
 		case reply := <-s.current:
 			reply <- state.Document(time.Now())
 		case ctx := <-s.quit:
@@ -191,15 +194,21 @@
 func (s *Service) count(ev burn.Event) {
 	switch ev.(type) {
 	case burn.Ended:
-		s.config.Vars.Add("requests_counted", 1)
+		s.counted.Add(1)
 	case burn.Moved:
 		s.config.Vars.Add("moves_counted", 1)
 	}
 }
 
-func (s *Service) dropped() int64 {
-	v, _ := s.config.Vars.Get("requests_dropped").(*expvar.Int)
-	return v.Value()
+// tick returns the event of a tick, which tells of requests that were dropped.
+func (s *Service) tick() burn.Event {
+	dropped := s.dropped.Value()
+	lost := dropped - s.told
+	s.told = dropped
+	if lost > 0 {
+		return burn.Lost{Samples: uint64(lost)}
+	}
+	return burn.Tick{}
 }
 
 // do starts the writes that the state asks for, of which there is one at a time.
@@ -221,6 +230,7 @@
 		s.count(ev)
 		s.do(state.Step(time.Now(), ev))
 	}
+	s.do(state.Step(time.Now(), s.tick()))
 	actions := state.Step(time.Now(), burn.Stopping{})
 	for state.Writing() {
 		s.do(actions)
--- a/burnstore/burnstore_test.go
+++ b/burnstore/burnstore_test.go
@@ -248,16 +248,22 @@
 func TestRecordDropsInsteadOfWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := New(Config{Objects: newFakeObjects(), Vars: new(expvar.Map).Init()}) // nothing takes samples yet
+		vars := new(expvar.Map).Init()
+		s := started{Service: New(Config{Objects: newFakeObjects(), Vars: vars}), vars: vars} // nothing takes samples yet
 		for range samplesWaiting + 7 {
 			s.Record(answered)
 		}
-		is.Equal(s.dropped(), int64(7))
+		is.Equal(s.counter("requests_dropped"), "7")
 		go s.run()
 		time.Sleep(2 * tickInterval)
-		r, w := urgentCounts(t, started{Service: s})
+		r, w := urgentCounts(t, s)
 		is.Equal(w.Good, uint64(samplesWaiting))
 		is.Equal(r.Lost, uint64(7))
+		for n := range 3 { // a dropped request does not end the writes
+			s.dropped.Add(1)
+			time.Sleep(2 * time.Minute)
+			is.Equal(s.counter("writes"), strconv.Itoa(n+1))
+		}
 		is.NoErr(s.Stop(t.Context()))
 	})
 }
