worker: start no task after a group has stopped

A bus event that arrived while a service stopped started a task beside the wait for the others: the race detector reported it in go test -race ./dev, and the task could outlive the service. Go and Stop are ordered now. The new test fails under -race without the change and passes 3 of 3 with it.

--- a/worker/worker.go
+++ b/worker/worker.go
@@ -14,7 +14,10 @@
 type Group struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
+
+	mu      sync.Mutex // orders Go before or after Stop
+	stopped bool
+	wg      sync.WaitGroup
 }
 
 // NewGroup returns an empty group.
@@ -23,8 +26,15 @@
 	return &Group{ctx: ctx, cancel: cancel}
 }
 
-// Go runs task in its own goroutine. Its context ends when the group is stopped.
+// Go runs task in its own goroutine. Its context ends when the group is
+// stopped. After that Go does nothing, because events of the bus may still
+// arrive while a service stops.
 func (g *Group) Go(task func(context.Context)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
 	g.wg.Go(func() { task(g.ctx) })
 }
 
@@ -49,6 +59,9 @@
 
 // Stop ends the contexts of all tasks and waits for them until ctx ends.
 func (g *Group) Stop(ctx context.Context) error {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
 	g.cancel()
 	done := make(chan struct{})
 	go func() {
