records: use the codecs of ledgers and plans

Cause: the service had its own JSON form of two records. Change: ledgerrecord and placementrecord encode them; the former refuses unknown fields, whose memory would not be counted. Conclusion: each record has one home.

--- a/records/owned.go
+++ b/records/owned.go
@@ -9,6 +9,8 @@
 	"github.com/hyssophaven/hyssophaven/lease"
 	"github.com/hyssophaven/hyssophaven/lease/leaserecord"
 	"github.com/hyssophaven/hyssophaven/ledger"
+	"github.com/hyssophaven/hyssophaven/ledger/ledgerrecord"
+	"github.com/hyssophaven/hyssophaven/placement/placementrecord"
 	"github.com/hyssophaven/hyssophaven/platform"
 )
 
@@ -24,7 +26,7 @@
 	record, err := s.readOne(ctx, ledgerKey(a.Endpoint))
 	if err == nil && record.Version > 0 {
 		ev.Version = record.Version
-		ev.Record, err = decodeLedger(record.Value)
+		ev.Record, err = ledgerrecord.Decode(record.Value)
 	}
 	s.count("ledger_reads", err)
 	if ev.OK = err == nil; !ev.OK {
@@ -37,7 +39,7 @@
 	record, err := s.readOne(ctx, ledgerKey(a.Endpoint))
 	read := ledger.RecordRead{Version: record.Version}
 	if err == nil && record.Version > 0 {
-		read.Record, err = decodeLedger(record.Value)
+		read.Record, err = ledgerrecord.Decode(record.Value)
 	}
 	s.count("ledger_reads", err)
 	result := control.LedgerResult{Endpoint: a.Endpoint, Event: read}
@@ -49,7 +51,7 @@
 
 func (s *Service) persistLedger(ctx context.Context, a control.PersistLedger) {
 	write, epoch := a.Persist.Record.Write, a.Persist.Record.Holder.Epoch
-	value, err := encodeLedger(a.Persist.Record)
+	value, err := ledgerrecord.Encode(a.Persist.Record)
 	var version uint64
 	if err == nil {
 		version, err = s.commitOwned(ctx, ownedWrite{
@@ -78,7 +80,7 @@
 	record, err := s.readOne(ctx, planKey(a.Pool))
 	if err == nil && record.Version > 0 {
 		ev.Plan.Version = record.Version
-		ev.Plan.Stored, err = decodePlan(record.Value)
+		ev.Plan.Stored, err = placementrecord.Decode(record.Value)
 	}
 	s.count("plan_reads", err)
 	if ev.OK = err == nil; !ev.OK {
@@ -89,7 +91,7 @@
 
 func (s *Service) persistPlan(ctx context.Context, a control.PersistPlan) {
 	ev := control.PlanCommitted{Pool: a.Pool, Epoch: a.Epoch}
-	value, err := encodePlan(a.Stored)
+	value, err := placementrecord.Encode(a.Stored)
 	if err == nil {
 		ev.Version, err = s.commitOwned(ctx, ownedWrite{
 			shard: a.Shard, epoch: a.Epoch, key: planKey(a.Pool), value: value, version: a.Version,
@@ -175,7 +177,7 @@
 		return
 	}
 	for _, r := range ledgers {
-		record, err := decodeLedger(r.Value)
+		record, err := ledgerrecord.Decode(r.Value)
 		if err != nil {
 			s.config.Vars.Add("bad_records", 1)
 			continue
@@ -187,7 +189,7 @@
 		return
 	}
 	for _, r := range plans {
-		stored, err := decodePlan(r.Value)
+		stored, err := placementrecord.Decode(r.Value)
 		if err != nil {
 			s.config.Vars.Add("bad_records", 1)
 			continue
