--- a/records/records.go
+++ b/records/records.go
@@ -17,6 +17,7 @@
 	"github.com/hyssophaven/hyssophaven/lease/leaserecord"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
+	"github.com/hyssophaven/hyssophaven/quarantine/quarantinerecord"
 	"github.com/hyssophaven/hyssophaven/worker"
 )
 
@@ -146,26 +147,23 @@
 
 func (s *Service) readQuarantine(ctx context.Context, a quarantine.ReadRecord) {
 	result := quarantine.RecordRead{Fingerprint: a.Fingerprint}
-	record, err := s.readOne(ctx, quarantineKey(a.Fingerprint))
-	if err == nil && record.Version > 0 {
-		result.Version = record.Version
-		result.Record, err = decodeQuarantine(record.Value)
+	record, err := s.readOne(ctx, quarantinerecord.Key(a.Fingerprint))
+	switch {
+	case err == nil && record.Version > 0:
+		result, err = quarantinerecord.Event(record)
+	case err == nil:
+		result.OK = true
 	}
 	s.count("quarantine_reads", err)
-	result.OK = err == nil
 	s.control.Post(control.QuarantineResult{Event: result})
 }
 
 func (s *Service) commitQuarantine(ctx context.Context, a quarantine.CommitRecord) {
 	result := quarantine.CommitResult{ID: a.ID, Outcome: quarantine.NotApplied}
-	key := quarantineKey(a.Fingerprint)
-	value, err := encodeQuarantine(a.Record)
+	txn, err := quarantinerecord.Txn(a)
 	if err == nil {
 		var versions []uint64
-		versions, err = s.config.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: a.IfVersion}},
-			Writes:     []platform.Write{{Key: key, Value: value, Delete: a.Delete}},
-		})
+		versions, err = s.config.Store.Commit(ctx, txn)
 		result.Outcome = outcomeOf(err, quarantine.Applied, quarantine.Conflict, quarantine.NotApplied, quarantine.Unknown)
 		if len(versions) == 1 {
 			result.Version = versions[0]
