--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -30,6 +30,33 @@
 	return s
 }
 
+// documents holds the newest document of each incarnation, as the object store
+// does. Versions may arrive in any order.
+type documents map[Source]Document
+
+// put takes a document unless a version at least as new is known.
+func (s documents) put(d Document) {
+	if have, ok := s[d.Source]; !ok || d.Sequence > have.Sequence {
+		s[d.Source] = d
+	}
+}
+
+// merge takes all documents of o.
+func (s documents) merge(o documents) {
+	for _, d := range o {
+		s.put(d)
+	}
+}
+
+// total returns the sum over all documents.
+func (s documents) total() *Total {
+	t := NewTotal()
+	for _, d := range s {
+		t.Add(d)
+	}
+	return t
+}
+
 // fleetRun is a run of a few incarnations: every version of their documents,
 // and how many requests each version has counted.
 type fleetRun struct {
@@ -81,28 +108,28 @@
 		for _, versions := range run.counted {
 			want += versions[len(versions)-1]
 		}
-		all := Set{}
+		all := documents{}
 		for _, d := range run.versions {
-			all.Put(d)
+			all.put(d)
 		}
 		shuffled := rapid.Permutation(append(slices.Clone(run.versions), run.versions...)).Draw(t, "order")
 		cut := rapid.IntRange(0, len(shuffled)).Draw(t, "cut")
-		left, right := Set{}, Set{}
+		left, right := documents{}, documents{}
 		for i, d := range shuffled {
 			if i < cut {
-				left.Put(d)
+				left.put(d)
 			} else {
-				right.Put(d)
+				right.put(d)
 			}
 		}
-		left.Merge(right)
-		left.Merge(left)
-		for name, set := range map[string]Set{"in order": all, "shuffled": left} {
-			if got := set.Total().ended(later); got != want {
+		left.merge(right)
+		left.merge(left)
+		for name, set := range map[string]documents{"in order": all, "shuffled": left} {
+			if got := set.total().ended(later); got != want {
 				t.Fatalf("%s: %d requests, want %d", name, got, want)
 			}
 		}
-		a, b := all.Total().Report(later, 0.99), left.Total().Report(later, 0.99)
+		a, b := all.total().Report(later, 0.99), left.total().Report(later, 0.99)
 		if fmt.Sprint(a) != fmt.Sprint(b) {
 			t.Fatalf("reports differ:\n%v\n%v", a, b)
 		}
@@ -114,11 +141,11 @@
 func TestTotalIgnoresRepeatedDocuments(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		run := drawRun(t)
-		set := Set{}
+		set := documents{}
 		for _, d := range run.versions {
-			set.Put(d)
+			set.put(d)
 		}
-		want := set.Total()
+		want := set.total()
 		got := NewTotal()
 		for i := len(run.versions) - 1; i >= 0; i-- { // newest first
 			before := got.ended(noon.Add(time.Hour))
--- a/burn/report_test.go
+++ b/burn/report_test.go
@@ -27,7 +27,7 @@
 }
 
 func (c *counting) report() Report {
-	return Set{source(0): c.state.Document(c.now)}.Total().Report(c.now, DefaultObjective)
+	return documents{source(0): c.state.Document(c.now)}.total().Report(c.now, DefaultObjective)
 }
 
 func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
--- a/burn/total.go
+++ b/burn/total.go
@@ -4,36 +4,9 @@
 	"github.com/hyssophaven/hyssophaven/fleet"
 )
 
-// Set holds the newest known document of each incarnation. The order in which
-// versions arrive does not matter.
-type Set map[Source]Document
-
-// Put takes a document unless a version at least as new is known.
-func (s Set) Put(d Document) {
-	if have, ok := s[d.Source]; !ok || d.Sequence > have.Sequence {
-		s[d.Source] = d
-	}
-}
-
-// Merge takes all documents of o.
-func (s Set) Merge(o Set) {
-	for _, d := range o {
-		s.Put(d)
-	}
-}
-
-// Total returns the sum over all documents.
-func (s Set) Total() *Total {
-	t := NewTotal()
-	for _, d := range s {
-		t.Add(d)
-	}
-	return t
-}
-
-// Total is a sum over documents of different incarnations. Unlike a Set it
-// does not keep the documents, which would need about 2 GB for the documents
-// of 420 live and 620 replaced instances.
+// Total is a sum over documents of different incarnations. The order in which
+// they are added does not matter. It does not keep the documents, which would
+// need several GB at full size, with 420 live and 620 replaced instances.
 type Total struct {
 	sources map[Source]bool
 	ranks   [fleet.RankCount]Series
@@ -47,9 +20,6 @@
 	return &Total{sources: make(map[Source]bool), rows: make(map[Key]*Series), moves: make(map[Move]*Series)}
 }
 
-// Has reports whether a document of the incarnation is part of the sum.
-func (t *Total) Has(s Source) bool { return t.sources[s] }
-
 // Sources returns the number of documents in the sum.
 func (t *Total) Sources() int { return len(t.sources) }
 
--- a/burnpage/page.go
+++ b/burnpage/page.go
@@ -45,7 +45,7 @@
 	}{
 		{"Burn rate by rank", "Steps of five minutes. Grey lines: at 1 the error budget is spent exactly by the end of its period, 6 is a slow burn, 14.4 a fast burn.", burnPlot},
 		{"Attainment by rank", "Share of the valid requests that were answered within every target. Grey line: the objective.", attainmentPlot},
-		{"Requests asked by rank", "Everything that callers asked of the fleet, also what was refused or cancelled.", askedPlot},
+		{"Requests asked by rank", "Everything that callers asked of the fleet, also what was refused or cancelled. The last step is still filling.", askedPlot},
 		{"Model moves planned", "Per five minutes; the table below shows their causes.", movesPlot},
 	} {
 		p, err := f.draw(r)
--- a/burnpage/plots.go
+++ b/burnpage/plots.go
@@ -174,7 +174,7 @@
 		minutes = r.Timeline[0].Seconds / 60
 	}
 	err := rankLines(p, r, func(l burncodec.PointLevel) (float64, bool) { return float64(l.Asked) / minutes, true })
-	p.Y.Max = math.Max(p.Y.Max, 1)
+	p.Y.Max = math.Max(1.15*p.Y.Max, 1)
 	return p, err
 }
 
--- a/burnstore/burnstore.go
+++ b/burnstore/burnstore.go
@@ -82,7 +82,7 @@
 	if c.WriteInterval == 0 {
 		c.WriteInterval = burn.DefaultWriteInterval
 	}
-	if c.Objective == 0 {
+	if c.Objective <= 0 || c.Objective >= 1 { // an objective of 1 has no error budget
 		c.Objective = burn.DefaultObjective
 	}
 	for _, name := range counterNames {
