compare: slow the engines so that the fleet saturates first

Cause: with 25 ms steps a flood of 5 times the fleet is 1,950 urgent requests/s, and the first-in-first-out baselines ran out of 20,000 file descriptors in one process. Change: 100 ms steps; 490 urgent requests/s in the same flood.

--- a/compare/cases.go
+++ b/compare/cases.go
@@ -15,10 +15,11 @@
 )
 
 // The engines of a measurement are slower than the stand-in's defaults, so that
-// the fleet is saturated before the machine is.
+// the fleet is saturated before the machine is. At 25 ms a step the fifo
+// baselines ran out of 20,000 file descriptors in a flood.
 const (
-	decodeStep        = 25 * time.Millisecond
-	decodePerSequence = time.Millisecond
+	decodeStep        = 100 * time.Millisecond
+	decodePerSequence = 4 * time.Millisecond
 	engineSlots       = 16
 	modelLoadTime     = time.Second
 )
