peer: send the slots that a row wants

Cause: in a patient flood six instances had 809 requests on engines with 192 slots. Heartbeats left out the demand in slots, so each instance took itself for the only one with demand and gave itself nearly all slots. Ruled out: lost Finish calls and readmitted requests (809 gateway calls were in relay, as many as engine requests). Change: the encoder carries RowDemand.Slots. Conclusion: shares add up again; the misses that remain are next.

--- a/peer/decode.go
+++ b/peer/decode.go
@@ -169,7 +169,7 @@
 }
 
 func (d *decoder) applyDemand(l *loadDecoder, v []int64) error {
-	if len(v) == 0 || len(v) > 4 {
+	if len(v) == 0 || len(v) > 5 {
 		return malformed("demand entry of %d values", len(v))
 	}
 	row, err := d.name(v[0])
@@ -183,9 +183,9 @@
 		delete(l.demand, v[0])
 		return nil
 	}
-	var padded [4]int64
+	var padded [5]int64
 	copy(padded[:], v)
-	l.demand[v[0]] = membership.RowDemand{Row: row, ArrivalRate: float64(padded[1]) / 10, Queued: int(padded[2]), InFlight: int(padded[3])}
+	l.demand[v[0]] = membership.RowDemand{Row: row, ArrivalRate: float64(padded[1]) / 10, Queued: int(padded[2]), InFlight: int(padded[3]), Slots: float64(padded[4]) / 10}
 	if len(l.demand) > maxRows {
 		return malformed("more than %d rows", maxRows)
 	}
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -109,7 +109,7 @@
 
 // loadEncoder holds what was last sent of a set of rows and reports.
 type loadEncoder struct {
-	demand  map[int64][3]int64
+	demand  map[int64][4]int64
 	reports map[int64]*sentReport
 }
 
@@ -125,7 +125,7 @@
 }
 
 func newLoadEncoder() loadEncoder {
-	return loadEncoder{demand: make(map[int64][3]int64), reports: make(map[int64]*sentReport)}
+	return loadEncoder{demand: make(map[int64][4]int64), reports: make(map[int64]*sentReport)}
 }
 
 func (e *encoder) encodeLoad(l *loadEncoder, now time.Time, demand []membership.RowDemand, reports []membership.EndpointReport) wireLoadChanges {
@@ -148,18 +148,18 @@
 	var out [][]int64
 	present := make(map[int64]bool, len(demand))
 	for _, d := range demand {
-		v := [3]int64{tenths(d.ArrivalRate), int64(d.Queued), int64(d.InFlight)}
-		if v == [3]int64{} {
+		v := [4]int64{tenths(d.ArrivalRate), int64(d.Queued), int64(d.InFlight), tenths(d.Slots)}
+		if v == [4]int64{} {
 			continue
 		}
 		id := e.name(d.Row)
 		present[id] = true
 		old, ok := l.demand[id]
-		if ok && !changedCount(old[0], v[0]) && !changedCount(old[1], v[1]) && !changedCount(old[2], v[2]) {
+		if ok && !changedCount(old[0], v[0]) && !changedCount(old[1], v[1]) && !changedCount(old[2], v[2]) && !changedCount(old[3], v[3]) {
 			continue
 		}
 		l.demand[id] = v
-		out = append(out, trimZeros([]int64{id, v[0], v[1], v[2]}, 2))
+		out = append(out, trimZeros([]int64{id, v[0], v[1], v[2], v[3]}, 2))
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.demand)) {
 		if !present[id] {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -32,7 +32,7 @@
 // wireLoadChanges are the changed rows and reports.
 type wireLoadChanges struct {
 	// Demand has [row] for a row without demand, or [row, rate in 1/10 per
-	// second, queued, in flight] with zeros at the end left out.
+	// second, queued, in flight, 1/10 slots] with zeros at the end left out.
 	Demand [][]int64 `json:"d,omitempty"`
 	// Reports has [endpoint] for one that is not reported any more, [endpoint,
 	// age] for a new report of the same load, or [endpoint, age, running,
