--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -194,8 +194,12 @@
 	}
 }
 
-// readError is the error for an answer that ended early.
+// readError is the error for an answer that ended early. It never wraps io.EOF,
+// which means the end of a whole answer.
 func readError(ctx context.Context, err error, executed engine.Executed) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	if ctx.Err() != nil {
 		return &engine.Error{Kind: engine.Cancelled, Executed: executed, Err: errors.Join(ctx.Err(), err)}
 	}
--- a/engine/enginehttp/events.go
+++ b/engine/enginehttp/events.go
@@ -35,7 +35,7 @@
 // its blank line is then dropped.
 func (e *eventReader) next() (name string, data []byte, err error) {
 	e.name, e.data, e.size = e.name[:0], e.data[:0], 0
-	found := false
+	found, hasData := false, false
 	for {
 		line, err := e.line()
 		if err != nil {
@@ -52,11 +52,11 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "data":
-			if found && len(e.data) > 0 {
+			if hasData {
 				e.data = append(e.data, '\n')
 			}
 			e.data = append(e.data, value...)
-			found = true
+			found, hasData = true, true
 		case "event":
 			e.name = append(e.name[:0], value...)
 			found = true
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,285 @@
+package standinengine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/standin"
+	standinplatform "github.com/hyssophaven/hyssophaven/standin/platform"
+)
+
+var _ standin.Crasher = (*Engine)(nil)
+
+// run runs f on an engine under virtual time.
+func run(t *testing.T, c Config, f func(t *testing.T, is *is.I, e *Engine)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := New(c)
+		defer e.Close()
+		f(t, is.New(t), e)
+	})
+}
+
+func order(kind engine.OrderKind, name, base string, memoryMB int, sequence uint64) engine.Order {
+	return engine.Order{ID: name, Token: fleet.Token{Epoch: 1, Sequence: sequence}, Kind: kind, Name: name, Base: base, Version: "v1", MemoryMB: memoryMB}
+}
+
+// mustOrder gives an order that must be accepted, and waits until it is done.
+func mustOrder(t *testing.T, e *Engine, o engine.Order) {
+	t.Helper()
+	result, err := e.Order(t.Context(), o)
+	if err != nil || !result.Accepted {
+		t.Fatalf("order %+v: %+v, %v", o, result, err)
+	}
+	time.Sleep(2 * time.Second)
+}
+
+func generate(t *testing.T, e *Engine, id, prompt string, rank fleet.Rank, tokens, resumeFrom int) engine.Stream {
+	t.Helper()
+	s, err := e.Generate(t.Context(), engine.GenerateRequest{
+		RequestID: id, Model: "m", Prompt: prompt, MaxTokens: tokens, Priority: rank, ResumeFrom: resumeFrom,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// text reads a stream to its end.
+func text(s engine.Stream) (string, error) {
+	defer func() { _ = s.Close() }()
+	out := ""
+	for {
+		c, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		out += c.Text
+	}
+}
+
+// Guards against answers that tests can't tell apart, and resumed answers that
+// don't continue the first part.
+func TestAnswersBelongToTheirPromptAndResume(t *testing.T) {
+	run(t, Config{}, func(t *testing.T, is *is.I, e *Engine) {
+		mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+		mustOrder(t, e, order(engine.LoadAdapter, "a", "m", 1, 2))
+		whole, err := text(generate(t, e, "r1", "one", fleet.Prompt, 20, 0))
+		is.NoErr(err)
+		is.Equal(whole, Answer("m", "", "v1", "one", 20))
+		for _, from := range []int{1, 7, 19, 20} {
+			rest, err := text(generate(t, e, "r2", "one", fleet.Prompt, 20, from))
+			is.NoErr(err)
+			is.Equal(Answer("m", "", "v1", "one", from)+rest, whole)
+		}
+		s, err := e.Generate(t.Context(), engine.GenerateRequest{RequestID: "r3", Model: "m", Adapter: "a", Version: "v1", Prompt: "one", MaxTokens: 1})
+		is.NoErr(err)
+		adapted, err := text(s)
+		is.NoErr(err)
+		is.Equal(adapted, Answer("m", "a", "v1", "one", 1))
+		is.True(adapted != Answer("m", "", "v1", "one", 1))
+		is.Equal(e.Counts().ByRequest["r2"], RequestCounts{Accepted: 4, Started: 4, Finished: 4})
+	})
+}
+
+// Guards against urgent work that waits behind less urgent work.
+func TestUrgentRequestsStartFirst(t *testing.T) {
+	for _, pauses := range []bool{false, true} {
+		run(t, Config{Slots: 1, PausesLowerRanks: pauses}, func(t *testing.T, is *is.I, e *Engine) {
+			mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+			ended := make(chan string, 3)
+			start := func(id string, rank fleet.Rank) {
+				s := generate(t, e, id, id, rank, 50, 0)
+				go func() {
+					if _, err := text(s); err == nil {
+						ended <- id
+					}
+				}()
+				time.Sleep(50 * time.Millisecond)
+			}
+			start("running", fleet.Patient)
+			start("waiting", fleet.Prompt)
+			start("urgent", fleet.Urgent)
+			want := []string{"running", "urgent", "waiting"}
+			if pauses {
+				want = []string{"urgent", "waiting", "running"}
+			}
+			is.Equal([]string{<-ended, <-ended, <-ended}, want)
+			is.Equal(e.Counts().Paused > 0, pauses)
+		})
+	}
+}
+
+// Guards against a stand-in that can't show the difference between engines
+// that check fencing tokens and engines that ignore them.
+func TestOldTokensAreRefusedOnlyIfChecked(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		run(t, Config{ChecksTokens: checks}, func(t *testing.T, is *is.I, e *Engine) {
+			mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 5))
+			mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 5)) // equal token, same order
+			late, err := e.Order(t.Context(), order(engine.UnloadModel, "m", "", 10, 4))
+			is.NoErr(err)
+			is.Equal(late.Accepted, !checks)
+			state, err := e.State(t.Context())
+			is.NoErr(err)
+			is.Equal(len(state.Residents) == 1, checks)
+			is.Equal(state.HighestToken == fleet.Token{Epoch: 1, Sequence: 5}, checks)
+			is.Equal(e.Counts().Orders[OrderKey{engine.LoadModel, OutcomeNoEffect}], 1)
+		})
+	}
+}
+
+// Guards against memory that is shown as free while requests of an unloaded
+// model still run.
+func TestUnloadHoldsMemoryUntilRequestsEnd(t *testing.T) {
+	for _, cuts := range []bool{false, true} {
+		run(t, Config{CutsOnUnload: cuts, UnloadTime: 100 * time.Millisecond}, func(t *testing.T, is *is.I, e *Engine) {
+			mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+			s := generate(t, e, "r", "p", fleet.Prompt, 1000, 0)
+			ended := make(chan error, 1)
+			go func() { _, err := text(s); ended <- err }()
+			time.Sleep(time.Second)
+			mustOrder(t, e, order(engine.UnloadModel, "m", "", 10, 2))
+			state, err := e.State(t.Context())
+			is.NoErr(err)
+			is.Equal(state.UsedMB == 0, cuts)
+			_, err = e.Generate(t.Context(), engine.GenerateRequest{RequestID: "r2", Model: "m", MaxTokens: 1})
+			kind, _ := engine.ErrorKindOf(err)
+			is.Equal(kind, engine.NotResident)
+			is.Equal(<-ended != nil, cuts)
+			time.Sleep(time.Second)
+			state, err = e.State(t.Context())
+			is.NoErr(err)
+			is.Equal(state.UsedMB, 0)
+		})
+	}
+}
+
+// Guards against overcommitted memory that tests don't see.
+func TestOvercommitIsRefusedOrCounted(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		run(t, Config{MemoryMB: 15, RefusesOvercommit: refuses}, func(t *testing.T, is *is.I, e *Engine) {
+			mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+			result, err := e.Order(t.Context(), order(engine.LoadModel, "n", "", 10, 2))
+			is.NoErr(err)
+			is.Equal(result.Accepted, !refuses)
+			n := e.Counts()
+			if refuses {
+				is.Equal([]int{n.PeakMB, n.OvercommitEvents, n.OvercommitMB}, []int{10, 0, 0})
+			} else {
+				is.Equal([]int{n.PeakMB, n.OvercommitEvents, n.OvercommitMB}, []int{20, 1, 5})
+			}
+		})
+	}
+}
+
+// Guards against a poisoned prompt that leaves other streams, residents or the
+// boot id as they were.
+func TestPoisonCrashesAndRestartsEmpty(t *testing.T) {
+	run(t, Config{PoisonText: "poison", RestartDelay: 3 * time.Second}, func(t *testing.T, is *is.I, e *Engine) {
+		mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+		before, err := e.State(t.Context())
+		is.NoErr(err)
+		innocent := generate(t, e, "r1", "p", fleet.Prompt, 1000, 0)
+		poisoned := generate(t, e, "r2", "some poison here", fleet.Prompt, 10, 0)
+		for _, s := range []engine.Stream{innocent, poisoned} {
+			_, err := text(s)
+			kind, ok := engine.ErrorKindOf(err)
+			is.True(ok)
+			is.Equal(kind, engine.Truncated)
+		}
+		_, err = e.State(t.Context())
+		is.True(err != nil) // down
+		time.Sleep(4 * time.Second)
+		after, err := e.State(t.Context())
+		is.NoErr(err)
+		is.True(after.BootID != before.BootID)
+		is.Equal(len(after.Residents), 0)
+		n := e.Counts()
+		is.Equal(n.Crashes, 1)
+		is.Equal(n.Total, RequestCounts{Accepted: 2, Started: 2, Cut: 2})
+		is.Equal(n.ByPrompt[PromptHash("some poison here")].Started, 1)
+	})
+}
+
+// Guards against adapter loads that ignore the other loads in transit.
+func TestAdapterLoadsSlowDownInProportion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := standinplatform.New(standinplatform.Config{Weights: standinplatform.WeightConfig{AdapterLoads: 2}})
+		defer p.Close()
+		e := New(Config{Weights: p.Weights(), AdapterLoadTime: 10 * time.Millisecond})
+		defer e.Close()
+		mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+		start := time.Now()
+		took := make(chan time.Duration, 6)
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			go func() {
+				if r, err := e.Order(t.Context(), order(engine.LoadAdapter, name, "m", 1, 2)); err == nil && r.Accepted {
+					took <- time.Since(start)
+				}
+			}()
+		}
+		var longest time.Duration
+		for range 6 {
+			longest = max(longest, <-took)
+		}
+		is.Equal(longest, 30*time.Millisecond) // 6 in transit, 2 at full speed
+	})
+}
+
+// Guards against load reports and cache events that are fresher or more
+// complete than those of a real engine.
+func TestReportsAndCacheEventsAreLate(t *testing.T) {
+	c := Config{ReportLag: 5 * time.Second, CacheEventDelay: time.Second, CacheEventLoss: 0.5, CachePrefixes: 4, Seed: 3}
+	run(t, c, func(t *testing.T, is *is.I, e *Engine) {
+		mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+		report, err := e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(len(report.Residents), 0) // taken before the load
+		for _, prompt := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			_, err := text(generate(t, e, prompt, prompt, fleet.Prompt, 1, 0))
+			is.NoErr(err)
+		}
+		events, err := e.CacheEvents(t.Context(), 0)
+		is.NoErr(err)
+		is.Equal(len(events), 0)
+		time.Sleep(10 * time.Second)
+		events, err = e.CacheEvents(t.Context(), 0)
+		is.NoErr(err)
+		is.True(len(events) > 0 && len(events) < 12) // 8 additions, 4 removals, some lost
+		report, err = e.Report(t.Context())
+		is.NoErr(err)
+		is.Equal(len(report.Residents), 1)
+		is.True(time.Since(report.TakenAt) >= 5*time.Second)
+	})
+}
+
+// Guards against requests that go on, or count as finished, after their client has gone.
+func TestCancelledRequestsFreeTheirSlot(t *testing.T) {
+	run(t, Config{Slots: 1}, func(t *testing.T, is *is.I, e *Engine) {
+		mustOrder(t, e, order(engine.LoadModel, "m", "", 10, 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		s, err := e.Generate(ctx, engine.GenerateRequest{RequestID: "r1", Model: "m", MaxTokens: 1000})
+		is.NoErr(err)
+		_, err = s.Next()
+		is.NoErr(err)
+		cancel()
+		_, err = text(s)
+		is.True(err != nil)
+		_, err = text(generate(t, e, "r2", "p", fleet.Prompt, 1, 0))
+		is.NoErr(err)
+		is.Equal(e.Counts().ByRequest["r1"], RequestCounts{Accepted: 1, Started: 1, Cancelled: 1})
+	})
+}
--- /dev/null
+++ b/standin/platform/platform_test.go
@@ -0,0 +1,151 @@
+package standinplatform
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+)
+
+func write(key string) platform.Txn {
+	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte("v")}}}
+}
+
+// Guards against a lost answer that also loses the write, or a fault that goes
+// on after its number of writes.
+func TestLostAnswersTakeEffect(t *testing.T) {
+	is := is.New(t)
+	p := New(Config{})
+	defer p.Close()
+	p.SetFaults(Tables, Faults{LoseAnswers: 1})
+	_, err := p.Tables().Commit(t.Context(), write("a"))
+	is.True(errors.Is(err, platform.ErrUnknownOutcome))
+	records, err := p.Tables().Read(t.Context(), platform.Query{Keys: []string{"a"}})
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	_, err = p.Tables().Commit(t.Context(), write("b"))
+	is.NoErr(err)
+	is.Equal(p.Counts()[Tables], Counts{Reads: 1, Writes: 2, Lost: 1})
+}
+
+// Guards against faults by chance that a seed does not repeat.
+func TestSeedRepeatsLostAnswers(t *testing.T) {
+	is := is.New(t)
+	pattern := func() (out []bool) {
+		p := New(Config{Seed: 7})
+		defer p.Close()
+		p.SetFaults(Objects, Faults{LoseProbability: 0.5})
+		for range 32 {
+			out = append(out, p.Objects().Put(t.Context(), "o", nil) != nil)
+		}
+		return out
+	}
+	one := pattern()
+	is.Equal(one, pattern())
+	is.True(slices.Contains(one, true) && slices.Contains(one, false))
+}
+
+// Guards against a service that is down but applies writes, and against faults
+// of one service that hit another.
+func TestDownServiceAppliesNothing(t *testing.T) {
+	is := is.New(t)
+	p := New(Config{})
+	defer p.Close()
+	p.SetFaults(Tables, Faults{Down: true})
+	_, err := p.Tables().Commit(t.Context(), write("a"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.NoErr(p.Objects().Put(t.Context(), "o", nil))
+	p.SetFaults(Tables, Faults{})
+	records, err := p.Tables().Read(t.Context(), platform.Query{Prefix: "a"})
+	is.NoErr(err)
+	is.Equal(len(records), 0)
+	is.Equal(p.Counts()[Tables].Refused, 1)
+}
+
+// Guards against a list that shows changes at once, and a slow service that is not.
+func TestListLagsAndSlowServicesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New(Config{ListLag: 3 * time.Second})
+		defer p.Close()
+		p.PutEndpoint(fleet.Endpoint{ID: "e", Address: "a:1"})
+		shown := func() int {
+			l, err := p.Instances().List(t.Context())
+			is.NoErr(err)
+			return len(l.Endpoints)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(shown(), 0)
+		time.Sleep(time.Second)
+		is.Equal(shown(), 1)
+		p.RemoveEndpoint("e")
+		is.Equal(shown(), 1)
+		p.SetFaults(Instances, Faults{Delay: 4 * time.Second})
+		is.Equal(shown(), 0)
+	})
+}
+
+// Guards against loads that start faster than the rate, or that don't slow
+// each other down, and against permits of dead engines that count forever.
+func TestWeightStoreLimitsRateAndSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New(Config{Weights: WeightConfig{LoadsPerSecond: 2, Loads: 2, PermitTime: time.Minute}})
+		defer p.Close()
+		start := time.Now()
+		acquire := func() platformhttp.Permit {
+			permit, err := p.Weights().Acquire(t.Context(), platformhttp.LoadRequest{Engine: "e", Name: "m"})
+			is.NoErr(err)
+			return permit
+		}
+		var slowdowns []float64
+		var last platformhttp.Permit
+		for range 4 {
+			last = acquire()
+			slowdowns = append(slowdowns, last.Slowdown)
+		}
+		is.Equal(slowdowns, []float64{1, 1, 1.5, 2})
+		is.Equal(time.Since(start), 1500*time.Millisecond)
+		is.NoErr(p.Weights().Release(t.Context(), last.ID))
+		is.Equal(acquire().Slowdown, 2.0)
+		time.Sleep(2 * time.Minute)
+		is.Equal(acquire().Slowdown, 1.0)
+	})
+}
+
+// Guards against a test interface over HTTP that differs from the Go API.
+func TestFaultsAndListOverHTTP(t *testing.T) {
+	is := is.New(t)
+	p := New(Config{})
+	defer p.Close()
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	put := func(path, body string) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, server.URL+path, strings.NewReader(body))
+		is.NoErr(err)
+		res, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		return res.StatusCode
+	}
+	is.Equal(put("/faults/tables", `{"delay":"2s","lose_answers":3,"lose_probability":0.5,"answer_delay":"1ms","down":true}`), 200)
+	is.Equal(p.Faults(Tables), Faults{Down: true, Delay: 2 * time.Second, AnswerDelay: time.Millisecond, LoseAnswers: 3, LoseProbability: 0.5})
+	is.Equal(put("/faults/other", `{}`), 400)
+	is.Equal(put("/faults/tables", `{"typo":1}`), 400)
+	is.Equal(put("/list/endpoints/e1", `{"kind":"engine","address":"a:1"}`), 200)
+	is.Equal(put("/list/instances/i1", `{"data_centre":"d"}`), 200)
+	l, err := p.Instances().List(t.Context())
+	is.NoErr(err)
+	is.Equal(l.Endpoints[0].ID, fleet.EndpointID("e1"))
+	is.Equal(l.Instances[0].ID, fleet.InstanceID("i1"))
+}
--- /dev/null
+++ b/standin/serve_test.go
@@ -0,0 +1,71 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/engine/enginehttp"
+	"github.com/hyssophaven/hyssophaven/standin"
+	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
+)
+
+// Guards against a crash that leaves connections open, keeps answering, or
+// brings the engine back at another address.
+func TestCrashCutsConnectionsAndRefusesNewOnes(t *testing.T) {
+	is := is.New(t)
+	e := standinengine.New(standinengine.Config{RestartDelay: 300 * time.Millisecond, ModelLoadTime: time.Millisecond})
+	r, err := standin.Start(t.Context(), "engine", e, "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(r.Stop(context.WithoutCancel(t.Context()))) }()
+	c := enginehttp.NewClient(r.Address(), enginehttp.Options{})
+	before, err := c.State(t.Context())
+	is.NoErr(err)
+	_, err = c.Order(t.Context(), engine.Order{ID: "o", Name: "m", Version: "v1"})
+	is.NoErr(err)
+	request := engine.GenerateRequest{RequestID: "r", Model: "m", MaxTokens: 100_000}
+	s, err := c.Generate(t.Context(), request)
+	for kind, ok := engine.ErrorKindOf(err); ok && kind == engine.NotResident; kind, ok = engine.ErrorKindOf(err) {
+		time.Sleep(time.Millisecond) // until the model is loaded
+		s, err = c.Generate(t.Context(), request)
+	}
+	is.NoErr(err)
+	_, err = s.Next()
+	is.NoErr(err)
+	e.Crash()
+	for err == nil {
+		_, err = s.Next()
+	}
+	kind, _ := engine.ErrorKindOf(err)
+	is.Equal(kind, engine.Truncated)
+	is.NoErr(s.Close())
+
+	var after engine.State
+	refused := false
+	for {
+		if after, err = c.State(t.Context()); err == nil {
+			break
+		}
+		var e *engine.Error
+		is.True(errors.As(err, &e))
+		refused = refused || e.Executed == engine.ExecutedNo
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(refused) // the connection was refused while the engine was down
+	is.True(after.BootID != before.BootID)
+	is.Equal(len(after.Residents), 0)
+}
+
+// Guards against a stand-in that starts without its address and goes unnoticed.
+func TestStartFailsIfTheAddressIsTaken(t *testing.T) {
+	is := is.New(t)
+	first, err := standin.Start(t.Context(), "engine", standinengine.New(standinengine.Config{}), "127.0.0.1:0")
+	is.NoErr(err)
+	_, err = standin.Start(t.Context(), "engine", standinengine.New(standinengine.Config{}), first.Address())
+	is.True(err != nil)
+	is.NoErr(first.Stop(t.Context()))
+}
