standin/engine: add faults of orders and a property of memory

Tests of lost, delayed and repeated orders need them between sender and engine, also when the sender has gone. The engine stand-in now takes order_delay, repeat_after, lose_orders and lose_answers by Go API and under /faults. A rapid property checks that an engine that refuses overcommitment never exceeds its memory.

--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +27,8 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
+			// Without a bound, a host that drops packets holds a dial for minutes.
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idlePerEngine,
 			IdleConnTimeout:     90 * time.Second,
 			DisableCompression:  true,
@@ -38,6 +41,10 @@
 	}
 }
 
+// dialTimeout is far above the round trip between data centres, about 1 ms,
+// and leaves time for one lost packet, which is sent again after 1 s.
+const dialTimeout = 2 * time.Second
+
 // Options configure a Client.
 type Options struct {
 	HTTP        *http.Client // nil means a new one from NewHTTPClient
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -40,6 +40,7 @@
 	cache     prefixCache
 	reports   reportLog
 	counts    Counts
+	faults    Faults
 }
 
 var _ enginehttp.Backend = (*Engine)(nil)
@@ -91,8 +92,8 @@
 	})
 }
 
-// Handler serves the engine's protocol, and for tests GET /counts, POST /crash
-// and PUT /leaving?value=true.
+// Handler serves the engine's protocol, and for tests GET /counts, GET and PUT
+// /faults, POST /crash and PUT /leaving?value=true.
 func (e *Engine) Handler() http.Handler { return e.handler }
 
 // Crashes implements standin.Crasher.
@@ -103,6 +104,8 @@
 	r.Get("/counts", func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Answer(w, http.StatusOK, newCountsMessage(e.Counts()))
 	})
+	r.Get("/faults", e.getFaults)
+	r.Put("/faults", e.putFaults)
 	r.Post("/crash", func(w http.ResponseWriter, _ *http.Request) {
 		e.Crash()
 		jsonhttp.Answer(w, http.StatusOK, struct{}{})
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
@@ -283,3 +284,66 @@
 		is.Equal(e.Counts().ByRequest["r1"], RequestCounts{Accepted: 1, Started: 1, Cancelled: 1})
 	})
 }
+
+// Guards against faults on the way of orders that differ from what a network
+// does: a delayed order still arrives when its sender has gone.
+func TestOrdersAreLostDelayedAndRepeated(t *testing.T) {
+	run(t, Config{}, func(t *testing.T, is *is.I, e *Engine) {
+		holds := func() int {
+			s, err := e.State(t.Context())
+			is.NoErr(err)
+			return s.UsedMB
+		}
+		e.SetFaults(Faults{LoseOrders: 1, LoseAnswers: 1})
+		_, err := e.Order(t.Context(), order(engine.LoadModel, "m", "", 1, 1))
+		is.True(err != nil)
+		is.Equal(holds(), 0) // never arrived
+		_, err = e.Order(t.Context(), order(engine.LoadModel, "m", "", 1, 2))
+		is.True(err != nil)
+		is.Equal(holds(), 1) // arrived without an answer
+		e.SetFaults(Faults{OrderDelay: time.Minute, RepeatAfter: time.Hour})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = e.Order(ctx, order(engine.LoadModel, "n", "", 2, 3))
+		is.True(err != nil)
+		is.Equal(holds(), 1)
+		time.Sleep(time.Minute)
+		is.Equal(holds(), 3) // arrived late
+		e.SetFaults(Faults{})
+		mustOrder(t, e, order(engine.UnloadModel, "n", "", 2, 4))
+		is.Equal(holds(), 1)
+		time.Sleep(2 * time.Hour)
+		is.Equal(holds(), 3) // arrived once more
+	})
+}
+
+// Guards against an engine that refuses overcommitment but exceeds its memory,
+// or reports other memory than its entries hold.
+func TestMemoryStaysWithinCapacity(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		run(t, Config{MemoryMB: 10, RefusesOvercommit: true, UnloadTime: 50 * time.Millisecond}, func(t *testing.T, _ *is.I, e *Engine) {
+			kinds := []engine.OrderKind{engine.LoadModel, engine.UnloadModel, engine.LoadAdapter, engine.UnloadAdapter}
+			for i := range rapid.IntRange(1, 20).Draw(rt, "orders") {
+				o := order(rapid.SampledFrom(kinds).Draw(rt, "kind"), rapid.SampledFrom([]string{"m", "n", "o"}).Draw(rt, "name"), "m", rapid.IntRange(1, 6).Draw(rt, "memory"), uint64(i))
+				if _, err := e.Order(t.Context(), o); err != nil {
+					rt.Fatal(err)
+				}
+				time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "pause")) * time.Millisecond)
+				s, err := e.State(t.Context())
+				if err != nil {
+					rt.Fatal(err)
+				}
+				sum := 0
+				for _, r := range s.Residents {
+					sum += r.MemoryMB
+				}
+				if s.UsedMB > 10 || sum != s.UsedMB {
+					rt.Fatalf("used %d MB, residents %+v", s.UsedMB, s.Residents)
+				}
+			}
+			if n := e.Counts(); n.PeakMB > 10 || n.OvercommitEvents > 0 {
+				rt.Fatalf("counts %+v", n)
+			}
+		})
+	})
+}
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -37,30 +37,50 @@
 // accepted, that of an adapter when the adapter is ready, and an unload when it
 // is accepted; memory stays held until the requests of the entry have ended.
 func (e *Engine) Order(ctx context.Context, o engine.Order) (engine.OrderResult, error) {
-	var result engine.OrderResult
-	var wait *resident
-	if err := e.read(func() { result, wait = e.order(o) }); err != nil {
+	d, a, err := e.deliver(o)
+	if err != nil {
 		return engine.OrderResult{}, err
 	}
-	if wait == nil {
-		return result, nil
+	if a.lost {
+		return engine.OrderResult{}, lost()
 	}
 	select {
-	case <-wait.settled:
+	case <-d.arrived:
 	case <-ctx.Done():
-		return engine.OrderResult{}, &engine.Error{Kind: engine.Cancelled, Err: ctx.Err()}
+		return engine.OrderResult{}, gone(ctx)
 	}
-	died := false
+	if d.err != nil || a.answerLost {
+		return engine.OrderResult{}, lost()
+	}
+	if d.wait == nil {
+		return d.result, nil
+	}
+	select {
+	case <-d.wait.settled:
+	case <-ctx.Done():
+		return engine.OrderResult{}, gone(ctx)
+	}
+	return e.settledResult(d)
+}
+
+// gone is the error for a sender that did not wait for the answer.
+func gone(ctx context.Context) error {
+	return &engine.Error{Kind: engine.Cancelled, Executed: engine.ExecutedUnknown, Err: ctx.Err()}
+}
+
+// settledResult returns the answer to a load that has ended.
+func (e *Engine) settledResult(d *delivery) (engine.OrderResult, error) {
+	result, died := d.result, false
 	err := e.read(func() {
-		died = wait.boot.Err() != nil
-		if e.residents[wait.key] != wait {
+		died = d.wait.boot.Err() != nil
+		if e.residents[d.wait.key] != d.wait {
 			result.Accepted, result.Reason = false, "unloaded while loading"
 		}
 	})
-	if died {
-		err = lost()
+	if err != nil || died {
+		return engine.OrderResult{}, lost()
 	}
-	return result, err
+	return result, nil
 }
 
 // order applies o. It returns the entry whose load the answer has to wait for.
