standin: test concurrent and resumed answers over TCP

Nothing showed yet that chunks of concurrent streams reach only their callers through both codec sides.

--- a/standin/serve_test.go
+++ b/standin/serve_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,3 +72,61 @@
 	is.True(err != nil)
 	is.NoErr(first.Stop(t.Context()))
 }
+
+// Guards against chunks of concurrent answers that reach another caller, and
+// against resumed answers that repeat or miss a part.
+func TestConcurrentAnswersReachTheirCallers(t *testing.T) {
+	is := is.New(t)
+	const callers, tokens = 100, 40
+	e := standinengine.New(standinengine.Config{Slots: callers, DecodeStep: time.Millisecond, DecodePerSequence: time.Microsecond, ModelLoadTime: time.Millisecond})
+	r, err := standin.Start(t.Context(), "engine", e, "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(r.Stop(context.WithoutCancel(t.Context()))) }()
+	c := enginehttp.NewClient(r.Address(), enginehttp.Options{})
+	_, err = c.Order(t.Context(), engine.Order{ID: "o", Name: "m", Version: "v1"})
+	is.NoErr(err)
+	for s, err := c.State(t.Context()); err == nil && !s.Residents[0].Ready; s, err = c.State(t.Context()) {
+		time.Sleep(time.Millisecond)
+	}
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			request := engine.GenerateRequest{RequestID: fmt.Sprintf("r%d", i), Model: "m", Prompt: fmt.Sprintf("prompt %d", i), MaxTokens: tokens}
+			answer, err := readChunks(t.Context(), c, request, i%tokens)
+			request.ResumeFrom = i % tokens
+			if err == nil {
+				var rest string
+				rest, err = readChunks(t.Context(), c, request, tokens)
+				answer += rest
+			}
+			if want := standinengine.Answer("m", "", "v1", request.Prompt, tokens); err != nil || answer != want {
+				t.Errorf("answer %q, want %q: %v", answer, want, err)
+			}
+		})
+	}
+	wg.Wait()
+	n := e.Counts()
+	is.Equal(n.Total.Accepted, 2*callers)
+	is.True(n.Total.Finished >= callers) // every resumed request
+}
+
+// readChunks reads at most limit chunks and then closes the stream.
+func readChunks(ctx context.Context, c *enginehttp.Client, r engine.GenerateRequest, limit int) (string, error) {
+	s, err := c.Generate(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = s.Close() }()
+	text := ""
+	for range limit {
+		chunk, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return text, err
+		}
+		text += chunk.Text
+	}
+	return text, nil
+}
