--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -314,6 +314,7 @@
 	executed string
 	header   http.Header
 	body     string
+	last     bool // the gateway closes the connection after the answer
 }
 
 // call sends a request with header name and value pairs.
@@ -328,5 +329,5 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	r.is.NoErr(err)
-	return reply{resp.StatusCode, resp.Header.Get(HeaderExecuted), resp.Header, string(data)}
+	return reply{resp.StatusCode, resp.Header.Get(HeaderExecuted), resp.Header, string(data), resp.Close}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	server     *http.Server
 	served     chan struct{} // closed when the server's accept loop has ended
 	stopping   chan struct{} // closed when background work must give up
+	giveUp     sync.Once     // closes stopping
 	background sync.WaitGroup
 }
 
@@ -189,7 +190,7 @@
 		return fmt.Errorf("wait for callers' requests: %w", err)
 	}
 	<-g.served
-	close(g.stopping)
+	g.giveUp.Do(func() { close(g.stopping) })
 	idle := make(chan struct{})
 	go func() {
 		g.background.Wait()
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/engine"
+)
+
+const streamBody = `{"model":"base","stream":true,"messages":[{"role":"user","content":"when?"}]}`
+
+// Guards against wrong input that gets through or an unclear answer.
+func TestWrongInput(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.MaxBodyBytes = 1000 })
+	long := `{"model":"` + strings.Repeat("m", 1000) + `"}`
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		code               string
+	}{
+		{"POST", "/v1/chat/completions", `{"model":`, 400, "invalid_json"},
+		{"POST", "/v1/chat/completions", `{"model":"no","messages":[{"role":"user","content":"a"}]}`, 404, "model_not_found"},
+		{"POST", "/v1/chat/completions", `{"model":"booking","messages":[{"role":"user","content":"a"}]}`, 404, "model_not_found"},
+		{"POST", "/v1/chat/completions", long, 413, "body_too_large"},
+		{"POST", "/services/booking/x", long, 413, "body_too_large"},
+		{"POST", "/services/base/x", ``, 404, "service_not_found"},
+		{"GET", "/v1/chat/completions", ``, 405, "method_not_allowed"},
+		{"GET", "/v2", ``, 404, "not_found"},
+	} {
+		a := r.call(c.method, c.path, c.body)
+		r.is.Equal(a.status, c.status)
+		r.is.Equal(a.executed, "no")
+		r.is.True(strings.Contains(a.body, `"code":"`+c.code+`"`))
+	}
+	r.is.Equal(r.Vars().Get("hyssophaven.gateway.bodies_too_large").String(), "2")
+	r.is.Equal(len(r.control.asked), 0)
+	a := r.call("POST", "/v1/completions", `{"model":"base","prompt":"x"}`, HeaderRequestID, "mine")
+	r.is.Equal(a.header.Get(HeaderRequestID), "mine")
+	a = r.call("POST", "/v1/completions", `{"model":"base","prompt":"x"}`, HeaderRequestID, "not visible ascii")
+	r.is.Equal(len(a.header.Get(HeaderRequestID)), 36) // a UUID
+}
+
+// Guards against memory and places held by a body that is announced and never sent.
+func TestSlowWriterIsCut(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.BodyTimeout = 20 * time.Millisecond })
+	conn, err := net.Dial("tcp", r.Addr().String())
+	r.is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
+	r.is.NoErr(err)
+	answer, err := io.ReadAll(conn) // ends because the gateway closes the connection
+	r.is.NoErr(err)
+	r.is.True(strings.Contains(string(answer), " 408 "))
+	r.is.True(strings.Contains(string(answer), "body_timeout"))
+	r.is.Equal(len(r.control.asked), 0)
+}
+
+// Guards against a reader that does not read and keeps its place for ever.
+func TestSlowReaderIsCut(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.WriteTimeout = 50 * time.Millisecond })
+	closed := make(chan struct{})
+	r.engines["e1"].generate = func(ctx context.Context, q engine.GenerateRequest) (engine.Stream, error) {
+		return &endless{ctx: ctx, id: q.RequestID, closed: closed, text: strings.Repeat("x", 16<<10)}, nil
+	}
+	conn, err := net.Dial("tcp", r.Addr().String())
+	r.is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(streamBody), streamBody)
+	r.is.NoErr(err)
+	<-closed
+	r.is.NoErr(r.stop(context.Background()))
+	r.is.Equal(r.control.results(), []admission.Result{admission.ResultCancelled})
+	r.is.Equal(r.Vars().Get("hyssophaven.gateway.slow_readers").String(), "1")
+}
+
+// endless is a stream without an end.
+type endless struct {
+	ctx    context.Context
+	id     string
+	next   int
+	closed chan struct{}
+	text   string
+}
+
+func (s *endless) Next() (engine.Chunk, error) {
+	s.next++
+	return engine.Chunk{RequestID: s.id, Index: s.next - 1, Text: s.text, Tokens: 1}, s.ctx.Err()
+}
+
+func (s *endless) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// Guards against an engine that stalls and keeps its caller waiting for ever.
+func TestStalledEngineIsReplaced(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.EngineStall = 30 * time.Millisecond })
+	r.engines["e1"].generate = func(ctx context.Context, q engine.GenerateRequest) (engine.Stream, error) {
+		return newWords(ctx, q, map[int]func(*engine.Chunk) error{3: func(*engine.Chunk) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}}), nil
+	}
+	text, _, _, err := streamText(r, t.Context(), "base")
+	r.is.NoErr(err)
+	r.is.Equal(text, wholeText)
+	r.is.Equal(r.control.results(), []admission.Result{admission.ResultLost, admission.ResultAnswered})
+}
+
+// Guards against a stop that cuts a stream, refuses requests while the
+// balancer still sends them, or leaves connections open for new ones.
+func TestGracefulStop(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.BalancerWait = 50 * time.Millisecond })
+	reached, release := make(chan struct{}), make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
+	r.hook("e1", 2, func(*engine.Chunk) error {
+		close(reached)
+		<-release
+		return nil
+	})
+	text := make(chan string, 1)
+	go func() {
+		got, finish, _, err := streamText(r, context.Background(), "base")
+		text <- fmt.Sprint(got, finish, err)
+	}()
+	<-reached
+	r.is.Equal(r.call("GET", "/readyz", "").status, http.StatusOK)
+	r.Drain()
+	r.is.Equal(r.call("GET", "/readyz", "").status, http.StatusServiceUnavailable)
+	r.is.Equal(r.call("GET", "/healthz", "").status, http.StatusOK)
+	during := r.call("POST", "/services/none", "")
+	r.is.Equal(during.status, http.StatusNotFound) // still serving
+	r.is.True(during.last)
+
+	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	r.is.True(r.Stop(short) != nil) // a request is in flight
+	_, err := net.Dial("tcp", r.Addr().String())
+	r.is.True(err != nil) // no longer accepting
+	finish()
+	r.is.Equal(<-text, wholeText+"stop"+"<nil>")
+}
+
+// Guards against a write deadline that ends an idle stream over HTTP/2.
+func TestIdleStreamOutlivesWriteTimeoutOverTLS(t *testing.T) {
+	certificates := httptest.NewUnstartedServer(nil)
+	certificates.EnableHTTP2 = true
+	certificates.StartTLS()
+	defer certificates.Close()
+	r := newRig(t, func(c *Config) {
+		c.TLS = &tls.Config{Certificates: certificates.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
+		c.Limits.WriteTimeout = 20 * time.Millisecond
+	})
+	r.hook("e1", 3, func(*engine.Chunk) error {
+		time.Sleep(60 * time.Millisecond)
+		return nil
+	})
+	resp, err := certificates.Client().Post("https://"+r.Addr().String()+"/v1/chat/completions", "application/json", strings.NewReader(streamBody))
+	r.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	r.is.Equal(resp.ProtoMajor, 2)
+	events := 0
+	for s := bufio.NewScanner(resp.Body); s.Scan(); {
+		if s.Text() != "" {
+			events++
+		}
+	}
+	r.is.Equal(events, len(words)+2) // words, end and [DONE]
+	certificates.Client().CloseIdleConnections()
+}
+
+// Guards against a configuration whose problems are reported one at a time.
+func TestConfigProblemsAreReportedTogether(t *testing.T) {
+	r := newRig(t, nil)
+	_, err := New(Config{})
+	r.is.Equal(strings.Count(err.Error(), "\n"), 3)
+}
