--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -17,20 +17,15 @@
 func (c *modelCall) relay(client engine.Client, grant admission.Grant) admission.Result {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	var stalled atomic.Bool
-	stall := c.g.cfg.Limits.EngineStall
-	watch := time.AfterFunc(stall, func() {
-		stalled.Store(true)
-		cancel()
-	})
-	defer watch.Stop()
+	watch := newWatchdog(c.g.cfg.Limits.EngineStall, cancel)
+	defer watch.timer.Stop()
 	id := c.engineRequestID()
 	stream, err := client.Generate(ctx, engine.GenerateRequest{
 		RequestID: id, Model: c.admit.Model, Adapter: c.admit.Adapter, Version: c.admit.Version,
 		Prompt: c.req.Prompt, MaxTokens: c.req.MaxTokens, Priority: c.admit.Rank, ResumeFrom: c.next,
 	})
 	if err != nil {
-		return c.engineFailed(grant, err, stalled.Load())
+		return c.engineFailed(grant, err, watch.fired.Load())
 	}
 	defer func() { _ = stream.Close() }()
 	buffered, _ := stream.(engine.BufferedStream)
@@ -45,10 +40,11 @@
 			if flushErr := c.out.flush(); flushErr != nil {
 				return admission.ResultCancelled
 			}
-			return c.engineFailed(grant, err, stalled.Load())
+			return c.engineFailed(grant, err, watch.fired.Load())
 		}
-		c.account(chunk)
-		watch.Reset(stall)
+		now := time.Now()
+		c.account(chunk, now)
+		watch.last.Store(now.UnixNano())
 		more := !chunk.Final && buffered != nil && buffered.Buffered()
 		if err := c.out.text(chunk.Text, more || chunk.Final); err != nil {
 			return admission.ResultCancelled
@@ -63,15 +59,41 @@
 	}
 }
 
+// watchdog cancels an attempt whose engine has sent nothing for too long. A
+// chunk only stores its time; the timer starts again when it finds that there
+// were chunks, which is cheaper than moving it with every chunk.
+type watchdog struct {
+	timer *time.Timer
+	last  atomic.Int64 // Unix nanoseconds
+	fired atomic.Bool
+}
+
+func newWatchdog(limit time.Duration, cancel func()) *watchdog {
+	w := &watchdog{}
+	w.last.Store(time.Now().UnixNano())
+	started := make(chan struct{}) // w.timer is set
+	w.timer = time.AfterFunc(limit, func() {
+		<-started
+		if left := limit - time.Since(time.Unix(0, w.last.Load())); left > 0 {
+			w.timer.Reset(left)
+			return
+		}
+		w.fired.Store(true)
+		cancel()
+	})
+	close(started)
+	return w
+}
+
 // account notes a chunk that has passed the check.
-func (c *modelCall) account(chunk engine.Chunk) {
+func (c *modelCall) account(chunk engine.Chunk, now time.Time) {
 	c.executed = engine.ExecutedYes
 	c.next++
 	c.bytes += int64(len(chunk.Text))
 	if chunk.Tokens == 0 {
 		return
 	}
-	c.lastAt = time.Now()
+	c.lastAt = now
 	if c.firstAt.IsZero() {
 		c.firstAt = c.lastAt
 	}
--- a/openai/canonical.go
+++ b/openai/canonical.go
@@ -10,46 +10,67 @@
 
 var roles = []string{"system", "developer", "user", "assistant", "tool", "function"}
 
-// canonicalMessage is one message of a canonical prompt. Content parts are
-// joined, so a string and a list with one text part are equal.
-type canonicalMessage struct {
-	Role       string          `json:"role"`
-	Name       string          `json:"name,omitempty"`
-	ToolCallID string          `json:"tool_call_id,omitempty"`
-	Content    string          `json:"content"`
-	ToolCalls  json.RawMessage `json:"tool_calls,omitempty"`
-}
-
-type canonicalPrompt struct {
-	Tools    json.RawMessage    `json:"tools,omitempty"`
-	Messages []canonicalMessage `json:"messages"`
-}
-
 // canonicalChat encodes the messages as JSON with a fixed member order, so
-// that distinct conversations never have the same canonical form.
+// that distinct conversations never have the same canonical form. Content parts
+// are joined, so a string and a list with one text part are equal.
 func canonicalChat(messages []chatMessage, tools json.RawMessage) (string, error) {
 	if len(messages) == 0 {
 		return "", paramError(CodeMissingParameter, "messages", "must hold at least one message")
 	}
-	c := canonicalPrompt{Tools: orAbsent(tools), Messages: make([]canonicalMessage, len(messages))}
+	size := 64 + len(tools)
+	for _, m := range messages {
+		size += 64 + len(m.Content) + len(m.ToolCalls)
+	}
+	out := append(make([]byte, 0, size), '{')
+	if raw := orAbsent(tools); raw != nil {
+		out = append(out, `"tools":`...)
+		out = appendCompact(out, raw)
+		out = append(out, ',')
+	}
+	out = append(out, `"messages":[`...)
 	for i, m := range messages {
 		if !slices.Contains(roles, m.Role) {
 			return "", paramError(CodeInvalidValue, fmt.Sprintf("messages[%d].role", i), "must be one of "+strings.Join(roles, ", "))
 		}
-		calls := orAbsent(m.ToolCalls)
 		content, err := messageContent(m.Content, fmt.Sprintf("messages[%d].content", i), m.Role == "assistant")
 		if err != nil {
 			return "", err
 		}
-		c.Messages[i] = canonicalMessage{Role: m.Role, Name: m.Name, ToolCallID: m.ToolCallID, Content: content, ToolCalls: calls}
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = appendMessage(out, m, content)
 	}
-	var out bytes.Buffer
-	enc := json.NewEncoder(&out)
-	enc.SetEscapeHTML(false)
-	if err := enc.Encode(c); err != nil {
-		return "", &Error{Code: CodeInvalidJSON, Message: fmt.Sprintf("messages cannot be encoded: %v", err)}
+	return string(append(out, "]}"...)), nil
+}
+
+func appendMessage(dst []byte, m chatMessage, content string) []byte {
+	dst = append(dst, `{"role":`...)
+	dst = appendString(dst, m.Role)
+	if m.Name != "" {
+		dst = append(dst, `,"name":`...)
+		dst = appendString(dst, m.Name)
+	}
+	if m.ToolCallID != "" {
+		dst = append(dst, `,"tool_call_id":`...)
+		dst = appendString(dst, m.ToolCallID)
 	}
-	return strings.TrimSuffix(out.String(), "\n"), nil
+	dst = append(dst, `,"content":`...)
+	dst = appendString(dst, content)
+	if raw := orAbsent(m.ToolCalls); raw != nil {
+		dst = append(dst, `,"tool_calls":`...)
+		dst = appendCompact(dst, raw)
+	}
+	return append(dst, '}')
+}
+
+// appendCompact appends a JSON value, which was checked before, without spaces.
+func appendCompact(dst []byte, raw json.RawMessage) []byte {
+	out := bytes.NewBuffer(dst)
+	if err := json.Compact(out, raw); err != nil {
+		panic(err)
+	}
+	return out.Bytes()
 }
 
 // orAbsent returns nil for null, which the interface treats like an absent member.
@@ -117,6 +138,9 @@
 }
 
 func unquote(raw json.RawMessage, param string) (string, error) {
+	if inner := raw[1 : len(raw)-1]; plain(inner) {
+		return string(inner), nil
+	}
 	var s string
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return "", paramError(CodeInvalidType, param, "must be a string")
--- a/openai/stream.go
+++ b/openai/stream.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"strconv"
 	"unicode/utf8"
@@ -94,11 +95,13 @@
 // usual case, is copied without a second buffer.
 func appendString(dst []byte, s string) []byte {
 	if !plain(s) {
-		b, err := json.Marshal(s)
-		if err != nil {
+		out := bytes.NewBuffer(dst)
+		enc := json.NewEncoder(out)
+		enc.SetEscapeHTML(false)
+		if err := enc.Encode(s); err != nil {
 			panic(err) // strings can always be encoded
 		}
-		return append(dst, b...)
+		return out.Bytes()[:out.Len()-1] // without the newline of Encode
 	}
 	dst = append(dst, '"')
 	dst = append(dst, s...)
@@ -106,7 +109,7 @@
 }
 
 // plain reports whether s is valid UTF-8 that needs no escape in JSON.
-func plain(s string) bool {
+func plain[T ~string | ~[]byte](s T) bool {
 	ascii := true
 	for i := range len(s) {
 		c := s[i]
@@ -115,5 +118,5 @@
 		}
 		ascii = ascii && c < utf8.RuneSelf
 	}
-	return ascii || utf8.ValidString(s)
+	return ascii || utf8.ValidString(string(s))
 }
