--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,23 +14,15 @@
 
 // relay runs one attempt on an engine. Chunks are relayed only after they are
 // known to belong to this request and to follow the last one relayed.
-func (c *modelCall) relay(client engine.Client, grant admission.Grant) admission.Result {
+func (c *modelCall) relay(client engine.Client) admission.Result {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	var stalled atomic.Bool
-	stall := c.g.cfg.Limits.EngineStall
-	watch := time.AfterFunc(stall, func() {
-		stalled.Store(true)
-		cancel()
-	})
-	defer watch.Stop()
+	watch := newWatchdog(c.g.cfg.Limits.EngineStall, cancel)
+	defer watch.timer.Stop()
 	id := c.engineRequestID()
-	stream, err := client.Generate(ctx, engine.GenerateRequest{
-		RequestID: id, Model: c.admit.Model, Adapter: c.admit.Adapter, Version: c.admit.Version,
-		Prompt: c.req.Prompt, MaxTokens: c.req.MaxTokens, Priority: c.admit.Rank, ResumeFrom: c.next,
-	})
+	stream, err := c.generate(ctx, client, id)
 	if err != nil {
-		return c.engineFailed(grant, err, stalled.Load())
+		return c.engineFailed(err, watch.fired.Load())
 	}
 	defer func() { _ = stream.Close() }()
 	buffered, _ := stream.(engine.BufferedStream)
@@ -45,10 +37,11 @@
 			if flushErr := c.out.flush(); flushErr != nil {
 				return admission.ResultCancelled
 			}
-			return c.engineFailed(grant, err, stalled.Load())
+			return c.engineFailed(err, watch.fired.Load())
 		}
-		c.account(chunk)
-		watch.Reset(stall)
+		now := time.Now()
+		c.account(chunk, now)
+		watch.last.Store(now.UnixNano())
 		more := !chunk.Final && buffered != nil && buffered.Buffered()
 		if err := c.out.text(chunk.Text, more || chunk.Final); err != nil {
 			return admission.ResultCancelled
@@ -63,15 +56,52 @@
 	}
 }
 
+// generate starts the answer on the engine from the first chunk that is
+// missing. It is not inlined for the reason told at accept.
+//
+//go:noinline
+func (c *modelCall) generate(ctx context.Context, client engine.Client, id string) (engine.Stream, error) {
+	return client.Generate(ctx, engine.GenerateRequest{
+		RequestID: id, Model: c.admit.Model, Adapter: c.admit.Adapter, Version: c.admit.Version,
+		Prompt: c.req.Prompt, MaxTokens: c.req.MaxTokens, Priority: c.admit.Rank, ResumeFrom: c.next,
+	})
+}
+
+// watchdog cancels an attempt whose engine has sent nothing for too long. A
+// chunk only stores its time; the timer starts again when it finds that there
+// were chunks, which is cheaper than moving it with every chunk.
+type watchdog struct {
+	timer *time.Timer
+	last  atomic.Int64 // Unix nanoseconds
+	fired atomic.Bool
+}
+
+func newWatchdog(limit time.Duration, cancel func()) *watchdog {
+	w := &watchdog{}
+	w.last.Store(time.Now().UnixNano())
+	started := make(chan struct{}) // w.timer is set
+	w.timer = time.AfterFunc(limit, func() {
+		<-started
+		if left := limit - time.Since(time.Unix(0, w.last.Load())); left > 0 {
+			w.timer.Reset(left)
+			return
+		}
+		w.fired.Store(true)
+		cancel()
+	})
+	close(started)
+	return w
+}
+
 // account notes a chunk that has passed the check.
-func (c *modelCall) account(chunk engine.Chunk) {
+func (c *modelCall) account(chunk engine.Chunk, now time.Time) {
 	c.executed = engine.ExecutedYes
 	c.next++
 	c.bytes += int64(len(chunk.Text))
 	if chunk.Tokens == 0 {
 		return
 	}
-	c.lastAt = time.Now()
+	c.lastAt = now
 	if c.firstAt.IsZero() {
 		c.firstAt = c.lastAt
 	}
@@ -103,11 +133,11 @@
 
 // engineFailed classifies the end of an attempt that gave no whole answer and
 // notes the answer for the caller in case no other endpoint can go on.
-func (c *modelCall) engineFailed(grant admission.Grant, err error, stalled bool) admission.Result {
+func (c *modelCall) engineFailed(err error, stalled bool) admission.Result {
 	if c.ctx.Err() != nil {
 		return admission.ResultCancelled
 	}
-	c.exclude(grant)
+	c.exclude()
 	executed := engine.ExecutedUnknown
 	var e *engine.Error
 	if errors.As(err, &e) {
@@ -146,7 +176,7 @@
 	if result == admission.ResultLost {
 		c.g.counters.lost.Add(1)
 	}
-	c.failure = failf(code, c.executed, "endpoint %s gave no whole answer: %v", grant.Endpoint.ID, err).after(retrySoon)
+	c.failure = failf(code, c.executed, "endpoint %s gave no whole answer: %v", c.grant.Endpoint.ID, err).after(retrySoon)
 	return result
 }
 
