--- a/placement/grow.go
+++ b/placement/grow.go
@@ -83,12 +83,66 @@
 			bestRoom, bestNet, found = room, net, true
 		}
 	}
-	if found {
-		w.displace(bestRoom)
-		w.take(bestRoom)
-		w.grown(bestRoom.rep, row)
+	return found && w.swaps < maxSwaps && w.swap(bestRoom, row)
+}
+
+// maxSwaps bounds the replacements tried in one plan, because each one
+// computes the flow of the whole fleet.
+const maxSwaps = 16
+
+// swap replaces the victims by the row if the worth of all demand served grows
+// by more than the margin of what the victims lose. The estimates that chose
+// the victims ignore that several rows share free slots; without this check
+// two rows could replace each other for ever.
+func (w *work) swap(r room, row int) bool {
+	w.swaps++
+	before := w.worth()
+	undo := w.checkpoint(r, row)
+	w.take(r)
+	w.add(r.rep, row, CauseDemand)
+	w.flow()
+	least := max(w.leastGain(row), w.p.opt.Margin*r.loss)
+	if w.p.opt.Mode == Greedy {
+		least = w.leastGain(row) / 10
+	}
+	if w.worth()-before > least {
+		return true
+	}
+	undo()
+	w.flow()
+	return false
+}
+
+// worth returns the worth of all demand that the plan serves.
+func (w *work) worth() float64 {
+	sum := 0.0
+	for i := range w.rows {
+		if r := &w.rows[i]; r.base < 0 {
+			for k := range r.demand {
+				sum += rankWorth[k] * r.Weight * (r.demand[k] - r.unmet[k])
+			}
+		}
+	}
+	return sum
+}
+
+// checkpoint returns a function that takes back a replacement.
+func (w *work) checkpoint(r room, row int) func() {
+	rep := &w.reps[r.rep]
+	items, free, moves := slices.Clone(rep.items), rep.free, len(w.moves)
+	held := map[int][]int{row: slices.Clone(w.rows[row].copies)}
+	for _, v := range r.victims {
+		held[v.row] = slices.Clone(w.rows[v.row].copies)
+		for _, a := range w.rows[v.row].adapters {
+			held[a] = slices.Clone(w.rows[a].copies)
+		}
+	}
+	return func() {
+		rep.items, rep.free, w.moves = items, free, w.moves[:moves]
+		for row, copies := range held {
+			w.rows[row].copies = copies
+		}
 	}
-	return found
 }
 
 // served allows victims that have been in the plan for the least time.
@@ -154,26 +208,3 @@
 	}
 	w.reps[rep].load = load
 }
-
-// displace moves the flow of the victims to the other replicas of their rows.
-func (w *work) displace(r room) {
-	for _, v := range r.victims {
-		row := &w.rows[v.row]
-		for _, it := range w.reps[r.rep].items {
-			if it.row != v.row || row.base >= 0 {
-				continue
-			}
-			for k, f := range it.flow {
-				w.reps[r.rep].load[k] -= f
-				for _, c := range row.copies {
-					if c != r.rep && f > 0 {
-						part := min(f, w.reps[c].spare(k))
-						w.reps[c].load[k] += part
-						f -= part
-					}
-				}
-				row.unmet[k] += f
-			}
-		}
-	}
-}
--- a/placement/room.go
+++ b/placement/room.go
@@ -105,13 +105,14 @@
 	rep     int
 	victims []victim
 	class   class
+	rank    fleet.Rank // most urgent rank of a victim
+	order   int        // importance of the most important victim
 	loss    float64
-	count   int
 }
 
 // roomOn returns the cheapest victims on the replica that free need MB.
 func (w *work) roomOn(rep, need int, up class, allowed func(victim) bool) (room, bool) {
-	r := room{rep: rep}
+	r := room{rep: rep, rank: fleet.Patient, order: len(w.rows)}
 	free := w.reps[rep].free
 	if free < 0 {
 		return r, false
@@ -123,10 +124,16 @@
 		if !allowed(v) || slices.ContainsFunc(r.victims, func(o victim) bool { return w.rows[v.row].base == o.row }) {
 			continue
 		}
+		for _, o := range r.victims { // an adapter that is chosen already counts once
+			if w.rows[o.row].base == v.row {
+				free -= o.memory
+			}
+		}
 		r.victims = append(r.victims, v)
 		r.class = max(r.class, v.class)
+		r.rank = min(r.rank, w.rows[v.row].Rank)
+		r.order = min(r.order, w.rows[v.row].order)
 		r.loss += v.loss
-		r.count++
 		free += v.memory
 	}
 	return r, free >= need
@@ -190,7 +197,8 @@
 		if !ok {
 			continue
 		}
-		c := cmp.Or(cmp.Compare(r.class, best.class), cmp.Compare(r.loss, best.loss), cmp.Compare(r.count, best.count))
+		c := cmp.Or(cmp.Compare(r.class, best.class), cmp.Compare(best.rank, r.rank), cmp.Compare(r.loss, best.loss),
+			cmp.Compare(len(r.victims), len(best.victims)), cmp.Compare(best.order, r.order))
 		if !found || c < 0 {
 			best, found = r, true
 		}
--- a/placement/work.go
+++ b/placement/work.go
@@ -18,6 +18,7 @@
 	reps     []repWork
 	byName   map[string]int
 	order    []int // rows by importance
+	swaps    int   // replacements tried
 	centres  int   // data centres with replicas that stay
 	moves    []Move
 	findings finding.List
