--- a/placement/grow.go
+++ b/placement/grow.go
@@ -13,7 +13,7 @@
 func (w *work) grow() {
 	left := w.p.opt.MaxMoves
 	if left == 0 {
-		left = max(4, len(w.reps)/10)
+		left = max(4, len(w.reps)/100)
 	}
 	for range growRounds {
 		w.flow()
@@ -39,7 +39,7 @@
 		for k, u := range r.unmet {
 			value[i] += rankWorth[k] * r.Weight * u
 		}
-		if r.Base == "" && len(r.copies) > 0 && value[i] > 0 {
+		if r.Base == "" && len(r.copies) > 0 && value[i] > w.leastGain(i) {
 			out = append(out, i)
 		}
 	}
@@ -68,7 +68,7 @@
 	var bestRoom room
 	bestNet, found := w.leastGain(row), false
 	for i := range w.reps {
-		if w.reps[i].Leaving || w.reps[i].CapacityMB < r.MemoryMB || w.has(i, row) {
+		if w.reps[i].Leaving || w.reps[i].CapacityMB < r.MemoryMB || w.has(i, row) || w.gainAtMost(i, row) <= bestNet {
 			continue
 		}
 		room, ok := w.roomOn(i, r.MemoryMB, extraCopy, w.served(i))
@@ -130,17 +130,23 @@
 func (w *work) checkpoint(r room, row int) func() {
 	rep := &w.reps[r.rep]
 	items, free, moves := slices.Clone(rep.items), rep.free, len(w.moves)
-	held := map[int][]int{row: slices.Clone(w.rows[row].copies)}
+	held := map[int]rowWork{}
+	save := func(row int) {
+		r := w.rows[row]
+		r.copies, r.in = slices.Clone(r.copies), slices.Clone(r.in)
+		held[row] = r
+	}
+	save(row)
 	for _, v := range r.victims {
-		held[v.row] = slices.Clone(w.rows[v.row].copies)
+		save(v.row)
 		for _, a := range w.rows[v.row].adapters {
-			held[a] = slices.Clone(w.rows[a].copies)
+			save(a)
 		}
 	}
 	return func() {
 		rep.items, rep.free, w.moves = items, free, w.moves[:moves]
-		for row, copies := range held {
-			w.rows[row].copies = copies
+		for row, r := range held {
+			w.rows[row] = r
 		}
 	}
 }
@@ -169,6 +175,17 @@
 	return least
 }
 
+// gainAtMost returns the gain if every other item left the replica.
+func (w *work) gainAtMost(rep, row int) float64 {
+	r, left, sum := &w.rows[row], float64(w.reps[rep].Slots), 0.0
+	for k, u := range r.unmet {
+		take := min(u, left)
+		left -= take
+		sum += rankWorth[k] * r.Weight * take
+	}
+	return sum
+}
+
 // gain returns the worth of the unmet demand that the replica could serve
 // without the victims.
 func (w *work) gain(rep, row int, out []victim) float64 {
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -27,32 +27,47 @@
 // versions moves rows to the version of the table, where the new version fits
 // beside the old one or another replica serves the row meanwhile.
 func (w *work) versions() {
+	stale := make([]bool, len(w.rows))
+	for i := range w.reps {
+		for _, it := range w.reps[i].items {
+			stale[it.row] = stale[it.row] || it.version != w.rows[it.row].Version
+		}
+	}
 	for _, row := range w.order {
-		r := &w.rows[row]
-		changed := false
-		for i := range w.reps {
-			rep := &w.reps[i]
-			j := slices.IndexFunc(rep.items, func(it item) bool { return it.row == row && it.version != r.Version })
-			if j < 0 {
-				continue
-			}
-			it := &rep.items[j]
-			beside := rep.free >= r.MemoryMB
-			elsewhere := !changed && slices.ContainsFunc(r.copies, func(c int) bool { return c != i && w.serves(c, row) })
-			inPlace := rep.free+it.memory >= r.MemoryMB && (elsewhere || !w.serves(i, row))
-			if !beside && !inPlace {
-				w.versionElsewhere(row)
-				continue
-			}
-			rep.free += it.memory - r.MemoryMB
-			if beside {
-				rep.free = min(rep.free, rep.free-it.memory) // both count until the old one is unloaded
-			} else {
-				changed = true
-			}
-			it.version, it.memory, it.since = r.Version, r.MemoryMB, w.now
-			w.moves = append(w.moves, Move{rep.ID, r.Name, r.Version, false, CauseVersion})
+		if stale[row] {
+			w.version(row)
+		}
+	}
+}
+
+func (w *work) version(row int) {
+	r := &w.rows[row]
+	changed := false
+	for _, i := range slices.Clone(r.copies) {
+		rep := &w.reps[i]
+		j := slices.IndexFunc(rep.items, func(it item) bool { return it.row == row && it.version != r.Version })
+		if j < 0 {
+			continue
+		}
+		it := &rep.items[j]
+		beside := rep.free >= r.MemoryMB
+		elsewhere := !changed && slices.ContainsFunc(r.copies, func(c int) bool { return c != i && w.serves(c, row) })
+		inPlace := rep.free+it.memory >= r.MemoryMB && (elsewhere || !w.serves(i, row))
+		if !beside && !inPlace {
+			w.versionElsewhere(row)
+			continue
+		}
+		rep.free += it.memory - r.MemoryMB
+		if beside {
+			rep.free = min(rep.free, rep.free-it.memory) // both count until the old one is unloaded
+		} else {
+			changed = true
+		}
+		if it.ready && !rep.Leaving {
+			r.serving--
 		}
+		it.version, it.memory, it.since, it.ready = r.Version, r.MemoryMB, w.now, false
+		w.moves = append(w.moves, Move{rep.ID, r.Name, r.Version, false, CauseVersion})
 	}
 }
 
@@ -172,7 +187,7 @@
 				continue
 			}
 			w.add(to, it.row, CauseRoom)
-			if rep.ready[o.key()] {
+			if it.ready {
 				return false // the next plan uses the room
 			}
 			w.remove(i, it.row, CauseRoom)
--- a/placement/room.go
+++ b/placement/room.go
@@ -20,22 +20,15 @@
 // cannot serve yet does not make the row reachable.
 func (w *work) classify(rep, row int) class {
 	r := &w.rows[row]
-	others, serving := 0, 0
-	centres := map[fleet.DataCentre]bool{}
-	for _, c := range r.copies {
-		if c != rep {
-			others++
-			centres[w.reps[c].DataCentre] = true
-			if w.serves(c, row) {
-				serving++
-			}
-		}
+	others, spans := len(r.copies)-1, r.spans
+	if r.in[w.reps[rep].centre] == 1 {
+		spans--
 	}
-	if others == 0 || serving == 0 && w.serves(rep, row) {
+	if others == 0 || r.serving == 1 && w.serves(rep, row) {
 		return soleCopy
 	}
 	worst := extraCopy
-	if others < max(1, r.MinReplicas) || len(centres) < min(2, w.centres) {
+	if others < max(1, r.MinReplicas) || spans < min(2, w.centres) {
 		worst = secondCopy
 	}
 	for _, a := range r.adapters {
@@ -153,36 +146,40 @@
 // the most free memory.
 func (w *work) freest(row, need int, only func(rep int) bool) (int, bool) {
 	best := -1
-	var bestNew bool
-	taken := w.centresOf(row)
 	for i := range w.reps {
-		rep := &w.reps[i]
-		if rep.Leaving || rep.free < need || only != nil && !only(i) || w.has(i, row) {
-			continue
+		if w.freer(i, best, row, need) && (only == nil || only(i)) && !w.has(i, row) {
+			best = i
 		}
-		fresh := !taken[rep.DataCentre]
-		if best >= 0 {
-			b := &w.reps[best]
-			if fresh != bestNew {
-				if !fresh {
-					continue
-				}
-			} else if c := cmp.Or(cmp.Compare(rep.busy(), b.busy()), cmp.Compare(b.free, rep.free)); c >= 0 {
-				continue
-			}
+	}
+	return best, best >= 0
+}
+
+// freestOf is freest over the given replicas.
+func (w *work) freestOf(reps []int, row, need int) (int, bool) {
+	best := -1
+	for _, i := range reps {
+		if w.freer(i, best, row, need) && !w.has(i, row) {
+			best = i
 		}
-		best, bestNew = i, fresh
 	}
 	return best, best >= 0
 }
 
-// centresOf returns the data centres in which the row has a copy.
-func (w *work) centresOf(row int) map[fleet.DataCentre]bool {
-	out := map[fleet.DataCentre]bool{}
-	for _, c := range w.rows[row].copies {
-		out[w.reps[c].DataCentre] = true
+// freer reports whether the replica has room and suits the row better than
+// best, which is -1 if there is none yet.
+func (w *work) freer(rep, best, row, need int) bool {
+	a := &w.reps[rep]
+	if a.Leaving || a.free < need {
+		return false
 	}
-	return out
+	if best < 0 {
+		return true
+	}
+	b, r := &w.reps[best], &w.rows[row]
+	if fresh := r.in[a.centre] == 0; fresh != (r.in[b.centre] == 0) {
+		return fresh
+	}
+	return cmp.Or(cmp.Compare(a.busy(), b.busy()), cmp.Compare(b.free, a.free)) < 0
 }
 
 // cheapest returns the cheapest room for the row over all replicas.
--- a/placement/scenario_test.go
+++ b/placement/scenario_test.go
@@ -48,7 +48,7 @@
 	unmoved := percent(in)
 	is.Equal(len(p.Plan(now, in).Moves), 0) // the hold time has not passed
 	now = now.Add(DefaultHold)
-	now, in, after := run(p, now, in)
+	_, in, after := run(p, now, in)
 	is.True(percent(in) > unmoved)
 	for n := range hot {
 		is.True(len(copies(after, n)) >= len(copies(before, n)))
@@ -143,6 +143,7 @@
 		Replicas: []Replica{{ID: "r1", CapacityMB: 100, Slots: 8}, {ID: "r2", CapacityMB: 100, Slots: 8}}}
 	p := NewPlanner(Options{})
 	now, in, plan := run(p, start, in)
+	is.Equal(len(plan.Moves), 0)
 	old := copies(plan, "m")
 	in.Rows = []Row{{Name: "m", Version: "2", Weight: 1, MemoryMB: 60}}
 	plan = p.Plan(now, in)
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -2,13 +2,8 @@
 
 import (
 	"math"
-	"slices"
-
-	"github.com/hyssophaven/hyssophaven/ledger"
 )
 
-func (r *rowWork) key() ledger.Key { return ledger.Key{Name: r.Name, Version: r.Version} }
-
 // minimum gives every model the replicas that its row asks for.
 func (w *work) minimum() {
 	for _, row := range w.order {
@@ -32,11 +27,10 @@
 		if r.Base != "" || len(r.copies) == 0 {
 			continue
 		}
-		taken := w.centresOf(row)
-		if len(taken) >= 2 {
+		if r.spans >= 2 {
 			continue
 		}
-		elsewhere := func(rep int) bool { return !taken[w.reps[rep].DataCentre] }
+		elsewhere := func(rep int) bool { return r.in[w.reps[rep].centre] == 0 }
 		if !w.another(row, CauseSpread, elsewhere) {
 			w.findings.Addf(r.Name, "is in one data centre only: no replica fits in another")
 		}
@@ -66,7 +60,7 @@
 			continue
 		}
 		onBase := func(rep int) bool { return w.has(rep, r.base) }
-		if rep, ok := w.freest(row, r.MemoryMB, onBase); ok {
+		if rep, ok := w.freestOf(w.rows[r.base].copies, row, r.MemoryMB); ok {
 			w.add(rep, row, CauseAdapter)
 			continue
 		}
@@ -105,7 +99,7 @@
 		base := &w.rows[r.base]
 		want := min(len(base.copies), max(2, r.MinReplicas, w.hotCopies(r, base)))
 		for len(r.copies) < want {
-			rep, ok := w.freest(row, r.MemoryMB, func(rep int) bool { return slices.Contains(base.copies, rep) })
+			rep, ok := w.freestOf(base.copies, row, r.MemoryMB)
 			if !ok {
 				break
 			}
--- a/placement/work.go
+++ b/placement/work.go
@@ -19,7 +19,7 @@
 	byName   map[string]int
 	order    []int // rows by importance
 	swaps    int   // replacements tried
-	centres  int   // data centres with replicas that stay
+	centres  int   // number of data centres with replicas that stay
 	moves    []Move
 	findings finding.List
 }
@@ -34,14 +34,17 @@
 	unmet    [fleet.RankCount]float64
 	queued   float64
 	copies   []int // replicas that stay and have the row in their target
+	serving  int   // copies that serve the version they are to keep
+	in       []int // copies in each data centre
+	spans    int   // data centres with a copy
 }
 
 type repWork struct {
 	Replica
-	items []item
-	ready map[ledger.Key]bool // entries that can serve
-	free  int                 // MB that are neither planned nor bound to settle
-	load  [fleet.RankCount]float64
+	items  []item
+	centre int
+	free   int // MB that are neither planned nor bound to settle
+	load   [fleet.RankCount]float64
 }
 
 type item struct {
@@ -49,6 +52,7 @@
 	version string
 	memory  int
 	since   time.Time
+	ready   bool // the replica serves this version
 	flow    [fleet.RankCount]float64
 }
 
@@ -123,39 +127,56 @@
 }
 
 func (w *work) addReplicas(in Input) {
-	centres := map[fleet.DataCentre]bool{}
+	centres := map[fleet.DataCentre]int{}
+	for _, r := range in.Replicas {
+		if _, known := centres[r.DataCentre]; !known && !r.Leaving {
+			centres[r.DataCentre] = len(centres)
+		}
+	}
+	w.centres = len(centres)
+	counts := make([]int, len(w.rows)*w.centres)
+	for i := range w.rows {
+		w.rows[i].in = counts[i*w.centres : (i+1)*w.centres]
+	}
 	w.reps = make([]repWork, len(in.Replicas))
 	for i, r := range in.Replicas {
 		rep := &w.reps[i]
-		rep.Replica, rep.free = r, r.CapacityMB
-		rep.ready = make(map[ledger.Key]bool, len(r.Held))
-		held := make(map[ledger.Key]int, len(r.Held))
-		for _, h := range r.Held {
-			// A reserved adapter is loaded by the request that needs it.
-			if h.State == ledger.Ready || h.State == ledger.Reserved && h.Base != "" {
-				rep.ready[h.Key()] = true
-			}
-			held[h.Key()] = h.MemoryMB
-		}
+		rep.Replica, rep.free, rep.centre = r, r.CapacityMB, centres[r.DataCentre]
 		for _, it := range w.before(r) {
 			row, ok := w.byName[it.name]
 			if !ok || w.rows[row].Base != it.base || it.base != "" && w.rows[row].base < 0 {
 				w.moves = append(w.moves, Move{r.ID, it.name, it.version, true, CauseGone})
 				continue
 			}
-			memory := max(it.memory, held[ledger.Key{Name: it.name, Version: it.version}])
-			rep.items = append(rep.items, item{row: row, version: it.version, memory: memory, since: it.since})
-			rep.free -= memory
-			if !r.Leaving {
-				w.rows[row].copies = append(w.rows[row].copies, i)
+			kept := item{row: row, version: it.version, memory: it.memory, since: it.since}
+			for _, h := range r.Held {
+				if h.Name == it.name && h.Version == it.version {
+					kept.memory = max(kept.memory, h.MemoryMB)
+					// A reserved adapter is loaded by the request that needs it.
+					kept.ready = h.State == ledger.Ready || h.State == ledger.Reserved && h.Base != ""
+				}
 			}
+			w.put(i, kept)
 		}
 		w.settling(rep)
-		if !r.Leaving {
-			centres[r.DataCentre] = true
-		}
 	}
-	w.centres = len(centres)
+}
+
+// put adds the item to the replica and to the counts of its row.
+func (w *work) put(rep int, it item) {
+	t, r := &w.reps[rep], &w.rows[it.row]
+	t.items = append(t.items, it)
+	t.free -= it.memory
+	if t.Leaving {
+		return
+	}
+	r.copies = append(r.copies, rep)
+	if it.ready {
+		r.serving++
+	}
+	if r.in[t.centre]++; r.in[t.centre] == 1 {
+		r.spans++
+	}
 }
 
 // before returns the replica's part of the last plan. A replica that the plan
@@ -198,12 +219,7 @@
 	if r.Leaving {
 		return false
 	}
-	for _, it := range r.items {
-		if it.row == row {
-			return r.ready[ledger.Key{Name: w.rows[row].Name, Version: it.version}]
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.items, func(it item) bool { return it.row == row && it.ready })
 }
 
 // has reports whether the row is in the replica's target.
@@ -214,9 +230,7 @@
 // add puts the row into the replica's target.
 func (w *work) add(rep, row int, cause Cause) {
 	r := &w.rows[row]
-	w.reps[rep].items = append(w.reps[rep].items, item{row: row, version: r.Version, memory: r.MemoryMB, since: w.now})
-	w.reps[rep].free -= r.MemoryMB
-	r.copies = append(r.copies, rep)
+	w.put(rep, item{row: row, version: r.Version, memory: r.MemoryMB, since: w.now})
 	for k, d := range r.unmet { // an estimate until the next flow
 		if r.base < 0 {
 			w.reps[rep].load[k] += d
@@ -238,6 +252,14 @@
 	it := w.reps[rep].items[at]
 	w.reps[rep].items = slices.Delete(w.reps[rep].items, at, at+1)
 	w.reps[rep].free += it.memory
-	r.copies = slices.DeleteFunc(r.copies, func(c int) bool { return c == rep })
+	if t := &w.reps[rep]; !t.Leaving {
+		r.copies = slices.DeleteFunc(r.copies, func(c int) bool { return c == rep })
+		if it.ready {
+			r.serving--
+		}
+		if r.in[t.centre]--; r.in[t.centre] == 0 {
+			r.spans--
+		}
+	}
 	w.moves = append(w.moves, Move{w.reps[rep].ID, r.Name, it.version, true, cause})
 }
