placement: tell empty replicas from unknown ones in the stored plan

Cause: an owner could not tell whether a replica without items is planned empty or not yet planned, and would unload what a new replica holds. Change: the stored plan names the replicas it leaves empty, and its revision also grows when the set of replicas changes. Conclusion: owners change nothing on replicas without an entry.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -92,7 +92,7 @@
 }
 
 // Plan is the target of every replica, most important item first, and how it
-// differs from the plan before. A replica without an entry holds nothing.
+// differs from the plan before. Every replica of the input has an entry.
 type Plan struct {
 	Targets  map[fleet.EndpointID][]ledger.Item
 	Moves    []Move
@@ -112,13 +112,18 @@
 
 // Stored is the lasting form of a plan, ordered by replica.
 type Stored struct {
-	Revision uint64 // increases with every change of the plan
+	Revision uint64 // increases with every change of the plan or its replicas
 	Items    []Placed
+	Empty    []fleet.EndpointID // replicas that the plan knows and leaves empty
 }
 
-// Targets returns the target of every replica in the stored plan.
+// Targets returns the target of every replica that the stored plan knows. An
+// owner changes nothing on a replica without an entry.
 func (s Stored) Targets() map[fleet.EndpointID][]ledger.Item {
 	out := map[fleet.EndpointID][]ledger.Item{}
+	for _, id := range s.Empty {
+		out[id] = []ledger.Item{}
+	}
 	for _, it := range s.Items {
 		out[it.Replica] = append(out[it.Replica], ledger.Item{Name: it.Name, Base: it.Base, Version: it.Version, MemoryMB: it.MemoryMB})
 	}
--- a/placement/placementrecord/record.go
+++ b/placement/placementrecord/record.go
@@ -44,6 +44,9 @@
 		last := &out.Replicas[len(out.Replicas)-1]
 		last.Items = append(last.Items, item{p.Name, p.Base, p.Version, p.MemoryMB, int64(p.Age / time.Second)})
 	}
+	for _, id := range s.Empty {
+		out.Replicas = append(out.Replicas, replica{ID: string(id), Items: []item{}})
+	}
 	data, err := json.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode plan: %w", err)
@@ -73,6 +76,9 @@
 	}
 	out := placement.Stored{Revision: in.Revision}
 	for _, r := range in.Replicas {
+		if len(r.Items) == 0 {
+			out.Empty = append(out.Empty, fleet.EndpointID(r.ID))
+		}
 		for _, it := range r.Items {
 			if it.Name == "" || it.MemoryMB < 0 || it.AgeSeconds < 0 || it.AgeSeconds > maxAge {
 				return placement.Stored{}, fmt.Errorf("decode plan: replica %q has an item without name or with a value out of range", r.ID)
--- a/placement/placementrecord/record_test.go
+++ b/placement/placementrecord/record_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/placement"
 	"github.com/matryer/is"
 )
@@ -13,7 +14,7 @@
 	{Replica: "r1", Name: "m", Version: "1", MemoryMB: 20, Age: time.Minute},
 	{Replica: "r1", Name: "a", Base: "m", Version: "2", MemoryMB: 1, Age: time.Second},
 	{Replica: "r2", Name: "m", Version: "1", MemoryMB: 20},
-}}
+}, Empty: []fleet.EndpointID{"r3"}}
 
 // Guards against a planner that continues from another plan than was stored.
 func TestRoundTrip(t *testing.T) {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -56,6 +56,9 @@
 func (p *Planner) Restore(now time.Time, s Stored) {
 	p.revision = s.Revision
 	p.placed = map[fleet.EndpointID][]placed{}
+	for _, id := range s.Empty {
+		p.placed[id] = []placed{}
+	}
 	for _, it := range s.Items {
 		p.placed[it.Replica] = append(p.placed[it.Replica], placed{it.Name, it.Base, it.Version, it.MemoryMB, now.Add(-it.Age)})
 	}
@@ -65,11 +68,15 @@
 func (p *Planner) Stored(now time.Time) Stored {
 	s := Stored{Revision: p.revision}
 	for id, items := range p.placed {
+		if len(items) == 0 {
+			s.Empty = append(s.Empty, id)
+		}
 		for _, it := range items {
 			s.Items = append(s.Items, Placed{id, it.name, it.base, it.version, it.memory, max(0, now.Sub(it.since))})
 		}
 	}
 	slices.SortStableFunc(s.Items, func(a, b Placed) int { return cmp.Compare(a.Replica, b.Replica) })
+	slices.Sort(s.Empty)
 	return s
 }
 
@@ -160,6 +167,7 @@
 // finish stores the work's result as the new plan and lists the moves.
 func (p *Planner) finish(w *work) Plan {
 	p.first = false
+	changed := w.changed || len(w.moves) > 0 || len(w.reps) != len(p.placed)
 	out := Plan{Targets: make(map[fleet.EndpointID][]ledger.Item, len(w.reps)), Moves: w.moves, Findings: w.findings.All()}
 	p.placed = make(map[fleet.EndpointID][]placed, len(w.reps))
 	for i := range w.reps {
@@ -174,7 +182,7 @@
 		}
 		out.Targets[rep.ID], p.placed[rep.ID] = targets, keep
 	}
-	if len(w.moves) > 0 {
+	if changed {
 		p.revision++
 	}
 	return out
--- a/placement/work.go
+++ b/placement/work.go
@@ -19,6 +19,7 @@
 	byName   map[string]int
 	order    []int // rows by importance
 	swaps    int   // replacements tried
+	changed  bool  // the set of replicas differs from the last plan
 	centres  int   // number of data centres with replicas that stay
 	moves    []Move
 	findings finding.List
@@ -186,6 +187,7 @@
 	if known {
 		return items
 	}
+	w.changed = true
 	for _, h := range r.Held {
 		row, ok := w.byName[h.Name]
 		twice := slices.ContainsFunc(items, func(it placed) bool { return it.name == h.Name })
