--- a/placement/grow.go
+++ b/placement/grow.go
@@ -13,7 +13,7 @@
 func (w *work) grow() {
 	left := w.p.opt.MaxMoves
 	if left == 0 {
-		left = max(4, len(w.reps)/10)
+		left = max(4, len(w.reps)/100)
 	}
 	for range growRounds {
 		w.flow()
@@ -39,7 +39,7 @@
 		for k, u := range r.unmet {
 			value[i] += rankWorth[k] * r.Weight * u
 		}
-		if r.Base == "" && len(r.copies) > 0 && value[i] > 0 {
+		if r.Base == "" && len(r.copies) > 0 && value[i] > w.leastGain(i) {
 			out = append(out, i)
 		}
 	}
@@ -68,7 +68,7 @@
 	var bestRoom room
 	bestNet, found := w.leastGain(row), false
 	for i := range w.reps {
-		if w.reps[i].Leaving || w.reps[i].CapacityMB < r.MemoryMB || w.has(i, row) {
+		if w.reps[i].Leaving || w.reps[i].CapacityMB < r.MemoryMB || w.has(i, row) || w.gainAtMost(i, row) <= bestNet {
 			continue
 		}
 		room, ok := w.roomOn(i, r.MemoryMB, extraCopy, w.served(i))
@@ -83,12 +83,72 @@
 			bestRoom, bestNet, found = room, net, true
 		}
 	}
-	if found {
-		w.displace(bestRoom)
-		w.take(bestRoom)
-		w.grown(bestRoom.rep, row)
+	return found && w.swaps < maxSwaps && w.swap(bestRoom, row)
+}
+
+// maxSwaps bounds the replacements tried in one plan, because each one
+// computes the flow of the whole fleet.
+const maxSwaps = 16
+
+// swap replaces the victims by the row if the worth of all demand served grows
+// by more than the margin of what the victims lose. The estimates that chose
+// the victims ignore that several rows share free slots; without this check
+// two rows could replace each other for ever.
+func (w *work) swap(r room, row int) bool {
+	w.swaps++
+	before := w.worth()
+	undo := w.checkpoint(r, row)
+	w.take(r)
+	w.add(r.rep, row, CauseDemand)
+	w.flow()
+	least := max(w.leastGain(row), w.p.opt.Margin*r.loss)
+	if w.p.opt.Mode == Greedy {
+		least = w.leastGain(row) / 10
+	}
+	if w.worth()-before > least {
+		return true
+	}
+	undo()
+	w.flow()
+	return false
+}
+
+// worth returns the worth of all demand that the plan serves.
+func (w *work) worth() float64 {
+	sum := 0.0
+	for i := range w.rows {
+		if r := &w.rows[i]; r.base < 0 {
+			for k := range r.demand {
+				sum += rankWorth[k] * r.Weight * (r.demand[k] - r.unmet[k])
+			}
+		}
+	}
+	return sum
+}
+
+// checkpoint returns a function that takes back a replacement.
+func (w *work) checkpoint(r room, row int) func() {
+	rep := &w.reps[r.rep]
+	items, free, moves := slices.Clone(rep.items), rep.free, len(w.moves)
+	held := map[int]rowWork{}
+	save := func(row int) {
+		r := w.rows[row]
+		r.copies, r.in = slices.Clone(r.copies), slices.Clone(r.in)
+		held[row] = r
+	}
+	save(row)
+	for _, v := range r.victims {
+		save(v.row)
+		for _, a := range w.rows[v.row].adapters {
+			save(a)
+		}
+	}
+	return func() {
+		rep.items, rep.free, w.moves = items, free, w.moves[:moves]
+		for row, r := range held {
+			w.rows[row] = r
+		}
 	}
-	return found
 }
 
 // served allows victims that have been in the plan for the least time.
@@ -115,6 +175,17 @@
 	return least
 }
 
+// gainAtMost returns the gain if every other item left the replica.
+func (w *work) gainAtMost(rep, row int) float64 {
+	r, left, sum := &w.rows[row], float64(w.reps[rep].Slots), 0.0
+	for k, u := range r.unmet {
+		take := min(u, left)
+		left -= take
+		sum += rankWorth[k] * r.Weight * take
+	}
+	return sum
+}
+
 // gain returns the worth of the unmet demand that the replica could serve
 // without the victims.
 func (w *work) gain(rep, row int, out []victim) float64 {
@@ -154,26 +225,3 @@
 	}
 	w.reps[rep].load = load
 }
-
-// displace moves the flow of the victims to the other replicas of their rows.
-func (w *work) displace(r room) {
-	for _, v := range r.victims {
-		row := &w.rows[v.row]
-		for _, it := range w.reps[r.rep].items {
-			if it.row != v.row || row.base >= 0 {
-				continue
-			}
-			for k, f := range it.flow {
-				w.reps[r.rep].load[k] -= f
-				for _, c := range row.copies {
-					if c != r.rep && f > 0 {
-						part := min(f, w.reps[c].spare(k))
-						w.reps[c].load[k] += part
-						f -= part
-					}
-				}
-				row.unmet[k] += f
-			}
-		}
-	}
-}
--- a/placement/room.go
+++ b/placement/room.go
@@ -20,22 +20,15 @@
 // cannot serve yet does not make the row reachable.
 func (w *work) classify(rep, row int) class {
 	r := &w.rows[row]
-	others, serving := 0, 0
-	centres := map[fleet.DataCentre]bool{}
-	for _, c := range r.copies {
-		if c != rep {
-			others++
-			centres[w.reps[c].DataCentre] = true
-			if w.serves(c, row) {
-				serving++
-			}
-		}
+	others, spans := len(r.copies)-1, r.spans
+	if r.in[w.reps[rep].centre] == 1 {
+		spans--
 	}
-	if others == 0 || serving == 0 && w.serves(rep, row) {
+	if others == 0 || r.serving == 1 && w.serves(rep, row) {
 		return soleCopy
 	}
 	worst := extraCopy
-	if others < max(1, r.MinReplicas) || len(centres) < min(2, w.centres) {
+	if others < max(1, r.MinReplicas) || spans < min(2, w.centres) {
 		worst = secondCopy
 	}
 	for _, a := range r.adapters {
@@ -105,13 +98,14 @@
 	rep     int
 	victims []victim
 	class   class
+	rank    fleet.Rank // most urgent rank of a victim
+	order   int        // importance of the most important victim
 	loss    float64
-	count   int
 }
 
 // roomOn returns the cheapest victims on the replica that free need MB.
 func (w *work) roomOn(rep, need int, up class, allowed func(victim) bool) (room, bool) {
-	r := room{rep: rep}
+	r := room{rep: rep, rank: fleet.Patient, order: len(w.rows)}
 	free := w.reps[rep].free
 	if free < 0 {
 		return r, false
@@ -123,10 +117,16 @@
 		if !allowed(v) || slices.ContainsFunc(r.victims, func(o victim) bool { return w.rows[v.row].base == o.row }) {
 			continue
 		}
+		for _, o := range r.victims { // an adapter that is chosen already counts once
+			if w.rows[o.row].base == v.row {
+				free -= o.memory
+			}
+		}
 		r.victims = append(r.victims, v)
 		r.class = max(r.class, v.class)
+		r.rank = min(r.rank, w.rows[v.row].Rank)
+		r.order = min(r.order, w.rows[v.row].order)
 		r.loss += v.loss
-		r.count++
 		free += v.memory
 	}
 	return r, free >= need
@@ -146,36 +146,40 @@
 // the most free memory.
 func (w *work) freest(row, need int, only func(rep int) bool) (int, bool) {
 	best := -1
-	var bestNew bool
-	taken := w.centresOf(row)
 	for i := range w.reps {
-		rep := &w.reps[i]
-		if rep.Leaving || rep.free < need || only != nil && !only(i) || w.has(i, row) {
-			continue
+		if w.freer(i, best, row, need) && (only == nil || only(i)) && !w.has(i, row) {
+			best = i
 		}
-		fresh := !taken[rep.DataCentre]
-		if best >= 0 {
-			b := &w.reps[best]
-			if fresh != bestNew {
-				if !fresh {
-					continue
-				}
-			} else if c := cmp.Or(cmp.Compare(rep.busy(), b.busy()), cmp.Compare(b.free, rep.free)); c >= 0 {
-				continue
-			}
+	}
+	return best, best >= 0
+}
+
+// freestOf is freest over the given replicas.
+func (w *work) freestOf(reps []int, row, need int) (int, bool) {
+	best := -1
+	for _, i := range reps {
+		if w.freer(i, best, row, need) && !w.has(i, row) {
+			best = i
 		}
-		best, bestNew = i, fresh
 	}
 	return best, best >= 0
 }
 
-// centresOf returns the data centres in which the row has a copy.
-func (w *work) centresOf(row int) map[fleet.DataCentre]bool {
-	out := map[fleet.DataCentre]bool{}
-	for _, c := range w.rows[row].copies {
-		out[w.reps[c].DataCentre] = true
+// freer reports whether the replica has room and suits the row better than
+// best, which is -1 if there is none yet.
+func (w *work) freer(rep, best, row, need int) bool {
+	a := &w.reps[rep]
+	if a.Leaving || a.free < need {
+		return false
 	}
-	return out
+	if best < 0 {
+		return true
+	}
+	b, r := &w.reps[best], &w.rows[row]
+	if fresh := r.in[a.centre] == 0; fresh != (r.in[b.centre] == 0) {
+		return fresh
+	}
+	return cmp.Or(cmp.Compare(a.busy(), b.busy()), cmp.Compare(b.free, a.free)) < 0
 }
 
 // cheapest returns the cheapest room for the row over all replicas.
@@ -190,7 +194,8 @@
 		if !ok {
 			continue
 		}
-		c := cmp.Or(cmp.Compare(r.class, best.class), cmp.Compare(r.loss, best.loss), cmp.Compare(r.count, best.count))
+		c := cmp.Or(cmp.Compare(r.class, best.class), cmp.Compare(best.rank, r.rank), cmp.Compare(r.loss, best.loss),
+			cmp.Compare(len(r.victims), len(best.victims)), cmp.Compare(best.order, r.order))
 		if !found || c < 0 {
 			best, found = r, true
 		}
