--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if e.trial.phase == noTrial {
-		candidate, ok := e.nextCandidate()
+		candidate, ok := s.nextCandidate(e)
 		if !ok {
 			return // until TrialWanted comes with candidates
 		}
@@ -177,45 +177,66 @@
 	return true
 }
 
-// nextCandidate returns the first waiting request's best endpoint that was
-// not tried yet, or its best one if all were.
-func (e *entry) nextCandidate() (Candidate, bool) {
-	if len(e.waiting) == 0 || len(e.waiting[0].candidates) == 0 {
+// nextCandidate returns the first waiting request's best endpoint that no
+// other trial has reserved and that was not tried yet, or its best one without
+// a reservation if all were tried.
+func (s *State) nextCandidate(e *entry) (Candidate, bool) {
+	if len(e.waiting) == 0 {
 		return Candidate{}, false
 	}
-	for _, c := range e.waiting[0].candidates {
+	free := slices.DeleteFunc(slices.Clone(e.waiting[0].candidates), func(c Candidate) bool {
+		return s.reservedByOther(e, c.Endpoint, false)
+	})
+	for _, c := range free {
 		if !slices.Contains(e.trial.tried, c.Endpoint) {
 			return c, true
 		}
 	}
 	e.trial.tried = nil
-	return e.waiting[0].candidates[0], true
+	if len(free) == 0 {
+		return Candidate{}, false
+	}
+	return free[0], true
+}
+
+// reservedByOther reports whether the trial of another fingerprint has
+// reserved the endpoint. With yield set, only reservations count to which the
+// trial of e gives way: of two trials that reserved an endpoint at the same
+// time, the one with the lower attempt keeps it.
+func (s *State) reservedByOther(e *entry, endpoint fleet.EndpointID, yield bool) bool {
+	counts := func(t Trial) bool {
+		return t.Endpoint == endpoint && (!yield || t.Running || t.Attempt < e.trial.attempt)
+	}
+	for _, o := range s.entries {
+		if o == e {
+			continue
+		}
+		if o.trial.phase >= claiming && counts(s.ownClaim(o)) {
+			return true
+		}
+		for _, p := range o.peers {
+			if p.trial != nil && counts(*p.trial) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// awaitIdle starts the trial when nothing else can be hit by it, and moves it
-// to another endpoint when its own does not become idle or is not offered any more.
+// awaitIdle starts the trial when nothing else can be hit by it. It moves the
+// trial to another endpoint when its own does not become idle, is not offered
+// any more, or belongs to another trial.
 func (s *State) awaitIdle(now time.Time, e *entry) {
 	if now.Before(e.next) {
 		return
 	}
 	t := &e.trial
-	offered := slices.ContainsFunc(e.waiting[0].candidates, func(c Candidate) bool { return c == t.endpoint })
-	if timeout := now.Sub(t.reservedAt) >= t.timeout; !offered || timeout && !t.idle {
-		t.tried = append(t.tried, t.endpoint.Endpoint)
-		c, ok := e.nextCandidate()
-		if !ok {
-			return
-		}
-		t.reservedAt = now
-		if timeout {
-			t.timeout = min(2*t.timeout, maxReserveTimeout)
-		}
-		if c != t.endpoint {
-			t.endpoint, t.phase, t.idle = c, claiming, false
-			s.tell[e.fingerprint] = true
-			s.claim(now, e)
-			return
-		}
+	offered := slices.ContainsFunc(e.waiting[0].candidates, func(c Candidate) bool { return c == t.endpoint }) &&
+		!s.reservedByOther(e, t.endpoint.Endpoint, true)
+	timeout := now.Sub(t.reservedAt) >= t.timeout && !t.idle
+	if !offered || timeout {
+		s.move(now, e, timeout)
+		return
 	}
 	if !t.idle || now.Sub(t.reservedAt) < s.cfg.SettleAfter || s.inFlight(e) {
 		return
@@ -225,6 +246,26 @@
 	s.write(now, e, CommitRecord{Record: Record{Losses: slices.Clone(e.open), Until: e.until, Trial: &claim}})
 }
 
+// move claims another endpoint for the trial, if there is one.
+func (s *State) move(now time.Time, e *entry, timeout bool) {
+	t := &e.trial
+	t.tried = append(t.tried, t.endpoint.Endpoint)
+	c, ok := s.nextCandidate(e)
+	if !ok {
+		return
+	}
+	t.reservedAt = now
+	if timeout {
+		t.timeout = min(2*t.timeout, maxReserveTimeout)
+	}
+	if c == t.endpoint {
+		return
+	}
+	t.endpoint, t.phase, t.idle = c, claiming, false
+	s.tell[e.fingerprint] = true
+	s.claim(now, e)
+}
+
 // inFlight reports whether the fingerprint runs anywhere outside a trial.
 func (s *State) inFlight(e *entry) bool {
 	if s.runs[e.fingerprint] > 0 {
