peer: send heartbeats as packed varints

Cause: jsonrpc2 parses params several times, which is slow for arrays. Change: the params of heartbeat are a JSON string with packed varints.

--- a/membership/types.go
+++ b/membership/types.go
@@ -22,9 +22,9 @@
 	TableAge      time.Duration // since the store last confirmed the revision
 	Leaving       bool
 	Leases        []lease.Held
-	Demand        []RowDemand
-	Reports       []EndpointReport
-	WantedLoads   int // loads that the instance's shards want from the weight store now
+	Demand        []RowDemand      // at most one per row
+	Reports       []EndpointReport // at most one per endpoint
+	WantedLoads   int              // loads that the instance's shards want from the weight store now
 	Retries       RetryCounts
 	Suspects      []quarantine.Notice
 	// Summaries describe data centres, as a relay sees them.
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -133,6 +133,12 @@
 	for _, r := range reports {
 		e.encodeReport(l, now, r, &w)
 	}
+	if len(l.reports) == len(reports) {
+		for _, s := range l.reports {
+			s.seen = false
+		}
+		return w
+	}
 	for _, id := range slices.Sorted(maps.Keys(l.reports)) {
 		if s := l.reports[id]; s.seen {
 			s.seen = false
@@ -146,14 +152,14 @@
 
 func (e *encoder) encodeDemand(l *loadEncoder, demand []membership.RowDemand) [][]int64 {
 	var out [][]int64
-	present := make(map[int64]bool, len(demand))
+	present := make([]int64, 0, len(demand))
 	for _, d := range demand {
 		v := [3]int64{tenths(d.ArrivalRate), int64(d.Queued), int64(d.InFlight)}
 		if v == [3]int64{} {
 			continue
 		}
 		id := e.name(d.Row)
-		present[id] = true
+		present = append(present, id)
 		old, ok := l.demand[id]
 		if ok && !changedCount(old[0], v[0]) && !changedCount(old[1], v[1]) && !changedCount(old[2], v[2]) {
 			continue
@@ -161,8 +167,12 @@
 		l.demand[id] = v
 		out = append(out, trimZeros([]int64{id, v[0], v[1], v[2]}, 2))
 	}
+	if len(l.demand) == len(present) {
+		return out
+	}
+	slices.Sort(present)
 	for _, id := range slices.Sorted(maps.Keys(l.demand)) {
-		if !present[id] {
+		if _, ok := slices.BinarySearch(present, id); !ok {
 			delete(l.demand, id)
 			out = append(out, []int64{id})
 		}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -11,37 +11,37 @@
 // A heartbeat is sent as the difference to the one before on the same
 // connection, which is reliable and ordered; a new connection starts from
 // nothing. Names are sent once per connection and referred to by their index
-// afterwards. Rows and reports are arrays of integers. Fields that did not
+// afterwards. Rows and reports are lists of integers. Fields that did not
 // change are left out.
 
-// wireHeartbeat is the params object of method heartbeat.
+// wireHeartbeat is the params of method heartbeat; compact.go has its form.
 type wireHeartbeat struct {
-	Names     []string        `json:"n,omitempty"` // new names, in order of their indexes
-	Sequence  uint64          `json:"s,omitempty"` // omitted: one more than before
-	Revision  uint64          `json:"r,omitempty"`
-	Age       *int64          `json:"a,omitempty"` // table age in seconds, rounded up
-	Leaving   bool            `json:"l,omitempty"` // stays set on a connection
-	Leases    *[]wireLease    `json:"e,omitempty"`
-	Wanted    *int64          `json:"w,omitempty"`
-	Retries   *[2]int64       `json:"y,omitempty"`
-	Suspects  *[]wireNotice   `json:"u,omitempty"`
-	Summaries []wireSummary   `json:"z,omitempty"`
-	Load      wireLoadChanges `json:"c,omitzero"`
+	Names     []string // new names, in order of their indexes
+	Sequence  uint64   // 0: one more than before
+	Revision  uint64   // 0: unchanged
+	Age       *int64   // table age in seconds, rounded up
+	Leaving   bool     // stays set on a connection
+	Leases    *[]wireLease
+	Wanted    *int64
+	Retries   *[2]int64
+	Suspects  *[]wireNotice
+	Summaries []wireSummary
+	Load      wireLoadChanges
 }
 
 // wireLoadChanges are the changed rows and reports.
 type wireLoadChanges struct {
 	// Demand has [row] for a row without demand, or [row, rate in 1/10 per
 	// second, queued, in flight] with zeros at the end left out.
-	Demand [][]int64 `json:"d,omitempty"`
+	Demand [][]int64
 	// Reports has [endpoint] for one that is not reported any more, [endpoint,
 	// age] for a new report of the same load, or [endpoint, age, running,
 	// waiting], which slots and leaving follow if they changed. Ages are in
 	// 1/10 s.
-	Reports [][]int64 `json:"p,omitempty"`
-	Boots   [][]int64 `json:"b,omitempty"` // [endpoint, boot id]
+	Reports [][]int64
+	Boots   [][]int64 // [endpoint, boot id]
 	// Residents has [endpoint, name, version, ready, name, version, ready, ...].
-	Residents [][]int64 `json:"q,omitempty"`
+	Residents [][]int64
 }
 
 type wireLease struct {
@@ -51,16 +51,16 @@
 
 // wireSummary is a change of the summary of one data centre.
 type wireSummary struct {
-	DataCentre  int64           `json:"c"`
-	Relay       int64           `json:"r"`
-	Incarnation uint64          `json:"i"`
-	Sequence    uint64          `json:"s"`
-	Revision    uint64          `json:"v,omitempty"`
-	Members     []wireDigest    `json:"m,omitempty"`
-	Gone        []int64         `json:"x,omitempty"`
-	Wanted      int64           `json:"w,omitempty"`
-	Retries     [2]int64        `json:"y"`
-	Load        wireLoadChanges `json:"l,omitzero"`
+	DataCentre  int64
+	Relay       int64
+	Incarnation uint64
+	Sequence    uint64
+	Revision    uint64
+	Members     []wireDigest // new or changed
+	Gone        []int64
+	Wanted      int64
+	Retries     [2]int64
+	Load        wireLoadChanges
 }
 
 type wireDigest struct {
