gateway: relay chunks without copying them

Cause: each chunk was copied to every function that looked at it. Change: chunks are passed by pointer; the ends of a stream have their own functions.

--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -152,7 +152,6 @@
 	records map[string]platform.Record
 	objects map[string][]byte
 	fail    func(op string) error // "read", "commit", "applied" (after the commit took effect), "put", "get"
-	called  chan string
 }
 
 func (s *fakeStore) failure(op string) error {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,36 +26,47 @@
 	}
 	defer func() { _ = stream.Close() }()
 	buffered, _ := stream.(engine.BufferedStream)
+	var chunk engine.Chunk
 	for {
-		chunk, err := stream.Next()
-		if err == nil {
-			err = c.check(chunk, id)
-		} else if errors.Is(err, io.EOF) {
-			err = &engine.Error{Kind: engine.Truncated, Err: errors.New("no final chunk")}
+		if chunk, err = stream.Next(); err == nil {
+			err = c.check(&chunk, id)
 		}
 		if err != nil {
-			if flushErr := c.out.flush(); flushErr != nil {
-				return admission.ResultCancelled
-			}
-			return c.engineFailed(err, watch.fired.Load())
+			return c.broken(err, watch)
 		}
 		now := time.Now()
-		c.account(chunk, now)
+		c.account(&chunk, now)
 		watch.last.Store(now.UnixNano())
-		more := !chunk.Final && buffered != nil && buffered.Buffered()
-		if err := c.out.text(chunk.Text, more || chunk.Final); err != nil {
+		more := chunk.Final || buffered != nil && buffered.Buffered()
+		if c.out.text(chunk.Text, more) != nil {
 			return admission.ResultCancelled
 		}
 		if chunk.Final {
-			u := openai.Usage{PromptTokens: chunk.PromptTokens, CompletionTokens: chunk.CompletionTokens}
-			if err := c.out.end(chunk.FinishReason, u); err != nil {
-				return admission.ResultCancelled
-			}
-			return admission.ResultAnswered
+			return c.complete(&chunk)
 		}
 	}
 }
 
+// complete ends an answer whose chunks are all relayed.
+func (c *modelCall) complete(final *engine.Chunk) admission.Result {
+	u := openai.Usage{PromptTokens: final.PromptTokens, CompletionTokens: final.CompletionTokens}
+	if c.out.end(final.FinishReason, u) != nil {
+		return admission.ResultCancelled
+	}
+	return admission.ResultAnswered
+}
+
+// broken handles a stream that ended before its final chunk.
+func (c *modelCall) broken(err error, watch *watchdog) admission.Result {
+	if errors.Is(err, io.EOF) {
+		err = &engine.Error{Kind: engine.Truncated, Err: errors.New("no final chunk")}
+	}
+	if c.out.flush() != nil {
+		return admission.ResultCancelled
+	}
+	return c.engineFailed(err, watch.fired.Load())
+}
+
 // generate starts the answer on the engine from the first chunk that is
 // missing. It is not inlined for the reason told at accept.
 //
@@ -94,7 +105,7 @@
 }
 
 // account notes a chunk that has passed the check.
-func (c *modelCall) account(chunk engine.Chunk, now time.Time) {
+func (c *modelCall) account(chunk *engine.Chunk, now time.Time) {
 	c.executed = engine.ExecutedYes
 	c.next++
 	c.bytes += int64(len(chunk.Text))
@@ -116,7 +127,7 @@
 )
 
 // check verifies that a chunk is the next one of this request.
-func (c *modelCall) check(chunk engine.Chunk, id string) error {
+func (c *modelCall) check(chunk *engine.Chunk, id string) error {
 	switch {
 	case chunk.RequestID != id:
 		return &engine.Error{Kind: engine.Crossed, Err: errOtherRequest}
