gateway: answer a keyed call even if storing its answer stalls

Cause: a stalled store held the answer back for a whole store timeout. Conclusion: the answer comes in time and is still stored.

--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -24,6 +24,7 @@
 	told  chan idempotency.Tell
 	ended bool
 
+	answered           bool // the caller has been told
 	goneTold, stopTold bool // the call knows that the caller is gone, or that the instance stops
 
 	// Written before told is sent to, read after it has been received from.
@@ -100,7 +101,7 @@
 	case idempotency.Read:
 		return k.load()
 	case idempotency.PutObject:
-		ctx, cancel := k.storeContext()
+		ctx, cancel := k.storeContext(k.g.cfg.Limits.StoreTimeout)
 		defer cancel()
 		if k.g.cfg.Objects.Put(ctx, a.Name, a.Body) != nil {
 			return idempotency.ObjectFailed{}
@@ -112,6 +113,7 @@
 		k.wait(a.Until)
 		return idempotency.Woken{}
 	case idempotency.Tell:
+		k.answered = true
 		k.told <- a
 	case idempotency.End:
 		k.ended = true
@@ -121,8 +123,8 @@
 
 // storeContext bounds a store call. It outlives the caller, because a claim
 // must be settled even if the caller hangs up.
-func (k *keyedCall) storeContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.WithoutCancel(k.ctx), k.g.cfg.Limits.StoreTimeout)
+func (k *keyedCall) storeContext(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(k.ctx), limit)
 }
 
 func (k *keyedCall) commit(a idempotency.Commit) idempotency.Event {
@@ -130,7 +132,11 @@
 	if err != nil {
 		return idempotency.StoreDown{}
 	}
-	ctx, cancel := k.storeContext()
+	limit := k.g.cfg.Limits.StoreTimeout
+	if a.Record.Status == idempotency.Done && !k.answered {
+		limit = min(limit, k.g.cfg.Claims.AnswerWithin) // the caller waits for this write
+	}
+	ctx, cancel := k.storeContext(limit)
 	defer cancel()
 	versions, err := k.g.cfg.Table.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: k.key, Version: a.IfVersion}},
@@ -149,7 +155,7 @@
 }
 
 func (k *keyedCall) load() idempotency.Event {
-	ctx, cancel := k.storeContext()
+	ctx, cancel := k.storeContext(k.g.cfg.Limits.StoreTimeout)
 	defer cancel()
 	records, err := k.g.cfg.Table.Read(ctx, platform.Query{Keys: []string{k.key}})
 	if err != nil {
@@ -257,7 +263,7 @@
 	w.Header().Set(HeaderReplayed, "true")
 	a := t.Answer
 	if a.Object != "" {
-		ctx, cancel := k.storeContext()
+		ctx, cancel := k.storeContext(g.cfg.Limits.StoreTimeout)
 		defer cancel()
 		body, err := g.cfg.Objects.Get(ctx, a.Object)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -175,42 +175,44 @@
 	r.is.Equal(d.runs.Load(), int64(1))
 }
 
+var storeFaults = []struct {
+	name     string
+	fail     func(calls map[string]int, op string) error
+	status   int
+	executed string
+	runs     int64
+}{
+	{"down before the claim", func(_ map[string]int, op string) error { return platform.ErrUnavailable }, 503, "no", 0},
+	{"claim applied, answer lost", func(n map[string]int, op string) error {
+		if op == "applied" && n[op] == 1 {
+			return platform.ErrUnknownOutcome
+		}
+		return nil
+	}, 201, "yes", 1},
+	{"claim not applied, answer lost", func(n map[string]int, op string) error {
+		if op == "commit" && n[op] == 1 {
+			return platform.ErrUnknownOutcome
+		}
+		return nil
+	}, 201, "yes", 1},
+	{"claim lost and unreadable", func(n map[string]int, op string) error {
+		if op == "applied" {
+			return platform.ErrUnknownOutcome
+		}
+		return platform.ErrUnavailable
+	}, 503, "no", 0},
+	{"down when the answer is stored", func(n map[string]int, op string) error {
+		if op == "commit" && n[op] > 1 {
+			return platform.ErrUnavailable
+		}
+		return nil
+	}, 201, "yes", 1},
+}
+
 // Guards against a booking that is sent without a claim, or is told to have
 // not run although it did, for each way in which the store fails.
 func TestStoreFaults(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		fail     func(calls map[string]int, op string) error
-		status   int
-		executed string
-		runs     int64
-	}{
-		{"down before the claim", func(_ map[string]int, op string) error { return platform.ErrUnavailable }, 503, "no", 0},
-		{"claim applied, answer lost", func(n map[string]int, op string) error {
-			if op == "applied" && n[op] == 1 {
-				return platform.ErrUnknownOutcome
-			}
-			return nil
-		}, 201, "yes", 1},
-		{"claim not applied, answer lost", func(n map[string]int, op string) error {
-			if op == "commit" && n[op] == 1 {
-				return platform.ErrUnknownOutcome
-			}
-			return nil
-		}, 201, "yes", 1},
-		{"claim lost and unreadable", func(n map[string]int, op string) error {
-			if op == "applied" {
-				return platform.ErrUnknownOutcome
-			}
-			return platform.ErrUnavailable
-		}, 503, "no", 0},
-		{"down when the answer is stored", func(n map[string]int, op string) error {
-			if op == "commit" && n[op] > 1 {
-				return platform.ErrUnavailable
-			}
-			return nil
-		}, 201, "yes", 1},
-	} {
+	for _, c := range storeFaults {
 		t.Run(c.name, func(t *testing.T) {
 			r, d := deskRig(t, func(cfg *Config) {
 				cfg.Claims = idempotency.DefaultSettings()
@@ -309,3 +311,31 @@
 	r.is.Equal(r.call("GET", "/services/strict/bookings", "").status, http.StatusCreated)
 	r.is.Equal(d.runs.Load(), int64(1))
 }
+
+// stalledStore never answers a write after the first until its caller gives up.
+type stalledStore struct {
+	*fakeStore
+	commits atomic.Int64
+}
+
+func (s *stalledStore) Commit(ctx context.Context, t platform.Txn) ([]uint64, error) {
+	if s.commits.Add(1) == 2 {
+		<-ctx.Done()
+		return nil, platform.ErrUnknownOutcome
+	}
+	return s.fakeStore.Commit(ctx, t)
+}
+
+// Guards against an answer that is held back as long as a store call may last.
+func TestAnswerDoesNotWaitForAStalledStore(t *testing.T) {
+	r, d := deskRig(t, func(c *Config) {
+		c.Table = &stalledStore{fakeStore: c.Table.(*fakeStore)}
+		c.Limits.StoreTimeout = time.Hour
+		c.Claims = idempotency.DefaultSettings()
+		c.Claims.AnswerWithin = 20 * time.Millisecond
+	})
+	r.is.Equal(r.book("k").status, http.StatusCreated)
+	r.background.Wait()
+	r.is.Equal(r.book("k").header.Get(HeaderReplayed), "true")
+	r.is.Equal(d.runs.Load(), int64(1))
+}
--- a/idempotency/explore_test.go
+++ b/idempotency/explore_test.go
@@ -68,24 +68,28 @@
 	return w.version, true
 }
 
+func (w *world) commit(a Commit) Event {
+	switch w.fault(3, "commit") {
+	case 1:
+		return StoreDown{}
+	case 2: // took effect, answer lost
+		w.apply(a)
+		return StoreLost{}
+	case 3: // may take effect later
+		w.delayed = append(w.delayed, a)
+		return StoreLost{}
+	}
+	if v, ok := w.apply(a); ok {
+		return Committed{Version: v}
+	}
+	return Conflicted{}
+}
+
 // do carries out one action of a caller and returns the event that answers it.
 func (w *world) do(c *caller, a Action) Event {
 	switch a := a.(type) {
 	case Commit:
-		switch w.fault(3, "commit") {
-		case 1:
-			return StoreDown{}
-		case 2: // took effect, answer lost
-			w.apply(a)
-			return StoreLost{}
-		case 3: // may take effect later
-			w.delayed = append(w.delayed, a)
-			return StoreLost{}
-		}
-		if v, ok := w.apply(a); ok {
-			return Committed{Version: v}
-		}
-		return Conflicted{}
+		return w.commit(a)
 	case Read:
 		if w.fault(1, "read") == 1 {
 			return LoadFailed{}
