--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 
 	"github.com/hyssophaven/hyssophaven/admission"
@@ -97,13 +96,13 @@
 		if errors.As(err, &op) && op.Op == "dial" {
 			return nil, failf(openai.CodeEndpointUnreachable, engine.ExecutedNo, "endpoint %s cannot be reached: %v", grant.Endpoint.ID, err).after(retrySoon)
 		}
-		return nil, lostService(grant, err)
+		return nil, c.lost(grant, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	limit := c.g.cfg.Limits.MaxAnswerBytes
 	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
 	if err != nil {
-		return nil, lostService(grant, err)
+		return nil, c.lost(grant, err)
 	}
 	if int64(len(body)) > limit {
 		f := failf(openai.CodeAnswerTooLarge, engine.ExecutedYes, "the answer of endpoint %s is larger than %d bytes", grant.Endpoint.ID, limit)
@@ -112,8 +111,12 @@
 	return &serviceAnswer{status: resp.StatusCode, header: endToEnd(resp.Header), body: body}, nil
 }
 
-func lostService(grant admission.Grant, err error) *failure {
-	return failf(openai.CodeEndpointLost, engine.ExecutedUnknown, "endpoint %s gave no whole answer: %v", grant.Endpoint.ID, err)
+func (c *serviceCall) lost(grant admission.Grant, err error) *failure {
+	f := failf(openai.CodeEndpointLost, engine.ExecutedUnknown, "endpoint %s gave no whole answer: %v", grant.Endpoint.ID, err)
+	if !c.once {
+		f.retryAfter = retrySoon
+	}
+	return f
 }
 
 // writeService relays a service's answer to its caller.
@@ -129,18 +132,17 @@
 		h["Content-Type"] = nil // relayed as it is, not guessed from the body
 	}
 	h.Set(HeaderExecuted, engine.ExecutedYes.String())
-	if len(a.body) == 0 && a.header.Get("Content-Length") != "" {
+	length := a.header.Get("Content-Length")
+	switch {
+	case a.status == http.StatusNoContent || a.status == http.StatusNotModified:
+		// These have no body, and 204 may not announce one.
+	case len(a.body) == 0 && length != "" && length != "0":
 		// The answer to HEAD announces a body that it does not hold.
-		if n, err := strconv.Atoi(a.header.Get("Content-Length")); err == nil && n > 0 {
-			return g.writeHead(w, a.status, n)
-		}
+		h.Set("Content-Length", length)
+	default:
+		return g.writeWhole(w, a.status, a.body)
 	}
-	return g.writeWhole(w, a.status, a.body)
-}
-
-func (g *Gateway) writeHead(w http.ResponseWriter, status, length int) error {
-	w.Header().Set("Content-Length", strconv.Itoa(length))
 	g.extendWrite(http.NewResponseController(w))
-	w.WriteHeader(status)
+	w.WriteHeader(a.status)
 	return nil
 }
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,7 @@
 	runs   atomic.Int64
 	before func() // called before a booking is answered
 	body   string
+	status int // 0 means 201
 }
 
 func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -35,7 +37,7 @@
 	w.Header().Set("Location", fmt.Sprintf("/bookings/%d", n))
 	w.Header().Set("X-Desk", "open")
 	w.Header().Set("Keep-Alive", "timeout=5")
-	w.WriteHeader(http.StatusCreated)
+	w.WriteHeader(cmp.Or(d.status, http.StatusCreated))
 	_, _ = io.WriteString(w, d.body+r.URL.RequestURI()+r.Header.Get("Keep-Alive"))
 }
 
@@ -53,7 +55,7 @@
 
 // Guards against plain calls that are changed on their way.
 func TestPlainCallIsRelayedAsItIs(t *testing.T) {
-	r, _ := deskRig(t, nil)
+	r, d := deskRig(t, nil)
 	a := r.call("GET", "/services/booking/a%2Fb/c?x=%20y", "", "Keep-Alive", "x")
 	r.is.Equal(a.status, http.StatusCreated)
 	r.is.Equal(a.body, "/a%2Fb/c?x=%20y")
@@ -61,6 +63,13 @@
 	r.is.Equal(a.header.Get("X-Desk"), "open")
 	r.is.Equal(a.header.Get("Keep-Alive"), "")
 	r.is.Equal(r.call("GET", "/services/booking", "").body, "/")
+	head := r.call("HEAD", "/services/booking/x", "")
+	r.is.Equal(head.header.Get("Content-Length"), "2") // the length of "/x"
+	r.is.Equal(head.body, "")
+	d.status = http.StatusNoContent
+	none := r.call("DELETE", "/services/booking/x", "")
+	r.is.Equal(none.status, http.StatusNoContent)
+	r.is.Equal(none.header.Get("Content-Length"), "")
 	r.is.Equal(r.control.asked[0].Pool, "desk")
 }
 
