ledger: check progress with the default periods

Cause: the explorations use periods of zero or one tick, so a read that is never asked for with the real periods would go unnoticed. Change: a test that loads, replaces and replaces again under virtual time for the three kinds of engine.

--- /dev/null
+++ b/ledger/default_test.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a ledger that stops with the default periods, for instance
+// because a read that it waits for is never asked for.
+func TestTargetIsReachedWithDefaultPeriods(t *testing.T) {
+	for _, e := range engines {
+		is := is.New(t)
+		w := loaded(e.checks, e.survive, func(c *config) { c.from = bothLoaded })
+		w.until = 1 << 20
+		s := w.cfg.settings()
+		r := NewReplica(Settings{Replica: s.Replica, CapacityMB: s.CapacityMB, ChecksTokens: s.ChecksTokens, TokensSurviveRestart: s.TokensSurviveRestart})
+		now := start
+		do := func(ev Event) {
+			for acts := r.Step(now, ev); len(acts) > 0; {
+				a := acts[0]
+				acts = acts[1:]
+				switch a := a.(type) {
+				case Persist:
+					ev = Persisted{Write: a.Record.Write, Epoch: 1, Version: a.Expected + 1}
+				case Query:
+					ev = Observed{Query: a.ID, State: w.state()}
+				case Send:
+					ev = OrderAnswered{ID: a.Order.ID, Result: w.execute(a.Order)}
+					w.pick("engine releases")
+				}
+				acts = append(acts, r.Step(now, ev)...)
+			}
+		}
+		reach := func(what, name string, target []Item) {
+			begin := now
+			do(Want{Target: target})
+			for !r.Servable(name) {
+				if now = now.Add(100 * time.Millisecond); now.Sub(begin) > time.Hour {
+					t.Fatalf("%s: %s is never served", e.name, name)
+				}
+				do(Tick{})
+			}
+			t.Logf("%s: %s after %v", e.name, what, now.Sub(begin))
+		}
+		do(Adopt{Self: self(0, 1), Until: start.Add(24 * time.Hour)})
+		reach("b", "b", targetAB)
+		reach("c in its place", "c", targetAC)
+		now = now.Add(10 * time.Minute)
+		do(Tick{})
+		reach("b in its place, ten minutes later", "b", targetAB)
+		is.Equal(w.bad, "")
+	}
+}
