admission: count backlog as near demand and tune the windows

Cause: an instance without a free slot got one too late, patient work left a quarter of the fleet unused in its own flood, and 40% of the urgent requests that were accepted to wait in an urgent flood expired. Change: a backlog counts as the demand of the next second, patient work leaves one standard deviation of room, estimates include the turn of the row by virtual time; cases for a flood through one instance, a lost data centre and 8 slots. The weight test compares expected slot time within the bound of fair queueing: it compared random times within 10% and failed by chance, and now passes 3,000 cases.

--- a/admission/arrive.go
+++ b/admission/arrive.go
@@ -19,10 +19,10 @@
 	// long its service is expected to take.
 	minSlack = 0.25
 	// residual is the part of a slot time that a request in service has left on
-	// average; service times vary less than exponential ones.
-	residual = 0.6
+	// average. At 0.6 the first prompt request to wait was refused.
+	residual = 0.5
 	// waitMargin is how much shorter than the slack an estimated wait must be.
-	// At 1, 4 of 9 accepted urgent requests expired in an urgent flood.
+	// Without it, more urgent requests expired in an urgent flood.
 	waitMargin = 1.2
 	// estimateSamples bounds the endpoints looked at for an estimate.
 	estimateSamples = 16
@@ -157,7 +157,8 @@
 		if f.waiting.length == 0 {
 			weight += f.weight
 		}
-		wait = min(wait, f.work*weight/(f.weight*capacity*scale))
+		ahead := f.work/f.weight + max(f.tag-q.virtual(f), 0)
+		wait = min(wait, ahead*weight/(capacity*scale))
 	}
 	return wait + residual*f.row.slotTime/capacity
 }
--- a/admission/endpoint.go
+++ b/admission/endpoint.go
@@ -178,12 +178,18 @@
 		f.tag = float64(sequence)
 		return
 	}
-	start := math.Inf(1)
-	for _, p := range f.target.places {
-		start = min(start, q.endpoints[p.Endpoint].virtual[f.rank])
-	}
-	if math.IsInf(start, 1) {
+	if len(f.target.places) == 0 {
 		return
 	}
+	start := q.virtual(f)
 	f.tag = min(max(f.tag, start), start+cost/f.weight)
 }
+
+// virtual is the virtual time at which a flow joins: the least of its endpoints.
+func (q *Queue) virtual(f *flow) float64 {
+	v := math.Inf(1)
+	for _, p := range f.target.places {
+		v = min(v, q.endpoints[p.Endpoint].virtual[f.rank])
+	}
+	return v
+}
--- a/admission/policy_bench_test.go
+++ b/admission/policy_bench_test.go
@@ -16,10 +16,16 @@
 }
 
 var simCases = []simCase{
-	{"no flood, 80%", -1, 0, 0.8},
-	{"patient flood, 5 times", 2, 5, 0.8},
-	{"prompt flood, 5 times", 1, 5, 0.8},
-	{"urgent flood, 5 times", 0, 5, 0.8},
+	{name: "no flood, 80%", flood: -1, base: 0.8, slots: 16},
+	{name: "patient flood, 5 times", flood: 2, level: 5, base: 0.8, slots: 16},
+	{name: "prompt flood, 5 times", flood: 1, level: 5, base: 0.8, slots: 16},
+	{name: "urgent flood, 5 times", flood: 0, level: 5, base: 0.8, slots: 16},
+	{name: "patient flood through one instance", flood: 2, level: 5, base: 0.8, slots: 16, through: true},
+	{name: "urgent flood through one instance", flood: 0, level: 5, base: 0.8, slots: 16, through: true},
+	{name: "data centre lost", flood: -1, base: 0.8, slots: 16, lost: true},
+	{name: "no flood, 80%, 8 slots", flood: -1, base: 0.8, slots: 8},
+	{name: "patient flood, 8 slots", flood: 2, level: 5, base: 0.8, slots: 8},
+	{name: "urgent flood, 8 slots", flood: 0, level: 5, base: 0.8, slots: 8},
 }
 
 var simSeeds = []uint64{1, 2, 3, 4, 5}
@@ -65,7 +71,10 @@
 			worst[r] = min(worst[r], float64(res.attained)/float64(max(res.sent, 1)))
 		}
 	}
-	capacity := simReplicas * simSlots * simMeasured.Seconds() * float64(len(simSeeds))
+	capacity := float64(simReplicas*c.slots*len(simSeeds)) * simMeasured.Seconds()
+	if c.lost {
+		capacity /= 3 // half of the time, two of three data centres
+	}
 	fmt.Printf("| %s | %s |", c.name, p.name)
 	refused, expired := 0, 0
 	for _, res := range sum {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -50,14 +51,14 @@
 	return f
 }
 
-// backlogged keeps every row waiting all the time and returns the slot time
-// that each row had, as shares of all.
-func backlogged(rows []Request, slots int, service map[string]float64, seed uint64) map[string]float64 {
+// backlogged keeps every row waiting all the time. It returns the slot time
+// that each row had, as shares of all, and how many requests of each were served.
+func backlogged(rows []Request, slots int, service map[string]float64, seed uint64) (map[string]float64, map[string]int) {
 	q := NewQueue(Config{Seed: seed})
 	now, id := epoch, uint64(0)
 	random := rand.New(rand.NewPCG(seed, 2))
 	byID, running := map[uint64]Request{}, finishHeap{}
-	used := map[string]float64{}
+	used, served := map[string]float64{}, map[string]int{}
 	total := 0.0
 	var do func(ev Event)
 	do = func(ev Event) {
@@ -70,6 +71,7 @@
 			r := byID[d.ID]
 			s := service[r.Row] * (0.5 + random.Float64())
 			used[r.Row] += s
+			served[r.Row]++
 			total += s
 			heap.Push(&running, finishing{at: now.Add(seconds(s)), id: d.ID, row: r.Row})
 			again = append(again, r.Row)
@@ -103,7 +105,7 @@
 	for row := range used {
 		used[row] /= total
 	}
-	return used
+	return used, served
 }
 
 // Guards against a flood of any rank that takes the floor of another one.
@@ -115,7 +117,7 @@
 			service[r.String()] = rapid.Float64Range(0.5, 5).Draw(t, "service")
 			rows = append(rows, request(0, r.String(), r))
 		}
-		used := backlogged(rows, rapid.IntRange(1, 12).Draw(t, "slots"), service, 1)
+		used, _ := backlogged(rows, rapid.IntRange(1, 12).Draw(t, "slots"), service, 1)
 		for _, r := range fleet.Ranks() {
 			if got, floor := used[r.String()], testFloors[r]; got < 0.97*floor {
 				t.Fatalf("rank %s had %.3f of the slot time, floor %.3f", r, got, floor)
@@ -137,10 +139,17 @@
 			service[r.Row] = rapid.Float64Range(0.2, 2).Draw(t, "service")
 			rows = append(rows, r)
 		}
-		used := backlogged(rows, 4, service, 1)
+		_, served := backlogged(rows, 4, service, 1)
+		total := 0.0
+		for row, n := range served {
+			total += float64(n) * service[row]
+		}
 		for _, r := range rows {
-			if got, want := used[r.Row], r.Weight/weights; got < 0.9*want || got > 1.1*want {
-				t.Fatalf("row %s had %.3f of the slot time, want %.3f by weight", r.Row, got, want)
+			// The order goes by expected slot time. It may be off by what is in
+			// flight when the run begins and ends: 4 slots, up to 2 s each.
+			got, want := float64(served[r.Row])*service[r.Row], total*r.Weight/weights
+			if math.Abs(got-want) > 16 {
+				t.Fatalf("row %s had %.0f s of the slot time, want %.0f of %.0f by weight", r.Row, got, want, total)
 			}
 		}
 	})
--- a/admission/row.go
+++ b/admission/row.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// rateDecay is the time constant of the arrival rate of a row.
+	// rateDecay is the time constant of the arrival rate of a row. With 5 s the
+	// shares of rows with few requests followed noise.
 	rateDecay = 15 * time.Second
 	// learningRate is the weight of a new measurement in a moving average.
 	learningRate = 0.1
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -18,20 +18,20 @@
 // The windows of the lower ranks leave room for arrivals of more urgent ones.
 // The figures were tuned with BenchmarkPolicies.
 const (
-	// rankHeadroom sizes that room: the mean number in flight of the more
-	// urgent ranks, which is Poisson distributed when nothing waits, plus that
-	// many standard deviations.
-	rankHeadroom = 1.6
+	// urgentDeviations sizes the room for urgent work: its mean number in
+	// flight, which is Poisson distributed when nothing waits, plus that many
+	// standard deviations.
+	urgentDeviations = 1.6
+	// promptDeviations sizes the room that patient work leaves in the same way.
+	// At 1.6 it left a quarter of the fleet unused in a patient flood, at 0.4
+	// prompt work missed 6%.
+	promptDeviations = 1.0
 	// lowerHeadroom is the part of the headroom that prompt and patient work
 	// together leave to urgent work. At 1, prompt work missed 4% at 80% load.
 	lowerHeadroom = 0.3
 	// spareForHeadroom is the part of the slots that nobody needs that may be
 	// used as headroom. Without that bound patient work starved at 80% load.
 	spareForHeadroom = 0.95
-	// spareForPrompt is the part of those slots by which the windows of prompt
-	// work grow. The engines' priorities then protect urgent work; without it,
-	// prompt work missed 2% at 80% load, at 1 urgent work missed 0.8%.
-	spareForPrompt = 0.6
 )
 
 // Demand is what one row of one instance wants.
@@ -188,7 +188,7 @@
 	lowerKept := kept[fleet.Prompt] + kept[fleet.Patient]
 	spare := max(slots-u-p-demand[fleet.Patient], 0)
 
-	urgentHeadroom, promptHeadroom := rankHeadroom*math.Sqrt(u), rankHeadroom*math.Sqrt(u+p)
+	urgentHeadroom, promptHeadroom := urgentDeviations*math.Sqrt(u), promptDeviations*math.Sqrt(u+p)
 	if spare > 0 {
 		urgentHeadroom = min(urgentHeadroom, spareForHeadroom*spare)
 		promptHeadroom = min(promptHeadroom, spareForHeadroom*spare)
@@ -199,7 +199,7 @@
 	for r := range windows {
 		windows[r] = max(windows[r], kept[r])
 	}
-	lower := max(slots-u-lowerHeadroom*urgentHeadroom+spareForPrompt*spare, lowerKept)
+	lower := max(slots-u-lowerHeadroom*urgentHeadroom, lowerKept)
 	return roundWindows(windows, kept, c.Slots), min(max(int(lower+0.5), int(math.Ceil(lowerKept)), 1), c.Slots)
 }
 
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
@@ -18,7 +19,6 @@
 const (
 	simInstances   = 7
 	simReplicas    = 12
-	simSlots       = 16
 	simModels      = 20
 	simCopies      = 3
 	gossipPeriod   = 500 * time.Millisecond
@@ -59,6 +59,12 @@
 	flood int     // rank that floods, -1 for none
 	level float64 // load of the flooding rank
 	base  float64 // load of all ranks without a flood
+	slots int     // per replica
+	// through sends the flood through one instance only.
+	through bool
+	// lost takes away a data centre with its instances and replicas at the
+	// start; what arrives in the last 30 s is measured.
+	lost bool
 }
 
 type simEvent struct {
@@ -98,6 +104,8 @@
 	requests  map[uint64]*simRequest
 	nextID    uint64
 	results   [fleet.RankCount]simResult
+	listed    bool // the lost data centre is out of the platform's list
+	forgotten bool // its instances are dead for their peers
 }
 
 type simInstance struct {
@@ -105,12 +113,14 @@
 	queue   *admission.Queue
 	gossip  map[fleet.InstanceID]admission.Stats
 	tickDue time.Time
+	dead    bool
 }
 
 type simEngine struct {
 	endpoint  fleet.Endpoint
 	residents []routing.Resident
 	running   int
+	dead      bool
 	waiting   [fleet.RankCount][]*simRequest
 	report    simReport
 }
@@ -128,6 +138,8 @@
 	service time.Duration
 	at      *simInstance
 	counted bool
+	on      *simEngine // nil while it waits
+	number  int        // of the try
 }
 
 // simResult counts the requests of a rank that arrived while measured.
@@ -145,7 +157,7 @@
 	}
 	for i := range simReplicas {
 		e := &simEngine{endpoint: fleet.Endpoint{
-			ID: fleet.EndpointID(fmt.Sprintf("r%02d", i)), Pool: "m", Slots: simSlots,
+			ID: fleet.EndpointID(fmt.Sprintf("r%02d", i)), Pool: "m", Slots: s.load.slots,
 			DataCentre: fleet.DataCentre(fmt.Sprint("dc", i%3)),
 		}}
 		s.engines = append(s.engines, e)
@@ -182,6 +194,9 @@
 // run plays the whole case and returns the counts per rank.
 func (s *sim) run() [fleet.RankCount]simResult {
 	s.at(s.now, s.takeReports)
+	if s.load.lost {
+		s.at(simEpoch.Add(simWarmUp), s.loseDataCentre)
+	}
 	for m := range simModels {
 		for r := range fleet.RankCount {
 			s.nextArrival(m, r)
@@ -201,7 +216,11 @@
 
 func (s *sim) measuring() bool {
 	since := s.now.Sub(simEpoch)
-	return since >= simWarmUp && since < simWarmUp+simMeasured
+	first := simWarmUp
+	if s.load.lost {
+		first += 30 * time.Second
+	}
+	return since >= first && since < simWarmUp+simMeasured
 }
 
 // rate is the arrival rate of one row. A flood lasts from 10 s before the
@@ -212,7 +231,7 @@
 	if rank == s.load.flood && since >= simWarmUp-10*time.Second && since < simWarmUp+simMeasured {
 		level = s.load.level
 	}
-	return level * simReplicas * simSlots / simService[rank] / simModels
+	return level * simReplicas * float64(s.load.slots) / simService[rank] / simModels
 }
 
 // nextArrival draws Poisson arrivals by thinning, so that the rate may change.
@@ -221,7 +240,7 @@
 	if rank == s.load.flood {
 		highest = max(highest, s.load.level)
 	}
-	highest *= simReplicas * simSlots / simService[rank] / simModels
+	highest *= simReplicas * float64(s.load.slots) / simService[rank] / simModels
 	s.at(s.now.Add(secondsOf(s.random.ExpFloat64()/highest)), func() {
 		if s.now.Sub(simEpoch) >= simWarmUp+simMeasured {
 			return
@@ -233,6 +252,19 @@
 	})
 }
 
+// entry draws the instance that gets an arrival.
+func (s *sim) entry(rank int) *simInstance {
+	since := s.now.Sub(simEpoch)
+	if s.load.through && rank == s.load.flood && since >= simWarmUp-10*time.Second && s.random.Float64() > s.load.base*simMix[rank]/s.load.level {
+		return s.instances[0]
+	}
+	for {
+		if in := s.instances[s.random.IntN(simInstances)]; !in.dead {
+			return in
+		}
+	}
+}
+
 func secondsOf(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 
 func (s *sim) arrive(model, rank int) {
@@ -242,7 +274,7 @@
 	service := simService[rank] * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2)
 	r := &simRequest{
 		rank: fleet.Rank(rank), arrived: s.now, service: secondsOf(service),
-		at: s.instances[s.random.IntN(simInstances)], counted: s.measuring(),
+		at: s.entry(rank), counted: s.measuring(),
 		request: admission.Request{
 			ID: s.nextID, Row: fmt.Sprint(modelName(model), "-", rank), Rank: fleet.Rank(rank), Weight: 1,
 			Targets: simTargets[rank], Pool: "m", Model: modelName(model), Version: "1", Fingerprint: s.random.Uint64(),
@@ -256,7 +288,10 @@
 }
 
 func (s *sim) step(in *simInstance, ev admission.Event) {
-	for _, a := range in.queue.Step(s.now, ev) {
+	if in.dead {
+		return
+	}
+	for _, a := range slices.Clone(in.queue.Step(s.now, ev)) {
 		switch a := a.(type) {
 		case admission.Dispatch:
 			s.dispatch(s.requests[a.ID], s.byID[a.Grant.Endpoint.ID])
@@ -282,120 +317,3 @@
 		})
 	}
 }
-
-// dispatch puts a request on an engine, which serves its slots by priority.
-func (s *sim) dispatch(r *simRequest, e *simEngine) {
-	r.granted = s.now
-	queue := r.rank
-	if s.policy.queue == admission.FIFO {
-		queue = 0
-	}
-	e.waiting[queue] = append(e.waiting[queue], r)
-	s.serve(e)
-}
-
-func (s *sim) serve(e *simEngine) {
-	for rank := range e.waiting {
-		for e.running < simSlots && len(e.waiting[rank]) > 0 {
-			r := e.waiting[rank][0]
-			e.waiting[rank] = e.waiting[rank][1:]
-			e.running++
-			first := s.now.Add(prefill)
-			s.at(s.now.Add(r.service), func() { s.finish(r, e, first) })
-		}
-	}
-}
-
-func (s *sim) finish(r *simRequest, e *simEngine, first time.Time) {
-	e.running--
-	delete(s.requests, r.request.ID)
-	if first.After(s.now) {
-		first = s.now
-	}
-	if s.measuring() {
-		s.results[r.rank].busySlots += r.service.Seconds()
-	}
-	total, firstToken := s.now.Sub(r.arrived), first.Sub(r.arrived)
-	if r.counted {
-		res := &s.results[r.rank]
-		res.answered++
-		t := simTargets[r.rank]
-		if total <= t.WholeAnswer && (t.FirstToken == 0 || firstToken <= t.FirstToken) {
-			res.attained++
-			if s.measuring() {
-				res.goodSlots += r.service.Seconds()
-			}
-		}
-	}
-	s.serve(e)
-	s.step(r.at, admission.Finish{Outcome: admission.Outcome{
-		ID: r.request.ID, Endpoint: e.endpoint.ID, Duration: s.now.Sub(r.granted), Total: total, FirstToken: firstToken,
-	}})
-}
-
-func (s *sim) takeReports() {
-	for _, e := range s.engines {
-		waiting := 0
-		for _, w := range e.waiting {
-			waiting += len(w)
-		}
-		report := simReport{running: e.running, waiting: waiting, at: s.now}
-		s.at(s.now.Add(reportDelay), func() { e.report = report })
-	}
-	s.at(s.now.Add(reportPeriod), s.takeReports)
-}
-
-func (s *sim) gossip(in *simInstance) {
-	stats := in.queue.Stats(s.now)
-	in.gossip[in.id] = stats
-	for _, other := range s.instances {
-		if other != in {
-			s.at(s.now.Add(gossipDelay), func() { other.gossip[in.id] = stats })
-		}
-	}
-	s.publishView(in)
-	s.at(s.now.Add(gossipPeriod), func() { s.gossip(in) })
-}
-
-func (s *sim) publishView(in *simInstance) {
-	v := &admission.View{}
-	for _, e := range s.engines {
-		window := admission.WholeWindow(simSlots, 0, simFloors)
-		if s.policy.shares {
-			window = admission.Shares(in.id, s.demandOn(in, e), admission.Contended{
-				Key: string(e.endpoint.ID), Slots: simSlots, Floors: simFloors,
-			})
-		}
-		v.Endpoints = append(v.Endpoints, admission.EndpointView{
-			Endpoint: e.endpoint, Window: window, Residents: e.residents,
-			Running: e.report.running, Waiting: e.report.waiting, ReportedAt: e.report.at,
-		})
-	}
-	s.step(in, admission.ViewChanged{View: v})
-}
-
-// demandOn is what the instance knows of the demand for one engine.
-func (s *sim) demandOn(in *simInstance, e *simEngine) []admission.MemberDemand {
-	resident := map[string]bool{}
-	for _, r := range e.residents {
-		for rank := range fleet.RankCount {
-			resident[fmt.Sprint(r.Name, "-", rank)] = true
-		}
-	}
-	var out []admission.MemberDemand
-	for _, other := range s.instances {
-		d := admission.MemberDemand{Member: other.id}
-		for _, row := range in.gossip[other.id].Rows {
-			if resident[row.Row] {
-				d.Rows = append(d.Rows, admission.Demand{Row: row.Row, Rank: row.Rank, Weight: 1, Slots: row.Slots() / simCopies})
-			}
-		}
-		for _, at := range in.gossip[other.id].Endpoints {
-			if at.Endpoint == e.endpoint.ID {
-				d.InFlight = at.InFlight
-			}
-		}
-		out = append(out, d)
-	}
-	return out
-}
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -18,8 +18,10 @@
 	SlotTime float64 // mean seconds from grant to end; 0 if not measured
 }
 
-// backlogHorizon is the time in which a backlog should be worked off.
-const backlogHorizon = 10 * time.Second
+// backlogHorizon is the time in which a backlog should be worked off. With 10 s
+// an instance without a free slot got one too late: prompt work missed 0.8% at
+// 80% load and 4% in a patient flood, with 1 s 0.1% and 0.2%.
+const backlogHorizon = 1 * time.Second
 
 // Slots is the demand of the row in slots: what its arrivals occupy in the
 // long run, and what works off its backlog.
