--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -61,6 +61,12 @@
 	used, served := map[string]float64{}, map[string]int{}
 	total := 0.0
 	var do func(ev Event)
+	arrive := func(r Request) {
+		id++
+		r.ID = id
+		byID[id] = r
+		do(Arrive{Request: r})
+	}
 	do = func(ev Event) {
 		var again []string
 		for _, a := range q.Step(now, ev) {
@@ -79,10 +85,7 @@
 		for _, row := range again {
 			for _, r := range rows {
 				if r.Row == row {
-					id++
-					r.ID = id
-					byID[id] = r
-					do(Arrive{Request: r})
+					arrive(r)
 				}
 			}
 		}
@@ -90,10 +93,7 @@
 	do(ViewChanged{View: single(slots, "m")})
 	for range 2 * slots {
 		for _, r := range rows {
-			id++
-			r.ID = id
-			byID[id] = r
-			do(Arrive{Request: r})
+			arrive(r)
 		}
 	}
 	for now.Before(epoch.Add(6 * time.Minute)) {
