--- a/admission/arrive.go
+++ b/admission/arrive.go
@@ -19,13 +19,17 @@
 	// long its service is expected to take.
 	minSlack = 0.25
 	// residual is the part of a slot time that a request in service has left on
-	// average; service times vary less than exponential ones.
-	residual = 0.6
+	// average. At 0.6 the first prompt request to wait was refused.
+	residual = 0.5
 	// waitMargin is how much shorter than the slack an estimated wait must be.
-	// At 1, 4 of 9 accepted urgent requests expired in an urgent flood.
+	// Without it, more urgent requests expired in an urgent flood.
 	waitMargin = 1.2
 	// estimateSamples bounds the endpoints looked at for an estimate.
 	estimateSamples = 16
+	// minSlots is how many slots of all its endpoints an estimate assumes at
+	// least. At 1, prompt work missed 4.3% with 8 slots per replica and 80%
+	// load, at 2 it missed 2%.
+	minSlots = 2
 	// minCapacity is the part of a window that an estimate assumes at least.
 	minCapacity   = 0.02
 	minRetryAfter = time.Second
@@ -147,8 +151,8 @@
 		}
 	}
 	scale := float64(len(places)) / float64(n)
-	// A row without any slot gets one at the next heartbeat.
-	capacity = max(capacity, 1/scale)
+	// Shares follow the demand within a heartbeat.
+	capacity = max(capacity, minSlots/scale)
 	wait := work / capacity
 	if q.config.Policy == Ranked && !f.front {
 		// Fair queueing serves the row at its weight's share, however much
@@ -157,7 +161,8 @@
 		if f.waiting.length == 0 {
 			weight += f.weight
 		}
-		wait = min(wait, f.work*weight/(f.weight*capacity*scale))
+		ahead := f.work/f.weight + max(f.tag-q.virtual(f), 0)
+		wait = min(wait, ahead*weight/(capacity*scale))
 	}
 	return wait + residual*f.row.slotTime/capacity
 }
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -18,8 +18,10 @@
 	SlotTime float64 // mean seconds from grant to end; 0 if not measured
 }
 
-// backlogHorizon is the time in which a backlog should be worked off.
-const backlogHorizon = 10 * time.Second
+// backlogHorizon is the time in which a backlog should be worked off. With 10 s
+// an instance without a free slot got one too late: prompt work missed 0.8% at
+// 80% load and 4% in a patient flood, with 1 s 0.1% and 0.2%.
+const backlogHorizon = 1 * time.Second
 
 // Slots is the demand of the row in slots: what its arrivals occupy in the
 // long run, and what works off its backlog.
@@ -38,7 +40,7 @@
 
 // Stats is the load of this instance.
 type Stats struct {
-	Rows      []RowStats      // ordered by name
+	Rows      []RowStats      // ordered by name, without idle rows
 	Endpoints []EndpointStats // with requests in flight only, in the order of the view
 	Queued    [fleet.RankCount]int
 	InFlight  [fleet.RankCount]int
@@ -48,6 +50,9 @@
 func (q *Queue) Stats(now time.Time) Stats {
 	s := Stats{Rows: make([]RowStats, 0, len(q.rows)), Queued: q.queued, InFlight: q.running}
 	for _, w := range q.rows {
+		if w.idle(now) {
+			continue
+		}
 		s.Rows = append(s.Rows, RowStats{
 			Row: w.name, Rank: w.rank, Queued: w.queued, InFlight: w.inFlight,
 			Rate: w.rateAt(now), SlotTime: w.slotTime,
