peer: bound the cost of summaries

Cause: reports in summaries were sent again each second for their age alone, and a new connection to a relay got all data centres in one frame. Change: ages in summaries may be off by 10 s; a heartbeat describes at most four new data centres in full. A late notice of a dead peer holds up no trial.

--- a/peer/encode.go
+++ b/peer/encode.go
@@ -34,7 +34,7 @@
 
 func newEncoder() *encoder {
 	return &encoder{
-		names: make(map[string]int64), load: newLoadEncoder(), age: -1,
+		names: make(map[string]int64), load: newLoadEncoder(ageTolerance), age: -1,
 		summaries: make(map[fleet.DataCentre]*summaryEncoder),
 	}
 }
@@ -50,6 +50,10 @@
 	return i
 }
 
+// maxNewSummaries bounds the data centres that one heartbeat describes in full.
+// One of 35 members and 450 endpoints takes 54 KB, and a frame holds 1 MB.
+const maxNewSummaries = 4
+
 // encode returns the difference to the heartbeat before. After an error the
 // connection can't be used for heartbeats any more.
 func (e *encoder) encode(now time.Time, h membership.Heartbeat) (wireHeartbeat, error) {
@@ -78,7 +82,13 @@
 		w.Suspects, e.suspects = &suspects, suspects
 	}
 	w.Load = e.encodeLoad(&e.load, now, h.Demand, h.Reports)
+	fresh := 0
 	for _, sum := range h.Summaries {
+		if _, known := e.summaries[sum.DataCentre]; !known {
+			if fresh++; fresh > maxNewSummaries {
+				continue // it follows with the next heartbeat
+			}
+		}
 		if s, ok := e.encodeSummary(now, sum); ok {
 			w.Summaries = append(w.Summaries, s)
 		}
@@ -109,8 +119,9 @@
 
 // loadEncoder holds what was last sent of a set of rows and reports.
 type loadEncoder struct {
-	demand  map[int64][3]int64
-	reports map[int64]*sentReport
+	demand       map[int64][3]int64
+	reports      map[int64]*sentReport
+	ageTolerance time.Duration
 }
 
 type sentReport struct {
@@ -124,8 +135,8 @@
 	seen             bool // in the heartbeat that is being encoded
 }
 
-func newLoadEncoder() loadEncoder {
-	return loadEncoder{demand: make(map[int64][3]int64), reports: make(map[int64]*sentReport)}
+func newLoadEncoder(ageTolerance time.Duration) loadEncoder {
+	return loadEncoder{demand: make(map[int64][3]int64), reports: make(map[int64]*sentReport), ageTolerance: ageTolerance}
 }
 
 func (e *encoder) encodeLoad(l *loadEncoder, now time.Time, demand []membership.RowDemand, reports []membership.EndpointReport) wireLoadChanges {
@@ -196,9 +207,13 @@
 	return v
 }
 
-// ageTolerance is how far a report's age may be from what the receiver
-// computes before it is sent again.
-const ageTolerance = 150 * time.Millisecond
+// The tolerances are how far a report's age may be from what the receiver
+// computes before it is sent again. Summaries hold only coarse loads, whose age
+// matters little; 150 ms there would resend every report each second.
+const (
+	ageTolerance        = 150 * time.Millisecond
+	summaryAgeTolerance = 10 * time.Second
+)
 
 func (e *encoder) encodeReport(l *loadEncoder, now time.Time, r membership.EndpointReport, w *wireLoadChanges) {
 	id := e.name(string(r.Endpoint))
@@ -217,7 +232,7 @@
 		values = append(values, running, waiting, slots, flag(r.Leaving))
 	case running != s.running || waiting != s.waiting:
 		values = append(values, running, waiting)
-	case off <= ageTolerance:
+	case off <= l.ageTolerance:
 		values = nil
 	}
 	if values != nil {
@@ -258,7 +273,7 @@
 func (e *encoder) encodeSummary(now time.Time, sum membership.Summary) (wireSummary, bool) {
 	s, ok := e.summaries[sum.DataCentre]
 	if !ok {
-		s = &summaryEncoder{members: make(map[string]wireDigest), load: newLoadEncoder()}
+		s = &summaryEncoder{members: make(map[string]wireDigest), load: newLoadEncoder(summaryAgeTolerance)}
 		e.summaries[sum.DataCentre] = s
 	}
 	if ok && s.relay == sum.Relay && s.incarnation == sum.RelayIncarnation && s.sequence == sum.Sequence {
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -108,7 +108,11 @@
 	if len(without(n.Losses, e.cleared)) < len(n.Losses) && len(n.Losses) > 0 {
 		e.clearedAt = now // the peer has not heard yet
 	}
-	e.peers[from] = peerView{inFlight: n.InFlight, trial: n.Trial}
+	if _, ok := s.alive[from]; ok || s.alive == nil {
+		// A notice that arrives after its sender's death is not withdrawn by
+		// the sender, and would hold up trials for ever.
+		e.peers[from] = peerView{inFlight: n.InFlight, trial: n.Trial}
+	}
 	s.advance(now, e)
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -116,6 +116,19 @@
 	is.True(w.store[innocent].record.Trial.Running)
 }
 
+// Guards against a trial that waits for ever for a run of a dead instance.
+func TestLateNoticeOfDeadPeerHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3, 3, 0)
+	w.send(0, innocent)
+	w.crash(0)
+	w.die(2)
+	notice := Notice{Fingerprint: innocent, Losses: w.states[0].Notices(w.now)[0].Losses, Since: w.now, InFlight: 1}
+	w.step(0, NoticesReceived{From: instance(2), Notices: []Notice{notice}})
+	w.settle(5)
+	is.True(w.running(innocent) >= 0)
+}
+
 // Guards against trials that start without a claim in the store.
 func TestNoTrialWhileTheStoreIsDown(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/types.go
+++ b/quarantine/types.go
@@ -148,7 +148,8 @@
 }
 
 // NoticesReceived carries the notices of a peer. Complete is true for the
-// whole list of a heartbeat and false for a message about some fingerprints.
+// whole list of a heartbeat, which must be passed on also when it is empty, and
+// false for a message about some fingerprints.
 type NoticesReceived struct {
 	From     fleet.InstanceID
 	Complete bool
