--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -75,7 +75,7 @@
 			w.messages = append(w.messages, &message{from: i, action: a})
 		case HandOver:
 			if w.settle {
-				w.step(i, OrdersSettled{a.Shard})
+				w.step(i, OrdersSettled(a))
 			}
 		}
 	}
