--- a/quarantine/world_test.go
+++ b/quarantine/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/fleet"
@@ -377,60 +376,3 @@
 		w.step(i, Tick{})
 	}
 }
-
-func cloneState(s *State) *State {
-	c := *s
-	c.entries = make(map[Fingerprint]*entry, len(s.entries))
-	for f, e := range s.entries {
-		copied := *e
-		copied.peers = maps.Clone(e.peers)
-		copied.waiting = slices.Clone(e.waiting)
-		copied.trial.tried = slices.Clone(e.trial.tried)
-		c.entries[f] = &copied
-	}
-	c.runs, c.commits, c.tell = maps.Clone(s.runs), maps.Clone(s.commits), maps.Clone(s.tell)
-	return &c
-}
-
-func (w *world) clone() *world {
-	c := *w
-	c.states, c.process, c.boots, c.runs = slices.Clone(w.states), slices.Clone(w.process), slices.Clone(w.boots), slices.Clone(w.runs)
-	c.shared = make([]bool, len(w.states))
-	for i := range c.shared {
-		c.shared[i], w.shared[i] = true, true
-	}
-	c.messages, c.store = slices.Clone(w.messages), maps.Clone(w.store)
-	c.lost, c.answered, c.refused = maps.Clone(w.lost), maps.Clone(w.answered), maps.Clone(w.refused)
-	c.waiting, c.waitingAt = maps.Clone(w.waiting), maps.Clone(w.waitingAt)
-	return &c
-}
-
-func (w *world) key() string {
-	var b strings.Builder
-	fmt.Fprint(&b, w.now.Sub(start), w.process, w.boots, w.runs, w.resends, w.lost, w.waitingAt)
-	for _, f := range []Fingerprint{poison, innocent} {
-		s := w.store[f]
-		fmt.Fprint(&b, s.version, s.record.Losses, s.record.Trial != nil)
-		if t := s.record.Trial; t != nil {
-			fmt.Fprint(&b, *t)
-		}
-	}
-	for _, s := range w.states {
-		if s == nil {
-			fmt.Fprint(&b, "|down")
-			continue
-		}
-		fmt.Fprint(&b, "|", s.runs)
-		for _, e := range s.sorted() {
-			fmt.Fprint(&b, e.open, e.cleared, len(e.waiting), e.trial, e.known, e.version, e.dirty, e.reading, e.commit != 0,
-				max(0, e.next.Sub(w.now)), e.missingSince.IsZero(), max(-testConfig.HolderGrace, e.missingSince.Sub(w.now)))
-			for _, id := range slices.Sorted(maps.Keys(e.peers)) {
-				fmt.Fprint(&b, id, e.peers[id].inFlight, e.peers[id].trial != nil)
-			}
-		}
-	}
-	for _, m := range w.messages {
-		fmt.Fprintf(&b, "|%d %d %v %T%v", m.from, m.process, m.abandoned, m.action, m.answer != nil)
-	}
-	return b.String()
-}
