--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -61,8 +61,14 @@
 	used, served := map[string]float64{}, map[string]int{}
 	total := 0.0
 	var do func(ev Event)
+	arrive := func(r Request) {
+		id++
+		r.ID = id
+		byID[id] = r
+		do(Arrive{Request: r})
+	}
 	do = func(ev Event) {
-		var again []string
+		var again []Request
 		for _, a := range q.Step(now, ev) {
 			d, ok := a.(Dispatch)
 			if !ok {
@@ -74,26 +80,16 @@
 			served[r.Row]++
 			total += s
 			heap.Push(&running, finishing{at: now.Add(seconds(s)), id: d.ID, row: r.Row})
-			again = append(again, r.Row)
+			again = append(again, r)
 		}
-		for _, row := range again {
-			for _, r := range rows {
-				if r.Row == row {
-					id++
-					r.ID = id
-					byID[id] = r
-					do(Arrive{Request: r})
-				}
-			}
+		for _, r := range again {
+			arrive(r)
 		}
 	}
 	do(ViewChanged{View: single(slots, "m")})
 	for range 2 * slots {
 		for _, r := range rows {
-			id++
-			r.ID = id
-			byID[id] = r
-			do(Arrive{Request: r})
+			arrive(r)
 		}
 	}
 	for now.Before(epoch.Add(6 * time.Minute)) {
