control: keep what a replica holds until a plan names it

Cause: a ledger that was adopted before the plan had been read was told to hold nothing, which would drain the replica. Change: Want is sent only for replicas that the plan names. Conclusion: a missing plan freezes the replicas, as the design says.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -68,7 +68,7 @@
 		do(Arrive{Request: r})
 	}
 	do = func(ev Event) {
-		var again []string
+		var again []Request
 		for _, a := range q.Step(now, ev) {
 			d, ok := a.(Dispatch)
 			if !ok {
@@ -80,14 +80,10 @@
 			served[r.Row]++
 			total += s
 			heap.Push(&running, finishing{at: now.Add(seconds(s)), id: d.ID, row: r.Row})
-			again = append(again, r.Row)
+			again = append(again, r)
 		}
-		for _, row := range again {
-			for _, r := range rows {
-				if r.Row == row {
-					arrive(r)
-				}
-			}
+		for _, r := range again {
+			arrive(r)
 		}
 	}
 	do(ViewChanged{View: single(slots, "m")})
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -172,7 +172,7 @@
 	o.adopted, o.until = true, until
 	self := ledger.Sender{Instance: c.config.Self.ID, Incarnation: c.config.Self.Incarnation, Epoch: epoch}
 	c.ledger(now, ev.Endpoint, ledger.Adopt{Record: ev.Record, Version: ev.Version, Self: self, Until: until})
-	c.ledger(now, ev.Endpoint, ledger.Want{Target: c.plans.target(e)})
+	c.want(now, e)
 	c.checkSenders(now, o)
 }
 
--- a/control/planning.go
+++ b/control/planning.go
@@ -40,7 +40,12 @@
 }
 
 // target returns what an endpoint should hold by the newest plan of its pool.
-func (p *plans) target(e fleet.Endpoint) []ledger.Item { return p.targets[e.Pool][e.ID] }
+// It reports false if the plan does not name the endpoint, which then keeps
+// what it holds.
+func (p *plans) target(e fleet.Endpoint) ([]ledger.Item, bool) {
+	items, ok := p.targets[e.Pool][e.ID]
+	return items, ok
+}
 
 // take replaces a pool's plan if it is newer and reports whether it was.
 func (p *plans) take(plan PoolPlan) bool {
@@ -128,11 +133,18 @@
 func (c *core) targetsChanged(now time.Time, pool string) {
 	for _, e := range c.listing.Endpoints {
 		if o := c.ownership.owned[e.ID]; e.Pool == pool && o != nil && o.adopted {
-			c.ledger(now, e.ID, ledger.Want{Target: c.plans.target(e)})
+			c.want(now, e)
 		}
 	}
 }
 
+// want tells an owned ledger what to hold, if the plan says so.
+func (c *core) want(now time.Time, e fleet.Endpoint) {
+	if items, ok := c.plans.target(e); ok {
+		c.ledger(now, e.ID, ledger.Want{Target: items})
+	}
+}
+
 // planInput gathers what a pool's plan depends on.
 func (c *core) planInput(now time.Time, pool string) placement.Input {
 	t := c.table.Current()
