lease: measure the replacement of all instances

Cause: a full replacement within a minute is an ordinary event. Change: benchmark of graceful and crashing replacement; quarantine lists the reserved endpoints, so that control can publish them.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -282,3 +282,40 @@
 		}
 	}
 }
+
+// Measures how long shards have no owner while each of 7 instances is replaced
+// within a minute, by a graceful stop or by a crash, and the store load of it.
+func BenchmarkReplacement(b *testing.B) {
+	const n, shards = 7, 64
+	for _, graceful := range []bool{true, false} {
+		b.Run(fmt.Sprintf("graceful=%v", graceful), func(b *testing.B) {
+			for range b.N {
+				w := newWorld(n, Config{})
+				w.prefer(spread(shards, instances(n)))
+				w.run(30 * time.Second)
+				w.writes, w.reads = 0, 0
+				missing := 0
+				sample := func(seconds int) {
+					for range 2 * seconds {
+						w.run(500 * time.Millisecond)
+						missing += shards - heldBy(w)
+					}
+				}
+				for i := range n {
+					if graceful {
+						w.step(i, LeaveRequested{})
+					}
+					w.prefer(spread(shards, slices.Delete(instances(n), i, i+1)))
+					sample(4)
+					w.add(i, 2, Config{})
+					w.prefer(spread(shards, instances(n)))
+					sample(4)
+				}
+				sample(30)
+				b.ReportMetric(float64(missing)/2/shards, "s-without-owner/shard")
+				b.ReportMetric(float64(w.writes)/86, "writes/s")
+				b.ReportMetric(float64(w.reads)/86, "reads/s")
+			}
+		})
+	}
+}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -184,6 +184,23 @@
 	return false
 }
 
+// ReservedEndpoints returns all endpoints for which Reserved is true, ordered.
+func (s *State) ReservedEndpoints() []fleet.EndpointID {
+	var out []fleet.EndpointID
+	for _, e := range s.entries {
+		if e.trial.phase >= reserved {
+			out = append(out, e.trial.endpoint.Endpoint)
+		}
+		for _, p := range e.peers {
+			if p.trial != nil {
+				out = append(out, p.trial.Endpoint)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Suspects returns the number of fingerprints that are suspects or quarantined.
 func (s *State) Suspects() int {
 	n := 0
