control: let a retry go back to an endpoint that failed it before

Cause: after a crash both replicas of a model were excluded for some of the requests that were in flight, so they waited until their deadline although both replicas were ready and idle (status showed 13 queued, 0 running). Ruled out: leaked slots (in flight was 0) and trials (all were cleared). Change: a request that has waited 2 s for another endpoint may go back; a trial uses such an endpoint last instead of never. Conclusion: exclusion is a preference, not a rule.

--- a/control/requests.go
+++ b/control/requests.go
@@ -16,6 +16,11 @@
 	// holdTimeout bounds the wait of a request for its trial or for the retry
 	// budget.
 	holdTimeout = 3 * time.Minute
+	// exclusionTime is how long a request waits for an endpoint other than
+	// those that failed it.
+	exclusionTime = 2 * time.Second
+	// excludedLoad puts endpoints that failed a request behind all others.
+	excludedLoad = 1 << 20
 	// candidateInterval is the time between updates of the endpoints on which
 	// a trial may run.
 	candidateInterval = time.Second
@@ -37,6 +42,7 @@
 
 type running struct {
 	request  admission.Request
+	queued   time.Time // when it was passed to the admission queue
 	endpoint fleet.EndpointID
 	trial    bool
 	bootID   string // of the endpoint when the request was granted
@@ -147,16 +153,19 @@
 }
 
 // trialCandidates returns the endpoints that can run the request, those with
-// the least to do first.
+// the least to do first and those that failed it before last.
 func (c *core) trialCandidates(r admission.Request) []quarantine.Candidate {
 	var out []quarantine.Candidate
 	load := make(map[fleet.EndpointID]int)
 	for _, v := range c.endpointViews() {
-		if c.leaving(v.Endpoint) || slices.Contains(r.Exclude, v.Endpoint.ID) || !serves(v, r) {
+		if c.leaving(v.Endpoint) || !serves(v, r) {
 			continue
 		}
 		out = append(out, quarantine.Candidate{Endpoint: v.Endpoint.ID, BootID: c.bootID(v.Endpoint.ID)})
 		load[v.Endpoint.ID] = v.Running + v.Waiting
+		if slices.Contains(r.Exclude, v.Endpoint.ID) {
+			load[v.Endpoint.ID] += excludedLoad
+		}
 	}
 	slices.SortStableFunc(out, func(a, b quarantine.Candidate) int { return load[a.Endpoint] - load[b.Endpoint] })
 	return out
@@ -194,7 +203,7 @@
 // admit passes an event to the admission queue and handles its actions.
 func (c *core) admit(now time.Time, ev admission.Event) {
 	if a, ok := ev.(admission.Arrive); ok {
-		c.requests.running[a.Request.ID] = running{request: a.Request}
+		c.requests.running[a.Request.ID] = running{request: a.Request, queued: now}
 	}
 	for _, a := range slices.Clone(c.queue.Step(now, ev)) {
 		switch a := a.(type) {
@@ -300,6 +309,7 @@
 	refresh := now.Sub(c.requests.refreshed) >= candidateInterval
 	if refresh {
 		c.requests.refreshed = now
+		c.relaxExclusions(now)
 	}
 	for _, id := range sortedKeys(c.requests.held) {
 		h := c.requests.held[id]
@@ -325,6 +335,21 @@
 	}
 }
 
+// relaxExclusions lets requests that found no other endpoint go back to those
+// that failed them before. Such an endpoint may have restarted since, and the
+// others may be gone.
+func (c *core) relaxExclusions(now time.Time) {
+	for _, id := range sortedKeys(c.requests.running) {
+		r := c.requests.running[id]
+		if r.endpoint != "" || len(r.request.Exclude) == 0 || now.Sub(r.queued) < exclusionTime {
+			continue
+		}
+		c.admit(now, admission.Cancel{ID: id})
+		r.request.Exclude = nil
+		c.admit(now, admission.Arrive{Request: r.request})
+	}
+}
+
 // giveUpHeld refuses a request that was held back for too long.
 func (c *core) giveUpHeld(now time.Time, id uint64, h heldRequest) {
 	delete(c.requests.held, id)
--- a/dev/failures_test.go
+++ b/dev/failures_test.go
@@ -175,3 +175,34 @@
 	}
 	return n
 }
+
+// Guards against an engine that is not used again after it crashed and came
+// back empty.
+func TestCrashedEngineIsLoadedAgain(t *testing.T) {
+	is := is.New(t)
+	r := start(t, func(o *Options) {
+		engine := o.Engine
+		o.Engine = func(c *standinengine.Config) {
+			engine(c)
+			c.RestartDelay = 300 * time.Millisecond
+		}
+	})
+	held := func(n int) int {
+		state, err := r.Engines[n].State(t.Context())
+		if err != nil {
+			return -1
+		}
+		ready := 0
+		for _, res := range state.Residents {
+			if res.Ready && res.Base == "" {
+				ready++
+			}
+		}
+		return ready
+	}
+	before := []int{held(0), held(1)}
+	r.Engines[0].Crash()
+	r.Engines[1].Crash()
+	waitFor(t, "the models to be loaded again", func() bool { return held(0) == before[0] && held(1) == before[1] })
+	is.NoErr(checkAnswer(t.Context(), client(r.Instances[0]), "ladang-01", "after", 4))
+}
