--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -5,7 +5,6 @@
 import (
 	_ "github.com/BurntSushi/toml"
 	_ "github.com/HdrHistogram/hdrhistogram-go"
-	_ "github.com/Shopify/toxiproxy/v2"
 	_ "github.com/ThreeDotsLabs/watermill"
 	_ "github.com/ThreeDotsLabs/watermill/components/cqrs"
 	_ "github.com/ThreeDotsLabs/watermill/message"
