--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -37,6 +37,8 @@
 	ignoresTokens bool     // no engine checks fencing tokens
 	maxOrderDelay string   // default "2s"
 	extraSettings string   // more sections of every instance's settings
+	// Clients with certificates; nil means no TLS.
+	callers, operators *http.Client
 }
 
 // endpoint is a stand-in engine or service behind a link.
@@ -60,6 +62,8 @@
 	config    string // settings file
 	scheme    string
 	client    *http.Client // of callers
+
+	operatorClient *http.Client
 }
 
 type deployment struct {
@@ -123,15 +127,6 @@
 	return e
 }
 
-// restart kills the process and starts it again at the same address. Its
-// counts begin anew.
-func (d *deployment) restart(e *endpoint) {
-	d.t.Helper()
-	e.kill()
-	e.process = startProcess(d.t, d.dir, e.name, e.args...)
-	waitListening(d.t, e.process, e.direct)
-}
-
 func dataCentre(number int) string { return fmt.Sprintf("dc-%d", number%3+1) }
 
 func (d *deployment) list(m platformhttp.EndpointMessage) {
@@ -231,6 +226,9 @@
 	d.numbered++
 	listen := freeAddress(d.t)
 	i := &instance{id: fmt.Sprintf("entry-%d", d.numbered), callers: freeAddress(d.t), operators: freeAddress(d.t), scheme: "http", client: callers}
+	if d.o.callers != nil {
+		i.scheme, i.client, i.operatorClient = "https", d.o.callers, d.o.operators
+	}
 	i.platform = newLink(d.t, i.id+"-platform", d.address)
 	i.peers = newLink(d.t, i.id+"-peers", listen)
 	delay := d.o.maxOrderDelay
@@ -261,7 +259,7 @@
 func (i *instance) url() string { return i.scheme + "://" + i.callers }
 
 func (i *instance) operator() *operator.Client {
-	return operator.NewClient("http://"+i.operators, operatorToken, nil)
+	return operator.NewClient(i.scheme+"://"+i.operators, operatorToken, i.operatorClient)
 }
 
 // balancer returns a client whose checks end soon when the instance is paused.
--- a/integration/partition_test.go
+++ b/integration/partition_test.go
@@ -93,7 +93,9 @@
 	}
 	revision := d.edit(other, modelName(2), setMinReplicas(1))
 
-	d.restorePeers()
+	for _, i := range d.members() {
+		i.peers.restore()
+	}
 	alone.platform.restore()
 	d.waitInForce(revision)
 	d.waitReachable()
@@ -107,13 +109,6 @@
 	}
 }
 
-func (d *deployment) restorePeers() {
-	d.t.Helper()
-	for _, i := range d.members() {
-		i.peers.restore()
-	}
-}
-
 // Guards against a holder that goes on giving orders after its leases expired
 // while it was paused (F7): memory stays within its bounds (I1), the table
 // moves on (I8), and every model is reachable afterwards (I2).
