capacity: measure slopes of the decision packages and of control

Cause: the cost at 420 nodes is stated nowhere as a measured figure. Change: package capacity measures the decision packages, the memory of their states and the whole control goroutine at several sizes, fits a line or a power law, and sets the figure at full size beside its budget. hyssophaven capacity and make capacity run it.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,8 @@
 	    echo "$$pkg $$target"; $(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$pkg || exit 1; \
 	  done; \
 	done
+
+# Measures how costs grow and works them out for the size to design for. The
+# tables go to the standard output; docs/CAPACITY.md discusses them.
+capacity:
+	$(GO) run ./cmd/hyssophaven capacity
--- /dev/null
+++ b/capacity/fit.go
@@ -0,0 +1,114 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Fit is the curve that describes the samples of a line best.
+type Fit struct {
+	// Power is true for cost = Base · size^Slope, false for Base + Slope · size.
+	Power bool
+	Base  float64
+	Slope float64
+	// SlopeError is the standard error of Slope; NaN with fewer than three samples.
+	SlopeError float64
+	R2         float64 // of the costs, not of their logarithms
+}
+
+// fit returns the straight line or the power law, whichever has the smaller
+// sum of squared residuals of the costs.
+func fit(samples []Sample) Fit {
+	xs, ys := make([]float64, len(samples)), make([]float64, len(samples))
+	positive := true
+	for i, s := range samples {
+		xs[i], ys[i] = s.Size, s.Cost
+		positive = positive && s.Size > 0 && s.Cost > 0
+	}
+	best := regression(xs, ys)
+	best.R2 = best.determination(samples)
+	if !positive || len(samples) < 3 {
+		return best
+	}
+	logX, logY := make([]float64, len(xs)), make([]float64, len(ys))
+	for i := range xs {
+		logX[i], logY[i] = math.Log(xs[i]), math.Log(ys[i])
+	}
+	power := regression(logX, logY)
+	power.Power, power.Base = true, math.Exp(power.Base)
+	power.R2 = power.determination(samples)
+	// A straight line with a negative base is no cost, so the power law is
+	// taken then even if it fits a little worse.
+	if power.R2 > best.R2 || best.Base < 0 && power.R2 > 0.9 {
+		return power
+	}
+	return best
+}
+
+func regression(xs, ys []float64) Fit {
+	base, slope := stat.LinearRegression(xs, ys, nil, false)
+	f := Fit{Base: base, Slope: slope, SlopeError: math.NaN()}
+	if len(xs) > 2 {
+		residuals := 0.0
+		for i := range xs {
+			d := ys[i] - base - slope*xs[i]
+			residuals += d * d
+		}
+		spread := stat.Variance(xs, nil) * float64(len(xs)-1)
+		f.SlopeError = math.Sqrt(residuals / float64(len(xs)-2) / spread)
+	}
+	return f
+}
+
+// At returns the cost at a size.
+func (f Fit) At(size float64) float64 {
+	if f.Power {
+		return f.Base * math.Pow(size, f.Slope)
+	}
+	return f.Base + f.Slope*size
+}
+
+// determination returns the coefficient of determination of the costs.
+func (f Fit) determination(samples []Sample) float64 {
+	mean := 0.0
+	for _, s := range samples {
+		mean += s.Cost / float64(len(samples))
+	}
+	var residual, total float64
+	for _, s := range samples {
+		residual += math.Pow(s.Cost-f.At(s.Size), 2)
+		total += math.Pow(s.Cost-mean, 2)
+	}
+	if total == 0 {
+		return 1
+	}
+	return 1 - residual/total
+}
+
+// String returns the curve with three digits.
+func (f Fit) String() string {
+	if f.Power {
+		return fmt.Sprintf("%.3g · n^(%.2f ± %.2f)", f.Base, f.Slope, f.SlopeError)
+	}
+	return fmt.Sprintf("%.3g + (%.3g ± %.2g) · n", f.Base, f.Slope, f.SlopeError)
+}
+
+// AtFull returns the cost of the line at full size and its fit. A sample that
+// was taken at full size counts as it is.
+func (l Line) AtFull() (float64, Fit) {
+	f := fit(l.Samples)
+	for _, s := range l.Samples {
+		if s.Size == l.Full {
+			return s.Cost, f
+		}
+	}
+	return max(0, f.At(l.Full)), f
+}
+
+// Load returns what the line takes of its budget at full size.
+func (l Line) Load() float64 {
+	cost, _ := l.AtFull()
+	return cost * l.Rate
+}
--- /dev/null
+++ b/capacity/fit_test.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func samples(f func(x float64) float64) []Sample {
+	var out []Sample
+	for _, x := range []float64{50, 100, 200, 400} {
+		out = append(out, Sample{x, f(x)})
+	}
+	return out
+}
+
+// Guards against an extrapolation that follows the wrong curve.
+func TestFitFindsTheCurve(t *testing.T) {
+	is := is.New(t)
+	line := fit(samples(func(x float64) float64 { return 3 + 2*x }))
+	is.True(!line.Power)
+	is.True(math.Abs(line.At(1000)-2003) < 1e-6)
+	is.True(line.SlopeError < 1e-6)
+	square := fit(samples(func(x float64) float64 { return x * x / 10 }))
+	is.True(square.Power)
+	is.True(math.Abs(square.Slope-2) < 1e-9)
+	is.True(math.Abs(square.At(1000)-1e5) < 1e-3)
+	flat := fit(samples(func(float64) float64 { return 7 }))
+	is.True(math.Abs(flat.At(1000)-7) < 1e-9)
+}
+
+// Guards against a fit of noise that is taken for a certain slope.
+func TestFitTellsItsError(t *testing.T) {
+	is := is.New(t)
+	f := fit([]Sample{{1, 1}, {2, 3}, {3, 2}, {4, 4}})
+	is.True(f.R2 < 0.7)
+	is.True(f.SlopeError > 0.2)
+}
+
+// Guards against a line that is counted twice, as a part and in its whole.
+func TestPartsAreNotAddedUp(t *testing.T) {
+	is := is.New(t)
+	one := []Sample{{1, 10}, {2, 10}}
+	lines := []Line{
+		{Full: 2, Samples: one, Budget: Processor, Rate: 1},
+		{Full: 2, Samples: one, Budget: Processor, Rate: 1, Part: true},
+		{Full: 2, Samples: one, Budget: DecisionTime, Rate: 1},
+		{Full: 2, Samples: one, Budget: DecisionTime, Rate: 0.1},
+	}
+	load, found := budgetLoad(lines, Processor)
+	is.True(found)
+	is.Equal(load, 10.0)
+	load, _ = budgetLoad(lines, DecisionTime) // the largest, since each is a limit of its own
+	is.Equal(load, 10.0)
+	_, found = budgetLoad(lines, StoreReads)
+	is.True(!found)
+	is.Equal(len(Over(lines)), 1) // the decision of 10 µs
+}
--- /dev/null
+++ b/capacity/report.go
@@ -0,0 +1,85 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// WriteMarkdown writes the lines, their fits and what they take of the budgets.
+func WriteMarkdown(w io.Writer, lines []Line) error {
+	var b strings.Builder
+	b.WriteString("| cost | measured at | fit | R² | at full size | times | load | of budget |\n|---|---|---|---|---|---|---|---|\n")
+	for _, l := range lines {
+		writeLine(&b, l)
+	}
+	b.WriteString("\n| budget | limit | sum or largest line | share |\n|---|---|---|---|\n")
+	for i := Processor; i < budgetSentinel; i++ {
+		if load, found := budgetLoad(lines, i); found {
+			d := budgets[i]
+			fmt.Fprintf(&b, "| %s | %s %s | %s | %s |\n", d.name, digits(d.limit), d.unit, digits(load), percent(load/d.limit))
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func writeLine(b *strings.Builder, l Line) {
+	cost, f := l.AtFull()
+	var samples []string
+	for _, s := range l.Samples {
+		samples = append(samples, fmt.Sprintf("%g: %s", s.Size, digits(s.Cost)))
+	}
+	load, share := "–", "–"
+	if l.Budget != NoBudget {
+		d := budgets[l.Budget]
+		load = digits(l.Load()) + " " + d.unit
+		share = percent(l.Load() / d.limit)
+		if l.Part {
+			share = "(" + share + ")"
+		}
+	}
+	fmt.Fprintf(b, "| %s | %s: %s | %s | %.3f | %s %s | %s | %s | %s |\n",
+		l.Name, l.Varied, strings.Join(samples, ", "), f, f.R2, digits(cost), l.Unit, l.Why, load, share)
+}
+
+// budgetLoad returns the sum of the lines of a budget, or the largest one.
+func budgetLoad(lines []Line, budget Budget) (load float64, found bool) {
+	for _, l := range lines {
+		if l.Budget != budget || l.Part && budgets[budget].total && budget != Memory {
+			continue
+		}
+		found = true
+		if budgets[budget].total {
+			load += l.Load()
+		} else {
+			load = max(load, l.Load())
+		}
+	}
+	return load, found
+}
+
+// Over returns the lines that alone exceed their budget, without parts of others.
+func Over(lines []Line) []Line {
+	var out []Line
+	for _, l := range lines {
+		if l.Budget != NoBudget && l.Load() > budgets[l.Budget].limit {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// digits returns a number with three significant digits.
+func digits(x float64) string {
+	switch {
+	case x >= 100:
+		return fmt.Sprintf("%.0f", x)
+	case x >= 10:
+		return fmt.Sprintf("%.1f", x)
+	default:
+		return fmt.Sprintf("%.3g", x)
+	}
+}
+
+func percent(share float64) string { return digits(100*share) + "%" }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -44,7 +44,7 @@
 		},
 		Commands: []*cli.Command{
 			devCommand(), serveCommand(), checkCommand(), tableCommand(), statusCommand(), quarantineCommand(),
-			reportCommand(), loadCommand(), compareCommand(), standinCommand(), versionCommand(),
+			reportCommand(), loadCommand(), compareCommand(), capacityCommand(), standinCommand(), versionCommand(),
 		},
 	}
 	for _, c := range root.Commands {
