control: make the admission view in time linear in endpoints

Cause: a view compared every demand of every member with every row of every endpoint, on each tick after any heartbeat, and each tick chose the report readers of all endpoints anew. Shares hashed and sorted twice as often as needed. Change: demand is indexed by row once per view; members are sorted once; the endpoints to read are kept until the list or the members change; from 1,000 endpoints on, a view is made at most every 500 ms, the period of its inputs. The windows are the same as before. Conclusion: the shares of every replica for every member remain; they need another design at 420 nodes.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -243,7 +243,11 @@
 }
 
 func ordered(members []MemberDemand) []MemberDemand {
-	return slices.SortedFunc(slices.Values(members), func(a, b MemberDemand) int { return cmp.Compare(a.Member, b.Member) })
+	byID := func(a, b MemberDemand) int { return cmp.Compare(a.Member, b.Member) }
+	if slices.IsSortedFunc(members, byID) {
+		return members
+	}
+	return slices.SortedFunc(slices.Values(members), byID)
 }
 
 func ids(members []MemberDemand) []fleet.InstanceID {
@@ -335,15 +339,10 @@
 	if len(members) == 0 || total <= 0 {
 		return out
 	}
-	hashes := make([]uint64, len(members))
-	order := make([]int, len(members))
 	sum := 0.0
-	for i, m := range members {
-		hashes[i] = xxhash.Sum64String(key + "\x00" + string(m))
-		order[i] = i
-		sum += weights[i]
+	for _, w := range weights {
+		sum += w
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b)) })
 	left := total
 	remainders := make([]float64, len(members))
 	for i := range members {
@@ -356,10 +355,25 @@
 		left -= whole
 		remainders[i] = exact - float64(whole)
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(remainders[b], remainders[a]) })
+	order := byRemainder(key, members, remainders)
 	for k := 0; left > 0; k++ {
 		out[order[k%len(order)]]++
 		left--
 	}
 	return out
 }
+
+// byRemainder returns the indexes of the members, the largest remainder first.
+func byRemainder(key string, members []fleet.InstanceID, remainders []float64) []int {
+	hashes := make([]uint64, len(members))
+	order := make([]int, len(members))
+	text := append([]byte(key), 0)
+	for i, m := range members {
+		hashes[i] = xxhash.Sum64(append(text, m...))
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(remainders[b], remainders[a]), cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b))
+	})
+	return order
+}
--- a/control/core.go
+++ b/control/core.go
@@ -53,10 +53,13 @@
 	plans     plans
 	requests  requests
 	reports   map[fleet.EndpointID]report
-	demands   []admission.MemberDemand // of every live instance, at the last view
+	demands   []admission.MemberDemand  // of every live instance, at the last view
+	demandOf  map[string][]memberDemand // the same by row
 
 	served    routes // at the last view
+	reading   reading
 	viewStale bool
+	viewBuilt time.Time
 	snapshot  *Snapshot
 	findings  map[string][]string // placement findings by pool
 }
@@ -154,7 +157,7 @@
 	if due, ok := c.queue.NextDeadline(); ok && !now.Before(due) {
 		c.admit(now, admission.Tick{})
 	}
-	if c.viewStale {
+	if c.viewDue(now) {
 		c.rebuildView(now)
 	}
 	c.publish(now)
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -42,9 +42,9 @@
 // ownReports returns the reports of the endpoints that this instance reads.
 func (c *core) ownReports(now time.Time) []membership.EndpointReport {
 	var out []membership.EndpointReport
-	for _, e := range c.listing.Endpoints {
+	for _, e := range c.ownEndpoints() {
 		r, ok := c.reports[e.ID]
-		if !ok || !c.members.ReadsReport(e.ID, e.DataCentre) {
+		if !ok {
 			continue
 		}
 		out = append(out, membership.EndpointReport{
--- a/control/view.go
+++ b/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -79,15 +80,31 @@
 func (c *core) rebuildView(now time.Time) {
 	c.viewStale = false
 	c.takePeerReports(now)
+	c.viewBuilt = now
 	c.demands = c.memberDemands(now)
+	c.demandOf = byRow(c.demands)
 	c.served = c.routes()
 	view := &admission.View{Endpoints: c.endpointViews(), Rows: c.limitShares()}
 	c.admit(now, admission.ViewChanged{View: view})
 }
 
+// manyEndpoints is the number of endpoints from which on views are made no
+// more often than viewInterval. A view of 5,400 endpoints takes longer than a
+// tick, and its inputs arrive once in a heartbeat period.
+const (
+	manyEndpoints = 1000
+	viewInterval  = 500 * time.Millisecond
+)
+
+// viewDue reports whether the view has to be made again now.
+func (c *core) viewDue(now time.Time) bool {
+	return c.viewStale && (len(c.listing.Endpoints) < manyEndpoints || now.Sub(c.viewBuilt) >= viewInterval)
+}
+
 func (c *core) endpointViews() []admission.EndpointView {
 	floors := c.floors()
-	var out []admission.EndpointView
+	scratch := make([]admission.MemberDemand, len(c.demands))
+	out := make([]admission.EndpointView, 0, len(c.listing.Endpoints))
 	for _, e := range c.listing.Endpoints {
 		r := c.reports[e.ID]
 		slots := e.Slots
@@ -96,7 +113,7 @@
 		}
 		out = append(out, admission.EndpointView{
 			Endpoint: e, Closed: c.leaving(e) || c.suspects.Reserved(e.ID),
-			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID), admission.Contended{
+			Window: admission.Shares(c.config.Self.ID, c.endpointDemands(e.ID, scratch), admission.Contended{
 				Key: string(e.ID), Slots: slots, Floors: floors,
 			}),
 			Residents: c.served.residents[e.ID], Running: r.running, Waiting: r.waiting, ReportedAt: r.takenAt,
@@ -143,6 +160,8 @@
 			out = append(out, admission.MemberDemand{Member: m.Instance.ID, Rows: demandsOf(t, m.Heartbeat.Demand)})
 		}
 	}
+	// Sorted once here and not again by the shares of each endpoint.
+	slices.SortFunc(out, func(a, b admission.MemberDemand) int { return cmp.Compare(a.Member, b.Member) })
 	return out
 }
 
@@ -217,17 +236,38 @@
 	return out
 }
 
-// endpointDemands returns the members' demand for what an endpoint serves. The
-// demand of a row is spread evenly over the endpoints that serve it.
-func (c *core) endpointDemands(e fleet.EndpointID) []admission.MemberDemand {
-	out := make([]admission.MemberDemand, len(c.demands))
-	for i, m := range c.demands {
-		out[i].Member = m.Member
+// memberDemand is the demand of one member for one row.
+type memberDemand struct {
+	member int // index in core.demands
+	demand admission.Demand
+}
+
+func byRow(members []admission.MemberDemand) map[string][]memberDemand {
+	out := make(map[string][]memberDemand)
+	for i, m := range members {
 		for _, d := range m.Rows {
-			if slices.Contains(c.served.rows[e], d.Row) {
-				d.Slots /= float64(c.served.replicas[d.Row])
-				out[i].Rows = append(out[i].Rows, d)
-			}
+			out[d.Row] = append(out[d.Row], memberDemand{i, d})
+		}
+	}
+	return out
+}
+
+// endpointDemands returns the members' demand for what an endpoint serves, in
+// the given space. The demand of a row is spread evenly over the endpoints
+// that serve it.
+func (c *core) endpointDemands(e fleet.EndpointID, out []admission.MemberDemand) []admission.MemberDemand {
+	for i, m := range c.demands {
+		out[i].Member, out[i].Rows = m.Member, out[i].Rows[:0]
+	}
+	rows := c.served.rows[e]
+	for i, row := range rows {
+		if slices.Contains(rows[:i], row) {
+			continue // two versions of it are resident
+		}
+		for _, m := range c.demandOf[row] {
+			d := m.demand
+			d.Slots /= float64(c.served.replicas[row])
+			out[m.member].Rows = append(out[m.member].Rows, d)
 		}
 	}
 	return out
@@ -266,11 +306,7 @@
 		Self: c.config.Self, Table: c.table.Current(), Endpoints: c.listing.Endpoints,
 		Routable: c.served.routable, Isolated: c.members.Isolated(now), AliveIncarnations: c.members.AliveIncarnations(),
 	}
-	for _, e := range c.listing.Endpoints {
-		if c.members.ReadsReport(e.ID, e.DataCentre) || c.suspects.Reserved(e.ID) {
-			s.ReadReports = append(s.ReadReports, e)
-		}
-	}
+	s.ReadReports = c.endpointsToRead()
 	for _, m := range c.members.Members() {
 		if m.Instance.PeerAddress != "" {
 			s.PeerAddresses = append(s.PeerAddresses, m.Instance.PeerAddress)
@@ -281,6 +317,43 @@
 	c.snapshot = s
 }
 
+// reading is which listed endpoints' reports this instance reads.
+type reading struct {
+	listed  []fleet.Endpoint
+	version uint64 // of the readers
+	own     []fleet.Endpoint
+}
+
+// ownEndpoints returns the endpoints whose load reports this instance is
+// chosen to read. The choice is kept until the list or the members change,
+// because it costs a hash per endpoint and member.
+func (c *core) ownEndpoints() []fleet.Endpoint {
+	listed, version := c.listing.Endpoints, c.members.ReadersVersion()
+	r := &c.reading
+	if r.version == version && len(r.listed) == len(listed) && (len(listed) == 0 || &r.listed[0] == &listed[0]) {
+		return r.own
+	}
+	*r = reading{listed: listed, version: version}
+	for _, e := range listed {
+		if c.members.ReadsReport(e.ID, e.DataCentre) {
+			r.own = append(r.own, e)
+		}
+	}
+	return r.own
+}
+
+// endpointsToRead adds the endpoints that are reserved for a trial, since it
+// starts when their reports show them idle.
+func (c *core) endpointsToRead() []fleet.Endpoint {
+	out := c.ownEndpoints()
+	for _, e := range c.listing.Endpoints {
+		if c.suspects.Reserved(e.ID) && !slices.Contains(out, e) {
+			out = append(slices.Clip(out), e)
+		}
+	}
+	return out
+}
+
 func (c *core) notReadyReason(s *Snapshot) string {
 	switch {
 	case c.stopping:
--- a/membership/state.go
+++ b/membership/state.go
@@ -48,7 +48,9 @@
 	readers    map[fleet.DataCentre]rendezvous.Set
 	allReaders rendezvous.Set
 	stale      bool // the cached sets must be computed again
-	actions    []Action
+	// readersVersion counts how often that was done.
+	readersVersion uint64
+	actions        []Action
 }
 
 type relayPosition struct {
--- a/membership/views.go
+++ b/membership/views.go
@@ -75,6 +75,7 @@
 		return
 	}
 	s.stale = false
+	s.readersVersion++
 	self := string(s.cfg.Self.ID)
 	var live, fresh, alive []string
 	byDC := make(map[fleet.DataCentre][]string)
@@ -137,6 +138,12 @@
 	return out
 }
 
+// ReadersVersion changes whenever the answers of ReportReaders may have changed.
+func (s *State) ReadersVersion() uint64 {
+	s.refresh()
+	return s.readersVersion
+}
+
 // ReadsReport reports whether this instance reads the endpoint's load report.
 func (s *State) ReadsReport(e fleet.EndpointID, dc fleet.DataCentre) bool {
 	return slices.Contains(s.ReportReaders(e, dc), s.cfg.Self.ID)
