--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -39,7 +39,6 @@
 	PlanTime              // milliseconds per placement plan
 	RequestTime           // microseconds of processor time per request
 	EventTime             // microseconds of processor time per token event
-	StreamMemory          // kilobytes per idle stream
 	StoreReads            // records read from the table service per second by all nodes
 	StoreWrites           // transactions of the table service per second by all nodes
 	budgetSentinel        // number of budgets
@@ -58,7 +57,6 @@
 	PlanTime:     {"placement plan", "ms", 100, false},
 	RequestTime:  {"plain request", "µs", 100, false},
 	EventTime:    {"token event", "µs", 5, false},
-	StreamMemory: {"idle stream", "KB", 32, false},
 	StoreReads:   {"table service reads", "1/s", 2000, true},
 	StoreWrites:  {"table service writes", "1/s", 300, true},
 }
@@ -128,7 +126,9 @@
 	{"memory", measureMemory},
 	{"control", measureControl},
 	{"peers", measurePeers},
+	{"records", measureRecords},
 	{"deployment", measureDeployment},
+	{"requests", measureRequests},
 }
 
 // GroupNames returns the names of all groups of lines.
--- a/capacity/fit_test.go
+++ b/capacity/fit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -57,3 +58,19 @@
 	is.True(!found)
 	is.Equal(len(Over(lines)), 1) // the decision of 10 µs
 }
+
+// Guards against a measurement that leaves out a size, and a table that leaves
+// out a line.
+func TestQuickMeasurementHasEveryLine(t *testing.T) {
+	is := is.New(t)
+	lines, err := Measure(t.Context(), Options{Quick: true, Only: []string{"records"}})
+	is.NoErr(err)
+	is.Equal(len(lines), 6)
+	var text strings.Builder
+	is.NoErr(WriteMarkdown(&text, lines))
+	for _, l := range lines {
+		is.Equal(len(l.Samples), 2)
+		is.True(l.Samples[1].Cost > l.Samples[0].Cost)
+		is.True(strings.Contains(text.String(), l.Name))
+	}
+}
