control: make no new view for an equal list

Cause: the platform's list is read every second, and each read made a view, also when it named the same endpoints. Change: an equal list keeps the endpoints as they are and makes no view.

--- a/control/core.go
+++ b/control/core.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -175,10 +176,16 @@
 }
 
 func (c *core) listingRead(now time.Time, l platform.Listing) {
+	same := c.listed && slices.Equal(c.listing.Endpoints, l.Endpoints)
+	if same {
+		l.Endpoints = c.listing.Endpoints // what was derived from them stays valid
+	}
 	c.listing, c.listed = l, true
 	c.membership(now, membership.ListingRead{Instances: l.Instances})
 	c.endpointsChanged(now)
-	c.rebuildView(now)
+	if !same {
+		c.rebuildView(now)
+	}
 	c.publish(now)
 }
 
