--- a/control/core.go
+++ b/control/core.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -53,10 +54,13 @@
 	plans     plans
 	requests  requests
 	reports   map[fleet.EndpointID]report
-	demands   []admission.MemberDemand // of every live instance, at the last view
+	demands   []admission.MemberDemand  // of every live instance, at the last view
+	demandOf  map[string][]memberDemand // the same by row
 
 	served    routes // at the last view
+	reading   reading
 	viewStale bool
+	viewBuilt time.Time
 	snapshot  *Snapshot
 	findings  map[string][]string // placement findings by pool
 }
@@ -154,7 +158,7 @@
 	if due, ok := c.queue.NextDeadline(); ok && !now.Before(due) {
 		c.admit(now, admission.Tick{})
 	}
-	if c.viewStale {
+	if c.viewDue(now) {
 		c.rebuildView(now)
 	}
 	c.publish(now)
@@ -172,10 +176,16 @@
 }
 
 func (c *core) listingRead(now time.Time, l platform.Listing) {
+	same := c.listed && slices.Equal(c.listing.Endpoints, l.Endpoints)
+	if same {
+		l.Endpoints = c.listing.Endpoints // what was derived from them stays valid
+	}
 	c.listing, c.listed = l, true
 	c.membership(now, membership.ListingRead{Instances: l.Instances})
 	c.endpointsChanged(now)
-	c.rebuildView(now)
+	if !same {
+		c.rebuildView(now)
+	}
 	c.publish(now)
 }
 
