control: tell peers what is in flight on each endpoint

Cause: a slot whose long request is still running on one instance was given to another one when the demand moved, because shares did not know who occupies it. Change: heartbeats carry the requests in flight per endpoint and rank, and the shares withhold slots that others still occupy.

--- a/control/core.go
+++ b/control/core.go
@@ -60,6 +60,7 @@
 	served    routes // at the last view
 	reading   reading
 	viewStale bool
+	inFlight  map[fleet.EndpointID]map[fleet.InstanceID][fleet.RankCount]int // at the last view
 	viewBuilt time.Time
 	snapshot  *Snapshot
 	findings  map[string][]string // placement findings by pool
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -16,6 +16,7 @@
 		TableAge:      c.tableAge(now),
 		Leases:        c.leases.Held(now),
 		Demand:        c.ownDemand(now),
+		InFlight:      c.ownInFlight(now),
 		Reports:       c.ownReports(now),
 		WantedLoads:   c.ownWantedLoads(),
 		Retries:       membership.RetryCounts{Requests: int(retries.Requests), Retries: int(retries.Retries)},
@@ -35,6 +36,15 @@
 	return out
 }
 
+// ownInFlight returns what this instance has in flight on each endpoint.
+func (c *core) ownInFlight(now time.Time) []membership.EndpointInFlight {
+	var out []membership.EndpointInFlight
+	for _, e := range c.queue.Stats(now).Endpoints {
+		out = append(out, membership.EndpointInFlight{Endpoint: e.Endpoint, InFlight: e.InFlight})
+	}
+	return out
+}
+
 // minRate is the arrival rate below which a row counts as idle: one request
 // in more than sixteen minutes.
 const minRate = 0.001
--- a/control/view.go
+++ b/control/view.go
@@ -82,6 +82,7 @@
 	c.takePeerReports(now)
 	c.viewBuilt = now
 	c.demands = c.memberDemands(now)
+	c.inFlight = c.memberInFlight(now)
 	c.demandOf = byRow(c.demands)
 	c.served = c.routes()
 	view := &admission.View{Endpoints: c.endpointViews(), Rows: c.limitShares()}
@@ -274,7 +275,7 @@
 // that serve it.
 func (c *core) endpointDemands(e fleet.EndpointID, out []admission.MemberDemand) []admission.MemberDemand {
 	for i, m := range c.demands {
-		out[i].Member, out[i].Rows = m.Member, out[i].Rows[:0]
+		out[i] = admission.MemberDemand{Member: m.Member, Rows: out[i].Rows[:0], InFlight: c.inFlight[e][m.Member]}
 	}
 	rows := c.served.rows[e]
 	for i, row := range rows {
@@ -290,6 +291,26 @@
 	return out
 }
 
+// memberInFlight returns what every live instance has in flight on each endpoint.
+func (c *core) memberInFlight(now time.Time) map[fleet.EndpointID]map[fleet.InstanceID][fleet.RankCount]int {
+	out := make(map[fleet.EndpointID]map[fleet.InstanceID][fleet.RankCount]int)
+	add := func(id fleet.InstanceID, counts []membership.EndpointInFlight) {
+		for _, n := range counts {
+			if out[n.Endpoint] == nil {
+				out[n.Endpoint] = make(map[fleet.InstanceID][fleet.RankCount]int)
+			}
+			out[n.Endpoint][id] = n.InFlight
+		}
+	}
+	add(c.config.Self.ID, c.ownInFlight(now))
+	for _, m := range c.members.Members() {
+		if m.Heartbeat != nil && (m.Status == membership.Alive || m.Status == membership.Suspect) {
+			add(m.Instance.ID, m.Heartbeat.InFlight)
+		}
+	}
+	return out
+}
+
 func (c *core) floors() [fleet.RankCount]float64 {
 	floors := defaultFloors
 	if t := c.table.Current(); t != nil {
--- a/membership/types.go
+++ b/membership/types.go
@@ -22,9 +22,10 @@
 	TableAge      time.Duration // since the store last confirmed the revision
 	Leaving       bool
 	Leases        []lease.Held
-	Demand        []RowDemand      // at most one per row
-	Reports       []EndpointReport // at most one per endpoint
-	WantedLoads   int              // loads that the instance's shards want from the weight store now
+	Demand        []RowDemand        // at most one per row
+	InFlight      []EndpointInFlight // of this instance, at most one per endpoint
+	Reports       []EndpointReport   // at most one per endpoint
+	WantedLoads   int                // loads that the instance's shards want from the weight store now
 	Retries       RetryCounts
 	Suspects      []quarantine.Notice
 	// Summaries describe data centres, as a relay sees them.
@@ -40,6 +41,13 @@
 	Slots       float64 // what the arrivals occupy in the long run, at least Queued + InFlight
 }
 
+// EndpointInFlight counts the requests that an instance has in flight on an
+// endpoint.
+type EndpointInFlight struct {
+	Endpoint fleet.EndpointID
+	InFlight [fleet.RankCount]int
+}
+
 // RetryCounts are the counts behind the retry ratio, over the last 10 s.
 type RetryCounts struct {
 	Requests int
--- a/peer/compact.go
+++ b/peer/compact.go
@@ -41,7 +41,7 @@
 }
 
 func (w wireLoadChanges) empty() bool {
-	return len(w.Demand)+len(w.Reports)+len(w.Boots)+len(w.Residents) == 0
+	return len(w.Demand)+len(w.Reports)+len(w.Boots)+len(w.Residents)+len(w.InFlight) == 0
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -138,6 +138,7 @@
 	p.lists(w.Reports)
 	p.lists(w.Boots)
 	p.lists(w.Residents)
+	p.lists(w.InFlight)
 }
 
 func (p *packer) summary(s wireSummary) {
@@ -251,7 +252,7 @@
 }
 
 func (u *unpacker) load() wireLoadChanges {
-	return wireLoadChanges{Demand: u.lists(), Reports: u.lists(), Boots: u.lists(), Residents: u.lists()}
+	return wireLoadChanges{Demand: u.lists(), Reports: u.lists(), Boots: u.lists(), Residents: u.lists(), InFlight: u.lists()}
 }
 
 func (u *unpacker) summary() wireSummary {
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -100,7 +101,8 @@
 	if err := d.applyLoad(&d.load, now, w.Load); err != nil {
 		return h, err
 	}
-	h.Demand, h.Reports, h.Summaries = d.load.rows(), d.load.endpoints(now), nil
+	h.Demand, h.InFlight = d.load.rows(), d.load.counts()
+	h.Reports, h.Summaries = d.load.endpoints(now), nil
 	for _, sum := range w.Summaries {
 		s, err := d.decodeSummary(now, sum)
 		if err != nil {
@@ -126,8 +128,9 @@
 
 // loadDecoder holds the rows and reports as sent so far.
 type loadDecoder struct {
-	demand  map[int64]membership.RowDemand
-	reports map[int64]*receivedReport
+	demand   map[int64]membership.RowDemand
+	inFlight map[int64]membership.EndpointInFlight
+	reports  map[int64]*receivedReport
 }
 
 type receivedReport struct {
@@ -136,7 +139,7 @@
 }
 
 func newLoadDecoder() loadDecoder {
-	return loadDecoder{demand: make(map[int64]membership.RowDemand), reports: make(map[int64]*receivedReport)}
+	return loadDecoder{demand: make(map[int64]membership.RowDemand), inFlight: make(map[int64]membership.EndpointInFlight), reports: make(map[int64]*receivedReport)}
 }
 
 func (d *decoder) applyLoad(l *loadDecoder, now time.Time, w wireLoadChanges) error {
@@ -165,9 +168,49 @@
 			return err
 		}
 	}
+	for _, v := range w.InFlight {
+		if err := d.applyInFlight(l, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *decoder) applyInFlight(l *loadDecoder, v []int64) error {
+	if n := len(v); n != 1 && n != 1+fleet.RankCount {
+		return malformed("in-flight entry of %d values", n)
+	}
+	endpoint, err := d.name(v[0])
+	if err != nil {
+		return err
+	}
+	if len(v) == 1 {
+		delete(l.inFlight, v[0])
+		return nil
+	}
+	if err := validCounts(v[1:]...); err != nil {
+		return err
+	}
+	c := membership.EndpointInFlight{Endpoint: fleet.EndpointID(endpoint)}
+	for r, n := range v[1:] {
+		c.InFlight[r] = int(n)
+	}
+	l.inFlight[v[0]] = c
+	if len(l.inFlight) > maxEndpoints {
+		return malformed("more than %d endpoints in flight", maxEndpoints)
+	}
 	return nil
 }
 
+func (l *loadDecoder) counts() []membership.EndpointInFlight {
+	var out []membership.EndpointInFlight
+	for _, c := range l.inFlight {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b membership.EndpointInFlight) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
 func (d *decoder) applyDemand(l *loadDecoder, v []int64) error {
 	if len(v) == 0 || len(v) > 5 {
 		return malformed("demand entry of %d values", len(v))
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -82,6 +82,7 @@
 		w.Suspects, e.suspects = &suspects, suspects
 	}
 	w.Load = e.encodeLoad(&e.load, now, h.Demand, h.Reports)
+	w.Load.InFlight = e.encodeInFlight(&e.load, h.InFlight)
 	fresh := 0
 	for _, sum := range h.Summaries {
 		if _, known := e.summaries[sum.DataCentre]; !known {
@@ -119,6 +120,7 @@
 
 // loadEncoder holds what was last sent of a set of rows and reports.
 type loadEncoder struct {
+	inFlight     map[int64][fleet.RankCount]int
 	demand       map[int64][4]int64
 	reports      map[int64]*sentReport
 	ageTolerance time.Duration
@@ -136,7 +138,7 @@
 }
 
 func newLoadEncoder(ageTolerance time.Duration) loadEncoder {
-	return loadEncoder{demand: make(map[int64][4]int64), reports: make(map[int64]*sentReport), ageTolerance: ageTolerance}
+	return loadEncoder{inFlight: make(map[int64][fleet.RankCount]int), demand: make(map[int64][4]int64), reports: make(map[int64]*sentReport), ageTolerance: ageTolerance}
 }
 
 func (e *encoder) encodeLoad(l *loadEncoder, now time.Time, demand []membership.RowDemand, reports []membership.EndpointReport) wireLoadChanges {
@@ -191,6 +193,34 @@
 	return out
 }
 
+func (e *encoder) encodeInFlight(l *loadEncoder, counts []membership.EndpointInFlight) [][]int64 {
+	var out [][]int64
+	present := make(map[int64]bool, len(counts))
+	for _, c := range counts {
+		if c.InFlight == [fleet.RankCount]int{} {
+			continue
+		}
+		id := e.name(string(c.Endpoint))
+		present[id] = true
+		if l.inFlight[id] == c.InFlight {
+			continue
+		}
+		l.inFlight[id] = c.InFlight
+		entry := []int64{id}
+		for _, n := range c.InFlight {
+			entry = append(entry, int64(n))
+		}
+		out = append(out, entry)
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.inFlight)) {
+		if !present[id] {
+			delete(l.inFlight, id)
+			out = append(out, []int64{id})
+		}
+	}
+	return out
+}
+
 // tenths returns a rate in 1/10 per second, at least 1 for a positive rate.
 func tenths(rate float64) int64 {
 	if !(rate > 0) {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -42,6 +42,9 @@
 	Boots   [][]int64 // [endpoint, boot id]
 	// Residents has [endpoint, name, version, ready, name, version, ready, ...].
 	Residents [][]int64
+	// InFlight has [endpoint] for one without requests of the sender, or
+	// [endpoint, urgent, prompt, patient].
+	InFlight [][]int64
 }
 
 type wireLease struct {
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -34,6 +34,11 @@
 		h.Leases = append(h.Leases, lease.Held{Shard: lease.Shard(fmt.Sprint("shard/", i)), Epoch: uint64(count("epoch"))})
 	}
 	h.Demand, h.Reports = drawLoad(t)
+	for i := range 3 {
+		if n := count("on endpoint"); n > 0 {
+			h.InFlight = append(h.InFlight, membership.EndpointInFlight{Endpoint: fleet.EndpointID(fmt.Sprint("e", i)), InFlight: [fleet.RankCount]int{n, 0, count("patient")}})
+		}
+	}
 	if rapid.Bool().Draw(t, "suspect") {
 		h.Suspects = []quarantine.Notice{{
 			Fingerprint: 1 << 63, Losses: []quarantine.Loss{{Endpoint: "e1", BootID: "b"}}, Until: time.Unix(1_800_000_000, 0),
@@ -58,7 +63,7 @@
 	demand, reports = []membership.RowDemand{}, []membership.EndpointReport{}
 	for i := range 4 {
 		if rapid.Bool().Draw(t, "row") {
-			demand = append(demand, membership.RowDemand{Row: fmt.Sprint("row", i), ArrivalRate: float64(max(1, count("rate"))) / 10, Queued: count("queued"), InFlight: count("in flight")})
+			demand = append(demand, membership.RowDemand{Row: fmt.Sprint("row", i), ArrivalRate: float64(max(1, count("rate"))) / 10, Queued: count("queued"), InFlight: count("in flight"), Slots: float64(count("slots")) / 10})
 		}
 		if !rapid.Bool().Draw(t, "endpoint") {
 			continue
