dev: print the curl line when it works

Cause: the line was printed before the first model was loaded. Change: dev waits until the first kind of work can be routed. Conclusion: the printed line works when it is shown.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -84,8 +85,12 @@
 	if err := printDev(c.Root().Writer, r); err != nil {
 		return err
 	}
+	// The first models are loaded within seconds; a signal ends the wait.
+	if r.WaitFirst(ctx) == nil {
+		err = printTry(c.Root().Writer, r)
+	}
 	<-ctx.Done()
-	return r.Stop(context.WithoutCancel(ctx))
+	return errors.Join(err, r.Stop(context.WithoutCancel(ctx)))
 }
 
 func printDev(w io.Writer, r *dev.Running) error {
@@ -101,16 +106,19 @@
 			return err
 		}
 	}
-	first := r.Instances[0].Self()
-	_, err = fmt.Fprintf(w, `
-operator token: %s
+	_, err = fmt.Fprintf(w, "\noperator token: %s\n", r.Token)
+	return err
+}
 
+func printTry(w io.Writer, r *dev.Running) error {
+	first := r.Instances[0].Self()
+	_, err := fmt.Fprintf(w, `
 try:
   curl -s http://%s/v1/chat/completions -H 'Content-Type: application/json' \
     -d '{"model":"%s","messages":[{"role":"user","content":"Is Saturday free?"}],"max_tokens":16}'
   hyssophaven status --operator http://%s --token %s
 
 SIGINT or SIGTERM stops the deployment.
-`, r.Token, first.CallerAddress, d.Work[0].Name, first.OperatorAddress, r.Token)
+`, first.CallerAddress, r.Options.Deployment.Work[0].Name, first.OperatorAddress, r.Token)
 	return err
 }
