load: read scenarios with tomlfile

Cause: load had a second TOML decoder and a line scanner to find the places of keys, beside the strict decoder that settings and tables use. Change: scenarios are decoded section by section with tomlfile, which now tells an element of an array from a plain section, and places unknown keys of inline tables. All values of a wrong type are reported, not only the first. Conclusion: one decoder gives all findings their places.

--- a/load/load_test.go
+++ b/load/load_test.go
@@ -82,6 +82,28 @@
 	is.Equal(len(finding.Of(err)), 3) // duration, instances and streams are missing
 }
 
+// Guards against a scenario that is read differently with tables in sections
+// of their own, and against such sections that are taken for another stream's.
+func TestSectionsOfStreams(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer(
+		"targets = { first_token = \"150ms\", whole_answer = \"1s\" }\n", "[stream.targets]\nfirst_token = \"150ms\"\nwhole_answer = \"1s\"\n",
+		"call = { method = \"POST\", path = \"/services/booking/slots\", body = \"{}\", keyed = true }",
+		"[stream.call]\nmethod = \"POST\"\npath = \"/services/booking/slots\"\nbody = \"{}\"\nkeyed = true",
+		"factor = 5.0", "factor = 5",
+	).Replace(scenarioText)
+	s, err := ParseScenario("s.toml", text)
+	is.NoErr(err)
+	is.Equal(s, scenario(t))
+	for _, wrong := range []string{
+		"[stream.targets]\n" + scenarioText, "[stream]\n" + scenarioText, "[other]\n" + scenarioText, scenarioText + "[fault]\n",
+		scenarioText + "[stream.targets]\n[stream.targets]\n",
+	} {
+		_, err := ParseScenario("s.toml", wrong)
+		is.True(len(finding.Of(err)) > 0)
+	}
+}
+
 // Guards against arrivals that differ from run to run, come out of order, or
 // miss the rates and floods of the scenario.
 func TestScheduleFollowsSeedAndRates(t *testing.T) {
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -5,26 +5,16 @@
 package load
 
 import (
-	"errors"
 	"fmt"
-	"net/url"
 	"os"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"github.com/hyssophaven/hyssophaven/finding"
-	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/tomlfile"
 )
 
-// Duration is a duration written as a string with a unit, such as "500ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
+// Duration is a duration written as text with a unit, such as "500ms".
+type Duration = tomlfile.Duration
 
 // Scenario is a load to generate.
 type Scenario struct {
@@ -107,123 +97,84 @@
 	return ParseScenario(file, string(text))
 }
 
-// ParseScenario parses and checks the text of a scenario; file is used in findings.
+// ParseScenario parses and checks the text of a scenario; file is used in
+// findings. The error carries all findings; the values are checked once all of
+// them have their types.
 func ParseScenario(file, text string) (*Scenario, error) {
+	var problems finding.List
+	sections := tomlfile.Parse(file, []byte(text), &problems)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
 	s := &Scenario{Timeout: defaultTimeout, Check: "none"}
-	meta, err := toml.Decode(text, s)
-	c := checker{file: file, places: findPlaces(text)}
-	if err != nil {
-		var parse toml.ParseError
-		if errors.As(err, &parse) {
-			c.list.Add(finding.Finding{File: file, Line: parse.Position.Line, Column: parse.Position.Col, Key: parse.LastKey, Message: parse.Message})
-		} else {
-			c.list.Add(finding.Finding{File: file, Message: err.Error()})
-		}
-		return nil, c.list.Err()
+	c := checker{sections: map[string]tomlfile.Section{}, problems: &problems}
+	complete := true
+	for _, section := range sections {
+		complete = c.decode(section, s) && complete
 	}
-	for _, key := range meta.Undecoded() {
-		for _, at := range c.places.matching(key.String()) {
-			c.add(at, "unknown key")
-		}
+	if complete {
+		c.scenario(s)
 	}
-	c.scenario(s)
-	if err := c.list.Err(); err != nil {
+	if err := problems.Err(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// checker collects findings about a scenario.
-type checker struct {
-	file   string
-	places places
-	list   finding.List
-}
+// sectionTarget is a pointer to a struct with toml tags.
+type sectionTarget any
 
-func (c *checker) add(path, format string, args ...any) {
-	at := c.places.find(path)
-	c.list.Add(finding.Finding{File: c.file, Line: at.line, Column: at.column, Key: path, Message: fmt.Sprintf(format, args...)})
+// decode adds one section to s and reports whether its values were decoded.
+// Sections of a stream follow its [[stream]].
+func (c *checker) decode(section tomlfile.Section, s *Scenario) bool {
+	path, target, array := s.place(section.Path)
+	switch {
+	case target == nil:
+		section.Problemf(c.problems, "", "unknown section, or a section of a stream before the first [[stream]]")
+		return false
+	case section.Array != array && section.Path != "":
+		section.Problemf(c.problems, "", "must be written as [%s], or as [[%[1]s]] if it can be repeated", section.Path)
+		return false
+	}
+	section.Path = path
+	if _, twice := c.sections[path]; twice {
+		section.Problemf(c.problems, "", "section appears twice")
+		return false
+	}
+	c.sections[path] = section
+	return section.Decode(target, c.problems)
 }
 
-func (c *checker) scenario(s *Scenario) {
-	if s.Duration <= 0 {
-		c.add("duration", "must be positive")
-	}
-	if s.Timeout <= 0 {
-		c.add("timeout", "must be positive")
-	}
-	if s.Rate < 0 {
-		c.add("rate", "must not be negative")
-	}
-	if _, err := AnswerCheckNamed(s.Check); err != nil {
-		c.add("check", "%v", err)
-	}
-	if len(s.Instances) == 0 {
-		c.add("instances", "at least one URL is needed")
-	}
-	for i, u := range s.Instances {
-		c.url("instances", u, fmt.Sprintf("entry %d: ", i+1))
+// place returns the struct that the next section with the given path is decoded
+// into, that struct's path with indices, and whether the section is an element
+// of an array. The target is nil if the section has no place.
+func (s *Scenario) place(path string) (indexed string, target sectionTarget, array bool) {
+	switch path {
+	case "":
+		return "", s, false
+	case "stream":
+		s.Streams = append(s.Streams, Stream{})
+		return fmt.Sprintf("stream[%d]", len(s.Streams)-1), &s.Streams[len(s.Streams)-1], true
+	case "fault":
+		s.Faults = append(s.Faults, Fault{})
+		return fmt.Sprintf("fault[%d]", len(s.Faults)-1), &s.Faults[len(s.Faults)-1], true
 	}
 	if len(s.Streams) == 0 {
-		c.add("stream", "at least one [[stream]] is needed")
-	}
-	for i := range s.Streams {
-		c.stream(fmt.Sprintf("stream[%d]", i), s, &s.Streams[i])
-	}
-	for i, f := range s.Faults {
-		path := fmt.Sprintf("fault[%d]", i)
-		c.url(path+".url", f.URL, "")
-		if f.At < 0 {
-			c.add(path+".at", "must not be negative")
-		}
-	}
-}
-
-func (c *checker) url(path, text, prefix string) {
-	u, err := url.Parse(text)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.add(path, "%s%q is not an http or https URL", prefix, text)
-	}
-}
-
-func (c *checker) stream(path string, s *Scenario, w *Stream) {
-	if w.Name == "" {
-		c.add(path+".name", "must be set")
-	}
-	if _, err := fleet.ParseRank(w.Rank); err != nil {
-		c.add(path+".rank", "%v", err)
-	}
-	switch {
-	case w.Rate < 0 || w.Share < 0:
-		c.add(path+".rate", "rate and share must not be negative")
-	case (w.Rate > 0) == (w.Share > 0):
-		c.add(path+".rate", "exactly one of rate and share must be set")
-	case w.Share > 0 && s.Rate <= 0:
-		c.add(path+".share", "needs the scenario's rate")
-	}
-	if w.Spread < 0 || w.Spread > 1 {
-		c.add(path+".spread", "must be between 0 and 1")
-	}
-	if w.Call == nil {
-		c.model(path, w)
-	} else if w.Call.Method == "" || len(w.Call.Path) == 0 || w.Call.Path[0] != '/' {
-		c.add(path+".call", "needs a method and a path that begins with /")
-	}
-	for i, f := range w.Floods {
-		if f.Start < 0 || f.End <= f.Start || f.Factor < 0 {
-			c.add(fmt.Sprintf("%s.flood[%d]", path, i), "needs start before end and a factor of at least 0")
+		return "", nil, false
+	}
+	stream := fmt.Sprintf("stream[%d]", len(s.Streams)-1)
+	w := &s.Streams[len(s.Streams)-1]
+	switch path {
+	case "stream.targets":
+		return stream + ".targets", &w.Targets, false
+	case "stream.call":
+		if w.Call == nil {
+			w.Call = &Call{}
 		}
+		return stream + ".call", w.Call, false
+	case "stream.flood":
+		w.Floods = append(w.Floods, Flood{})
+		return fmt.Sprintf("%s.flood[%d]", stream, len(w.Floods)-1), &w.Floods[len(w.Floods)-1], true
 	}
-}
-
-func (c *checker) model(path string, w *Stream) {
-	if len(w.Rows) == 0 {
-		c.add(path+".rows", "a stream needs rows or a call")
-	}
-	if w.PromptWords <= 0 {
-		c.add(path+".prompt_words", "must be positive")
-	}
-	if w.Completion <= 0 {
-		c.add(path+".completion_tokens", "must be positive")
-	}
+	return "", nil, false
 }
--- a/tomlfile/tomlfile.go
+++ b/tomlfile/tomlfile.go
@@ -27,7 +27,8 @@
 // Section is one table of a file: the top level, [path] or one element of [[path]].
 type Section struct {
 	File   string
-	Path   string // dotted path; empty for the top level
+	Path   string // dotted path, which findings show; empty for the top level
+	Array  bool   // whether it is an element of [[path]]
 	Line   int
 	Column int
 	Keys   []Key
@@ -46,7 +47,7 @@
 		pos := p.Shape(place).Start
 		switch e.Kind {
 		case unstable.Table, unstable.ArrayTable:
-			sections = append(sections, Section{File: file, Path: dotted(e), Line: pos.Line, Column: pos.Column})
+			sections = append(sections, Section{File: file, Path: dotted(e), Array: e.Kind == unstable.ArrayTable, Line: pos.Line, Column: pos.Column})
 		case unstable.KeyValue:
 			s := &sections[len(sections)-1]
 			s.Keys = append(s.Keys, Key{Name: dotted(e), Line: pos.Line, Column: pos.Column})
@@ -104,19 +105,47 @@
 
 // Decode sets the fields of target, a pointer to a struct with toml tags, from
 // the section's keys. Problems are added with their place and the dotted key.
-func (s Section) Decode(target any, problems *finding.List) {
+// The result is false if the value of a known key was not decoded, so that
+// checks of the values would mislead.
+func (s Section) Decode(target any, problems *finding.List) bool {
+	complete := true
 	seen := make(map[string]bool, len(s.Keys))
 	for _, k := range s.Keys {
 		if seen[k.Name] {
 			s.Problemf(problems, k.Name, "key is set twice")
+			complete = false
 			continue
 		}
 		seen[k.Name] = true
 		dec := toml.NewDecoder(bytes.NewReader(k.text)).DisallowUnknownFields()
-		if err := dec.Decode(target); err != nil {
-			problems.Add(finding.Finding{File: s.File, Line: k.Line, Column: k.Column, Key: s.dottedKey(k.Name), Message: decodeMessage(err, target)})
+		err := dec.Decode(target)
+		var strict *toml.StrictMissingError
+		switch {
+		case errors.As(err, &strict):
+			s.unknownKeys(k, strict, target, problems)
+		case err != nil:
+			complete = false
+			problems.Add(finding.Finding{File: s.File, Line: k.Line, Column: k.Column, Key: s.dottedKey(k.Name), Message: decodeMessage(err)})
 		}
 	}
+	return complete
+}
+
+// unknownKeys adds a finding for k, or for each unknown key of the inline tables
+// in its value. The decoder does not name the tables between k and such a key.
+func (s Section) unknownKeys(k Key, strict *toml.StrictMissingError, target any, problems *finding.List) {
+	for _, e := range strict.Errors {
+		line, column := e.Position() // in k.text, which begins at the start of the line of k
+		f := finding.Finding{File: s.File, Line: k.Line + line - 1, Column: column}
+		if f.Line == k.Line && f.Column == k.Column {
+			f.Key = s.dottedKey(k.Name)
+			f.Message = "unknown key; known keys are " + strings.Join(knownKeys(target), ", ")
+		} else {
+			f.Key = s.dottedKey(k.Name + "." + strings.Join(e.Key(), "."))
+			f.Message = "unknown key"
+		}
+		problems.Add(f)
+	}
 }
 
 // Problemf adds a finding about the key with the given name, or about the
@@ -138,11 +167,7 @@
 	return s.Path + "." + key
 }
 
-func decodeMessage(err error, target any) string {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		return "unknown key; known keys are " + strings.Join(knownKeys(target), ", ")
-	}
+func decodeMessage(err error) string {
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		return strings.TrimPrefix(de.Error(), "toml: ")
--- a/tomlfile/tomlfile_test.go
+++ b/tomlfile/tomlfile_test.go
@@ -48,6 +48,27 @@
 	is.Equal(b.Name, "ok")
 }
 
+// Guards against a misplaced finding about an inline table, and against
+// sections of an array that are taken for plain ones.
+func TestUnknownKeyOfInlineTable(t *testing.T) {
+	is := is.New(t)
+	var problems finding.List
+	sections := Parse("f.toml", []byte("[a]\n[[b]]\n  size = { width = 3, hight = 4 }\n"), &problems)
+	is.True(!sections[1].Array && sections[2].Array)
+	var target struct {
+		Name string `toml:"name"`
+		Size struct {
+			Width  int `toml:"width"`
+			Height int `toml:"height"`
+		} `toml:"size"`
+	}
+	is.True(sections[2].Decode(&target, &problems))
+	is.Equal(target.Size.Width, 3)
+	is.Equal(problems.All(), []finding.Finding{
+		{File: "f.toml", Line: 3, Column: 23, Key: "b.size.hight", Message: "unknown key"},
+	})
+}
+
 // Guards against syntax errors without a place.
 func TestSyntaxErrorHasAPlace(t *testing.T) {
 	is := is.New(t)
