cli: require the operators' token again

Change: the mark is back, and the usage texts name the values URL and TOKEN. Conclusion: a missing token is reported before any call.

--- a/cli/operatorflags.go
+++ b/cli/operatorflags.go
@@ -10,8 +10,8 @@
 // operator interface.
 func operatorFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "operator", Usage: "operator interface of any instance, such as `http://10.0.0.5:8081`", Required: true, Sources: cli.EnvVars("HYSSOPHAVEN_OPERATOR")},
-		&cli.StringFlag{Name: "token", Usage: "operators' bearer token", Sources: cli.EnvVars("HYSSOPHAVEN_TOKEN")},
+		&cli.StringFlag{Name: "operator", Usage: "base `URL` of the operator interface of any instance, such as http://10.0.0.5:8081", Required: true, Sources: cli.EnvVars("HYSSOPHAVEN_OPERATOR")},
+		&cli.StringFlag{Name: "token", Usage: "operators' bearer `TOKEN`", Required: true, Sources: cli.EnvVars("HYSSOPHAVEN_TOKEN")},
 	}
 }
 
