quarantine: explore the same worlds in less time

Cause: the exploration took 43 to 78 s with the race detector on a busy machine. It computed worlds past the horizon only to drop them, formatted the path of every world, and formatted ids anew in each step. Change: time does not pass at the horizon, paths are linked and formatted only for a failure, and ids are joined without fmt. The decisions allocate less: no map of named fingerprints for partial notices, no iterator when sorting.

--- a/quarantine/explore_test.go
+++ b/quarantine/explore_test.go
@@ -10,17 +10,31 @@
 
 type faults struct{ losses, deaths int }
 
+// pathStep is the last move of a path. Its text is made only for a failure.
+type pathStep struct {
+	name   string
+	of     int // number of the instance or endpoint
+	before *pathStep
+}
+
+func (p *pathStep) String() string {
+	if p == nil {
+		return ""
+	}
+	return fmt.Sprintf("%v; %s %d", p.before, p.name, p.of)
+}
+
 type node struct {
 	w    *world
 	left faults
-	path string
+	path *pathStep
 }
 
-// moves returns the worlds that one move leads to.
-func (n node) moves() []node {
+// moves returns the worlds that one move leads to, up to the time end.
+func (n node) moves(end time.Time) []node {
 	var out []node
-	move := func(name string, change func(c *node)) {
-		c := node{w: n.w.clone(), left: n.left, path: n.path + "; " + name}
+	move := func(name string, of int, change func(c *node)) {
+		c := node{w: n.w.clone(), left: n.left, path: &pathStep{name, of, n.path}}
 		change(&c)
 		out = append(out, c)
 	}
@@ -28,36 +42,38 @@
 		_, read := m.action.(ReadRecord)
 		switch {
 		case read:
-			move(fmt.Sprint("read by ", m.from), func(c *node) { c.w.execute(k); c.w.answer(k) })
+			move("read by", m.from, func(c *node) { c.w.execute(k); c.w.answer(k) })
 		case m.answer == nil:
-			move(fmt.Sprint("execute for ", m.from), func(c *node) { c.w.execute(k) })
+			move("execute for", m.from, func(c *node) { c.w.execute(k) })
 		default:
-			move(fmt.Sprint("answer to ", m.from), func(c *node) { c.w.answer(k) })
+			move("answer to", m.from, func(c *node) { c.w.answer(k) })
 		}
 		if !read && n.left.losses > 0 && !m.abandoned {
-			move(fmt.Sprint("lose answer to ", m.from), func(c *node) { c.left.losses--; c.w.lose(k) })
+			move("lose answer to", m.from, func(c *node) { c.left.losses--; c.w.lose(k) })
 		}
 	}
 	for e, runs := range n.w.runs {
 		for at, r := range runs {
 			if r.f == poison {
-				move(fmt.Sprint("crash ", e), func(c *node) { c.w.crash(e) })
+				move("crash", e, func(c *node) { c.w.crash(e) })
 			} else {
-				move(fmt.Sprint("complete on ", e), func(c *node) { c.w.complete(e, at) })
+				move("complete on", e, func(c *node) { c.w.complete(e, at) })
 			}
 		}
 	}
 	for i := range n.w.states {
 		if n.left.deaths > 0 && n.w.mayDie(i) {
-			move(fmt.Sprint("death of ", i), func(c *node) { c.left.deaths--; c.w.die(i) })
+			move("death of", i, func(c *node) { c.left.deaths--; c.w.die(i) })
 		}
 	}
 	for i, s := range n.w.states {
 		if s == nil {
-			move(fmt.Sprint("restart of ", i), func(c *node) { c.w.boot(i) })
+			move("restart of", i, func(c *node) { c.w.boot(i) })
 		}
 	}
-	move("second", func(c *node) { c.w.second() })
+	if n.w.now.Before(end) {
+		move("second", 0, func(c *node) { c.w.second() })
+	}
 	return out
 }
 
@@ -101,14 +117,11 @@
 	for len(queue) > 0 {
 		n := queue[len(queue)-1]
 		queue = queue[:len(queue)-1]
-		for _, c := range n.moves() {
-			if c.w.now.Sub(start) > s.horizon {
-				continue
-			}
+		for _, c := range n.moves(start.Add(s.horizon)) {
 			if c.w.broken != "" || c.w.lost[poison] > 2 {
 				t.Fatalf("%d endpoints lost, %s, after%s", c.w.lost[poison], c.w.broken, c.path)
 			}
-			key := fmt.Sprint(c.left, c.w.key())
+			key := c.key()
 			if seen[key] {
 				continue
 			}
--- a/quarantine/key_test.go
+++ b/quarantine/key_test.go
@@ -38,9 +38,11 @@
 type keyBuilder []byte
 
 func (k *keyBuilder) uint(values ...uint64) {
+	b := *k
 	for _, v := range values {
-		*k = binary.AppendUvarint(*k, v)
+		b = binary.AppendUvarint(b, v)
 	}
+	*k = b
 }
 
 func (k *keyBuilder) flags(flags ...bool) {
@@ -95,9 +97,11 @@
 	}
 }
 
-// key identifies a world.
-func (w *world) key() string {
+// key identifies a world and the faults that may still happen.
+func (n node) key() string {
+	w := n.w
 	k := make(keyBuilder, 0, 500)
+	k.uint(uint64(n.left.losses), uint64(n.left.deaths))
 	k.since(w.now, start)
 	k.uint(uint64(w.resends), uint64(w.lost[poison]), uint64(w.refused[poison]))
 	for e, runs := range w.runs {
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -69,14 +69,16 @@
 // set that only grows or the peer's own state, so order and repetition of
 // notices don't matter for what is lost and cleared.
 func (s *State) noticesReceived(now time.Time, ev NoticesReceived) {
-	named := make(map[Fingerprint]bool, len(ev.Notices))
 	for _, n := range ev.Notices {
-		named[n.Fingerprint] = true
 		s.noticeReceived(now, ev.From, n)
 	}
-	if !ev.Complete {
+	if !ev.Complete || len(s.entries) == 0 {
 		return
 	}
+	named := make(map[Fingerprint]bool, len(ev.Notices))
+	for _, n := range ev.Notices {
+		named[n.Fingerprint] = true
+	}
 	for _, e := range s.sorted() {
 		if _, ok := e.peers[ev.From]; ok && !named[e.fingerprint] {
 			delete(e.peers, ev.From)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -218,7 +219,7 @@
 		w.crash(0)
 		for range rapid.IntRange(10, 80).Draw(t, "moves") {
 			n := node{w: w, left: faults{losses: 1, deaths: 1}}
-			moves := n.moves()
+			moves := n.moves(w.now.Add(time.Second))
 			c := moves[rapid.IntRange(0, len(moves)-1).Draw(t, "move")]
 			w = c.w
 			if w.broken != "" || w.lost[poison] > 2 {
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -331,9 +331,12 @@
 // sorted returns the entries in a fixed order, so that equal histories give
 // equal actions.
 func (s *State) sorted() []*entry {
-	return slices.SortedFunc(maps.Values(s.entries), func(a, b *entry) int {
-		return cmp.Compare(a.fingerprint, b.fingerprint)
-	})
+	out := make([]*entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b *entry) int { return cmp.Compare(a.fingerprint, b.fingerprint) })
+	return out
 }
 
 func (s *State) newAttempt() uint64 {
--- a/quarantine/world_test.go
+++ b/quarantine/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/fleet"
@@ -79,9 +80,9 @@
 	return w
 }
 
-func instance(i int) fleet.InstanceID    { return fleet.InstanceID(fmt.Sprint("i", i)) }
-func endpoint(e int) fleet.EndpointID    { return fleet.EndpointID(fmt.Sprint("e", e)) }
-func (w *world) bootID(e int) string     { return fmt.Sprint("b", w.boots[e]) }
+func instance(i int) fleet.InstanceID    { return fleet.InstanceID("i" + strconv.Itoa(i)) }
+func endpoint(e int) fleet.EndpointID    { return fleet.EndpointID("e" + strconv.Itoa(e)) }
+func (w *world) bootID(e int) string     { return "b" + strconv.Itoa(w.boots[e]) }
 func index(e fleet.EndpointID) int       { return int(e[1] - '0') }
 func (w *world) fail(s string, a ...any) { w.broken = cmp.Or(w.broken, fmt.Sprintf(s, a...)) }
 
