lease: explore the same worlds in less time

Cause: the exploration computed worlds past the horizon only to drop them and formatted the path of every world; each step counted open take-overs even if none was due, and looked each shard up twice. Change: time does not pass at the horizon, paths are formatted only for a failure, take-overs are counted when one is due, and the right to act is checked on the shard at hand.

--- a/lease/explore_test.go
+++ b/lease/explore_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -18,18 +17,31 @@
 // faults are what may still happen on a path of the exploration.
 type faults struct{ losses, pauses, flips int }
 
+// pathStep is the last move of a path. Its text is made only for a failure.
+type pathStep struct {
+	name   string
+	before *pathStep
+}
+
+func (p *pathStep) String() string {
+	if p == nil {
+		return ""
+	}
+	return p.before.String() + " " + p.name
+}
+
 type node struct {
 	w     *world
 	left  faults
 	owner int
-	path  string
+	path  *pathStep
 }
 
-// next returns the worlds that one move leads to.
-func (n node) next() []node {
+// next returns the worlds that one move leads to, up to the time end.
+func (n node) next(end time.Time) []node {
 	var out []node
 	move := func(name string, change func(c *node)) {
-		c := node{w: n.w.clone(), left: n.left, owner: n.owner, path: n.path + " " + name}
+		c := node{w: n.w.clone(), left: n.left, owner: n.owner, path: &pathStep{name, n.path}}
 		change(&c)
 		out = append(out, c)
 	}
@@ -61,7 +73,9 @@
 	if n.left.flips > 0 {
 		move("flip", func(c *node) { c.left.flips--; c.owner = 1 - c.owner; c.w.prefer(oneShard(c.owner)) })
 	}
-	move("second", func(c *node) { c.w.advance(time.Second) })
+	if n.w.now.Before(end) {
+		move("second", func(c *node) { c.w.advance(time.Second) })
+	}
 	return out
 }
 
@@ -93,14 +107,11 @@
 	for len(queue) > 0 {
 		n := queue[len(queue)-1]
 		queue = queue[:len(queue)-1]
-		for _, c := range n.next() {
-			if c.w.now.Sub(start) > s.horizon {
-				continue
-			}
+		for _, c := range n.next(start.Add(s.horizon)) {
 			if v := c.w.violation(); v != "" {
 				t.Fatalf("%s after%s", v, c.path)
 			}
-			key := fmt.Sprint(c.left, c.w.now.Sub(start)) + c.w.key()
+			key := c.key()
 			if seen[key] {
 				continue
 			}
--- a/lease/state.go
+++ b/lease/state.go
@@ -72,12 +72,14 @@
 // epoch and until when. It must be asked right before each act.
 func (s *State) Holds(shard Shard, now time.Time) (epoch uint64, until time.Time, ok bool) {
 	sh := s.shards[shard]
-	if sh == nil || !s.ours(sh) || !now.Before(sh.until) {
+	if sh == nil || !s.mayAct(sh, now) {
 		return 0, time.Time{}, false
 	}
 	return sh.record.Epoch, sh.until, true
 }
 
+func (s *State) mayAct(sh *shardState, now time.Time) bool { return s.ours(sh) && now.Before(sh.until) }
+
 // Held returns the shards that this instance may act for now, ordered by name.
 func (s *State) Held(now time.Time) []Held {
 	var held []Held
@@ -179,7 +181,7 @@
 func (s *State) advance(now time.Time) {
 	var reads []Shard
 	var renewals, acquires, releases []Write
-	mayAcquire := s.cfg.MaxAcquire - s.acquiring()
+	mayAcquire, counted := 0, false // counted once it is needed, since most steps acquire nothing
 	for _, name := range s.order {
 		sh := s.shards[name]
 		s.updateActing(now, sh)
@@ -201,7 +203,11 @@
 				renewals = append(renewals, s.write(sh, false))
 			}
 		case s.wanted(sh):
-			if s.mayTakeOver(now, sh) && len(acquires) < mayAcquire {
+			takeOver := s.mayTakeOver(now, sh)
+			if takeOver && !counted {
+				mayAcquire, counted = s.cfg.MaxAcquire-s.acquiring(), true
+			}
+			if takeOver && len(acquires) < mayAcquire {
 				acquires = append(acquires, s.write(sh, false))
 			} else if !now.Before(sh.nextRead) {
 				reads = append(reads, name)
@@ -242,7 +248,7 @@
 
 // updateActing tells Gained and Lost when the right to act changes.
 func (s *State) updateActing(now time.Time, sh *shardState) {
-	_, _, holds := s.Holds(sh.shard, now)
+	holds := s.mayAct(sh, now)
 	if holds == sh.acting {
 		return
 	}
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -278,10 +279,14 @@
 	k.number(holder, r.Attempt)
 }
 
-// key identifies a world with one shard, up to the absolute time and to the
-// absolute numbers of epochs, versions and writes.
-func (w *world) key() string {
+// key identifies a world with one shard and the faults that may still happen,
+// up to the absolute numbers of epochs, versions and writes.
+func (n node) key() string {
+	w := n.w
 	k := keyBuilder{now: w.now, b: make([]byte, 0, 200)}
+	for _, v := range []int{n.left.losses, n.left.pauses, n.left.flips, int(w.now.Sub(start))} {
+		k.b = binary.AppendVarint(k.b, int64(v))
+	}
 	for _, v := range w.store {
 		k.number('v', v.Version)
 		k.record(v.Record)
