ledger: explore the same states in less time

Cause: every choice copied both owners' replicas, though most choices step one of them, and the checks with broken rules ran one after another. Change: copies of a world share a replica until it is stepped, the digest appends to a local slice, and the broken rules run in parallel.

--- a/ledger/explore_test.go
+++ b/ledger/explore_test.go
@@ -25,14 +25,14 @@
 	return &c
 }
 
+// clone returns a copy that shares the replicas until they are stepped. Lists
+// other than the residents are replaced and never changed in place.
 func (w *world) clone() *world {
 	c := *w
 	for i := range c.own {
-		c.own[i].r = w.own[i].r.clone()
-		c.own[i].outbox = slices.Clone(w.own[i].outbox)
+		c.own[i].shared, w.own[i].shared = true, true
 	}
 	c.eng.residents = slices.Clone(w.eng.residents)
-	c.net = slices.Clone(w.net)
 	return &c
 }
 
@@ -179,6 +179,7 @@
 		{name: "reservation not committed", broken: noReservation, budget: budget{ticks: 1, takeovers: 1, wants: 1, late: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			c.maxState, c.targets = 1500000, [][]Item{targetAB, targetAC}
 			n, trace, bad, _ := explore(&c)
 			t.Logf("%q after %d states of:\n%s", bad, n, strings.Join(trace, "\n"))
--- a/ledger/hash_test.go
+++ b/ledger/hash_test.go
@@ -16,19 +16,23 @@
 type digest []byte
 
 func (d *digest) ints(vs ...int) {
+	b := *d
 	for _, v := range vs {
-		*d = binary.AppendVarint(*d, int64(v))
+		b = binary.AppendVarint(b, int64(v))
 	}
+	*d = b
 }
 
 func (d *digest) bools(vs ...bool) {
+	b := *d
 	for _, v := range vs {
 		if v {
-			*d = append(*d, 1)
+			b = append(b, 1)
 		} else {
-			*d = append(*d, 0)
+			b = append(b, 0)
 		}
 	}
+	*d = b
 }
 
 func (d *digest) text(s string) { *d = append(append(*d, s...), 0) }
@@ -37,23 +41,26 @@
 
 func (d *digest) entries(list []Entry) {
 	d.ints(len(list))
-	for _, e := range list {
-		d.entry(e)
+	for i := range list {
+		d.entry(&list[i])
 	}
 }
 
-func (d *digest) entry(e Entry) {
+func (d *digest) entry(e *Entry) {
 	d.text(e.Name)
 	d.text(e.Version)
 	d.ints(int(e.State))
 	d.bools(e.Freed)
 	d.token(e.LoadToken)
 	d.token(e.UnloadToken)
-	for _, list := range [][]Sender{e.LoadSenders, e.UnloadSenders} {
-		d.ints(len(list))
-		for _, s := range list {
-			d.sender(s)
-		}
+	d.senders(e.LoadSenders)
+	d.senders(e.UnloadSenders)
+}
+
+func (d *digest) senders(list []Sender) {
+	d.ints(len(list))
+	for _, s := range list {
+		d.sender(s)
 	}
 }
 
@@ -69,7 +76,7 @@
 	d.token(r.seen)
 	d.text(r.boot)
 	for _, e := range r.entries {
-		d.entry(e.Entry)
+		d.entry(&e.Entry)
 		d.ints(age(e.loadReturned), age(e.unloadReturned), age(e.drainSince), e.running)
 		d.bools(r.query.at.Before(e.loadsClosed), e.drainSince.IsZero(), e.readAt.Before(e.drainSince), e.resident, e.ready, now.Before(e.retryAt))
 	}
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -74,6 +74,7 @@
 
 type ownerModel struct {
 	r      *Replica
+	shared bool // another world uses r too
 	outbox []Action
 }
 
@@ -127,7 +128,10 @@
 
 func (w *world) step(owner int, ev Event) {
 	o := &w.own[owner]
-	o.outbox = append(o.outbox, o.r.Step(w.time(), ev)...)
+	if o.shared {
+		o.r, o.shared = o.r.clone(), false
+	}
+	o.outbox = append(slices.Clip(o.outbox), o.r.Step(w.time(), ev)...)
 }
 
 func (w *world) acquire(owner int) {
