membership: let this instance's own reports age

Cause: the reports that this instance told last were given out as if they were taken when they were asked for. Each view took them as newer ones, which made the view stale at once, so that an instance made a view in every tick, and an old load looked current for up to half a second. Change: their age counts from when they were told, as that of peers' reports; a view is not made stale by the reports that are in it. A test guards the age.

--- a/control/view.go
+++ b/control/view.go
@@ -78,9 +78,8 @@
 
 // rebuildView gives the admission queue its view of the fleet.
 func (c *core) rebuildView(now time.Time) {
-	c.viewStale = false
 	c.takePeerReports(now)
-	c.viewBuilt = now
+	c.viewStale, c.viewBuilt = false, now // the reports taken just now are in this view
 	c.demands = c.memberDemands(now)
 	c.demandOf = byRow(c.demands)
 	c.served = c.routes()
--- /dev/null
+++ b/membership/ownreports_test.go
@@ -0,0 +1,24 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// Guards against reports of this instance that become younger the longer ago
+// they were told, which makes an old load look current and every view stale.
+func TestOwnReportsAge(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	s := New(Config{Self: fleet.Instance{ID: "a", Incarnation: 1}}, start)
+	s.Step(start, Tick{Own: Heartbeat{Reports: []EndpointReport{{Endpoint: "e", Age: time.Second}}}})
+	for _, later := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		reports := s.Reports(start.Add(later))
+		is.Equal(len(reports), 1)
+		is.Equal(reports[0].Age, time.Second+later)
+	}
+}
--- a/membership/state.go
+++ b/membership/state.go
@@ -29,6 +29,7 @@
 	// firstList and lastList are when the first and the newest list were read.
 	firstList, lastList time.Time
 	own                 Heartbeat
+	ownAt               time.Time // of own, as its ages were true then
 	leaving             bool
 
 	sequence     uint64
@@ -86,7 +87,7 @@
 		if s.ownStoreFresh() != (ev.Own.TableAge < s.cfg.StoreStaleAfter) {
 			s.stale = true
 		}
-		s.own = ev.Own
+		s.own, s.ownAt = ev.Own, now
 		s.tick(now)
 	case LeaveRequested:
 		s.leaving, s.stale = true, true
--- a/membership/views.go
+++ b/membership/views.go
@@ -206,7 +206,7 @@
 	for dc, sum := range s.foreign {
 		newest.add(sum.Reports, now.Sub(s.summariesAt[dc]))
 	}
-	newest.add(s.own.Reports, 0)
+	newest.add(s.own.Reports, now.Sub(s.ownAt))
 	for _, m := range s.members {
 		if m.Heartbeat != nil {
 			newest.add(m.Heartbeat.Reports, now.Sub(m.HeartbeatAt))
