enginehttp: tell a relay when a whole chunk is waiting

The gateway wrote and flushed every chunk on its own, because the stream of this package did not implement engine.BufferedStream. Buffered now looks for a whole event in the bytes already received; it never reads from the body.

--- a/engine/enginehttp/events.go
+++ b/engine/enginehttp/events.go
@@ -64,6 +64,27 @@
 	}
 }
 
+// buffered reports whether next would return an event without reading from the
+// body. A comment or an event that is longer than the buffer does not count.
+func (e *eventReader) buffered() bool {
+	rest, _ := e.r.Peek(e.r.Buffered())
+	found := false
+	for {
+		line, after, whole := bytes.Cut(rest, []byte("\n"))
+		if !whole {
+			return false
+		}
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) == 0 && found {
+			return true
+		}
+		switch field, _, _ := bytes.Cut(line, []byte(":")); string(field) {
+		case "data", "event":
+			found = true
+		}
+		rest = after
+	}
+}
+
 var errEventTooLong = fmt.Errorf("event is longer than %d bytes", maxEvent)
 
 // line returns the next line without its end.
--- a/engine/enginehttp/stream.go
+++ b/engine/enginehttp/stream.go
@@ -30,6 +30,8 @@
 	err       error
 }
 
+var _ engine.BufferedStream = (*stream)(nil)
+
 func newStream(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser, r engine.GenerateRequest) *stream {
 	return &stream{ctx: ctx, cancel: cancel, body: body, events: newEventReader(body), requestID: r.RequestID, index: r.ResumeFrom}
 }
@@ -55,6 +57,11 @@
 	return c, nil
 }
 
+// Buffered implements engine.BufferedStream.
+func (s *stream) Buffered() bool {
+	return s.err == nil && !s.finished && s.events.buffered()
+}
+
 func (s *stream) read() (engine.Chunk, error) {
 	name, data, err := s.events.next()
 	if errors.Is(err, errEventTooLong) {
