gateway: measure the request path over the real engine client

The benchmarks of the package used fakes in place of the engine client, and counted callers and engine as part of the gateway. The new ones run a gateway in a process of its own on two cores, in front of enginehttp's handler, and read that process's use of processor time and memory. The engine of the benchmarks now ends its answers.

--- /dev/null
+++ b/gateway/bench_process_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"runtime/pprof"
+	"testing"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/engine/enginehttp"
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/table"
+)
+
+// benchEngineEnv makes the test binary serve a gateway in front of the engine
+// at the given address, so that its processor time and memory are measured
+// apart from those of the callers and of the engine. benchProfileEnv names the
+// file for its processor profile.
+const (
+	benchEngineEnv  = "HYSSOPHAVEN_BENCH_ENGINE"
+	benchProfileEnv = "HYSSOPHAVEN_BENCH_PROFILE"
+)
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(benchEngineEnv); address != "" {
+		if err := serveBenchGateway(address); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveBenchGateway prints its address, and its use of resources for each line
+// of input. It ends with its input.
+func serveBenchGateway(address string) error {
+	if name := os.Getenv(benchProfileEnv); name != "" {
+		f, err := os.Create(name)
+		if err != nil {
+			return err
+		}
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	client := enginehttp.NewClient(address, enginehttp.Options{})
+	g, err := New(Config{
+		Address: "127.0.0.1:0", Table: &fakeStore{}, Objects: &fakeStore{},
+		Engine: func(fleet.Endpoint) engine.Client { return client },
+	})
+	if err != nil {
+		return err
+	}
+	k, err := kernel.New()
+	if err != nil {
+		return err
+	}
+	rows := append([]table.Row{{Name: "slots", Kind: table.KindWork, Base: "base", Rank: fleet.Urgent, Weight: 1}}, testTable...)
+	k.Register(&instantControl{snap: control.Snapshot{Table: table.NewSnapshot(1, rows), Ready: true}})
+	k.Register(g)
+	if err := k.Start(context.Background()); err != nil {
+		return err
+	}
+	fmt.Println(g.Addr())
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		fmt.Println(int64(processorTime()), memoryInUse())
+	}
+	return nil
+}
+
+// benchProcess is a gateway in a process of its own, with the engine stand-in
+// in this one.
+type benchProcess struct {
+	b       *testing.B
+	gateway string // address
+	engine  string // address
+	in      *os.File
+	out     *bufio.Scanner
+}
+
+// startBenchProcess starts a gateway on two cores. Its engine gives n chunks
+// per answer, those after the first as gate says.
+func startBenchProcess(b *testing.B, n int, gate <-chan struct{}) *benchProcess {
+	b.Helper()
+	backend := &fakeEngine{generate: func(ctx context.Context, r engine.GenerateRequest) (engine.Stream, error) {
+		return &paced{r: r, n: n, gate: gate, ctx: ctx}, nil
+	}}
+	server := httptest.NewServer(enginehttp.NewHandler(backend, ""))
+	p := &benchProcess{b: b, engine: server.Listener.Addr().String()}
+	command := exec.Command(os.Args[0], "-test.run=^$")
+	command.Env = append(os.Environ(), benchEngineEnv+"="+p.engine, "GOMAXPROCS=2")
+	command.Stderr = os.Stderr
+	input, in, err := os.Pipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	command.Stdin, p.in = input, in
+	output, err := command.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	_ = input.Close()
+	p.out = bufio.NewScanner(output)
+	b.Cleanup(func() {
+		_ = in.Close()
+		_ = command.Wait()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	if !p.out.Scan() {
+		b.Fatal("the gateway did not start")
+	}
+	p.gateway = p.out.Text()
+	return p
+}
+
+// usage returns the processor time and the memory in use of the gateway.
+func (p *benchProcess) usage() (cpu time.Duration, memory int64) {
+	p.b.Helper()
+	if _, err := fmt.Fprintln(p.in); err != nil || !p.out.Scan() {
+		p.b.Fatal("the gateway has ended")
+	}
+	if _, err := fmt.Sscan(p.out.Text(), (*int64)(&cpu), &memory); err != nil {
+		p.b.Fatal(err)
+	}
+	return cpu, memory
+}
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -48,6 +48,9 @@
 }
 
 func (s *paced) Next() (engine.Chunk, error) {
+	if s.next == s.n {
+		return engine.Chunk{}, io.EOF
+	}
 	if s.gate != nil && s.next > 0 {
 		select {
 		case <-s.gate:
@@ -97,12 +100,17 @@
 
 func newRawCaller(b *testing.B, g *Gateway, body string) *rawCaller {
 	b.Helper()
-	conn, err := net.Dial("tcp", g.Addr().String())
+	return dialRaw(b, g.Addr().String(), "/v1/chat/completions", body)
+}
+
+func dialRaw(b *testing.B, address, path, body string) *rawCaller {
+	b.Helper()
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = conn.Close() })
-	out := fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	out := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 	return &rawCaller{conn: conn, in: bufio.NewReaderSize(conn, 64<<10), out: out}
 }
 
