compare: let engines pause lower ranks and print refusal codes

Cause: in a patient flood urgent requests waited in the engines for slots that 13 s answers occupied; the stand-in does not pause lower ranks unless told so. Change: the comparison's engines honour priorities by pausing.

--- a/compare/cases.go
+++ b/compare/cases.go
@@ -82,7 +82,10 @@
 	return float64(d.Replicas) * engineSlots / step
 }
 
+// engineConfig sets up an engine that honours priorities by pausing requests of
+// lower ranks for a waiting one, as the shares between ranks assume.
 func engineConfig(c *standinengine.Config) {
+	c.PausesLowerRanks = true
 	c.DecodeStep, c.DecodePerSequence, c.Slots, c.ModelLoadTime = decodeStep, decodePerSequence, engineSlots, modelLoadTime
 }
 
--- a/compare/run.go
+++ b/compare/run.go
@@ -165,7 +165,7 @@
 	}
 	text := fmt.Sprintf("%d moves", r.Moves)
 	for _, rank := range r.Result.Ranks {
-		text += fmt.Sprintf(", %s %.1f%% of %d", rank.Rank, 100*rank.Attainment, rank.Sent)
+		text += fmt.Sprintf(", %s %.1f%% of %d %v p99 %.0f ms", rank.Rank, 100*rank.Attainment, rank.Sent, rank.Codes, rank.FirstToken.P99)
 	}
 	return text
 }
