worker: share the subscription that handles events concurrently

Cause: engines and records each wrapped bus subscriptions in a goroutine. Change: worker.Subscribe serves both. Conclusion: one place says how I/O handlers run.

--- a/engines/engines.go
+++ b/engines/engines.go
@@ -80,15 +80,9 @@
 	}
 	b := k.Bus()
 	err = errors.Join(
-		kernel.Subscribe(b, "engines.order", func(_ context.Context, a control.SendOrder) {
-			s.group.Go(func(ctx context.Context) { s.sendOrder(ctx, a) })
-		}),
-		kernel.Subscribe(b, "engines.query", func(_ context.Context, a control.QueryEngine) {
-			s.group.Go(func(ctx context.Context) { s.query(ctx, a) })
-		}),
-		kernel.Subscribe(b, "engines.probe", func(_ context.Context, a control.Probe) {
-			s.group.Go(func(ctx context.Context) { s.probe(ctx, a) })
-		}),
+		worker.Subscribe(s.group, b, "engines.order", s.sendOrder),
+		worker.Subscribe(s.group, b, "engines.query", s.query),
+		worker.Subscribe(s.group, b, "engines.probe", s.probe),
 	)
 	if err != nil {
 		return err
--- a/records/records.go
+++ b/records/records.go
@@ -82,15 +82,15 @@
 	}
 	b := k.Bus()
 	err = errors.Join(
-		subscribe(s, b, "records.lease_read", s.readLeases),
-		subscribe(s, b, "records.lease_commit", s.commitLeases),
-		subscribe(s, b, "records.ledger_adopt", s.adoptLedger),
-		subscribe(s, b, "records.ledger_persist", s.persistLedger),
-		subscribe(s, b, "records.ledger_read", s.readLedger),
-		subscribe(s, b, "records.plan_adopt", s.adoptPlan),
-		subscribe(s, b, "records.plan_persist", s.persistPlan),
-		subscribe(s, b, "records.quarantine_read", s.readQuarantine),
-		subscribe(s, b, "records.quarantine_commit", s.commitQuarantine),
+		worker.Subscribe(s.group, b, "records.lease_read", s.readLeases),
+		worker.Subscribe(s.group, b, "records.lease_commit", s.commitLeases),
+		worker.Subscribe(s.group, b, "records.ledger_adopt", s.adoptLedger),
+		worker.Subscribe(s.group, b, "records.ledger_persist", s.persistLedger),
+		worker.Subscribe(s.group, b, "records.ledger_read", s.readLedger),
+		worker.Subscribe(s.group, b, "records.plan_adopt", s.adoptPlan),
+		worker.Subscribe(s.group, b, "records.plan_persist", s.persistPlan),
+		worker.Subscribe(s.group, b, "records.quarantine_read", s.readQuarantine),
+		worker.Subscribe(s.group, b, "records.quarantine_commit", s.commitQuarantine),
 	)
 	if err != nil {
 		return err
@@ -102,13 +102,6 @@
 // Stop implements kernel.Service.
 func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
-// subscribe runs handle in its own goroutine for each event of type E.
-func subscribe[E any](s *Service, b *kernel.Bus, name string, handle func(context.Context, E)) error {
-	return kernel.Subscribe(b, name, func(_ context.Context, ev E) {
-		s.group.Go(func(ctx context.Context) { handle(ctx, ev) })
-	})
-}
-
 func (s *Service) readLeases(ctx context.Context, a lease.Read) {
 	result := lease.ReadResult{ID: a.ID}
 	found, err := s.config.Store.Read(ctx, leaserecord.Query(a))
