standin/service: share refusal and faulty answers of calls

Cause: both kinds of call had their own copy of the same steps. Change: refuse and answer serve both. Conclusion: a new fault has one place.

--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -151,21 +151,30 @@
 	defer s.leave()
 	f := s.takeFault()
 	if f.refuse {
-		w.Header().Set("Retry-After", "1")
-		jsonhttp.Fail(w, http.StatusServiceUnavailable, jsonhttp.Error{Code: "unavailable", Message: "refused on demand", Executed: "no"})
+		refuse(w)
 		return
 	}
 	sleep(context.WithoutCancel(r.Context()), s.config.Work+f.delay)
 	var sequence uint64
 	s.owner.Do(func() { sequence = s.record(r.Method+" "+r.URL.Path, m.Reference) })
 	sleep(r.Context(), f.answerDelay)
+	answer(w, f, http.StatusCreated, confirmationMessage{Reference: m.Reference, Confirmation: sequence, Replica: s.config.ID})
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "1")
+	jsonhttp.Fail(w, http.StatusServiceUnavailable, jsonhttp.Error{Code: "unavailable", Message: "refused on demand", Executed: "no"})
+}
+
+// answer answers an executed call with m in JSON unless f prevents it.
+func answer(w http.ResponseWriter, f fault, status int, m any) {
 	switch {
 	case f.cut:
 		panic(http.ErrAbortHandler)
 	case f.garbage:
 		writeGarbage(w)
 	default:
-		jsonhttp.Answer(w, http.StatusCreated, confirmationMessage{Reference: m.Reference, Confirmation: sequence, Replica: s.config.ID})
+		jsonhttp.Answer(w, status, m)
 	}
 }
 
@@ -197,17 +206,9 @@
 	defer s.leave()
 	f := s.takeFault()
 	if f.refuse {
-		w.Header().Set("Retry-After", "1")
-		jsonhttp.Fail(w, http.StatusServiceUnavailable, jsonhttp.Error{Code: "unavailable", Message: "refused on demand", Executed: "no"})
+		refuse(w)
 		return
 	}
 	sleep(r.Context(), s.config.Work+f.delay+f.answerDelay)
-	switch {
-	case f.cut:
-		panic(http.ErrAbortHandler)
-	case f.garbage:
-		writeGarbage(w)
-	default:
-		jsonhttp.Answer(w, http.StatusOK, slotsMessage{Date: date, Slots: []string{"09:00", "10:30", "14:00"}})
-	}
+	answer(w, f, http.StatusOK, slotsMessage{Date: date, Slots: []string{"09:00", "10:30", "14:00"}})
 }
