admission, routing: remove the unused parsers of policy names

Cause: settings has its own names of policies, and nothing called ParsePolicy; the comments on String claimed that settings use these names. Change: ParsePolicy is gone from both packages, and the comments are right. Conclusion: the names of settings stand in settings and daemon only.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -21,7 +21,7 @@
 
 var policyNames = [...]string{"ranked", "fifo"}
 
-// String returns the policy's name as used in settings.
+// String returns the policy's name for logs and measurements.
 func (p Policy) String() string {
 	if int(p) < len(policyNames) {
 		return policyNames[p]
@@ -29,16 +29,6 @@
 	return fmt.Sprintf("policy(%d)", uint8(p))
 }
 
-// ParsePolicy returns the policy with the given name.
-func ParsePolicy(name string) (Policy, error) {
-	for i, n := range policyNames {
-		if n == name {
-			return Policy(i), nil
-		}
-	}
-	return 0, fmt.Errorf("unknown queue policy %q: want ranked or fifo", name)
-}
-
 // Config sets up a Queue.
 type Config struct {
 	Policy     Policy
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,7 +25,7 @@
 
 var policyNames = [...]string{"best-of-two", "round-robin", "least-loaded"}
 
-// String returns the policy's name as used in settings.
+// String returns the policy's name for logs and measurements.
 func (p Policy) String() string {
 	if int(p) < len(policyNames) {
 		return policyNames[p]
@@ -33,16 +33,6 @@
 	return fmt.Sprintf("policy(%d)", uint8(p))
 }
 
-// ParsePolicy returns the policy with the given name.
-func ParsePolicy(name string) (Policy, error) {
-	for i, n := range policyNames {
-		if n == name {
-			return Policy(i), nil
-		}
-	}
-	return 0, fmt.Errorf("unknown routing policy %q: want best-of-two, round-robin or least-loaded", name)
-}
-
 // Config sets up a Router.
 type Config struct {
 	Policy     Policy
