operator, settings, dev: state units and values in comments

Cause: fields of the status, the settings and the sample deployments left their units and possible values to the reader, and some names read badly. The error of a deployment that does not serve in time says what cannot be routed yet. Conclusion: no behaviour changes but the text of that one error.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -211,10 +211,11 @@
 // Control returns the instance's control service.
 func (i *Instance) Control() *control.Service { return i.control }
 
-// Vars returns the instance's counters.
+// Vars returns the instance's counters, one map for each service.
 func (i *Instance) Vars() *expvar.Map { return i.vars }
 
-// Start starts all services.
+// Start starts all services. If one fails, those already started are stopped
+// and the listeners are closed.
 func (i *Instance) Start(ctx context.Context) error {
 	if err := i.kernel.Start(ctx); err != nil {
 		i.listeners.close()
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -173,7 +173,9 @@
 	return nil
 }
 
-// StartInstance starts an entry instance beside the others and lists it.
+// StartInstance starts an entry instance beside the others and lists it. The
+// number, from 0, selects its name and data centre; listen is its callers'
+// address. It must not be called concurrently.
 func (r *Running) StartInstance(ctx context.Context, number int, listen string) (*daemon.Instance, error) {
 	s := r.settings(number, listen)
 	i, err := daemon.New(s, r.Options.Log.With("instance", s.Instance.ID))
@@ -205,8 +207,8 @@
 	return s
 }
 
-// reachInterval is the time between looks at what can be served.
-const reachInterval = 100 * time.Millisecond
+// routableInterval is the time between checks of what can be routed.
+const routableInterval = 100 * time.Millisecond
 
 // WaitReachable waits until every instance is ready and can route every model
 // and adapter of the sample table.
@@ -222,7 +224,7 @@
 }
 
 func (r *Running) waitRoutable(ctx context.Context, wanted func(table.Row) bool) error {
-	ticker := time.NewTicker(reachInterval)
+	ticker := time.NewTicker(routableInterval)
 	defer ticker.Stop()
 	for {
 		missing := ""
@@ -244,7 +246,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return fmt.Errorf("not reachable: %s: %w", missing, ctx.Err())
+			return fmt.Errorf("not routable yet: %s: %w", missing, ctx.Err())
 		}
 	}
 }
--- a/dev/sample.go
+++ b/dev/sample.go
@@ -13,20 +13,22 @@
 	Name        string
 	DataCentres []fleet.DataCentre
 	Pool        string // model pool
-	Replicas    int
+	Replicas    int    // engines in the model pool
 	ServicePool string // plain service
-	Services    int
-	ModelPrefix string
+	Services    int    // replicas in the service pool
+	ModelPrefix string // begins the names of models and adapters
 	Models      int
 	Adapters    int
 
+	// The limits of the weight store: model loads that may start per second and
+	// be in transit, and adapter loads in transit at full speed.
 	LoadsPerSecond    float64
 	LoadsAtOnce       int
 	AdaptersInTransit int
-	AdapterLoadTime   time.Duration
+	AdapterLoadTime   time.Duration // at full speed
 
-	Work          []table.Row
-	NotIdempotent []string
+	Work          []table.Row // kinds of work, each on a base model
+	NotIdempotent []string    // calls of the service, such as "POST /bookings"
 }
 
 const (
--- a/engines/engines.go
+++ b/engines/engines.go
@@ -43,7 +43,7 @@
 // Config sets up the service.
 type Config struct {
 	Dial           Dial
-	ReportInterval time.Duration
+	ReportInterval time.Duration // between reads of the load reports
 	Vars           *expvar.Map
 }
 
@@ -149,12 +149,12 @@
 // readReports reads the load reports that are this instance's part, a bounded
 // number at a time.
 func (s *Service) readReports(ctx context.Context) {
-	places := make(chan struct{}, maxReportReads)
+	slots := make(chan struct{}, maxReportReads)
 	var wg sync.WaitGroup
 	for _, e := range s.control.Snapshot().ReadReports {
-		places <- struct{}{}
+		slots <- struct{}{}
 		wg.Go(func() {
-			defer func() { <-places }()
+			defer func() { <-slots }()
 			s.readReport(ctx, e)
 		})
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -33,9 +33,10 @@
 // called from any goroutine after registration is complete.
 type Kernel struct {
 	services map[string]Service
-	doubled  []string
-	started  []Service // in start order
-	bus      *Bus
+	// duplicates are names that were registered more than once.
+	duplicates []string
+	started    []Service // in start order
+	bus        *Bus
 }
 
 // New returns a kernel without services.
@@ -50,10 +51,10 @@
 // Bus returns the event bus, which runs from the beginning of Start to the end of Stop.
 func (k *Kernel) Bus() *Bus { return k.bus }
 
-// Register adds a service. A doubled name is reported by Start.
+// Register adds a service. A duplicate name is reported by Start.
 func (k *Kernel) Register(s Service) {
 	if _, ok := k.services[s.Name()]; ok {
-		k.doubled = append(k.doubled, s.Name())
+		k.duplicates = append(k.duplicates, s.Name())
 		return
 	}
 	k.services[s.Name()] = s
@@ -111,7 +112,7 @@
 // Services that do not depend on each other are ordered by name.
 func (k *Kernel) startOrder() ([]Service, error) {
 	var problems finding.List
-	for _, name := range k.doubled {
+	for _, name := range k.duplicates {
 		problems.Addf(name, "service name is registered more than once")
 	}
 	names := make([]string, 0, len(k.services))
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -29,7 +29,8 @@
 	group    *worker.Group
 }
 
-// New returns a service that reads list after each interval. Counters go to vars.
+// New returns a service that reads list after each interval, with a bound of
+// timeout on each read. Counters go to vars.
 func New(list platform.InstanceList, interval, timeout time.Duration, vars *expvar.Map) *Service {
 	vars.Add("reads", 0) // exported from the start
 	vars.Add("failures", 0)
--- a/operator/client.go
+++ b/operator/client.go
@@ -20,7 +20,8 @@
 // maxAnswerBytes bounds what a client reads of one answer.
 const maxAnswerBytes = 64 << 20
 
-// Client talks to the operators' interface of one instance.
+// Client talks to the operators' interface of one instance. Every method gives
+// an *Error if the instance refuses the request.
 type Client struct {
 	base  string
 	token string
@@ -45,8 +46,7 @@
 	return tablecodec.DecodeSnapshot(data)
 }
 
-// Edit sends an edit and returns the revision that it made. A refused edit
-// gives an *Error.
+// Edit sends an edit and returns the revision that it made.
 func (c *Client) Edit(ctx context.Context, e table.Edit) (uint64, error) {
 	request := editRequest{Author: e.Author}
 	for _, ch := range e.Changes {
@@ -97,7 +97,7 @@
 	return s, err
 }
 
-// BurnJSON returns the burn report as JSON.
+// BurnJSON returns the burn report as JSON, which burncodec.DecodeReport reads.
 func (c *Client) BurnJSON(ctx context.Context) ([]byte, error) {
 	return c.call(ctx, http.MethodGet, pathBurn, nil)
 }
@@ -108,8 +108,9 @@
 	return err
 }
 
-// WaitInForce polls until the revision is in force on every live instance or
-// ctx ends, and returns the last state seen.
+// WaitInForce reads the status after each interval until the revision is in
+// force on every live instance. If ctx ends first, it returns the last state
+// seen and the error.
 func (c *Client) WaitInForce(ctx context.Context, revision uint64, interval time.Duration) (InForce, error) {
 	var last InForce
 	for {
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -10,12 +10,13 @@
 	"github.com/hyssophaven/hyssophaven/fleet"
 )
 
-// Status is the fleet as one instance sees it.
+// Status is the fleet as one instance sees it. Ages and remaining times are
+// in seconds, memory is in MB.
 type Status struct {
 	Instance        string       `json:"instance"`
 	DataCentre      string       `json:"data_centre"`
 	TableRevision   uint64       `json:"table_revision"`
-	TableAgeSeconds float64      `json:"table_age_seconds"`
+	TableAgeSeconds float64      `json:"table_age_seconds"` // since the store last confirmed the revision
 	Ready           bool         `json:"ready"`
 	NotReadyReason  string       `json:"not_ready_reason,omitempty"`
 	Isolated        bool         `json:"isolated,omitempty"`
@@ -24,7 +25,7 @@
 	Leases          []Lease      `json:"leases"`
 	Queues          []Queue      `json:"queues"`
 	Quarantine      []Quarantine `json:"quarantine"`
-	Findings        []string     `json:"findings"`
+	Findings        []string     `json:"findings"` // what the placement could not satisfy
 }
 
 // Instance is one instance of hyssophaven.
@@ -35,7 +36,7 @@
 	PeerAddress     string  `json:"peer_address"`
 	OperatorAddress string  `json:"operator_address,omitempty"`
 	CallerAddress   string  `json:"caller_address,omitempty"`
-	State           string  `json:"state"`
+	State           string  `json:"state"` // "alive", "suspect" or "dead"
 	Leaving         bool    `json:"leaving,omitempty"`
 	TableRevision   uint64  `json:"table_revision"`
 	HeartbeatAge    float64 `json:"heartbeat_age_seconds"`
@@ -44,7 +45,7 @@
 // Endpoint is one back end and what it holds.
 type Endpoint struct {
 	ID         string   `json:"id"`
-	Kind       string   `json:"kind"`
+	Kind       string   `json:"kind"` // "replica" or "service"
 	Pool       string   `json:"pool"`
 	DataCentre string   `json:"data_centre"`
 	Address    string   `json:"address"`
@@ -52,13 +53,13 @@
 	Shard      string   `json:"shard,omitempty"`
 	Owner      string   `json:"owner,omitempty"`
 	MemoryMB   int      `json:"memory_mb,omitempty"`
-	CountedMB  int      `json:"counted_mb,omitempty"`
+	CountedMB  int      `json:"counted_mb,omitempty"` // memory that the entries may hold
 	Slots      int      `json:"slots"`
-	Running    int      `json:"running"`
+	Running    int      `json:"running"` // by the last load report, as is Waiting
 	Waiting    int      `json:"waiting"`
-	InFlight   int      `json:"in_flight"`
+	InFlight   int      `json:"in_flight"` // sent by the instance that answers
 	ReportAge  *float64 `json:"report_age_seconds,omitempty"`
-	Trial      bool     `json:"trial,omitempty"`
+	Trial      bool     `json:"trial,omitempty"` // kept free for a request that may crash endpoints
 	Residents  []Entry  `json:"residents,omitempty"`
 	OpenOrders int      `json:"open_orders,omitempty"`
 }
@@ -68,7 +69,7 @@
 	Name     string `json:"name"`
 	Version  string `json:"version,omitempty"`
 	MemoryMB int    `json:"memory_mb"`
-	State    string `json:"state"`
+	State    string `json:"state"` // "reserved", "loading", "ready", "draining", "unloading" or "settling"
 	Running  int    `json:"running,omitempty"`
 }
 
@@ -92,8 +93,8 @@
 // Quarantine is one request content that crashed endpoints.
 type Quarantine struct {
 	Fingerprint string     `json:"fingerprint"` // 16 hexadecimal digits
-	State       string     `json:"state"`
-	Losses      int        `json:"losses"`
+	State       string     `json:"state"`       // "suspect", "trial" or "quarantined"
+	Losses      int        `json:"losses"`      // endpoints lost
 	Until       *time.Time `json:"until,omitempty"`
 }
 
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -31,7 +31,7 @@
 	hashes []uint64
 }
 
-// NewSet returns a set of the given members. Order and doubled names don't matter.
+// NewSet returns a set of the given members. Order and duplicate names don't matter.
 func NewSet(members []string) Set {
 	names := slices.Clone(members)
 	slices.Sort(names)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,7 +56,7 @@
 	Advertise  string            `toml:"advertise"` // address that peers connect to; listen if empty
 	SecretFile string            `toml:"secret_file"`
 	Secret     string            `toml:"secret"`
-	Heartbeat  tomlfile.Duration `toml:"heartbeat"`
+	Heartbeat  tomlfile.Duration `toml:"heartbeat"` // between two heartbeats
 }
 
 // Platform configures access to the platform's services.
@@ -64,33 +64,35 @@
 	Address       string            `toml:"address"` // host:port
 	TokenFile     string            `toml:"token_file"`
 	Token         string            `toml:"token"`
-	Timeout       tomlfile.Duration `toml:"timeout"`
-	ListInterval  tomlfile.Duration `toml:"list_interval"`
-	TableInterval tomlfile.Duration `toml:"table_interval"`
+	Timeout       tomlfile.Duration `toml:"timeout"`        // of one call
+	ListInterval  tomlfile.Duration `toml:"list_interval"`  // between reads of the list of instances
+	TableInterval tomlfile.Duration `toml:"table_interval"` // between reads of the table's head
 }
 
 // Endpoints configures how endpoints are used.
 type Endpoints struct {
-	ReportInterval tomlfile.Duration `toml:"report_interval"`
+	ReportInterval tomlfile.Duration `toml:"report_interval"` // between reads of a load report
 	// MaxOrderDelay is the longest time that an order can be on its way to an
 	// engine that does not check fencing tokens.
 	MaxOrderDelay tomlfile.Duration `toml:"max_order_delay"`
-	Shards        int               `toml:"shards"`
+	// Shards is the number of parts into which the endpoints are divided; each
+	// has one owner. All instances must have the same number.
+	Shards int `toml:"shards"`
 }
 
 // Admission selects the policy under load.
 type Admission struct {
-	Policy    string `toml:"policy"` // "rank", "round-robin" or "least-loaded"
-	Placement string `toml:"placement"`
-	MaxQueued int    `toml:"max_queued"`
+	Policy    string `toml:"policy"`     // "rank", "round-robin" or "least-loaded"
+	Placement string `toml:"placement"`  // "adaptive", "static" or "greedy"
+	MaxQueued int    `toml:"max_queued"` // requests of one rank that may wait on an instance
 }
 
 // WeightStore gives the limits of the platform's weight store, which all
 // instances share.
 type WeightStore struct {
-	LoadsPerSecond    float64 `toml:"loads_per_second"`
-	AtOnce            int     `toml:"at_once"`
-	AdaptersInTransit int     `toml:"adapters_in_transit"`
+	LoadsPerSecond    float64 `toml:"loads_per_second"`    // model loads that may start
+	AtOnce            int     `toml:"at_once"`             // model loads in transit
+	AdaptersInTransit int     `toml:"adapters_in_transit"` // adapter loads in transit
 }
 
 // Log configures the log.
@@ -132,7 +134,8 @@
 
 func seconds(n int) tomlfile.Duration { return tomlfile.Duration(time.Duration(n) * time.Second) }
 
-// Load reads and checks a settings file. The error carries every finding.
+// Load reads and checks a settings file. If the file was read, finding.Of
+// returns every finding that the error carries.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/tablestore/tablestore.go
+++ b/tablestore/tablestore.go
@@ -53,9 +53,9 @@
 	Revision uint64    `json:"revision"`
 	EditID   string    `json:"edit_id"`
 	Author   string    `json:"author"`
-	At       time.Time `json:"at"` // by the clock of the instance that committed it
-	Set      []string  `json:"set,omitempty"`
-	Removed  []string  `json:"removed,omitempty"`
+	At       time.Time `json:"at"`                // by the clock of the instance that committed it
+	Set      []string  `json:"set,omitempty"`     // names of rows
+	Removed  []string  `json:"removed,omitempty"` // names of rows
 }
 
 // Head returns the newest revision, 0 if there is no table yet.
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -155,7 +155,7 @@
 	}
 	data, err := s.config.Objects.Get(ctx, snapshotObject)
 	if err == nil {
-		s.take(data)
+		s.postSnapshot(data)
 	}
 }
 
@@ -181,10 +181,11 @@
 		return false
 	}
 	s.config.Vars.Add("peer_fetches", 1)
-	return s.take(snapshot.Data)
+	return s.postSnapshot(snapshot.Data)
 }
 
-func (s *Service) take(data []byte) bool {
+// postSnapshot decodes a table and passes it to the control goroutine.
+func (s *Service) postSnapshot(data []byte) bool {
 	snapshot, err := tablecodec.DecodeSnapshot(data)
 	if err != nil {
 		s.config.Vars.Add("bad_snapshots", 1)
@@ -195,8 +196,8 @@
 }
 
 // keepCopy writes the table in force to the object store once per revision.
-// Instances may overwrite each other's newer copy; the next revision mends it,
-// and a reader of the copy takes newer revisions from peers and the store.
+// Instances may overwrite each other's newer copy; the next revision replaces
+// it, and a reader of the copy takes newer revisions from peers and the store.
 func (s *Service) keepCopy(ctx context.Context) {
 	t := s.control.Snapshot().Table
 	if t == nil || t.Revision <= s.stored.Load() {
@@ -211,10 +212,11 @@
 	}
 }
 
-// Load returns the table as the store has it.
+// Load returns the table as the store has it, or tablestore.ErrNoTable.
 func (s *Service) Load(ctx context.Context) (*table.Snapshot, error) { return s.store.Load(ctx) }
 
-// Edit commits an edit and brings it into force here.
+// Edit commits an edit and brings it into force here. Its errors are those of
+// tablestore.Store.Edit.
 func (s *Service) Edit(ctx context.Context, e table.Edit) (*table.Snapshot, error) {
 	after, err := s.store.Edit(ctx, e)
 	if err == nil {
