--- a/engines/engines.go
+++ b/engines/engines.go
@@ -43,7 +43,7 @@
 // Config sets up the service.
 type Config struct {
 	Dial           Dial
-	ReportInterval time.Duration
+	ReportInterval time.Duration // between reads of the load reports
 	Vars           *expvar.Map
 }
 
@@ -80,15 +80,9 @@
 	}
 	b := k.Bus()
 	err = errors.Join(
-		kernel.Subscribe(b, "engines.order", func(_ context.Context, a control.SendOrder) {
-			s.group.Go(func(ctx context.Context) { s.sendOrder(ctx, a) })
-		}),
-		kernel.Subscribe(b, "engines.query", func(_ context.Context, a control.QueryEngine) {
-			s.group.Go(func(ctx context.Context) { s.query(ctx, a) })
-		}),
-		kernel.Subscribe(b, "engines.probe", func(_ context.Context, a control.Probe) {
-			s.group.Go(func(ctx context.Context) { s.probe(ctx, a) })
-		}),
+		worker.Subscribe(s.group, b, "engines.order", s.sendOrder),
+		worker.Subscribe(s.group, b, "engines.query", s.query),
+		worker.Subscribe(s.group, b, "engines.probe", s.probe),
 	)
 	if err != nil {
 		return err
@@ -155,12 +149,12 @@
 // readReports reads the load reports that are this instance's part, a bounded
 // number at a time.
 func (s *Service) readReports(ctx context.Context) {
-	places := make(chan struct{}, maxReportReads)
+	slots := make(chan struct{}, maxReportReads)
 	var wg sync.WaitGroup
 	for _, e := range s.control.Snapshot().ReadReports {
-		places <- struct{}{}
+		slots <- struct{}{}
 		wg.Go(func() {
-			defer func() { <-places }()
+			defer func() { <-slots }()
 			s.readReport(ctx, e)
 		})
 	}
