--- a/gateway/bench_process_test.go
+++ b/gateway/bench_process_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -22,10 +24,12 @@
 // benchEngineEnv makes the test binary serve a gateway in front of the engine
 // at the given address, so that its processor time and memory are measured
 // apart from those of the callers and of the engine. benchProfileEnv names the
-// file for its processor profile.
+// file for its processor profile. With benchCopyEnv the process only copies
+// bytes between callers and engine, which shows what the sockets alone cost.
 const (
 	benchEngineEnv  = "HYSSOPHAVEN_BENCH_ENGINE"
 	benchProfileEnv = "HYSSOPHAVEN_BENCH_PROFILE"
+	benchCopyEnv    = "HYSSOPHAVEN_BENCH_COPY"
 )
 
 func TestMain(m *testing.M) {
@@ -52,29 +56,70 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
+	start := startBenchGateway
+	if os.Getenv(benchCopyEnv) != "" {
+		start = startCopying
+	}
+	own, err := start(address)
+	if err != nil {
+		return err
+	}
+	fmt.Println(own)
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		fmt.Println(int64(processorTime()), memoryInUse())
+	}
+	return nil
+}
+
+func startBenchGateway(address string) (net.Addr, error) {
 	client := enginehttp.NewClient(address, enginehttp.Options{})
 	g, err := New(Config{
 		Address: "127.0.0.1:0", Table: &fakeStore{}, Objects: &fakeStore{},
 		Engine: func(fleet.Endpoint) engine.Client { return client },
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	k, err := kernel.New()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	rows := append([]table.Row{{Name: "slots", Kind: table.KindWork, Base: "base", Rank: fleet.Urgent, Weight: 1}}, testTable...)
 	k.Register(&instantControl{snap: control.Snapshot{Table: table.NewSnapshot(1, rows), Ready: true}})
 	k.Register(g)
 	if err := k.Start(context.Background()); err != nil {
-		return err
+		return nil, err
 	}
-	fmt.Println(g.Addr())
-	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
-		fmt.Println(int64(processorTime()), memoryInUse())
+	return g.Addr(), nil
+}
+
+// startCopying joins each caller's connection to one to the engine. The
+// wrappers keep io.Copy from moving the bytes inside the kernel.
+func startCopying(address string) (net.Addr, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	go func() {
+		for {
+			caller, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = caller.Close()
+				continue
+			}
+			for _, pair := range [][2]net.Conn{{caller, to}, {to, caller}} {
+				go func() {
+					_, _ = io.Copy(struct{ io.Writer }{pair[0]}, struct{ io.Reader }{pair[1]})
+					_ = pair[0].Close()
+				}()
+			}
+		}
+	}()
+	return l.Addr(), nil
 }
 
 // benchProcess is a gateway in a process of its own, with the engine stand-in
@@ -89,7 +134,7 @@
 
 // startBenchProcess starts a gateway on two cores. Its engine gives n chunks
 // per answer, those after the first as gate says.
-func startBenchProcess(b *testing.B, n int, gate <-chan struct{}) *benchProcess {
+func startBenchProcess(b *testing.B, n int, gate <-chan struct{}, env ...string) *benchProcess {
 	b.Helper()
 	backend := &fakeEngine{generate: func(ctx context.Context, r engine.GenerateRequest) (engine.Stream, error) {
 		return &paced{r: r, n: n, gate: gate, ctx: ctx}, nil
@@ -97,7 +142,7 @@
 	server := httptest.NewServer(enginehttp.NewHandler(backend, ""))
 	p := &benchProcess{b: b, engine: server.Listener.Addr().String()}
 	command := exec.Command(os.Args[0], "-test.run=^$")
-	command.Env = append(os.Environ(), benchEngineEnv+"="+p.engine, "GOMAXPROCS=2")
+	command.Env = append(append(os.Environ(), benchEngineEnv+"="+p.engine, "GOMAXPROCS=2"), env...)
 	command.Stderr = os.Stderr
 	input, in, err := os.Pipe()
 	if err != nil {
--- a/gateway/bench_relay_test.go
+++ b/gateway/bench_relay_test.go
@@ -75,10 +75,20 @@
 
 // BenchmarkAddedLatency sends 1,000 requests/s through the gateway and, half a
 // period apart, 1,000 requests/s to the engine, and reports both latencies and
-// the gateway's processor time per request.
+// the gateway's processor time per request. "bytes only" has a process that
+// copies bytes in place of the gateway.
 func BenchmarkAddedLatency(b *testing.B) {
-	p := startBenchProcess(b, 1, nil)
-	through := newLoadRun(b, p.gateway, "/v1/chat/completions", urgentBody, (*rawCaller).receive)
+	b.Run("gateway", func(b *testing.B) {
+		benchmarkAddedLatency(b, "/v1/chat/completions", urgentBody, (*rawCaller).receive)
+	})
+	b.Run("bytes only", func(b *testing.B) {
+		benchmarkAddedLatency(b, "/generate", directBody, (*rawCaller).receiveStream, benchCopyEnv+"=1")
+	})
+}
+
+func benchmarkAddedLatency(b *testing.B, path, body string, read func(*rawCaller, *testing.B), env ...string) {
+	p := startBenchProcess(b, 1, nil, env...)
+	through := newLoadRun(b, p.gateway, path, body, read)
 	direct := newLoadRun(b, p.engine, "/generate", directBody, (*rawCaller).receiveStream)
 	before, _ := p.usage()
 	begun, sent := time.Now(), 0
@@ -131,13 +141,23 @@
 }
 
 // BenchmarkRelayedPacedEvents relays 1,000 streams at 30,000 events/s in all,
-// so that an event rarely finds another one waiting.
+// so that an event rarely finds another one waiting. The cost of the gateway's
+// own work is the difference between the two results.
 func BenchmarkRelayedPacedEvents(b *testing.B) {
+	b.Run("gateway", func(b *testing.B) {
+		benchmarkPaced(b, "/v1/chat/completions", relayBody)
+	})
+	b.Run("bytes only", func(b *testing.B) {
+		benchmarkPaced(b, "/generate", directBody, benchCopyEnv+"=1")
+	})
+}
+
+func benchmarkPaced(b *testing.B, path, body string, env ...string) {
 	const streams, rate, step = 1000, 30_000, 100
 	gate := make(chan struct{}, 4096)
-	p := startBenchProcess(b, 1<<30, gate)
+	p := startBenchProcess(b, 1<<30, gate, env...)
 	for range streams {
-		c := dialRaw(b, p.gateway, "/v1/chat/completions", relayBody)
+		c := dialRaw(b, p.gateway, path, body)
 		c.send(b)
 		if _, err := c.in.ReadByte(); err != nil {
 			b.Fatal(err)
