--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 # Fuzz targets run on their seed corpus as part of the tests.
 test: check
 	$(GO) build ./...
+	@if [ -f KNOWN-RED.txt ]; then echo "passed over, because they are known to fail:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race -timeout 12m ./...
 
 bench:
--- a/integration/callersfault_test.go
+++ b/integration/callersfault_test.go
@@ -76,7 +76,6 @@
 // caller sends it again through other instances under other request ids (F9),
 // and against innocent requests that are lost or answered wrongly beside it.
 func TestCrashingRequestIsSentAgain(t *testing.T) {
-	knownRed(t)
 	is := is.New(t)
 	d := startDeployment(t, options{engineFlags: []string{"--poison", "POISON"}})
 	l := d.startLoad(9)
--- a/integration/edits_test.go
+++ b/integration/edits_test.go
@@ -132,3 +132,13 @@
 	}
 	d.waitReachable()
 }
+
+// Guards against an accepted edit of a version that never takes effect (I8)
+// because every replica is full, although models have second copies.
+func TestVersionChangesInAFullFleet(t *testing.T) {
+	d := startDeployment(t, options{memoryMB: 50_000}) // two models on each engine
+	d.waitInForce(d.edit(d.members()[0], modelName(1), setVersion("2")))
+	d.waitVersion(modelName(1), "2")
+	d.waitReachable()
+	d.checkMemory()
+}
--- a/integration/table_test.go
+++ b/integration/table_test.go
@@ -149,6 +149,7 @@
 // waitVersion waits until every instance answers from a version of a model.
 func (d *deployment) waitVersion(name, version string) {
 	d.t.Helper()
+	defer d.logResidents()
 	for _, i := range d.members() {
 		waitFor(d.t, fmt.Sprintf("%s to serve version %s of %s", i.id, version, name), func() bool {
 			text := newText("version")
