gateway, control, ledger: fix faults found under failure

Change: 1,024 tokens by default; a fresh load report overrules the ledger, eight attempts with longer pauses; a base waits for adapters only while they run or leave; such an answer is an unknown outcome. Two tests read counters by the names they had before.

--- a/control/view.go
+++ b/control/view.go
@@ -83,7 +83,7 @@
 	c.demands = c.memberDemands(now)
 	c.inFlight = c.memberInFlight(now)
 	c.demandOf = byRow(c.demands)
-	c.served = c.routes()
+	c.served = c.routes(now)
 	view := &admission.View{Endpoints: c.endpointViews(), Rows: c.limitShares()}
 	c.admit(now, admission.ViewChanged{View: view})
 }
@@ -125,7 +125,7 @@
 // residents returns what may be routed to an endpoint. An instance that started
 // while the store is down knows no ledger and goes by the load reports; the
 // engine refuses what it no longer holds.
-func (c *core) residents(e fleet.Endpoint) []routing.Resident {
+func (c *core) residents(now time.Time, e fleet.Endpoint) []routing.Resident {
 	if !c.ownership.read {
 		return c.reportedResidents(e.ID)
 	}
@@ -137,12 +137,26 @@
 		}
 		out = append(out, routing.Resident{
 			Name: entry.Name, Version: entry.Version, MemoryMB: entry.MemoryMB, Token: view.Token,
-			Ready: entry.Servable || c.reportedReady(e.ID, entry.Name, entry.Version),
+			Ready: c.ready(now, e.ID, entry),
 		})
 	}
 	return out
 }
 
+// freshReport is the age up to which a load report overrules the ledger. An
+// engine that has restarted empty reports so seconds before its owner has read
+// its state.
+const freshReport = 3 * time.Second
+
+// ready reports whether an entry can take requests now, by the endpoint's
+// report if it is fresh and by the ledger otherwise.
+func (c *core) ready(now time.Time, id fleet.EndpointID, entry ledger.ViewEntry) bool {
+	if r, ok := c.reports[id]; ok && now.Sub(r.takenAt) < freshReport {
+		return c.reportedReady(id, entry.Name, entry.Version)
+	}
+	return entry.Servable
+}
+
 // reportedResidents returns what an endpoint has reported as ready. It may not
 // be loaded on demand, because no reservation is known.
 func (c *core) reportedResidents(id fleet.EndpointID) []routing.Resident {
@@ -203,7 +217,7 @@
 	routable  map[string]bool
 }
 
-func (c *core) routes() routes {
+func (c *core) routes(now time.Time) routes {
 	out := routes{
 		routable:  make(map[string]bool),
 		residents: make(map[fleet.EndpointID][]routing.Resident, len(c.listing.Endpoints)),
@@ -212,7 +226,7 @@
 	}
 	byTarget := rowsByTarget(c.table.Current())
 	for _, e := range c.listing.Endpoints {
-		residents := c.residents(e)
+		residents := c.residents(now, e)
 		out.residents[e.ID] = residents
 		rows := slices.Clone(byTarget[servedBy{pool: e.Pool}])
 		for _, r := range residents {
--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -118,7 +118,13 @@
 	is.NoErr(stream.Err())
 	is.Equal(text.String(), expected("ladang-01", "stream", 20))
 
-	_, err := c.Chat.Completions.New(t.Context(), chat("no-such-model", "x", 1))
+	unlimited := chat("slot-confirmation", "no limit", 1)
+	unlimited.MaxTokens = openai.ChatCompletionNewParams{}.MaxTokens
+	answer, err := c.Chat.Completions.New(t.Context(), unlimited)
+	is.NoErr(err) // a caller may leave the limit out
+	is.True(answer.Usage.CompletionTokens > 1)
+
+	_, err = c.Chat.Completions.New(t.Context(), chat("no-such-model", "x", 1))
 	var apiErr *openai.Error
 	is.True(errors.As(err, &apiErr))
 	is.Equal(apiErr.StatusCode, 404)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -23,7 +23,7 @@
 	StoreTimeout   time.Duration // one call of the platform's stores; default 2 s
 	LoadTimeout    time.Duration // one adapter load order; default 10 s
 	SnapshotWait   time.Duration // waiting for a newer snapshot after a refused load order; default 2 s
-	MaxAttempts    int           // endpoints tried for one request; default 4
+	MaxAttempts    int           // endpoints tried for one request; default 8
 }
 
 func (l Limits) withDefaults() Limits {
@@ -39,7 +39,7 @@
 	l.StoreTimeout = cmp.Or(l.StoreTimeout, 2*time.Second)
 	l.LoadTimeout = cmp.Or(l.LoadTimeout, 10*time.Second)
 	l.SnapshotWait = cmp.Or(l.SnapshotWait, 2*time.Second)
-	l.MaxAttempts = cmp.Or(l.MaxAttempts, 4)
+	l.MaxAttempts = cmp.Or(l.MaxAttempts, 8)
 	return l
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -43,7 +43,7 @@
 		r.is.Equal(a.executed, "no")
 		r.is.True(strings.Contains(a.body, `"code":"`+c.code+`"`))
 	}
-	r.is.Equal(r.Vars().Get("hyssophaven.gateway.bodies_too_large").String(), "2")
+	r.is.Equal(r.Vars().Get("bodies_too_large").String(), "2")
 	r.is.Equal(len(r.control.asked), 0)
 	a := r.call("POST", "/v1/completions", `{"model":"base","prompt":"x"}`, HeaderRequestID, "mine")
 	r.is.Equal(a.header.Get(HeaderRequestID), "mine")
@@ -81,7 +81,7 @@
 	<-closed
 	r.is.NoErr(r.stop(context.Background()))
 	r.is.Equal(r.control.results(), []admission.Result{admission.ResultCancelled})
-	r.is.Equal(r.Vars().Get("hyssophaven.gateway.slow_readers").String(), "1")
+	r.is.Equal(r.Vars().Get("slow_readers").String(), "1")
 }
 
 // endless is a stream without an end.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -18,11 +18,11 @@
 const (
 	// bytesPerToken estimates the tokens of a prompt; 4 is usual for English text.
 	bytesPerToken = 4
-	// usualAnswerTokens is the estimate for callers that set no limit.
-	usualAnswerTokens = 256
+	// defaultMaxTokens bounds the answer to callers that set no limit.
+	defaultMaxTokens = 1024
 
 	// The pause before a request is admitted again.
-	retryFirst = 10 * time.Millisecond
+	retryFirst = 50 * time.Millisecond
 	retryMax   = 500 * time.Millisecond
 )
 
@@ -57,14 +57,13 @@
 	} else {
 		c.out = &wholeOutput{g: g, w: w, req: req, id: c.id, created: arrived}
 	}
-	answer := req.MaxTokens
-	if answer == 0 {
-		answer = usualAnswerTokens
+	if c.req.MaxTokens == 0 {
+		c.req.MaxTokens = defaultMaxTokens // engines need a limit
 	}
 	c.admit = admission.Request{
 		Row: s.Row.Name, Rank: s.Row.Rank, Weight: s.Row.Weight, Limits: s.Row.Limits, Targets: s.Row.Targets,
 		Pool: s.Model.Pool, Model: s.Model.Name, Version: s.Model.Version,
-		Tokens:      len(req.Prompt)/bytesPerToken + answer,
+		Tokens:      len(req.Prompt)/bytesPerToken + c.req.MaxTokens,
 		Fingerprint: openai.Fingerprint(s.Row.Name, req.Prompt),
 		Prefix:      openai.PrefixHash(s.Model.Name, req.Prompt),
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -148,7 +148,7 @@
 	executed := engine.ExecutedNo
 	for attempt := range c.g.cfg.Limits.MaxAttempts {
 		if attempt > 0 {
-			if !sleep(ctx, retryFirst<<attempt) {
+			if !sleep(ctx, min(retryFirst<<attempt, retryMax)) {
 				return nil, last
 			}
 			c.admit.Readmitted = true
--- a/ledger/decide.go
+++ b/ledger/decide.go
@@ -173,7 +173,7 @@
 
 // unload orders the removal of a drained entry.
 func (r *Replica) unload(now time.Time, e *entry) {
-	if now.Before(e.retryAt) || e.Base == "" && r.hasAdapters(e) {
+	if now.Before(e.retryAt) || e.Base == "" && r.adaptersInUse(e) {
 		return
 	}
 	switch e.State {
@@ -201,14 +201,19 @@
 	e.UnloadSenders = addSender(e.UnloadSenders, r.self)
 }
 
-// hasAdapters reports whether adapters still use e as their base.
-func (r *Replica) hasAdapters(e *entry) bool {
+// adaptersInUse reports whether adapters still need e as their base: they have
+// requests running, or are on their way out and go first. An adapter that stays
+// wanted beside a draining base serves nothing and must not keep the base, or
+// a version that replaces it in place would never be loaded.
+func (r *Replica) adaptersInUse(e *entry) bool {
 	for _, o := range r.entries {
 		if o.Name == e.Name && o != e && o.State == Ready {
 			return false // another version of the base takes over
 		}
 	}
-	return slices.ContainsFunc(r.entries, func(o *entry) bool { return o.Base == e.Name && o.State < Settling })
+	return slices.ContainsFunc(r.entries, func(o *entry) bool {
+		return o.Base == e.Name && o.State < Settling && (o.State >= Draining || o.running > 0)
+	})
 }
 
 // load orders a reserved entry to be loaded, or repeats an order without effect.
--- a/records/owned.go
+++ b/records/owned.go
@@ -135,8 +135,11 @@
 		if errors.Is(err, platform.ErrConflict) {
 			continue
 		}
-		if err != nil || len(versions) != 1 {
-			return 0, errors.Join(err)
+		if err == nil && len(versions) != 1 {
+			err = platform.ErrUnknownOutcome // the answer does not belong to this write
+		}
+		if err != nil {
+			return 0, err
 		}
 		return versions[0], nil
 	}
--- a/records/records.go
+++ b/records/records.go
@@ -158,6 +158,9 @@
 	if err == nil {
 		var versions []uint64
 		versions, err = s.config.Store.Commit(ctx, txn)
+		if err == nil && len(versions) != 1 {
+			err = platform.ErrUnknownOutcome // the answer does not belong to this write
+		}
 		result.Outcome = outcomeOf(err, quarantine.Applied, quarantine.Conflict, quarantine.NotApplied, quarantine.Unknown)
 		if len(versions) == 1 {
 			result.Version = versions[0]
