gateway: share the adapter loads in transit over the fleet

Cause: weight_store.adapters_in_transit was checked and documented, but nothing bounded the loads. Change: each load weighs as much as there are live instances, so that every instance has its even share of the bound, at least one. Figures: 90 in transit over 7 instances give 12 each (go test ./gateway). Conclusion: no call per load is needed.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -49,6 +49,7 @@
 		Limits: gateway.Limits{
 			MaxBodyBytes: s.Callers.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout),
 			WriteTimeout: time.Duration(s.Callers.WriteTimeout), IdleTimeout: time.Duration(s.Callers.IdleTimeout),
+			AdapterLoads: s.WeightStore.AdaptersInTransit,
 		},
 	}
 }
--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -47,6 +47,11 @@
 		g.counters.adapterLoads.Add(1)
 		orderCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.cfg.Limits.LoadTimeout)
 		defer cancel()
+		release, err := g.acquireLoad(orderCtx)
+		if err != nil {
+			return nil, err
+		}
+		defer release()
 		return client.Order(orderCtx, engine.Order{
 			ID: uuid.NewString(), Token: grant.Token, Kind: engine.LoadAdapter,
 			Name: adapter, Base: base, Version: version, MemoryMB: grant.MemoryMB,
@@ -62,3 +67,15 @@
 		return engine.OrderResult{}, ctx.Err()
 	}
 }
+
+// acquireLoad waits for a place among the adapter loads in transit. The bound
+// holds for the whole fleet: each load weighs as much as there are live
+// instances, so this one has its even share of the bound in transit, at least one.
+func (g *Gateway) acquireLoad(ctx context.Context) (release func(), err error) {
+	live := max(1, len(g.control.Snapshot().AliveIncarnations))
+	weight := int64(min(live, g.cfg.Limits.AdapterLoads))
+	if err := g.loadSlots.Acquire(ctx, weight); err != nil {
+		return nil, &engine.Error{Kind: engine.Refused, Executed: engine.ExecutedNo, Err: fmt.Errorf("too many adapter loads in transit: %w", err)}
+	}
+	return func() { g.loadSlots.Release(weight) }, nil
+}
--- /dev/null
+++ b/gateway/adapter_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/hyssophaven/hyssophaven/control"
+	"github.com/hyssophaven/hyssophaven/fleet"
+)
+
+// liveControl knows a number of live instances.
+type liveControl struct {
+	fakeControl
+	live map[fleet.InstanceID]fleet.Incarnation
+}
+
+func (c *liveControl) Snapshot() *control.Snapshot {
+	return &control.Snapshot{AliveIncarnations: c.live}
+}
+
+// Guards against an instance that takes more than its share of the adapter
+// loads in transit over the fleet, or none at all.
+func TestAdapterLoadsInTransitAreShared(t *testing.T) {
+	for _, c := range []struct{ bound, live, share int }{{90, 3, 30}, {90, 7, 12}, {2, 5, 1}, {4, 1, 4}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			members := make(map[fleet.InstanceID]fleet.Incarnation)
+			for n := range c.live {
+				members[fleet.InstanceID(rune('a'+n))] = 1
+			}
+			g := &Gateway{
+				control: &liveControl{live: members}, loadSlots: semaphore.NewWeighted(int64(c.bound)),
+				cfg: Config{Limits: Limits{AdapterLoads: c.bound}},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			started := make(chan struct{}, c.bound+1)
+			for range c.bound + 1 {
+				go func() {
+					if release, err := g.acquireLoad(ctx); err == nil {
+						started <- struct{}{}
+						<-ctx.Done()
+						release()
+					}
+				}()
+			}
+			synctest.Wait()
+			is.Equal(len(started), c.share)
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/hyssophaven/hyssophaven/control"
@@ -67,9 +68,10 @@
 	counters counters
 	services http.RoundTripper
 
-	sequence atomic.Uint64 // numbers admissions, engine requests and claims
-	draining atomic.Bool
-	loads    singleflight.Group // adapter load orders in progress
+	sequence  atomic.Uint64 // numbers admissions, engine requests and claims
+	draining  atomic.Bool
+	loads     singleflight.Group  // adapter load orders in progress
+	loadSlots *semaphore.Weighted // adapter loads in transit
 
 	listener   net.Listener
 	server     *http.Server
@@ -107,7 +109,7 @@
 	if cfg.Log == nil {
 		cfg.Log = log.New(io.Discard)
 	}
-	g := &Gateway{cfg: cfg, counters: newCounters(), stopping: make(chan struct{}), services: cfg.Services}
+	g := &Gateway{loadSlots: semaphore.NewWeighted(int64(cfg.Limits.AdapterLoads)), cfg: cfg, counters: newCounters(), stopping: make(chan struct{}), services: cfg.Services}
 	if g.services == nil {
 		g.services = newTransport(cfg.Limits)
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -24,6 +24,7 @@
 	LoadTimeout    time.Duration // one adapter load order; default 10 s
 	SnapshotWait   time.Duration // waiting for a newer snapshot after a refused load order; default 2 s
 	MaxAttempts    int           // endpoints tried for one request; default 8
+	AdapterLoads   int           // adapter loads in transit over the whole fleet; default 90
 }
 
 func (l Limits) withDefaults() Limits {
@@ -40,6 +41,7 @@
 	l.LoadTimeout = cmp.Or(l.LoadTimeout, 10*time.Second)
 	l.SnapshotWait = cmp.Or(l.SnapshotWait, 2*time.Second)
 	l.MaxAttempts = cmp.Or(l.MaxAttempts, 8)
+	l.AdapterLoads = cmp.Or(l.AdapterLoads, 90)
 	return l
 }
 
