control: publish actions under their dynamic type

Cause: a switch repeated one line for each of sixteen action types, and an action that was forgotten there would have been dropped silently. Change: kernel.PublishAny takes the topic from the event's type. Conclusion: a new action needs no entry.

--- a/control/service.go
+++ b/control/service.go
@@ -97,7 +97,7 @@
 	now := time.Now()
 	actions := core.step(now, ev)
 	for _, a := range actions {
-		publish(s.bus, a)
+		_ = kernel.PublishAny(s.bus, a) // fails only after the bus was closed, when nobody is left to act
 	}
 	if core.snapshot != s.snapshot.Load() {
 		s.snapshot.Store(core.snapshot)
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -64,10 +64,16 @@
 
 // Publish sends ev to all current subscribers of its type and does not wait
 // for them. Delivery order between events is not guaranteed.
-func Publish[E any](b *Bus, ev E) error {
+func Publish[E any](b *Bus, ev E) error { return b.publish(topic[E](), ev) }
+
+// PublishAny is Publish for an event whose type is known only when it is sent:
+// it goes to the subscribers of its dynamic type.
+func PublishAny(b *Bus, ev any) error { return b.publish(reflect.TypeOf(ev).String(), ev) }
+
+func (b *Bus) publish(topic string, ev any) error {
 	msg := message.NewMessage(watermill.NewShortUUID(), nil)
 	msg.SetContext(context.WithValue(context.Background(), eventKey{}, ev))
-	return b.channel.Publish(topic[E](), msg)
+	return b.channel.Publish(topic, msg)
 }
 
 // Subscribe calls handle for every event of type E from now on. Calls for one
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -101,6 +101,9 @@
 	is.NoErr(Publish(k.Bus(), ping{7}))
 	is.Equal(<-got, 7)
 	is.Equal(<-got, 7)
+	is.NoErr(PublishAny(k.Bus(), ping{8}))
+	is.Equal(<-got, 8)
+	is.Equal(<-got, 8)
 	is.NoErr(k.Stop(t.Context()))
 	is.Equal(len(got), 0)
 }
