placement: let an accepted version make room in a full fleet

Cause: TestVersionChangesInAFullFleet: with two models on each engine the new version fitted nowhere, because only copies beyond the second data centre made room, and only after a minute of service. Change: a version that fits nowhere else takes the cheapest second copy of another row at once; the copy comes back when the old version has left. Conclusion: an accepted edit goes before a second data centre.

--- a/placement/reach.go
+++ b/placement/reach.go
@@ -90,6 +90,16 @@
 		w.add(room.rep, row, CauseVersion)
 		return
 	}
+	// An accepted edit goes before the second data centre of another row, which
+	// comes back when the old version has left, and does not wait for MinServe.
+	w.skipMinServe = true
+	room, ok := w.cheapest(row, r.MemoryMB, secondCopy, nil, anyVictim)
+	w.skipMinServe = false
+	if ok {
+		w.take(room)
+		w.add(room.rep, row, CauseVersion)
+		return
+	}
 	w.findings.Addf(r.Name, "version %s waits: it fits neither beside the version in service nor on another replica", r.Version)
 }
 
--- a/placement/room.go
+++ b/placement/room.go
@@ -52,7 +52,7 @@
 func (w *work) victims(rep int, up class) []victim {
 	var out []victim
 	for _, it := range w.reps[rep].items {
-		if w.p.opt.Mode == Hysteresis && w.now.Sub(it.since) < w.p.opt.MinServe && !it.since.Equal(w.now) && up != extraCopy {
+		if w.p.opt.Mode == Hysteresis && !w.skipMinServe && w.now.Sub(it.since) < w.p.opt.MinServe && !it.since.Equal(w.now) && up != extraCopy {
 			continue
 		}
 		c := w.classify(rep, it.row)
--- a/placement/work.go
+++ b/placement/work.go
@@ -23,6 +23,8 @@
 	centres  int   // number of data centres with replicas that stay
 	moves    []Move
 	findings finding.List
+	// skipMinServe lets items make room that have not served for MinServe.
+	skipMinServe bool
 }
 
 type rowWork struct {
