--- a/control/requests.go
+++ b/control/requests.go
@@ -29,21 +29,22 @@
 	stoppingRetryAfter = time.Second
 )
 
-// requests tracks granted requests and those held back by suspicion.
+// requests tracks the requests of this instance by their IDs.
 type requests struct {
-	running map[uint64]running
-	byPlace map[fleet.EndpointID]map[uint64]bool
-	// held are requests that wait for a trial or for a probe.
+	running    map[uint64]running // passed to the admission queue, or granted
+	byEndpoint map[fleet.EndpointID]map[uint64]bool
+	// held are requests that wait before they are queued.
 	held      map[uint64]heldRequest
 	refreshed time.Time // when the candidates of trials were last updated
 	probes    map[fleet.EndpointID]*probe
 	dead      map[fleet.EndpointID]string // last boot of an endpoint that is known to have died
 }
 
+// running is a request that waits in the admission queue or runs on an endpoint.
 type running struct {
 	request  admission.Request
-	queued   time.Time // when it was passed to the admission queue
-	endpoint fleet.EndpointID
+	queued   time.Time        // when it was passed to the admission queue
+	endpoint fleet.EndpointID // empty while it waits
 	trial    bool
 	bootID   string // of the endpoint when the request was granted
 }
@@ -76,11 +77,11 @@
 
 func newRequests() requests {
 	return requests{
-		running: make(map[uint64]running),
-		byPlace: make(map[fleet.EndpointID]map[uint64]bool),
-		held:    make(map[uint64]heldRequest),
-		probes:  make(map[fleet.EndpointID]*probe),
-		dead:    make(map[fleet.EndpointID]string),
+		running:    make(map[uint64]running),
+		byEndpoint: make(map[fleet.EndpointID]map[uint64]bool),
+		held:       make(map[uint64]heldRequest),
+		probes:     make(map[fleet.EndpointID]*probe),
+		dead:       make(map[fleet.EndpointID]string),
 	}
 }
 
@@ -221,12 +222,10 @@
 	r := c.requests.running[id]
 	r.endpoint, r.trial, r.bootID = g.Endpoint.ID, g.Trial, c.bootID(g.Endpoint.ID)
 	c.requests.running[id] = r
-	place := c.requests.byPlace[r.endpoint]
-	if place == nil {
-		place = make(map[uint64]bool)
-		c.requests.byPlace[r.endpoint] = place
+	if c.requests.byEndpoint[r.endpoint] == nil {
+		c.requests.byEndpoint[r.endpoint] = make(map[uint64]bool)
 	}
-	place[id] = true
+	c.requests.byEndpoint[r.endpoint][id] = true
 	if !g.Trial && r.request.Fingerprint != 0 {
 		c.quarantine(now, quarantine.Started{Fingerprint: quarantine.Fingerprint(r.request.Fingerprint)})
 	}
@@ -264,7 +263,7 @@
 // release forgets a granted request.
 func (c *core) release(now time.Time, id uint64, r running) {
 	delete(c.requests.running, id)
-	delete(c.requests.byPlace[r.endpoint], id)
+	delete(c.requests.byEndpoint[r.endpoint], id)
 	if r.trial || r.request.Fingerprint == 0 {
 		return
 	}
--- a/control/snapshotstatus.go
+++ b/control/statusreport.go
@@ -69,7 +69,7 @@
 func (c *core) endpointStatus(now time.Time, e fleet.Endpoint, owners map[lease.Shard]fleet.InstanceID) EndpointStatus {
 	r, reported := c.reports[e.ID]
 	s := EndpointStatus{
-		Endpoint: e, Running: r.running, Waiting: r.waiting, InFlight: len(c.requests.byPlace[e.ID]),
+		Endpoint: e, Running: r.running, Waiting: r.waiting, InFlight: len(c.requests.byEndpoint[e.ID]),
 		HasReport: reported, Trial: c.suspects.Reserved(e.ID),
 	}
 	s.Endpoint.Leaving = c.leaving(e)
--- a/control/trials.go
+++ b/control/trials.go
@@ -17,7 +17,7 @@
 		return // this death is being looked into, or is known already
 	}
 	p := &probe{bootID: r.bootID, since: now}
-	for id := range c.requests.byPlace[r.endpoint] {
+	for id := range c.requests.byEndpoint[r.endpoint] {
 		// Requests granted since a restart were not there when it died.
 		if other := c.requests.running[id]; other.request.Fingerprint != 0 && other.bootID == r.bootID {
 			p.lost = append(p.lost, other)
