control: make no suspects of endpoints that die together

All requests that ran in the data centre became suspects, and their trials reserved the remaining engines one after another. Ruled out: placement (all rows routable 2 s after the loss without load). Change: deaths are judged 1.5 s later, together; three or more endpoints without a content in common have lost their rack or data centre, and what ran on them is not suspected. Conclusion: a crash by content still shows, as it takes one endpoint at a time or the same content runs on several.

--- a/control/core_test.go
+++ b/control/core_test.go
@@ -103,13 +103,36 @@
 	innocent := r.grant(r.arrive(3, 13, func(q *admission.Request) { q.Exclude = []fleet.EndpointID{"e2"} }))
 	is.Equal(innocent.Endpoint.ID, fleet.EndpointID("e1"))
 	r.step(finish{outcome: admission.Outcome{ID: 2, Endpoint: "e1", Result: admission.ResultLost}})
-	r.advance(time.Second)
+	r.advance(2 * deathSettleTime)
 	verdict, _ := r.core.suspects.Check(quarantine.Fingerprint(13), r.now)
 	is.Equal(verdict, quarantine.Clear)
 	verdict, _ = r.core.suspects.Check(quarantine.Fingerprint(12), r.now)
 	is.Equal(verdict, quarantine.NeedsTrial)
 }
 
+// Guards against the loss of a data centre that makes suspects of all that ran
+// in it, whose trials keep the remaining endpoints from other work.
+func TestEndpointsLostTogetherMakeNoSuspects(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	endpoints := []fleet.Endpoint{r.engine("e1"), r.engine("e2"), r.engine("e3")}
+	r.step(ListingRead{Listing: platform.Listing{Instances: r.core.listing.Instances, Endpoints: endpoints}})
+	r.report("e3", "boot-1")
+	r.advance(time.Second)
+	for n, e := range endpoints {
+		exclude := []fleet.EndpointID{endpoints[(n+1)%3].ID, endpoints[(n+2)%3].ID}
+		r.grant(r.arrive(uint64(n+1), uint64(n+11), func(q *admission.Request) { q.Exclude = exclude }))
+		r.step(finish{outcome: admission.Outcome{ID: uint64(n + 1), Endpoint: e.ID, Result: admission.ResultLost}})
+		r.step(ProbeDone{Endpoint: e.ID})
+	}
+	r.advance(2 * deathSettleTime)
+	for f := range 3 {
+		verdict, _ := r.core.suspects.Check(quarantine.Fingerprint(f+11), r.now)
+		is.Equal(verdict, quarantine.Clear)
+	}
+	is.Equal(len(r.core.requests.probes), 0)
+}
+
 // Guards against a cut network that is taken for the death of the endpoint.
 func TestCutConnectionMakesNoSuspects(t *testing.T) {
 	r := newRig(t)
--- a/control/requests.go
+++ b/control/requests.go
@@ -13,6 +13,12 @@
 	// probeTimeout bounds the wait for a probe of an endpoint whose
 	// connections broke; without an answer the endpoint counts as lost.
 	probeTimeout = 2 * time.Second
+	// deathSettleTime is how long a death waits for others; a probe of a host
+	// that is gone takes up to 1 s.
+	deathSettleTime = 1500 * time.Millisecond
+	// commonCauseDeaths is the number of endpoints that die together from which
+	// on a common cause is assumed.
+	commonCauseDeaths = 3
 	// holdTimeout bounds the wait of a request for its trial or for the retry
 	// budget.
 	holdTimeout = 3 * time.Minute
@@ -69,6 +75,7 @@
 type probe struct {
 	bootID string // when the connections broke
 	since  time.Time
+	diedAt time.Time // when the endpoint was found dead; zero before
 	lost   []running // requests that were in flight
 	// ended are requests of lost that have finished meanwhile; quarantine is
 	// told of their end after it was told of the loss.
@@ -301,10 +308,11 @@
 // tickRequests ends waits that last too long.
 func (c *core) tickRequests(now time.Time) {
 	for id, p := range c.requests.probes {
-		if now.Sub(p.since) > probeTimeout {
+		if p.diedAt.IsZero() && now.Sub(p.since) > probeTimeout {
 			c.probeDone(now, ProbeDone{Endpoint: id})
 		}
 	}
+	c.settleDeaths(now)
 	refresh := now.Sub(c.requests.refreshed) >= candidateInterval
 	if refresh {
 		c.requests.refreshed = now
