control: probe the rest of a data centre when two engines die

Change: after the second death in a data centre its other engines are probed, so that the common cause shows; compare prints in how many runs urgent work did not come back.

--- a/compare/report.go
+++ b/compare/report.go
@@ -92,7 +92,22 @@
 	for _, r := range fleet.Ranks() {
 		p.printf("| %s ", spreadOf(goodput[r]).number())
 	}
-	p.printf("| %s | %s s | %d | %d |\n", spreadOf(moves).number(), spreadOf(recovered).number(), wrong, failed)
+	p.printf("| %s | %s | %d | %d |\n", spreadOf(moves).number(), recoveryText(recovered), wrong, failed)
+}
+
+// recoveryText tells after how many seconds urgent work was back, or in how
+// many runs it was not.
+func recoveryText(recovered []float64) string {
+	never := 0
+	for _, r := range recovered {
+		if r < 0 {
+			never++
+		}
+	}
+	if never > 0 {
+		return fmt.Sprintf("not in %d of %d runs", never, len(recovered))
+	}
+	return spreadOf(recovered).number() + " s"
 }
 
 // duringEvent returns the attained requests per second that arrived between
--- a/control/trials.go
+++ b/control/trials.go
@@ -41,6 +41,35 @@
 		return
 	}
 	p.diedAt = now
+	c.probeDataCentre(now, ev.Endpoint)
+}
+
+// probeDataCentre probes the other engines of a data centre in which two have
+// died, because this instance need not have requests on all that are lost.
+func (c *core) probeDataCentre(now time.Time, id fleet.EndpointID) {
+	lost, ok := c.endpoint(id)
+	if !ok {
+		return
+	}
+	died := 0
+	var others []fleet.Endpoint
+	for _, e := range c.listing.Endpoints {
+		if e.Kind != fleet.ModelEngine || e.DataCentre != lost.DataCentre {
+			continue
+		}
+		if p, probing := c.requests.probes[e.ID]; !probing {
+			others = append(others, e)
+		} else if !p.diedAt.IsZero() {
+			died++
+		}
+	}
+	if died != commonCauseDeaths-1 {
+		return
+	}
+	for _, e := range others {
+		c.requests.probes[e.ID] = &probe{bootID: c.bootID(e.ID), since: now}
+		c.emit(Probe{Endpoint: e})
+	}
 }
 
 // settleDeaths judges the endpoints that have died. A request takes down one
