openai: give the canonical prompt of one message in one place

Cause: package compare formed the canonical prompt of a user message by hand and escaped < > & differently from the decoder. Change: openai.UserPrompt uses the decoder's own encoding; the tests of dev and integration keep their literal form as an independent expectation. Conclusion: the canonical form is written in package openai only.

--- a/compare/answers.go
+++ b/compare/answers.go
@@ -1,12 +1,12 @@
 package compare
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 
 	"github.com/hyssophaven/hyssophaven/dev"
 	"github.com/hyssophaven/hyssophaven/load"
+	"github.com/hyssophaven/hyssophaven/openai"
 	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
 	"github.com/hyssophaven/hyssophaven/table"
 )
@@ -24,19 +24,14 @@
 		if serving.Adapter != nil {
 			adapter = serving.Adapter.Name
 		}
-		want := strings.TrimSpace(standinengine.Answer(serving.Model.Name, adapter, serving.Model.Version, canonicalPrompt(r.Prompt), 1))
+		prompt, err := openai.UserPrompt(r.Prompt)
+		if err != nil {
+			return err
+		}
+		want := strings.TrimSpace(standinengine.Answer(serving.Model.Name, adapter, serving.Model.Version, prompt, 1))
 		if strings.TrimSpace(a.FirstText) != want {
 			return fmt.Errorf("request %d to %s: first token %q, want %q", r.ID, r.Row, a.FirstText, want)
 		}
 		return nil
 	}
 }
-
-// canonicalPrompt is the form of one user message in which engines get it.
-func canonicalPrompt(text string) string {
-	quoted, err := json.Marshal(text)
-	if err != nil {
-		return ""
-	}
-	return `{"messages":[{"role":"user","content":` + string(quoted) + `}]}`
-}
--- a/openai/canonical.go
+++ b/openai/canonical.go
@@ -73,6 +73,16 @@
 	return out.Bytes()
 }
 
+// UserPrompt returns the canonical prompt of a conversation that consists of
+// one message of the user, as engines get it.
+func UserPrompt(text string) (string, error) {
+	content, err := json.Marshal(text)
+	if err != nil {
+		return "", err
+	}
+	return canonicalChat([]chatMessage{{Role: "user", Content: content}}, nil)
+}
+
 // orAbsent returns nil for null, which the interface treats like an absent member.
 func orAbsent(raw json.RawMessage) json.RawMessage {
 	if string(raw) == "null" {
