--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,7 +1,7 @@
-// Package platform declares what hyssophaven needs of the platform it runs on:
+// Package backing declares what hyssophaven needs of the services it is built on:
 // a transactional table service, an object store and an instance list. Clients
-// for a concrete platform live in packages beside it, such as platformhttp.
-package platform
+// for a concrete platform live in packages beside it, such as backinghttp.
+package backing
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 var (
 	// ErrConflict means that a condition of a transaction did not hold.
 	// Nothing was written.
-	ErrConflict = errors.New("platform: transaction condition does not hold")
+	ErrConflict = errors.New("backing: transaction condition does not hold")
 	// ErrUnavailable means that the platform refused or could not be reached
 	// before the call took effect. Nothing was written.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("backing: service unavailable")
 	// ErrUnknownOutcome means that the call may or may not have taken effect.
-	ErrUnknownOutcome = errors.New("platform: outcome unknown")
+	ErrUnknownOutcome = errors.New("backing: outcome unknown")
 	// ErrNotFound means that an object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("backing: not found")
 )
 
 // Record is one record of the table service. Version starts at 1 and increases
--- a/platform/platformhttp/client.go
+++ b/backing/backinghttp/client.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"bytes"
@@ -8,9 +8,9 @@
 	"net/url"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Options configure a Client. Zero fields have the defaults named here.
@@ -55,13 +55,13 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Tables returns the table service.
-func (c *Client) Tables() platform.TableStore { return tableClient{c} }
+func (c *Client) Tables() backing.TableStore { return tableClient{c} }
 
 // Objects returns the object store.
-func (c *Client) Objects() platform.ObjectStore { return objectClient{c} }
+func (c *Client) Objects() backing.ObjectStore { return objectClient{c} }
 
 // Instances returns the instance list.
-func (c *Client) Instances() platform.InstanceList { return listClient{c} }
+func (c *Client) Instances() backing.InstanceList { return listClient{c} }
 
 // Weights returns the weight store.
 func (c *Client) Weights() WeightStore { return weightClient{c} }
@@ -91,14 +91,14 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, r.method, address, bytes.NewReader(r.body))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	jsonhttp.SetBearer(req, c.token)
 	res, err := c.http.Do(req)
 	if err != nil {
 		if tracker.NeverSent(err) {
-			return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+			return nil, fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 		}
 		return nil, r.lost(err)
 	}
@@ -130,9 +130,9 @@
 // lost is the error for a request that was sent and whose answer is missing or
 // can't be understood.
 func (r call) lost(err error) error {
-	kind := platform.ErrUnavailable
+	kind := backing.ErrUnavailable
 	if r.write {
-		kind = platform.ErrUnknownOutcome
+		kind = backing.ErrUnknownOutcome
 	}
 	return fmt.Errorf("%w: %w", kind, err)
 }
@@ -147,11 +147,11 @@
 	}
 	switch {
 	case e.Code == codeConflict && status == http.StatusConflict && r.write:
-		return fmt.Errorf("%w: %s", platform.ErrConflict, e.Message)
+		return fmt.Errorf("%w: %s", backing.ErrConflict, e.Message)
 	case e.Code == codeNotFound && status == http.StatusNotFound:
-		return fmt.Errorf("%w: %s", platform.ErrNotFound, e.Message)
+		return fmt.Errorf("%w: %s", backing.ErrNotFound, e.Message)
 	case e.Executed == "no" || e.Code == codeUnavailable:
-		return fmt.Errorf("%w: %s: %s", platform.ErrUnavailable, e.Code, e.Message)
+		return fmt.Errorf("%w: %s: %s", backing.ErrUnavailable, e.Code, e.Message)
 	default:
 		return r.lost(fmt.Errorf("status %d: %s: %s", status, e.Code, e.Message))
 	}
--- a/platform/platformhttp/client_test.go
+++ b/backing/backinghttp/client_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package backinghttp_test
 
 import (
 	"context"
@@ -17,16 +17,16 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 	standinplatform "github.com/hyssophaven/hyssophaven/standin/platform"
 )
 
-func newClient(tb testing.TB, h http.Handler, o platformhttp.Options) *platformhttp.Client {
+func newClient(tb testing.TB, h http.Handler, o backinghttp.Options) *backinghttp.Client {
 	tb.Helper()
 	server := httptest.NewServer(h)
-	c := platformhttp.NewClient(server.Listener.Addr().String(), o)
+	c := backinghttp.NewClient(server.Listener.Addr().String(), o)
 	tb.Cleanup(func() {
 		c.Close()
 		server.CloseClientConnections()
@@ -49,13 +49,13 @@
 	<-r.Context().Done()
 }
 
-var oneWrite = platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+var oneWrite = backing.Txn{Writes: []backing.Write{{Key: "k", Value: []byte("v")}}}
 
 // calls are a read and a write of every service.
-func calls(c *platformhttp.Client) (reads, writes map[string]func(context.Context) error) {
+func calls(c *backinghttp.Client) (reads, writes map[string]func(context.Context) error) {
 	reads = map[string]func(context.Context) error{
 		"read": func(ctx context.Context) error {
-			_, err := c.Tables().Read(ctx, platform.Query{Prefix: "k"})
+			_, err := c.Tables().Read(ctx, backing.Query{Prefix: "k"})
 			return err
 		},
 		"names": func(ctx context.Context) error { _, err := c.Objects().List(ctx, "o"); return err },
@@ -66,7 +66,7 @@
 		"put":    func(ctx context.Context) error { return c.Objects().Put(ctx, "o", []byte("x")) },
 		"delete": func(ctx context.Context) error { return c.Objects().Delete(ctx, "o") },
 		"acquire": func(ctx context.Context) error {
-			_, err := c.Weights().Acquire(ctx, platformhttp.LoadRequest{Engine: "e", Name: "m"})
+			_, err := c.Weights().Acquire(ctx, backinghttp.LoadRequest{Engine: "e", Name: "m"})
 			return err
 		},
 	}
@@ -95,7 +95,7 @@
 // for a write that did not happen, and against a refusal being taken for an
 // unknown outcome.
 func TestFailuresMapToWhatIsCertain(t *testing.T) {
-	unknown, unavailable := platform.ErrUnknownOutcome, platform.ErrUnavailable
+	unknown, unavailable := backing.ErrUnknownOutcome, backing.ErrUnavailable
 	for name, c := range map[string]struct {
 		handler http.HandlerFunc
 		write   error
@@ -113,7 +113,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			reads, writes := calls(newClient(t, c.handler, platformhttp.Options{Timeout: 100 * time.Millisecond}))
+			reads, writes := calls(newClient(t, c.handler, backinghttp.Options{Timeout: 100 * time.Millisecond}))
 			if name == "late" {
 				delete(writes, "acquire") // waits for the rate limit on purpose
 			}
@@ -137,11 +137,11 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
-	_, writes := calls(platformhttp.NewClient(address, platformhttp.Options{}))
+	_, writes := calls(backinghttp.NewClient(address, backinghttp.Options{}))
 	for _, do := range writes {
 		err := do(t.Context())
-		is.True(errors.Is(err, platform.ErrUnavailable))
-		is.True(!errors.Is(err, platform.ErrUnknownOutcome))
+		is.True(errors.Is(err, backing.ErrUnavailable))
+		is.True(!errors.Is(err, backing.ErrUnknownOutcome))
 	}
 }
 
@@ -152,16 +152,16 @@
 	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		entered <- struct{}{}
 		holdBack(w, r)
-	}), platformhttp.Options{MaxConcurrent: 1, Timeout: time.Minute})
+	}), backinghttp.Options{MaxConcurrent: 1, Timeout: time.Minute})
 	ctx, cancel := context.WithCancel(t.Context())
 	first := make(chan error, 1)
 	go func() { first <- client.Objects().Put(ctx, "a", nil) }()
 	<-entered
 	short, cancelShort := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancelShort()
-	is.True(errors.Is(client.Objects().Put(short, "b", nil), platform.ErrUnavailable))
+	is.True(errors.Is(client.Objects().Put(short, "b", nil), backing.ErrUnavailable))
 	cancel()
-	is.True(errors.Is(<-first, platform.ErrUnknownOutcome))
+	is.True(errors.Is(<-first, backing.ErrUnknownOutcome))
 	is.Equal(len(entered), 0) // the second write was never sent
 }
 
@@ -177,13 +177,13 @@
 	} {
 		t.Run(body, func(t *testing.T) {
 			is := is.New(t)
-			client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }), platformhttp.Options{})
+			client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }), backinghttp.Options{})
 			reads, writes := calls(client)
 			for _, do := range reads {
-				is.True(errors.Is(do(t.Context()), platform.ErrUnavailable))
+				is.True(errors.Is(do(t.Context()), backing.ErrUnavailable))
 			}
-			is.True(errors.Is(writes["commit"](t.Context()), platform.ErrUnknownOutcome))
-			is.True(errors.Is(writes["acquire"](t.Context()), platform.ErrUnknownOutcome))
+			is.True(errors.Is(writes["commit"](t.Context()), backing.ErrUnknownOutcome))
+			is.True(errors.Is(writes["acquire"](t.Context()), backing.ErrUnknownOutcome))
 		})
 	}
 }
@@ -192,22 +192,22 @@
 // map with versions.
 func TestTableStoreBehavesLikeAMapWithVersions(t *testing.T) {
 	p := newPlatform(t, standinplatform.Config{})
-	tables := newClient(t, p.Handler(), platformhttp.Options{}).Tables()
+	tables := newClient(t, p.Handler(), backinghttp.Options{}).Tables()
 	run := 0
 	rapid.Check(t, func(t *rapid.T) {
 		run++
 		prefix := fmt.Sprintf("run-%d/", run)
-		model := make(map[string]platform.Record)
+		model := make(map[string]backing.Record)
 		last := make(map[string]uint64)
 		for range rapid.IntRange(1, 12).Draw(t, "transactions") {
 			key := prefix + rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 			condition := rapid.Uint64Range(0, 3).Draw(t, "condition")
-			w := platform.Write{Key: key, Value: rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete")}
-			versions, err := tables.Commit(t.Context(), platform.Txn{
-				Conditions: []platform.Condition{{Key: key, Version: condition}}, Writes: []platform.Write{w},
+			w := backing.Write{Key: key, Value: rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete")}
+			versions, err := tables.Commit(t.Context(), backing.Txn{
+				Conditions: []backing.Condition{{Key: key, Version: condition}}, Writes: []backing.Write{w},
 			})
 			if condition != model[key].Version {
-				if !errors.Is(err, platform.ErrConflict) {
+				if !errors.Is(err, backing.ErrConflict) {
 					t.Fatalf("version %d, condition %d: %v", model[key].Version, condition, err)
 				}
 				continue
@@ -219,13 +219,13 @@
 				delete(model, key)
 			} else {
 				last[key]++
-				model[key] = platform.Record{Key: key, Value: w.Value, Version: last[key]}
+				model[key] = backing.Record{Key: key, Value: w.Value, Version: last[key]}
 			}
 			if versions[0] != model[key].Version {
 				t.Fatalf("version %d, want %d", versions[0], model[key].Version)
 			}
 		}
-		records, err := tables.Read(t.Context(), platform.Query{Prefix: prefix, Keys: []string{prefix + "a"}})
+		records, err := tables.Read(t.Context(), backing.Query{Prefix: prefix, Keys: []string{prefix + "a"}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -233,7 +233,7 @@
 	})
 }
 
-func compareRecords(t *rapid.T, records []platform.Record, model map[string]platform.Record) {
+func compareRecords(t *rapid.T, records []backing.Record, model map[string]backing.Record) {
 	keys := slices.Sorted(maps.Keys(model))
 	if len(records) != len(keys) {
 		t.Fatalf("%d records, want %d", len(records), len(keys))
@@ -249,7 +249,7 @@
 func TestObjectsAndListingsRoundTrip(t *testing.T) {
 	is := is.New(t)
 	p := newPlatform(t, standinplatform.Config{})
-	c := newClient(t, p.Handler(), platformhttp.Options{})
+	c := newClient(t, p.Handler(), backinghttp.Options{})
 	is.NoErr(c.Objects().Put(t.Context(), "burn/1 ?&ü", []byte{0, 1, 255}))
 	data, err := c.Objects().Get(t.Context(), "burn/1 ?&ü")
 	is.NoErr(err)
@@ -259,15 +259,15 @@
 	is.Equal(names, []string{"burn/1 ?&ü"})
 	is.NoErr(c.Objects().Delete(t.Context(), "burn/1 ?&ü"))
 	_, err = c.Objects().Get(t.Context(), "burn/1 ?&ü")
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, backing.ErrNotFound))
 
-	i := platform.ListedInstance{ID: "i-1", DataCentre: "kul-a", PeerAddress: "127.0.0.1:1", Leaving: true}
+	i := backing.ListedInstance{ID: "i-1", DataCentre: "kul-a", PeerAddress: "127.0.0.1:1", Leaving: true}
 	e := fleet.Endpoint{ID: "e-1", Kind: fleet.PlainService, Pool: "booking", DataCentre: "kul-b", Address: "127.0.0.1:2", Leaving: true, ChecksTokens: true, MemoryMB: 3, Slots: 4}
 	p.PutInstance(i)
 	p.PutEndpoint(e)
 	listing, err := c.Instances().List(t.Context())
 	is.NoErr(err)
-	is.Equal(listing, platform.Listing{Instances: []platform.ListedInstance{i}, Endpoints: []fleet.Endpoint{e}})
+	is.Equal(listing, backing.Listing{Instances: []backing.ListedInstance{i}, Endpoints: []fleet.Endpoint{e}})
 }
 
 // Guards against a platform that serves callers without its bearer token.
@@ -275,10 +275,10 @@
 	is := is.New(t)
 	p := newPlatform(t, standinplatform.Config{BearerToken: "secret"})
 	for token, ok := range map[string]bool{"secret": true, "wrong": false, "": false} {
-		c := newClient(t, p.Handler(), platformhttp.Options{BearerToken: token})
+		c := newClient(t, p.Handler(), backinghttp.Options{BearerToken: token})
 		_, err := c.Tables().Commit(t.Context(), oneWrite)
 		is.Equal(err == nil, ok)
-		is.Equal(errors.Is(err, platform.ErrUnavailable), !ok) // a refusal is certain
+		is.Equal(errors.Is(err, backing.ErrUnavailable), !ok) // a refusal is certain
 	}
 }
 
@@ -286,7 +286,7 @@
 func TestLongBodiesAreRefused(t *testing.T) {
 	is := is.New(t)
 	p := newPlatform(t, standinplatform.Config{})
-	c := newClient(t, p.Handler(), platformhttp.Options{Timeout: 20 * time.Second})
+	c := newClient(t, p.Handler(), backinghttp.Options{Timeout: 20 * time.Second})
 	err := c.Objects().Put(t.Context(), "o", []byte(strings.Repeat("x", 65<<20)))
 	is.True(err != nil)
 	is.Equal(p.Counts()[standinplatform.Objects].Writes, 0)
--- a/platform/platformhttp/fuzz_test.go
+++ b/backing/backinghttp/fuzz_test.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"errors"
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 // Guards against answers of the platform that crash a decoder or pass it with
@@ -20,8 +20,8 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	q := platform.Query{Keys: []string{"one"}, Prefix: "k/"}
-	txn := platform.Txn{Writes: []platform.Write{{Key: "a"}, {Key: "b", Delete: true}}}
+	q := backing.Query{Keys: []string{"one"}, Prefix: "k/"}
+	txn := backing.Txn{Writes: []backing.Write{{Key: "a"}, {Key: "b", Delete: true}}}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if records, err := parseRecords(data, q); err == nil {
 			for _, r := range records {
@@ -36,7 +36,7 @@
 		if names, err := parseNames(data, "k/"); err == nil && !slices.IsSorted(names) {
 			t.Fatalf("names %q passed", names)
 		}
-		if listing, err := parseListing(data); err == nil && slices.ContainsFunc(listing.Instances, func(i platform.ListedInstance) bool { return i.ID == "" }) {
+		if listing, err := parseListing(data); err == nil && slices.ContainsFunc(listing.Instances, func(i backing.ListedInstance) bool { return i.ID == "" }) {
 			t.Fatal("instance without id passed")
 		}
 		if permit, err := parsePermit(data); err == nil && !(permit.Slowdown >= 1) {
@@ -54,7 +54,7 @@
 	f.Add(http.StatusInternalServerError, []byte(`{"error":null}`))
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
 		err := call{write: true}.refused(status, body)
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, backing.ErrUnknownOutcome) {
 			return
 		}
 		if !strings.Contains(strings.ToLower(string(body)), `error`) {
--- a/platform/platformhttp/handler.go
+++ b/backing/backinghttp/handler.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"errors"
@@ -7,15 +7,15 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Services are what a handler serves. A nil service is answered with 404.
 type Services struct {
-	Tables    platform.TableStore
-	Objects   platform.ObjectStore
-	Instances platform.InstanceList
+	Tables    backing.TableStore
+	Objects   backing.ObjectStore
+	Instances backing.InstanceList
 	Weights   WeightStore
 }
 
@@ -52,13 +52,13 @@
 func fail(w http.ResponseWriter, err error) {
 	e := jsonhttp.Error{Message: err.Error(), Executed: "no"}
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		e.Code = codeConflict
 		jsonhttp.Fail(w, http.StatusConflict, e)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		e.Code = codeNotFound
 		jsonhttp.Fail(w, http.StatusNotFound, e)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		e.Code = codeUnavailable
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, e)
 	default:
@@ -66,14 +66,14 @@
 	}
 }
 
-type tableHandler struct{ store platform.TableStore }
+type tableHandler struct{ store backing.TableStore }
 
 func (h tableHandler) read(w http.ResponseWriter, r *http.Request) {
 	var m queryMessage
 	if !jsonhttp.Decode(w, r, maxBody, &m) {
 		return
 	}
-	records, err := h.store.Read(r.Context(), platform.Query{Keys: m.Keys, Prefix: m.Prefix})
+	records, err := h.store.Read(r.Context(), backing.Query{Keys: m.Keys, Prefix: m.Prefix})
 	if err != nil {
 		fail(w, err)
 		return
@@ -101,7 +101,7 @@
 	jsonhttp.Answer(w, http.StatusOK, versionsMessage{Versions: versions})
 }
 
-type objectHandler struct{ store platform.ObjectStore }
+type objectHandler struct{ store backing.ObjectStore }
 
 func (h objectHandler) put(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -146,7 +146,7 @@
 	jsonhttp.Answer(w, http.StatusOK, namesMessage{Names: names})
 }
 
-type listHandler struct{ source platform.InstanceList }
+type listHandler struct{ source backing.InstanceList }
 
 func (h listHandler) list(w http.ResponseWriter, r *http.Request) {
 	listing, err := h.source.List(r.Context())
--- a/platform/platformhttp/stores.go
+++ b/backing/backinghttp/stores.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"bytes"
@@ -11,13 +11,13 @@
 	"slices"
 	"strings"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 type tableClient struct{ c *Client }
 
-// Read implements platform.TableStore.
-func (t tableClient) Read(ctx context.Context, q platform.Query) ([]platform.Record, error) {
+// Read implements backing.TableStore.
+func (t tableClient) Read(ctx context.Context, q backing.Query) ([]backing.Record, error) {
 	body, err := json.Marshal(queryMessage{Keys: q.Keys, Prefix: q.Prefix})
 	if err != nil {
 		return nil, err
@@ -34,8 +34,8 @@
 	return records, nil
 }
 
-// Commit implements platform.TableStore.
-func (t tableClient) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements backing.TableStore.
+func (t tableClient) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	body, err := json.Marshal(newTxnMessage(txn))
 	if err != nil {
 		return nil, err
@@ -56,22 +56,22 @@
 
 func nameQuery(name string) url.Values { return url.Values{"name": {name}} }
 
-// Put implements platform.ObjectStore.
+// Put implements backing.ObjectStore.
 func (o objectClient) Put(ctx context.Context, name string, data []byte) error {
 	return o.c.write(ctx, call{method: http.MethodPut, path: pathObject, query: nameQuery(name), body: data})
 }
 
-// Get implements platform.ObjectStore.
+// Get implements backing.ObjectStore.
 func (o objectClient) Get(ctx context.Context, name string) ([]byte, error) {
 	return o.c.do(ctx, call{method: http.MethodGet, path: pathObject, query: nameQuery(name)})
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements backing.ObjectStore.
 func (o objectClient) Delete(ctx context.Context, name string) error {
 	return o.c.write(ctx, call{method: http.MethodDelete, path: pathObject, query: nameQuery(name)})
 }
 
-// List implements platform.ObjectStore.
+// List implements backing.ObjectStore.
 func (o objectClient) List(ctx context.Context, prefix string) ([]string, error) {
 	r := call{method: http.MethodGet, path: pathNames, query: url.Values{"prefix": {prefix}}}
 	answer, err := o.c.do(ctx, r)
@@ -87,16 +87,16 @@
 
 type listClient struct{ c *Client }
 
-// List implements platform.InstanceList.
-func (l listClient) List(ctx context.Context) (platform.Listing, error) {
+// List implements backing.InstanceList.
+func (l listClient) List(ctx context.Context) (backing.Listing, error) {
 	r := call{method: http.MethodGet, path: pathListing}
 	answer, err := l.c.do(ctx, r)
 	if err != nil {
-		return platform.Listing{}, err
+		return backing.Listing{}, err
 	}
 	listing, err := parseListing(answer)
 	if err != nil {
-		return platform.Listing{}, r.lost(err)
+		return backing.Listing{}, r.lost(err)
 	}
 	return listing, nil
 }
@@ -110,7 +110,7 @@
 	return json.Unmarshal(data, v)
 }
 
-func parseRecords(data []byte, q platform.Query) ([]platform.Record, error) {
+func parseRecords(data []byte, q backing.Query) ([]backing.Record, error) {
 	var m recordsMessage
 	if err := decodeAnswer(data, &m); err != nil {
 		return nil, err
@@ -123,7 +123,7 @@
 
 // parseVersions checks that the answer fits the transaction: a version for
 // each write, and 0 exactly for deletions.
-func parseVersions(data []byte, t platform.Txn) ([]uint64, error) {
+func parseVersions(data []byte, t backing.Txn) ([]uint64, error) {
 	var m versionsMessage
 	if err := decodeAnswer(data, &m); err != nil {
 		return nil, err
@@ -160,13 +160,13 @@
 
 // parseListing requires both lists, since an empty answer taken for an empty
 // fleet would take every endpoint out of service.
-func parseListing(data []byte) (platform.Listing, error) {
+func parseListing(data []byte) (backing.Listing, error) {
 	var m listingMessage
 	if err := decodeAnswer(data, &m); err != nil {
-		return platform.Listing{}, err
+		return backing.Listing{}, err
 	}
 	if m.Instances == nil || m.Endpoints == nil {
-		return platform.Listing{}, errors.New(`answer has no "instances" or no "endpoints"`)
+		return backing.Listing{}, errors.New(`answer has no "instances" or no "endpoints"`)
 	}
 	return m.listing()
 }
--- a/platform/platformhttp/weights.go
+++ b/backing/backinghttp/weights.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"context"
--- a/platform/platformhttp/wire.go
+++ b/backing/backinghttp/wire.go
@@ -1,18 +1,18 @@
-// Package platformhttp carries the platform's interfaces over HTTP with JSON
+// Package backinghttp carries the platform's interfaces over HTTP with JSON
 // bodies: Client is the client side, NewHandler the server side.
 //
 // Every failed answer has a JSON body with an error code. A write whose answer
 // is lost, late or not understood has an unknown outcome; only an explicit
 // answer, or a connection that could not be made, proves that nothing happened.
-package platformhttp
+package backinghttp
 
 import (
 	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Paths of the protocol.
@@ -75,7 +75,7 @@
 	Names []string `json:"names"`
 }
 
-// InstanceMessage is the JSON form of a platform.ListedInstance.
+// InstanceMessage is the JSON form of a backing.ListedInstance.
 type InstanceMessage struct {
 	ID          string `json:"id"`
 	DataCentre  string `json:"data_centre"`
@@ -102,18 +102,18 @@
 }
 
 // Instance converts m to its domain value.
-func (m InstanceMessage) Instance() (platform.ListedInstance, error) {
+func (m InstanceMessage) Instance() (backing.ListedInstance, error) {
 	if m.ID == "" {
-		return platform.ListedInstance{}, fmt.Errorf("listed instance without id")
+		return backing.ListedInstance{}, fmt.Errorf("listed instance without id")
 	}
-	return platform.ListedInstance{
+	return backing.ListedInstance{
 		ID: fleet.InstanceID(m.ID), DataCentre: fleet.DataCentre(m.DataCentre),
 		PeerAddress: m.PeerAddress, Leaving: m.Leaving,
 	}, nil
 }
 
 // NewInstanceMessage converts a domain value to its JSON form.
-func NewInstanceMessage(i platform.ListedInstance) InstanceMessage {
+func NewInstanceMessage(i backing.ListedInstance) InstanceMessage {
 	return InstanceMessage{ID: string(i.ID), DataCentre: string(i.DataCentre), PeerAddress: i.PeerAddress, Leaving: i.Leaving}
 }
 
@@ -154,8 +154,8 @@
 
 // records converts an answer to a query. Records that the query did not
 // select, or that are out of order, mean that the answer is not to be trusted.
-func (m recordsMessage) records(q platform.Query) ([]platform.Record, error) {
-	out := make([]platform.Record, len(m.Records))
+func (m recordsMessage) records(q backing.Query) ([]backing.Record, error) {
+	out := make([]backing.Record, len(m.Records))
 	for i, r := range m.Records {
 		switch {
 		case r.Version == 0:
@@ -165,42 +165,42 @@
 		case !slices.Contains(q.Keys, r.Key) && (q.Prefix == "" || !strings.HasPrefix(r.Key, q.Prefix)):
 			return nil, fmt.Errorf("record %q was not asked for", r.Key)
 		}
-		out[i] = platform.Record{Key: r.Key, Value: r.Value, Version: r.Version}
+		out[i] = backing.Record{Key: r.Key, Value: r.Value, Version: r.Version}
 	}
 	return out, nil
 }
 
-func (m listingMessage) listing() (platform.Listing, error) {
-	l := platform.Listing{
-		Instances: make([]platform.ListedInstance, len(m.Instances)),
+func (m listingMessage) listing() (backing.Listing, error) {
+	l := backing.Listing{
+		Instances: make([]backing.ListedInstance, len(m.Instances)),
 		Endpoints: make([]fleet.Endpoint, len(m.Endpoints)),
 	}
 	var err error
 	for i, in := range m.Instances {
 		if l.Instances[i], err = in.Instance(); err != nil {
-			return platform.Listing{}, err
+			return backing.Listing{}, err
 		}
 	}
 	for i, e := range m.Endpoints {
 		if l.Endpoints[i], err = e.Endpoint(); err != nil {
-			return platform.Listing{}, err
+			return backing.Listing{}, err
 		}
 	}
 	return l, nil
 }
 
-func (m txnMessage) txn() platform.Txn {
-	var t platform.Txn
+func (m txnMessage) txn() backing.Txn {
+	var t backing.Txn
 	for _, c := range m.Conditions {
-		t.Conditions = append(t.Conditions, platform.Condition(c))
+		t.Conditions = append(t.Conditions, backing.Condition(c))
 	}
 	for _, w := range m.Writes {
-		t.Writes = append(t.Writes, platform.Write(w))
+		t.Writes = append(t.Writes, backing.Write(w))
 	}
 	return t
 }
 
-func newTxnMessage(t platform.Txn) txnMessage {
+func newTxnMessage(t backing.Txn) txnMessage {
 	var m txnMessage
 	for _, c := range t.Conditions {
 		m.Conditions = append(m.Conditions, conditionMessage(c))
--- a/platform/guard/guard.go
+++ b/backing/guard/guard.go
@@ -12,7 +12,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 // Config bounds the calls to one platform service.
@@ -64,7 +64,7 @@
 func (g *guard) do(ctx context.Context, call func(context.Context) error) error {
 	if !g.enter(time.Now()) {
 		g.vars.Add("rejected_by_breaker", 1)
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.config.Timeout)
 	defer cancel()
@@ -72,7 +72,7 @@
 	case g.places <- struct{}{}:
 	case <-ctx.Done():
 		g.leave(time.Now(), ctx.Err())
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	err := call(ctx)
 	<-g.places
@@ -116,7 +116,7 @@
 
 func countsAsFailure(err error) bool {
 	switch {
-	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound), errors.Is(err, context.Canceled):
+	case err == nil, errors.Is(err, backing.ErrConflict), errors.Is(err, backing.ErrNotFound), errors.Is(err, context.Canceled):
 		return false
 	default:
 		return true
--- a/platform/guard/guard_test.go
+++ b/backing/guard/guard_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 type fakeStore struct {
@@ -20,7 +20,7 @@
 	block chan struct{}
 }
 
-func (f *fakeStore) Read(ctx context.Context, _ platform.Query) ([]platform.Record, error) {
+func (f *fakeStore) Read(ctx context.Context, _ backing.Query) ([]backing.Record, error) {
 	f.calls.Add(1)
 	if f.block != nil {
 		select {
@@ -32,25 +32,25 @@
 	return nil, f.err
 }
 
-func (f *fakeStore) Commit(context.Context, platform.Txn) ([]uint64, error) { return nil, f.err }
+func (f *fakeStore) Commit(context.Context, backing.Txn) ([]uint64, error) { return nil, f.err }
 
 // Guards against a store outage that is met with a call per request, and
 // against a circuit that stays open after the store is back.
 func TestBreakerOpensAndCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &fakeStore{err: platform.ErrUnavailable}
+		f := &fakeStore{err: backing.ErrUnavailable}
 		s := TableStore(f, DefaultConfig(), new(expvar.Map))
 		for range 1000 {
-			_, err := s.Read(t.Context(), platform.Query{})
-			is.True(errors.Is(err, platform.ErrUnavailable))
+			_, err := s.Read(t.Context(), backing.Query{})
+			is.True(errors.Is(err, backing.ErrUnavailable))
 		}
 		is.Equal(f.calls.Load(), int64(DefaultConfig().FailuresToOpen))
 		f.err = nil
 		time.Sleep(2 * DefaultConfig().MaxPause)
-		_, err := s.Read(t.Context(), platform.Query{})
+		_, err := s.Read(t.Context(), backing.Query{})
 		is.NoErr(err)
-		_, err = s.Read(t.Context(), platform.Query{})
+		_, err = s.Read(t.Context(), backing.Query{})
 		is.NoErr(err)
 	})
 }
@@ -58,10 +58,10 @@
 // Guards against a refused condition that is counted as an outage.
 func TestConflictDoesNotOpenTheBreaker(t *testing.T) {
 	is := is.New(t)
-	f := &fakeStore{err: platform.ErrConflict}
+	f := &fakeStore{err: backing.ErrConflict}
 	s := TableStore(f, DefaultConfig(), new(expvar.Map))
 	for range 100 {
-		_, _ = s.Read(t.Context(), platform.Query{})
+		_, _ = s.Read(t.Context(), backing.Query{})
 	}
 	is.Equal(f.calls.Load(), int64(100))
 }
@@ -75,7 +75,7 @@
 		c.Concurrent = 3
 		s := TableStore(f, c, new(expvar.Map))
 		for range 10 {
-			go func() { _, _ = s.Read(t.Context(), platform.Query{}) }()
+			go func() { _, _ = s.Read(t.Context(), backing.Query{}) }()
 		}
 		synctest.Wait()
 		is.Equal(f.calls.Load(), int64(3))
--- a/platform/guard/services.go
+++ b/backing/guard/services.go
@@ -4,20 +4,20 @@
 	"context"
 	"expvar"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 // TableStore returns s with the bounds of c. Counters go to vars.
-func TableStore(s platform.TableStore, c Config, vars *expvar.Map) platform.TableStore {
+func TableStore(s backing.TableStore, c Config, vars *expvar.Map) backing.TableStore {
 	return &tableStore{next: s, guard: newGuard(c, vars)}
 }
 
 type tableStore struct {
-	next  platform.TableStore
+	next  backing.TableStore
 	guard *guard
 }
 
-func (t *tableStore) Read(ctx context.Context, q platform.Query) (records []platform.Record, err error) {
+func (t *tableStore) Read(ctx context.Context, q backing.Query) (records []backing.Record, err error) {
 	err = t.guard.do(ctx, func(ctx context.Context) error {
 		records, err = t.next.Read(ctx, q)
 		return err
@@ -25,7 +25,7 @@
 	return records, err
 }
 
-func (t *tableStore) Commit(ctx context.Context, txn platform.Txn) (versions []uint64, err error) {
+func (t *tableStore) Commit(ctx context.Context, txn backing.Txn) (versions []uint64, err error) {
 	err = t.guard.do(ctx, func(ctx context.Context) error {
 		versions, err = t.next.Commit(ctx, txn)
 		return err
@@ -34,12 +34,12 @@
 }
 
 // ObjectStore returns s with the bounds of c. Counters go to vars.
-func ObjectStore(s platform.ObjectStore, c Config, vars *expvar.Map) platform.ObjectStore {
+func ObjectStore(s backing.ObjectStore, c Config, vars *expvar.Map) backing.ObjectStore {
 	return &objectStore{next: s, guard: newGuard(c, vars)}
 }
 
 type objectStore struct {
-	next  platform.ObjectStore
+	next  backing.ObjectStore
 	guard *guard
 }
 
--- a/burnstore/burnstore.go
+++ b/burnstore/burnstore.go
@@ -11,13 +11,13 @@
 	"fmt"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/burn"
 	"github.com/hyssophaven/hyssophaven/burn/burncodec"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/gateway"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/worker"
 )
 
@@ -40,7 +40,7 @@
 // Config sets up the service.
 type Config struct {
 	Self          fleet.Instance
-	Objects       platform.ObjectStore
+	Objects       backing.ObjectStore
 	WriteInterval time.Duration // least time between writes; 0 means 30 s
 	Objective     float64       // share of requests that should be good; 0 means 99%
 	Vars          *expvar.Map
--- a/burnstore/burnstore_test.go
+++ b/burnstore/burnstore_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/burn/burncodec"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/gateway"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/openai"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 )
 
@@ -45,7 +45,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	call()
 	return nil
@@ -64,7 +64,7 @@
 func (f *fakeObjects) Get(_ context.Context, name string) (data []byte, err error) {
 	err = f.do(func() { data = f.objects[name] })
 	if err == nil && data == nil {
-		err = platform.ErrNotFound
+		err = backing.ErrNotFound
 	}
 	return data, err
 }
@@ -92,7 +92,7 @@
 	stop   func() error
 }
 
-func start(t *testing.T, objects platform.ObjectStore, id fleet.InstanceID, incarnation fleet.Incarnation, alive ...fleet.InstanceID) started {
+func start(t *testing.T, objects backing.ObjectStore, id fleet.InstanceID, incarnation fleet.Incarnation, alive ...fleet.InstanceID) started {
 	t.Helper()
 	is := is.New(t)
 	snapshot := &control.Snapshot{AliveIncarnations: make(map[fleet.InstanceID]fleet.Incarnation)}
--- a/burnstore/report.go
+++ b/burnstore/report.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/burn"
 	"github.com/hyssophaven/hyssophaven/burn/burncodec"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/rendezvous"
 )
 
@@ -135,7 +135,7 @@
 			go func() {
 				defer func() { <-places }()
 				d, err := s.readDocument(ctx, name)
-				if !errors.Is(err, platform.ErrNotFound) {
+				if !errors.Is(err, backing.ErrNotFound) {
 					results <- read{name: name, document: d, err: err}
 				}
 			}()
@@ -150,7 +150,7 @@
 func (s *Service) readDocument(ctx context.Context, name string) (burn.Document, error) {
 	data, err := s.config.Objects.Get(ctx, name)
 	if err != nil {
-		if !errors.Is(err, platform.ErrNotFound) {
+		if !errors.Is(err, backing.ErrNotFound) {
 			s.config.Vars.Add("read_failures", 1)
 		}
 		return burn.Document{}, err
--- a/capacity/list.go
+++ b/capacity/list.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 )
 
@@ -23,7 +23,7 @@
 		s := newSynthetic(max(1, n*fullNodes/fullReplicas), n, fullModels)
 		bytes := 0
 		for _, e := range s.listing().Endpoints {
-			data, err := json.Marshal(platformhttp.NewEndpointMessage(e))
+			data, err := json.Marshal(backinghttp.NewEndpointMessage(e))
 			if err != nil {
 				return nil, err
 			}
--- a/capacity/messages.go
+++ b/capacity/messages.go
@@ -5,12 +5,12 @@
 	"errors"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
-func listed(i fleet.Instance) platform.ListedInstance {
-	return platform.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress}
+func listed(i fleet.Instance) backing.ListedInstance {
+	return backing.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress}
 }
 
 // Sizes of one data centre at full size.
--- a/capacity/synthetic.go
+++ b/capacity/synthetic.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/ledger"
 	"github.com/hyssophaven/hyssophaven/membership"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/routing"
 	"github.com/hyssophaven/hyssophaven/table"
 )
@@ -86,10 +86,10 @@
 	return out
 }
 
-func (s *synthetic) listing() platform.Listing {
-	l := platform.Listing{Endpoints: s.endpoints()}
+func (s *synthetic) listing() backing.Listing {
+	l := backing.Listing{Endpoints: s.endpoints()}
 	for _, i := range s.instances() {
-		l.Instances = append(l.Instances, platform.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress})
+		l.Instances = append(l.Instances, backing.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress})
 	}
 	return l
 }
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/standin"
 	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
 	standinplatform "github.com/hyssophaven/hyssophaven/standin/platform"
@@ -114,7 +114,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			config := standinEngineConfig(c)
 			if address := c.String("weights"); address != "" {
-				client := platformhttp.NewClient(address, platformhttp.Options{BearerToken: c.String("weights-token")})
+				client := backinghttp.NewClient(address, backinghttp.Options{BearerToken: c.String("weights-token")})
 				defer client.Close()
 				config.Weights = client.Weights()
 			}
--- a/control/core.go
+++ b/control/core.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/lease"
 	"github.com/hyssophaven/hyssophaven/ledger"
 	"github.com/hyssophaven/hyssophaven/membership"
 	"github.com/hyssophaven/hyssophaven/placement"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 	"github.com/hyssophaven/hyssophaven/retry"
 	"github.com/hyssophaven/hyssophaven/table"
@@ -40,7 +40,7 @@
 	replies map[uint64]chan<- answer
 
 	table    table.Replica
-	listing  platform.Listing
+	listing  backing.Listing
 	listed   bool // a listing was read
 	stopping bool
 	replaced bool // a newer incarnation of this instance runs
@@ -78,7 +78,7 @@
 		leases:    lease.New(c.Lease),
 		queue:     admission.NewQueue(c.Admission),
 		suspects:  quarantine.New(c.Quarantine),
-		retries:   retry.New(now),
+		retries:   retry.New(now, retry.DefaultLimits()),
 		ownership: newOwnership(),
 		plans:     newPlans(),
 		requests:  newRequests(),
@@ -176,7 +176,7 @@
 	c.publish(now)
 }
 
-func (c *core) listingRead(now time.Time, l platform.Listing) {
+func (c *core) listingRead(now time.Time, l backing.Listing) {
 	same := c.listed && slices.Equal(c.listing.Endpoints, l.Endpoints)
 	if same {
 		l.Endpoints = c.listing.Endpoints // what was derived from them stays valid
--- a/control/core_test.go
+++ b/control/core_test.go
@@ -7,10 +7,10 @@
 	"github.com/matryer/is"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/ledger"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 	"github.com/hyssophaven/hyssophaven/table"
 )
@@ -29,8 +29,8 @@
 		Self:   fleet.Instance{ID: "i1", Incarnation: 1, DataCentre: "kul-a", PeerAddress: "10.0.0.1:1"},
 		Shards: 4,
 	}, r.now)
-	r.step(ListingRead{Listing: platform.Listing{
-		Instances: []platform.ListedInstance{{ID: "i1", DataCentre: "kul-a"}},
+	r.step(ListingRead{Listing: backing.Listing{
+		Instances: []backing.ListedInstance{{ID: "i1", DataCentre: "kul-a"}},
 		Endpoints: []fleet.Endpoint{r.engine("e1"), r.engine("e2")},
 	}})
 	rows := []table.Row{{Name: "m", Kind: table.KindModel, Rank: fleet.Patient, Weight: 1, Pool: "p", MemoryMB: 10, Version: "1"}}
@@ -116,7 +116,7 @@
 	is := is.New(t)
 	r := newRig(t)
 	endpoints := []fleet.Endpoint{r.engine("e1"), r.engine("e2"), r.engine("e3")}
-	r.step(ListingRead{Listing: platform.Listing{Instances: r.core.listing.Instances, Endpoints: endpoints}})
+	r.step(ListingRead{Listing: backing.Listing{Instances: r.core.listing.Instances, Endpoints: endpoints}})
 	r.report("e3", "boot-1")
 	r.advance(time.Second)
 	for n, e := range endpoints[:2] { // nothing runs on the third
@@ -162,8 +162,8 @@
 func TestIsolatedInstanceRefuses(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
-	r.step(ListingRead{Listing: platform.Listing{
-		Instances: []platform.ListedInstance{{ID: "i1"}, {ID: "i2", PeerAddress: "10.0.0.2:1"}},
+	r.step(ListingRead{Listing: backing.Listing{
+		Instances: []backing.ListedInstance{{ID: "i1"}, {ID: "i2", PeerAddress: "10.0.0.2:1"}},
 		Endpoints: r.core.listing.Endpoints,
 	}})
 	r.advance(20 * time.Second)
--- a/control/event.go
+++ b/control/event.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/lease"
 	"github.com/hyssophaven/hyssophaven/ledger"
 	"github.com/hyssophaven/hyssophaven/membership"
 	"github.com/hyssophaven/hyssophaven/placement"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 	"github.com/hyssophaven/hyssophaven/table"
 )
@@ -22,7 +22,7 @@
 type Tick struct{}
 
 // ListingRead carries the platform's list.
-type ListingRead struct{ Listing platform.Listing }
+type ListingRead struct{ Listing backing.Listing }
 
 // HeadRead tells that the store's newest table revision was Revision at some
 // time after Sent.
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/engine/enginehttp"
@@ -14,7 +15,6 @@
 	"github.com/hyssophaven/hyssophaven/gateway"
 	"github.com/hyssophaven/hyssophaven/membership"
 	"github.com/hyssophaven/hyssophaven/placement"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/routing"
 	"github.com/hyssophaven/hyssophaven/settings"
 )
@@ -41,7 +41,7 @@
 	return c
 }
 
-func gatewayConfig(s settings.Settings, i *Instance, e *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t *tls.Config, r gateway.Recorder) gateway.Config {
+func gatewayConfig(s settings.Settings, i *Instance, e *engines.Service, tables backing.TableStore, objects backing.ObjectStore, t *tls.Config, r gateway.Recorder) gateway.Config {
 	return gateway.Config{
 		Listener: i.listeners.callers, TLS: t,
 		Engine: e.Client, Table: tables, Objects: objects, Recorder: r, Log: i.log,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,9 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
+	"github.com/hyssophaven/hyssophaven/backing/guard"
 	"github.com/hyssophaven/hyssophaven/burnstore"
 	"github.com/hyssophaven/hyssophaven/certs"
 	"github.com/hyssophaven/hyssophaven/control"
@@ -24,9 +27,6 @@
 	"github.com/hyssophaven/hyssophaven/listing"
 	"github.com/hyssophaven/hyssophaven/operator"
 	"github.com/hyssophaven/hyssophaven/peer"
-	"github.com/hyssophaven/hyssophaven/platform"
-	"github.com/hyssophaven/hyssophaven/platform/guard"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 	"github.com/hyssophaven/hyssophaven/records"
 	"github.com/hyssophaven/hyssophaven/settings"
 	"github.com/hyssophaven/hyssophaven/tablesync"
@@ -43,7 +43,7 @@
 	control   *control.Service
 	gateway   *gateway.Gateway
 	peers     *peer.Service
-	client    *platformhttp.Client
+	client    *backinghttp.Client
 	listeners listeners
 	log       *log.Logger
 	vars      *expvar.Map
@@ -114,7 +114,7 @@
 
 // assemble creates the services and registers them.
 func (i *Instance) assemble(s settings.Settings) error {
-	i.client = platformhttp.NewClient(s.Platform.Address, platformhttp.Options{
+	i.client = backinghttp.NewClient(s.Platform.Address, backinghttp.Options{
 		BearerToken: s.Platform.Token, Timeout: time.Duration(s.Platform.Timeout),
 	})
 	bounds := guard.DefaultConfig()
@@ -156,7 +156,7 @@
 	return m
 }
 
-func (i *Instance) register(s settings.Settings, engineService *engines.Service, tables platform.TableStore, objects platform.ObjectStore, t tlsConfigs) {
+func (i *Instance) register(s settings.Settings, engineService *engines.Service, tables backing.TableStore, objects backing.ObjectStore, t tlsConfigs) {
 	k := i.kernel
 	k.Register(i.control)
 	k.Register(engineService)
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -12,9 +12,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/daemon"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/settings"
 	"github.com/hyssophaven/hyssophaven/standin"
 	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
@@ -183,7 +183,7 @@
 		return nil, err
 	}
 	self := i.Self()
-	r.Platform.PutInstance(platform.ListedInstance{ID: self.ID, DataCentre: self.DataCentre, PeerAddress: self.PeerAddress})
+	r.Platform.PutInstance(backing.ListedInstance{ID: self.ID, DataCentre: self.DataCentre, PeerAddress: self.PeerAddress})
 	if err := i.Start(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,198 @@
+// Package dispatch decides which replica runs a request, whether it may be sent
+// again, and when it is refused. It is a state machine without I/O that never
+// reads a clock; the control goroutine owns the state.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/retry"
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID      string
+	Route   *catalog.Route
+	Service string
+	// Model and Adapter are empty for plain services.
+	Model, Adapter string
+	PromptTokens   int
+	OutputTokens   int
+	Parts          []Part
+	// Fingerprint is equal for requests with the same content.
+	Fingerprint uint64
+	Arrived     time.Time
+	// Deadline is when the caller or the route stops waiting.
+	Deadline time.Time
+}
+
+// Part is one part of a prompt. Key covers all parts before it, the model and
+// the adapter.
+type Part struct {
+	Key    uint64
+	Tokens int
+}
+
+// Verdict is what to do with a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Send Verdict = iota
+	Refuse
+)
+
+// Cause names the reason of a decision in logs and metrics.
+type Cause string
+
+// The causes of refusals.
+const (
+	CauseNone         Cause = ""
+	CauseNoReplica    Cause = "no-replica"     // none is known, or all are leaving
+	CauseNotLoaded    Cause = "model-loading"  // no replica holds the model
+	CauseAside        Cause = "replicas-aside" // all replicas failed recently
+	CauseBudget       Cause = "retry-budget"
+	CauseAttempts     Cause = "attempts-used"
+	CauseCrashes      Cause = "crashes-replicas"
+	CauseOverload     Cause = "overload"
+	CauseNoTime       Cause = "no-time-left"
+	CauseUnknownModel Cause = "unknown-model"
+)
+
+// Decision is the outcome of Choose.
+type Decision struct {
+	Verdict Verdict
+	Cause   Cause
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	Replica    *catalog.Replica
+	// NeedsAdapter says that the adapter is not known to be on the replica.
+	NeedsAdapter bool
+	// Expected is the estimated time to the first byte of the answer.
+	Expected time.Duration
+	// CachedTokens are the tokens of the prompt that the replica has read before.
+	CachedTokens int
+	// LoadAge is the age of the load report that the estimate used.
+	LoadAge time.Duration
+	Running int // requests thought to run or wait on the replica
+}
+
+// Options are the fixed inputs of a state.
+type Options struct {
+	Zone string
+	// Retries bounds repeated sends, for this instance and each service.
+	Retries retry.Limits
+	Seed    uint64
+}
+
+// State is what one instance knows of replicas and of its own requests. It is
+// not safe for concurrent use.
+type State struct {
+	options  Options
+	config   *catalog.Config
+	replicas map[string]*replica
+	services map[string]*service
+	crashes  crashes
+	random   *rand.Rand
+}
+
+// service is what is known of all replicas of one service.
+type service struct {
+	replicas []*replica
+	retries  *retry.Budget
+	// typical is the moving average of the time to the first byte.
+	typical time.Duration
+	// shared is the moving average of prompt tokens, for replicas whose waiting
+	// requests belong to other instances.
+	promptTokens float64
+	outputTokens float64
+}
+
+// New returns a state without replicas.
+func New(options Options) *State {
+	return &State{
+		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
+		crashes: make(crashes), random: rand.New(rand.NewPCG(options.Seed, 0)),
+	}
+}
+
+// SetConfig takes over a newer config.
+func (s *State) SetConfig(c *catalog.Config) { s.config = c }
+
+// SetReplica takes over what a replica says of itself; nil means that it is gone.
+func (s *State) SetReplica(id string, info *catalog.Replica) {
+	old, known := s.replicas[id]
+	if info == nil {
+		if known {
+			s.detach(old)
+			delete(s.replicas, id)
+		}
+		return
+	}
+	if known && (old.info.Born != info.Born || old.info.Address != info.Address || old.info.Service != info.Service) {
+		s.detach(old)
+		known = false
+	}
+	if !known {
+		r := newReplica(info)
+		s.replicas[id] = r
+		svc := s.service(info.Service)
+		svc.replicas = append(svc.replicas, r)
+		return
+	}
+	old.update(info)
+}
+
+func (s *State) detach(r *replica) {
+	svc := s.service(r.info.Service)
+	for i, other := range svc.replicas {
+		if other == r {
+			svc.replicas = append(svc.replicas[:i:i], svc.replicas[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *State) service(name string) *service {
+	svc, ok := s.services[name]
+	if !ok {
+		svc = &service{}
+		s.services[name] = svc
+	}
+	return svc
+}
+
+func (s *State) budget(svc *service, now time.Time) *retry.Budget {
+	if svc.retries == nil {
+		svc.retries = retry.New(now, s.options.Retries)
+	}
+	return svc.retries
+}
+
+// SetAdapter records that an adapter is, or is no longer, on a replica.
+func (s *State) SetAdapter(replicaID, model, adapter string, present bool) {
+	if r, ok := s.replicas[replicaID]; ok {
+		r.setAdapter(model, adapter, present)
+	}
+}
+
+// SetPeerLoad records what all other instances have in flight on a replica.
+func (s *State) SetPeerLoad(now time.Time, replicaID string, load Load) {
+	if r, ok := s.replicas[replicaID]; ok {
+		r.peers, r.peersAt = load, now
+	}
+}
+
+// OwnLoad returns what this instance has in flight on each replica, for the
+// other instances. Idle replicas are left out.
+func (s *State) OwnLoad() map[string]Load {
+	out := make(map[string]Load)
+	for id, r := range s.replicas {
+		if r.own.Requests > 0 {
+			out[id] = r.own
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/dispatch/outcome.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Outcome is how one send of a request ended, as far as it concerns the replica.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered means a complete answer that is not the replica's own failure.
+	Answered Outcome = iota
+	// Failed is a complete answer with the replica's own failure.
+	Failed
+	// NotExecuted means that the replica said that it did not run the request.
+	NotExecuted
+	// Misdirected means that the replica is another one or lacks the model.
+	Misdirected
+	// Unreachable means that no byte of the request was sent.
+	Unreachable
+	// Silent means that no answer came in time.
+	Silent
+	// Broken means that the connection ended, or bytes came that are no answer,
+	// after the request had been sent.
+	Broken
+	// Canceled means that the caller left; it says nothing of the replica.
+	Canceled
+)
+
+var outcomeNames = [...]string{"answered", "failed", "not-executed", "misdirected", "unreachable", "silent", "broken", "canceled"}
+
+// String returns the outcome's name for logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// MayHaveRun reports whether the replica may have run the request.
+func (o Outcome) MayHaveRun() bool {
+	return o != NotExecuted && o != Misdirected && o != Unreachable
+}
+
+const (
+	// slowWeight is the weight of the newest answer in a replica's slowness.
+	slowWeight = 0.15
+	// slowness stays within these bounds, so that a replica is tried again.
+	minSlowness, maxSlowness = 0.25, 12.0
+	// typicalWeight is the weight of the newest request in a service's averages.
+	typicalWeight = 0.05
+)
+
+// Arrived counts a request for a service in its retry budget.
+func (s *State) Arrived(now time.Time, req *Request) {
+	svc := s.service(req.Service)
+	s.budget(svc, now).Request(now)
+	if req.PromptTokens > 0 {
+		svc.promptTokens = average(svc.promptTokens, float64(req.PromptTokens))
+		svc.outputTokens = average(svc.outputTokens, float64(req.OutputTokens))
+	}
+}
+
+func average(old, value float64) float64 {
+	if old == 0 {
+		return value
+	}
+	return old + typicalWeight*(value-old)
+}
+
+// Sent records that a request is on its way to a replica. It returns the
+// number of prompt tokens that the replica is thought to read for it.
+func (s *State) Sent(now time.Time, req *Request, replicaID string) (unread int) {
+	r, ok := s.replicas[replicaID]
+	if !ok {
+		return 0
+	}
+	if r.asideFor > 0 {
+		r.trial = true
+	}
+	r.own.Requests++
+	r.sentSince++
+	unread = max(0, req.PromptTokens-r.prefixes.cached(req.Parts))
+	r.own.UnreadTokens += unread
+	r.prefixes.add(now, req.Parts)
+	return unread
+}
+
+// FirstByte records the beginning of an answer. unread is the number of prompt
+// tokens that Sent had counted; expected is the estimate at that time.
+func (s *State) FirstByte(now time.Time, req *Request, replicaID string, unread int, expected, took time.Duration) {
+	r, ok := s.replicas[replicaID]
+	if !ok {
+		return
+	}
+	r.own.UnreadTokens = max(0, r.own.UnreadTokens-unread)
+	svc := s.service(req.Service)
+	if svc.typical == 0 {
+		svc.typical = took
+	}
+	svc.typical += time.Duration(typicalWeight * float64(took-svc.typical))
+	if expected <= 0 {
+		return
+	}
+	base := float64(expected) / r.slowness
+	ratio := min(max(float64(took)/base, minSlowness), maxSlowness)
+	r.slowness = math.Exp((1-slowWeight)*math.Log(r.slowness) + slowWeight*math.Log(ratio))
+}
+
+// SetReport records the load that a replica stated in an answer.
+func (s *State) SetReport(now time.Time, replicaID string, report Report) {
+	if r, ok := s.replicas[replicaID]; ok {
+		r.report, r.reportAt, r.sentSince = report, now, 0
+	}
+}
+
+// Finished records the end of a send. It reports whether the replica is put
+// aside because of it.
+func (s *State) Finished(now time.Time, req *Request, replicaID string, outcome Outcome, unread int) bool {
+	if outcome == Answered {
+		delete(s.crashes, req.Fingerprint)
+	}
+	if outcome == Broken {
+		s.crashes.add(now, req.Fingerprint)
+	}
+	r, ok := s.replicas[replicaID]
+	if !ok {
+		return false
+	}
+	r.own.Requests = max(0, r.own.Requests-1)
+	r.own.UnreadTokens = max(0, r.own.UnreadTokens-unread)
+	switch outcome {
+	case Answered:
+		r.succeeded()
+	case Failed, Broken, Silent:
+		return r.failed(now, false)
+	case Unreachable:
+		return r.failed(now, true)
+	case NotExecuted, Misdirected, Canceled:
+		r.trial = false
+		if outcome == Misdirected && req.Adapter != "" {
+			r.setAdapter(req.Model, req.Adapter, false)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/replica.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/rendezvous"
+)
+
+// Load is work in flight on a replica.
+type Load struct {
+	Requests int // sent and not finished
+	// UnreadTokens are tokens of prompts whose first event has not come yet.
+	UnreadTokens int
+}
+
+// Report is a load report of a replica.
+type Report struct {
+	Running, Waiting, Slots int
+}
+
+const (
+	// reportLifetime is the age up to which a load report counts. Replicas
+	// answer about once a second at the rates of today, and the report of a
+	// replica that answers nothing says nothing.
+	reportLifetime = 1500 * time.Millisecond
+	// peerLifetime is the age up to which the load of other instances counts:
+	// several of their reports in a row.
+	peerLifetime = 2 * time.Second
+	// asideBase and asideMax bound the time for which a failing replica gets no
+	// work; it doubles with each failure after a trial. A crashed replica is
+	// back after some seconds.
+	asideBase = 400 * time.Millisecond
+	asideMax  = 4 * time.Second
+	// failuresToAside is the number of failures in a row, without a success
+	// between, after which a replica is put aside. One failure alone is common
+	// on replicas that lose a few answers in a hundred.
+	failuresToAside = 2
+	// failingShare is the moving share of failed requests above which a replica
+	// is put aside although some succeed.
+	failingShare = 0.3
+	// failureWeight is the weight of the newest request in that share.
+	failureWeight = 0.12
+)
+
+type replica struct {
+	info     *catalog.Replica
+	hash     uint64          // of the id
+	adapters map[string]bool // MODEL/ADAPTER
+	own      Load
+	peers    Load
+	peersAt  time.Time
+	report   Report
+	reportAt time.Time
+	// sentSince is the number of own requests sent since the report.
+	sentSince int
+	// slowness is the moving ratio of measured to estimated time to the first byte.
+	slowness float64
+	failures int
+	failing  float64
+	aside    time.Time // no work before this time
+	asideFor time.Duration
+	trial    bool // one request is out to try the replica again
+	prefixes prefixes
+}
+
+func newReplica(info *catalog.Replica) *replica {
+	r := &replica{hash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), slowness: 1, prefixes: newPrefixes()}
+	r.update(info)
+	return r
+}
+
+// update takes over a newer description. Adapters that the replica does not
+// list are kept, because a load does not change the description at once.
+func (r *replica) update(info *catalog.Replica) {
+	r.info = info
+	for key := range r.adapters {
+		model, _, _ := cutAdapter(key)
+		if !info.Holds(model) {
+			delete(r.adapters, key)
+		}
+	}
+	for _, m := range info.Models {
+		for _, a := range m.Adapters {
+			r.adapters[adapterKey(m.Name, a)] = true
+		}
+	}
+}
+
+func adapterKey(model, adapter string) string { return model + "/" + adapter }
+
+func cutAdapter(key string) (model, adapter string, ok bool) {
+	i := slices.Index([]byte(key), '/')
+	if i < 0 {
+		return key, "", false
+	}
+	return key[:i], key[i+1:], true
+}
+
+func (r *replica) setAdapter(model, adapter string, present bool) {
+	if present {
+		r.adapters[adapterKey(model, adapter)] = true
+	} else {
+		delete(r.adapters, adapterKey(model, adapter))
+	}
+}
+
+func (r *replica) hasAdapter(model, adapter string) bool {
+	return adapter == "" || r.adapters[adapterKey(model, adapter)]
+}
+
+// inFlight estimates the requests that run or wait on the replica.
+func (r *replica) inFlight(now time.Time) int {
+	n := r.own.Requests
+	if now.Sub(r.peersAt) < peerLifetime {
+		n += r.peers.Requests
+	}
+	if now.Sub(r.reportAt) < reportLifetime {
+		n = max(n, r.report.Running+r.report.Waiting+r.sentSince)
+	}
+	return n
+}
+
+// unread estimates the prompt tokens that the replica reads before a new one.
+func (r *replica) unread(now time.Time, promptTokens float64) int {
+	n := r.own.UnreadTokens
+	if now.Sub(r.peersAt) < peerLifetime {
+		n += r.peers.UnreadTokens
+	}
+	if now.Sub(r.reportAt) < reportLifetime {
+		n = max(n, int(float64(r.report.Waiting)*promptTokens))
+	}
+	return n
+}
+
+// usable reports whether the replica may get a request. A replica that was put
+// aside gets one request as a trial when its time is over.
+func (r *replica) usable(now time.Time) bool {
+	if r.info.Leaving {
+		return false
+	}
+	return r.asideFor == 0 || (!now.Before(r.aside) && !r.trial)
+}
+
+func (r *replica) succeeded() {
+	r.failures, r.asideFor, r.trial = 0, 0, false
+	r.failing *= 1 - failureWeight
+}
+
+// failed records a failure that is the replica's. It reports whether the
+// replica is put aside by it.
+func (r *replica) failed(now time.Time, unreachable bool) bool {
+	r.failures++
+	r.failing += failureWeight * (1 - r.failing)
+	wasTrial := r.trial
+	r.trial = false
+	if !unreachable && !wasTrial && r.failures < failuresToAside && r.failing < failingShare {
+		return false
+	}
+	if now.Before(r.aside) {
+		return false // requests sent before it was put aside fail one by one
+	}
+	r.asideFor = min(max(2*r.asideFor, asideBase), asideMax)
+	r.aside = now.Add(r.asideFor)
+	return true
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -14,11 +14,11 @@
 	"github.com/matryer/is"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 )
 
@@ -149,7 +149,7 @@
 // fakeStore is a table and an object store whose calls can be made to fail.
 type fakeStore struct {
 	mu      sync.Mutex
-	records map[string]platform.Record
+	records map[string]backing.Record
 	objects map[string][]byte
 	fail    func(op string) error // "read", "commit", "applied" (after the commit took effect), "put", "get"
 }
@@ -161,19 +161,19 @@
 	return s.fail(op)
 }
 
-func (s *fakeStore) Read(_ context.Context, q platform.Query) ([]platform.Record, error) {
+func (s *fakeStore) Read(_ context.Context, q backing.Query) ([]backing.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.failure("read"); err != nil {
 		return nil, err
 	}
 	if r, ok := s.records[q.Keys[0]]; ok {
-		return []platform.Record{r}, nil
+		return []backing.Record{r}, nil
 	}
 	return nil, nil
 }
 
-func (s *fakeStore) Commit(_ context.Context, t platform.Txn) ([]uint64, error) {
+func (s *fakeStore) Commit(_ context.Context, t backing.Txn) ([]uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.failure("commit"); err != nil {
@@ -181,9 +181,9 @@
 	}
 	key, version := t.Writes[0].Key, t.Conditions[0].Version
 	if s.records[key].Version != version {
-		return nil, platform.ErrConflict
+		return nil, backing.ErrConflict
 	}
-	s.records[key] = platform.Record{Key: key, Value: t.Writes[0].Value, Version: version + 1}
+	s.records[key] = backing.Record{Key: key, Value: t.Writes[0].Value, Version: version + 1}
 	return []uint64{version + 1}, s.failure("applied")
 }
 
@@ -203,7 +203,7 @@
 	if data, ok := s.objects[name]; ok {
 		return data, s.failure("get")
 	}
-	return nil, platform.ErrNotFound
+	return nil, backing.ErrNotFound
 }
 
 func (s *fakeStore) List(context.Context, string) ([]string, error) { return nil, nil }
@@ -247,7 +247,7 @@
 			return newWords(ctx, q, nil), nil
 		}}
 	}
-	r.store = &fakeStore{records: make(map[string]platform.Record), objects: make(map[string][]byte)}
+	r.store = &fakeStore{records: make(map[string]backing.Record), objects: make(map[string][]byte)}
 	cfg := Config{
 		Address: "127.0.0.1:0", Table: r.store, Objects: r.store,
 		Engine: func(e fleet.Endpoint) engine.Client { return r.engines[e.ID] },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,13 +22,13 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/finding"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/idempotency"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Name is the name of the gateway among the services of a process.
@@ -46,11 +46,11 @@
 	// Engine returns the client of a model engine. It is called for every
 	// request and should return the same client for the same endpoint.
 	Engine   func(fleet.Endpoint) engine.Client
-	Table    platform.TableStore  // claims of keyed calls
-	Objects  platform.ObjectStore // large answers of keyed calls
-	Services http.RoundTripper    // connections to plain services; nil for a default transport
-	Recorder Recorder             // nil if requests are not recorded
-	Log      *log.Logger          // nil for no log
+	Table    backing.TableStore  // claims of keyed calls
+	Objects  backing.ObjectStore // large answers of keyed calls
+	Services http.RoundTripper   // connections to plain services; nil for a default transport
+	Recorder Recorder            // nil if requests are not recorded
+	Log      *log.Logger         // nil for no log
 
 	// BalancerWait is how long the gateway goes on serving after readiness
 	// has failed, so that the balancer can take it out of rotation.
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/idempotency"
 	"github.com/hyssophaven/hyssophaven/idempotency/record"
 	"github.com/hyssophaven/hyssophaven/openai"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // keyedCall carries out the actions of one idempotency.Call. It runs in its
@@ -138,16 +138,16 @@
 	}
 	ctx, cancel := k.storeContext(limit)
 	defer cancel()
-	versions, err := k.g.cfg.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: k.key, Version: a.IfVersion}},
-		Writes:     []platform.Write{{Key: k.key, Value: value}},
+	versions, err := k.g.cfg.Table.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{{Key: k.key, Version: a.IfVersion}},
+		Writes:     []backing.Write{{Key: k.key, Value: value}},
 	})
 	switch {
 	case err == nil && len(versions) == 1:
 		return idempotency.Committed{Version: versions[0]}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return idempotency.Conflicted{}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		return idempotency.StoreDown{}
 	default:
 		return idempotency.StoreLost{}
@@ -157,11 +157,11 @@
 func (k *keyedCall) load() idempotency.Event {
 	ctx, cancel := k.storeContext(k.g.cfg.Limits.StoreTimeout)
 	defer cancel()
-	records, err := k.g.cfg.Table.Read(ctx, platform.Query{Keys: []string{k.key}})
+	records, err := k.g.cfg.Table.Read(ctx, backing.Query{Keys: []string{k.key}})
 	if err != nil {
 		return idempotency.LoadFailed{}
 	}
-	i := slices.IndexFunc(records, func(r platform.Record) bool { return r.Key == k.key })
+	i := slices.IndexFunc(records, func(r backing.Record) bool { return r.Key == k.key })
 	if i < 0 {
 		return idempotency.Loaded{}
 	}
@@ -266,7 +266,7 @@
 		ctx, cancel := k.storeContext(g.cfg.Limits.StoreTimeout)
 		defer cancel()
 		body, err := g.cfg.Objects.Get(ctx, a.Object)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, backing.ErrNotFound) {
 			g.fail(w, failf(openai.CodeStoreUnavailable, engine.ExecutedYes, "the request ran; its stored answer cannot be read now").after(retrySoon))
 			return nil
 		}
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/admission"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/idempotency"
 	"github.com/hyssophaven/hyssophaven/idempotency/record"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // desk is a booking service that counts what it runs.
@@ -172,7 +172,7 @@
 	d.body = strings.Repeat("x", 20<<10)
 	r.store.fail = func(op string) error {
 		if op == "put" {
-			return platform.ErrUnavailable
+			return backing.ErrUnavailable
 		}
 		return nil
 	}
@@ -191,28 +191,28 @@
 	executed string
 	runs     int64
 }{
-	{"down before the claim", func(_ map[string]int, op string) error { return platform.ErrUnavailable }, 503, "no", 0},
+	{"down before the claim", func(_ map[string]int, op string) error { return backing.ErrUnavailable }, 503, "no", 0},
 	{"claim applied, answer lost", func(n map[string]int, op string) error {
 		if op == "applied" && n[op] == 1 {
-			return platform.ErrUnknownOutcome
+			return backing.ErrUnknownOutcome
 		}
 		return nil
 	}, 201, "yes", 1},
 	{"claim not applied, answer lost", func(n map[string]int, op string) error {
 		if op == "commit" && n[op] == 1 {
-			return platform.ErrUnknownOutcome
+			return backing.ErrUnknownOutcome
 		}
 		return nil
 	}, 201, "yes", 1},
 	{"claim lost and unreadable", func(n map[string]int, op string) error {
 		if op == "applied" {
-			return platform.ErrUnknownOutcome
+			return backing.ErrUnknownOutcome
 		}
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}, 503, "no", 0},
 	{"down when the answer is stored", func(n map[string]int, op string) error {
 		if op == "commit" && n[op] > 1 {
-			return platform.ErrUnavailable
+			return backing.ErrUnavailable
 		}
 		return nil
 	}, 201, "yes", 1},
@@ -281,7 +281,7 @@
 		value, err := record.Encode(idempotency.Record{Status: c.status, Owner: c.owner, Body: idempotency.BodyHash("POST", "/bookings", []byte("slot 9"))})
 		r.is.NoErr(err)
 		r.store.mu.Lock()
-		r.store.records[key] = platform.Record{Key: key, Value: value, Version: 1}
+		r.store.records[key] = backing.Record{Key: key, Value: value, Version: 1}
 		r.store.mu.Unlock()
 		a := r.book("other")
 		r.is.Equal(a.status, http.StatusConflict)
@@ -327,10 +327,10 @@
 	commits atomic.Int64
 }
 
-func (s *stalledStore) Commit(ctx context.Context, t platform.Txn) ([]uint64, error) {
+func (s *stalledStore) Commit(ctx context.Context, t backing.Txn) ([]uint64, error) {
 	if s.commits.Add(1) == 2 {
 		<-ctx.Done()
-		return nil, platform.ErrUnknownOutcome
+		return nil, backing.ErrUnknownOutcome
 	}
 	return s.fakeStore.Commit(ctx, t)
 }
--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/operator"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 )
 
 const (
@@ -47,7 +47,7 @@
 type endpoint struct {
 	*process
 	link    *link
-	message platformhttp.EndpointMessage
+	message backinghttp.EndpointMessage
 	direct  string // address without the link
 	args    []string
 }
@@ -123,7 +123,7 @@
 	e.process = startProcess(d.t, d.dir, id, e.args...)
 	waitListening(d.t, e.process, e.direct)
 	e.link = newLink(d.t, id, e.direct)
-	e.message = platformhttp.EndpointMessage{ID: id, Kind: kind, Pool: "booking", DataCentre: dataCentre(number), Address: e.link.address(), Slots: 32}
+	e.message = backinghttp.EndpointMessage{ID: id, Kind: kind, Pool: "booking", DataCentre: dataCentre(number), Address: e.link.address(), Slots: 32}
 	if kind == "engine" {
 		e.message.Pool, e.message.MemoryMB, e.message.Slots, e.message.ChecksTokens = "models", d.o.memoryMB, 16, !d.o.ignoresTokens
 	}
@@ -133,7 +133,7 @@
 
 func dataCentre(number int) string { return fmt.Sprintf("dc-%d", number%3+1) }
 
-func (d *deployment) list(m platformhttp.EndpointMessage) {
+func (d *deployment) list(m backinghttp.EndpointMessage) {
 	d.t.Helper()
 	d.put("/list/endpoints/"+m.ID, m)
 }
@@ -221,7 +221,7 @@
 
 func (d *deployment) listInstance(i *instance) {
 	d.t.Helper()
-	d.put("/list/instances/"+i.id, platformhttp.InstanceMessage{ID: i.id, DataCentre: dataCentre(d.numbered), PeerAddress: i.peers.address()})
+	d.put("/list/instances/"+i.id, backinghttp.InstanceMessage{ID: i.id, DataCentre: dataCentre(d.numbered), PeerAddress: i.peers.address()})
 }
 
 // newInstance writes the settings of one more instance and opens its links.
--- a/integration/table_test.go
+++ b/integration/table_test.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/tablestore"
 )
@@ -45,7 +45,7 @@
 
 func (d *deployment) seedTable() {
 	d.t.Helper()
-	client := platformhttp.NewClient(d.address, platformhttp.Options{})
+	client := backinghttp.NewClient(d.address, backinghttp.Options{})
 	defer client.Close()
 	edit := table.Edit{Author: "test"}
 	for _, r := range rows() {
--- a/lease/leaserecord/leaserecord.go
+++ b/lease/leaserecord/leaserecord.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"strings"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/lease"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Prefix is the key prefix of all lease records.
@@ -47,18 +47,18 @@
 }
 
 // Query returns the store query for a read.
-func Query(r lease.Read) platform.Query {
+func Query(r lease.Read) backing.Query {
 	keys := make([]string, len(r.Shards))
 	for i, s := range r.Shards {
 		keys[i] = Key(s)
 	}
-	return platform.Query{Keys: keys}
+	return backing.Query{Keys: keys}
 }
 
 // Versioned decodes records read from the store. One record that cannot be
 // decoded fails the whole read, because taking it for missing would start a
 // new epoch beside a holder.
-func Versioned(records []platform.Record) ([]lease.Versioned, error) {
+func Versioned(records []backing.Record) ([]lease.Versioned, error) {
 	out := make([]lease.Versioned, 0, len(records))
 	for _, rec := range records {
 		shard, ok := strings.CutPrefix(rec.Key, Prefix)
@@ -75,15 +75,15 @@
 }
 
 // Txn returns the store transaction for a commit.
-func Txn(c lease.Commit) (platform.Txn, error) {
-	var txn platform.Txn
+func Txn(c lease.Commit) (backing.Txn, error) {
+	var txn backing.Txn
 	for _, w := range c.Writes {
 		value, err := Encode(w.Record)
 		if err != nil {
-			return platform.Txn{}, fmt.Errorf("encode lease record of %q: %w", w.Shard, err)
+			return backing.Txn{}, fmt.Errorf("encode lease record of %q: %w", w.Shard, err)
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: Key(w.Shard), Version: w.IfVersion})
-		txn.Writes = append(txn.Writes, platform.Write{Key: Key(w.Shard), Value: value})
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: Key(w.Shard), Version: w.IfVersion})
+		txn.Writes = append(txn.Writes, backing.Write{Key: Key(w.Shard), Value: value})
 	}
 	return txn, nil
 }
--- a/lease/leaserecord/leaserecord_test.go
+++ b/lease/leaserecord/leaserecord_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/lease"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // Guards against fields that are lost between a commit and the next read.
@@ -15,9 +15,9 @@
 	r := lease.Record{Holder: "i01", Incarnation: 1 << 60, Epoch: 7, Attempt: 9, Released: true}
 	txn, err := Txn(lease.Commit{Writes: []lease.Write{{Shard: "plan/language-models", Record: r, IfVersion: 3}}})
 	is.NoErr(err)
-	is.Equal(txn.Conditions, []platform.Condition{{Key: "lease/plan/language-models", Version: 3}})
+	is.Equal(txn.Conditions, []backing.Condition{{Key: "lease/plan/language-models", Version: 3}})
 	is.Equal(Query(lease.Read{Shards: []lease.Shard{"plan/language-models"}}).Keys, []string{txn.Writes[0].Key})
-	got, err := Versioned([]platform.Record{{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: 4}})
+	got, err := Versioned([]backing.Record{{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: 4}})
 	is.NoErr(err)
 	is.Equal(got, []lease.Versioned{{Shard: "plan/language-models", Record: r, Version: 4}})
 }
@@ -26,7 +26,7 @@
 func TestDamagedRecordFailsTheRead(t *testing.T) {
 	is := is.New(t)
 	for _, value := range []string{"", "{", "{}", `{"epoch":-1}`} {
-		_, err := Versioned([]platform.Record{{Key: "lease/shard/1", Value: []byte(value), Version: 1}})
+		_, err := Versioned([]backing.Record{{Key: "lease/shard/1", Value: []byte(value), Version: 1}})
 		is.True(err != nil)
 	}
 }
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -7,9 +7,9 @@
 	"expvar"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/worker"
 )
 
@@ -21,7 +21,7 @@
 
 // Service polls the instance list. It implements kernel.Service.
 type Service struct {
-	list     platform.InstanceList
+	list     backing.InstanceList
 	interval time.Duration
 	timeout  time.Duration
 	vars     *expvar.Map
@@ -31,7 +31,7 @@
 
 // New returns a service that reads list after each interval, with a bound of
 // timeout on each read. Counters go to vars.
-func New(list platform.InstanceList, interval, timeout time.Duration, vars *expvar.Map) *Service {
+func New(list backing.InstanceList, interval, timeout time.Duration, vars *expvar.Map) *Service {
 	vars.Add("reads", 0) // exported from the start
 	vars.Add("failures", 0)
 	return &Service{list: list, interval: interval, timeout: timeout, vars: vars, group: worker.NewGroup()}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -27,7 +27,7 @@
 func listing(instances ...fleet.Instance) ListingRead {
 	var l ListingRead
 	for _, i := range instances {
-		l.Instances = append(l.Instances, platform.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress})
+		l.Instances = append(l.Instances, backing.ListedInstance{ID: i.ID, DataCentre: i.DataCentre, PeerAddress: i.PeerAddress})
 	}
 	return l
 }
--- a/membership/types.go
+++ b/membership/types.go
@@ -7,9 +7,9 @@
 import (
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/lease"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 )
 
@@ -135,7 +135,7 @@
 type Event interface{ membershipEvent() }
 
 // ListingRead carries the instances of the platform's list.
-type ListingRead struct{ Instances []platform.ListedInstance }
+type ListingRead struct{ Instances []backing.ListedInstance }
 
 // HeartbeatReceived carries a heartbeat of a peer.
 type HeartbeatReceived struct{ Heartbeat Heartbeat }
--- /dev/null
+++ b/nodeconfig/nodeconfig.go
@@ -0,0 +1,41 @@
+// Package nodeconfig holds what an edge instance learns about itself and its
+// surroundings when it starts. It reads no file: front ends such as package
+// platform fill it in.
+package nodeconfig
+
+import "time"
+
+// Node describes one edge instance.
+type Node struct {
+	ID   string
+	Zone string // data centre
+	// Callers and Readiness are the addresses of the callers' listener and of
+	// the readiness check, as host:port.
+	Callers, Readiness string
+	// PeerHost and the port range are free for connections between instances.
+	PeerHost                    string
+	FirstPeerPort, LastPeerPort int
+	// Store is the address of the shared store, as host:port.
+	Store string
+	// MemoryBytes is the memory that the process may use; 0 if unlimited.
+	MemoryBytes int64
+	Bounds      Bounds
+}
+
+// Bounds are the times and ratios within which the deployment expects reactions.
+type Bounds struct {
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+	// LeaseTurn is the shortest time between the orders of two lease holders.
+	LeaseTurn time.Duration
+	// RetryRatio and RetrySlack bound the repeated arrivals at a service in any
+	// RetryWindow: ratio × requests + slack, over all instances.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// LoadWindow is the window over which loads from the weight store are counted.
+	LoadWindow time.Duration
+	// AddressReuse is the time after which the address of an ended replica may
+	// belong to a replica of another service.
+	AddressReuse time.Duration
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,9 +17,9 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 	"github.com/hyssophaven/hyssophaven/tablestore"
@@ -278,9 +278,9 @@
 			e.Current, _ = tablecodec.EncodeRow(*conflict.Current)
 		}
 		return e
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, backing.ErrUnknownOutcome):
 		return &Error{Status: http.StatusGatewayTimeout, Code: CodeUnknownOutcome, Message: err.Error()}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrConflict):
 		return &Error{Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Message: err.Error()}
 	default:
 		return &Error{Status: http.StatusInternalServerError, Code: CodeInternal, Message: err.Error()}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/tablestore"
 )
@@ -94,7 +94,7 @@
 	is := is.New(t)
 	f, server := newTestServer(t)
 	row, _ := f.current.Row("m")
-	f.err = platform.ErrUnknownOutcome
+	f.err = backing.ErrUnknownOutcome
 	_, err := NewClient(server.URL, "0123456789abcdef", nil).Edit(t.Context(), table.Edit{Changes: []table.Change{{Row: row, BasedOn: 1}}})
 	var failure *Error
 	is.True(errors.As(err, &failure))
--- a/quarantine/quarantinerecord/quarantinerecord.go
+++ b/quarantine/quarantinerecord/quarantinerecord.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 )
 
@@ -95,7 +95,7 @@
 }
 
 // Event returns the event for a record read from the store.
-func Event(rec platform.Record) (quarantine.RecordRead, error) {
+func Event(rec backing.Record) (quarantine.RecordRead, error) {
 	f, err := ParseKey(rec.Key)
 	if err != nil {
 		return quarantine.RecordRead{}, err
@@ -108,17 +108,17 @@
 }
 
 // Txn returns the store transaction for a commit.
-func Txn(c quarantine.CommitRecord) (platform.Txn, error) {
+func Txn(c quarantine.CommitRecord) (backing.Txn, error) {
 	key := Key(c.Fingerprint)
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: key, Version: c.IfVersion}}}
+	txn := backing.Txn{Conditions: []backing.Condition{{Key: key, Version: c.IfVersion}}}
 	if c.Delete {
-		txn.Writes = []platform.Write{{Key: key, Delete: true}}
+		txn.Writes = []backing.Write{{Key: key, Delete: true}}
 		return txn, nil
 	}
 	value, err := Encode(c.Record)
 	if err != nil {
-		return platform.Txn{}, fmt.Errorf("encode record %q: %w", key, err)
+		return backing.Txn{}, fmt.Errorf("encode record %q: %w", key, err)
 	}
-	txn.Writes = []platform.Write{{Key: key, Value: value}}
+	txn.Writes = []backing.Write{{Key: key, Value: value}}
 	return txn, nil
 }
--- a/quarantine/quarantinerecord/quarantinerecord_test.go
+++ b/quarantine/quarantinerecord/quarantinerecord_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 )
 
@@ -21,8 +21,8 @@
 	}
 	txn, err := Txn(quarantine.CommitRecord{Fingerprint: 0xabc, IfVersion: 3, Record: r})
 	is.NoErr(err)
-	is.Equal(txn.Conditions, []platform.Condition{{Key: "quarantine/0000000000000abc", Version: 3}})
-	ev, err := Event(platform.Record{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: 4})
+	is.Equal(txn.Conditions, []backing.Condition{{Key: "quarantine/0000000000000abc", Version: 3}})
+	ev, err := Event(backing.Record{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: 4})
 	is.NoErr(err)
 	is.Equal(ev, quarantine.RecordRead{Fingerprint: 0xabc, OK: true, Record: r, Version: 4})
 }
@@ -30,7 +30,7 @@
 // Guards against a damaged record that passes for an empty one.
 func TestDamagedRecordIsAnError(t *testing.T) {
 	is := is.New(t)
-	for _, rec := range []platform.Record{
+	for _, rec := range []backing.Record{
 		{Key: "quarantine/xyz", Value: []byte("{}")}, {Key: "lease/1", Value: []byte("{}")}, {Key: "quarantine/1", Value: []byte("{")},
 	} {
 		_, err := Event(rec)
--- a/records/owned.go
+++ b/records/owned.go
@@ -5,13 +5,13 @@
 	"errors"
 	"strings"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/lease"
 	"github.com/hyssophaven/hyssophaven/lease/leaserecord"
 	"github.com/hyssophaven/hyssophaven/ledger"
 	"github.com/hyssophaven/hyssophaven/ledger/ledgerrecord"
 	"github.com/hyssophaven/hyssophaven/placement/placementrecord"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // maxLeaseConflicts bounds how often a write is repeated because the lease was
@@ -66,9 +66,9 @@
 	switch {
 	case err == nil:
 		return ledger.Persisted{Write: write, Epoch: epoch, Version: version}
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return ledger.PersistConflict{Write: write, Epoch: epoch}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, errLeaseLost):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, errLeaseLost):
 		return ledger.PersistFailed{Write: write, Epoch: epoch}
 	default:
 		return ledger.PersistUnknown{Write: write, Epoch: epoch}
@@ -120,35 +120,35 @@
 func (s *Service) commitOwned(ctx context.Context, w ownedWrite) (uint64, error) {
 	leaseKey := leaserecord.Key(w.shard)
 	for range maxLeaseConflicts {
-		found, err := s.config.Store.Read(ctx, platform.Query{Keys: []string{leaseKey, w.key}})
+		found, err := s.config.Store.Read(ctx, backing.Query{Keys: []string{leaseKey, w.key}})
 		if err != nil {
-			return 0, platform.ErrUnavailable
+			return 0, backing.ErrUnavailable
 		}
 		leaseVersion, err := s.checkOwned(found, leaseKey, w)
 		if err != nil {
 			return 0, err
 		}
-		versions, err := s.config.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: leaseKey, Version: leaseVersion}, {Key: w.key, Version: w.version}},
-			Writes:     []platform.Write{{Key: w.key, Value: w.value}},
+		versions, err := s.config.Store.Commit(ctx, backing.Txn{
+			Conditions: []backing.Condition{{Key: leaseKey, Version: leaseVersion}, {Key: w.key, Version: w.version}},
+			Writes:     []backing.Write{{Key: w.key, Value: w.value}},
 		})
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, backing.ErrConflict) {
 			continue
 		}
 		if err == nil && len(versions) != 1 {
-			err = platform.ErrUnknownOutcome // the answer does not belong to this write
+			err = backing.ErrUnknownOutcome // the answer does not belong to this write
 		}
 		if err != nil {
 			return 0, err
 		}
 		return versions[0], nil
 	}
-	return 0, platform.ErrUnavailable
+	return 0, backing.ErrUnavailable
 }
 
 // checkOwned returns the version of the lease record if this instance holds
 // the lease under the write's epoch and the written record is as expected.
-func (s *Service) checkOwned(found []platform.Record, leaseKey string, w ownedWrite) (uint64, error) {
+func (s *Service) checkOwned(found []backing.Record, leaseKey string, w ownedWrite) (uint64, error) {
 	var leaseVersion, version uint64
 	for _, r := range found {
 		switch r.Key {
@@ -166,7 +166,7 @@
 		return 0, errLeaseLost
 	}
 	if version != w.version {
-		return 0, platform.ErrConflict
+		return 0, backing.ErrConflict
 	}
 	return leaseVersion, nil
 }
@@ -174,13 +174,13 @@
 // readAll reads the ledgers and plans of the whole fleet.
 func (s *Service) readAll(ctx context.Context) {
 	var ev control.RecordsRead
-	ledgers, err := s.config.Store.Read(ctx, platform.Query{Prefix: ledgerPrefix})
+	ledgers, err := s.config.Store.Read(ctx, backing.Query{Prefix: ledgerPrefix})
 	s.count("fleet_reads", err)
 	if err != nil {
 		return
 	}
 	ev.Ledgers = s.decodeLedgers(ledgers)
-	plans, err := s.config.Store.Read(ctx, platform.Query{Prefix: planPrefix})
+	plans, err := s.config.Store.Read(ctx, backing.Query{Prefix: planPrefix})
 	if err != nil {
 		return
 	}
@@ -204,7 +204,7 @@
 // decodeLedgers decodes the records whose version changed since the call
 // before. Decoding all of 5,400 records took 250 ms. It is called by one
 // goroutine at a time, and decoded records are not changed by anyone.
-func (s *Service) decodeLedgers(found []platform.Record) []ledger.Record {
+func (s *Service) decodeLedgers(found []backing.Record) []ledger.Record {
 	out := make([]ledger.Record, 0, len(found))
 	decoded := make(map[string]decodedLedger, len(found))
 	for _, r := range found {
--- a/records/readall_test.go
+++ b/records/readall_test.go
@@ -9,21 +9,21 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/ledger"
 	"github.com/hyssophaven/hyssophaven/ledger/ledgerrecord"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // fakeStore answers reads from its records.
 type fakeStore struct {
-	platform.TableStore
-	records []platform.Record
+	backing.TableStore
+	records []backing.Record
 }
 
-func (f *fakeStore) Read(_ context.Context, q platform.Query) ([]platform.Record, error) {
-	var out []platform.Record
+func (f *fakeStore) Read(_ context.Context, q backing.Query) ([]backing.Record, error) {
+	var out []backing.Record
 	for _, r := range f.records {
 		if strings.HasPrefix(r.Key, q.Prefix) {
 			out = append(out, r)
@@ -39,7 +39,7 @@
 
 func (f *fakeControl) Snapshot() *control.Snapshot { return nil }
 
-func encoded(tb testing.TB, id string, write uint64) platform.Record {
+func encoded(tb testing.TB, id string, write uint64) backing.Record {
 	tb.Helper()
 	r := ledger.Record{Replica: fleet.EndpointID(id), Write: write, BootID: "boot-1"}
 	for i := range 8 {
@@ -49,7 +49,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	return platform.Record{Key: ledgerKey(r.Replica), Value: value, Version: write}
+	return backing.Record{Key: ledgerKey(r.Replica), Value: value, Version: write}
 }
 
 func newReader(store *fakeStore) (*Service, *fakeControl) {
@@ -63,7 +63,7 @@
 // after it was deleted, or that hides that its new value cannot be decoded.
 func TestReadAllFollowsVersions(t *testing.T) {
 	is := is.New(t)
-	store := &fakeStore{records: []platform.Record{encoded(t, "a", 1), encoded(t, "b", 1)}}
+	store := &fakeStore{records: []backing.Record{encoded(t, "a", 1), encoded(t, "b", 1)}}
 	s, c := newReader(store)
 	writes := func() string {
 		s.readAll(t.Context())
--- a/records/records.go
+++ b/records/records.go
@@ -10,12 +10,12 @@
 	"expvar"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/lease"
 	"github.com/hyssophaven/hyssophaven/lease/leaserecord"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/quarantine"
 	"github.com/hyssophaven/hyssophaven/quarantine/quarantinerecord"
 	"github.com/hyssophaven/hyssophaven/worker"
@@ -37,7 +37,7 @@
 // Config sets up the service.
 type Config struct {
 	Self         fleet.Instance
-	Store        platform.TableStore
+	Store        backing.TableStore
 	ReadInterval time.Duration // between reads of all ledgers and plans
 	Vars         *expvar.Map
 }
@@ -130,9 +130,9 @@
 	switch {
 	case err == nil:
 		return applied
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return conflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		return notApplied
 	default:
 		return unknown
@@ -159,7 +159,7 @@
 		var versions []uint64
 		versions, err = s.config.Store.Commit(ctx, txn)
 		if err == nil && len(versions) != 1 {
-			err = platform.ErrUnknownOutcome // the answer does not belong to this write
+			err = backing.ErrUnknownOutcome // the answer does not belong to this write
 		}
 		result.Outcome = outcomeOf(err, quarantine.Applied, quarantine.Conflict, quarantine.NotApplied, quarantine.Unknown)
 		if len(versions) == 1 {
@@ -171,17 +171,17 @@
 }
 
 // readOne returns the record at key, with version 0 if there is none.
-func (s *Service) readOne(ctx context.Context, key string) (platform.Record, error) {
-	found, err := s.config.Store.Read(ctx, platform.Query{Keys: []string{key}})
+func (s *Service) readOne(ctx context.Context, key string) (backing.Record, error) {
+	found, err := s.config.Store.Read(ctx, backing.Query{Keys: []string{key}})
 	if err != nil || len(found) == 0 {
-		return platform.Record{Key: key}, err
+		return backing.Record{Key: key}, err
 	}
 	return found[0], nil
 }
 
 func (s *Service) count(name string, err error) {
 	s.config.Vars.Add(name, 1)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, backing.ErrConflict) {
 		s.config.Vars.Add(name+failedSuffix, 1)
 	}
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -12,20 +12,30 @@
 )
 
 const (
-	// Window is the time over which requests and retries are counted.
-	Window      = 10 * time.Second
 	bucketCount = 20
-	bucketTime  = Window / bucketCount
+	// counts of members older than this number of windows are left out.
+	memberWindows = 2
+)
+
+// Limits bound the retries of one instance.
+type Limits struct {
+	// Window is the time over which requests and retries are counted.
+	Window time.Duration
 	// Ratio is the part of the requests that may be retried.
-	Ratio = 0.1
+	Ratio float64
 	// MinPerSecond is the rate of retries that an instance may always make, so
 	// that a quiet instance can retry at all.
-	MinPerSecond = 1.0
-	// counts of members older than this are left out.
-	memberTimeout = 2 * Window
-)
+	MinPerSecond float64
+	// Burst is the number of such retries that may come at once; at least 1.
+	Burst float64
+}
 
-// Counts is what one instance did in the last Window.
+// DefaultLimits are the limits where the deployment states none.
+func DefaultLimits() Limits {
+	return Limits{Window: 10 * time.Second, Ratio: 0.1, MinPerSecond: 1, Burst: 1}
+}
+
+// Counts is what one instance did in the last window.
 type Counts struct {
 	Requests uint32
 	Retries  uint32
@@ -34,6 +44,7 @@
 // Budget is the retry budget of one instance. It is not safe for concurrent
 // use; the control goroutine owns it.
 type Budget struct {
+	limits  Limits
 	buckets [bucketCount]Counts
 	sum     Counts
 	latest  int64 // number of the newest bucket since the epoch
@@ -48,11 +59,15 @@
 }
 
 // New returns a budget without counts.
-func New(now time.Time) *Budget {
-	return &Budget{
-		latest: now.UnixNano() / int64(bucketTime), tokens: MinPerSecond, filled: now,
-		members: make(map[fleet.InstanceID]report),
-	}
+func New(now time.Time, limits Limits) *Budget {
+	b := &Budget{limits: limits, tokens: max(limits.Burst, 1), filled: now, members: make(map[fleet.InstanceID]report)}
+	b.latest = b.bucket(now)
+	return b
+}
+
+// bucket returns the number of the bucket that holds t.
+func (b *Budget) bucket(t time.Time) int64 {
+	return t.UnixNano() / int64(b.limits.Window/bucketCount)
 }
 
 // Request counts a request that is sent for the first time.
@@ -78,10 +93,12 @@
 // instances together stay within the budget.
 func (b *Budget) within(now time.Time) bool {
 	f := b.Fleet(now)
-	return below(b.sum) && below(f)
+	return b.below(b.sum) && b.below(f)
 }
 
-func below(c Counts) bool { return float64(c.Retries+1) <= Ratio*float64(c.Requests) }
+func (b *Budget) below(c Counts) bool {
+	return float64(c.Retries+1) <= b.limits.Ratio*float64(c.Requests)
+}
 
 // take uses the minimum rate.
 func (b *Budget) take() bool {
@@ -94,10 +111,10 @@
 
 func (b *Budget) advance(now time.Time) {
 	if dt := now.Sub(b.filled); dt > 0 {
-		b.tokens = min(b.tokens+dt.Seconds()*MinPerSecond, max(MinPerSecond, 1))
+		b.tokens = min(b.tokens+dt.Seconds()*b.limits.MinPerSecond, max(b.limits.Burst, 1))
 		b.filled = now
 	}
-	n := now.UnixNano() / int64(bucketTime)
+	n := b.bucket(now)
 	for steps := 0; b.latest < n && steps < bucketCount; steps++ {
 		b.latest++
 		old := &b.buckets[b.latest%bucketCount]
@@ -126,7 +143,7 @@
 func (b *Budget) Fleet(now time.Time) Counts {
 	sum := b.Own(now)
 	for _, m := range b.members {
-		if now.Sub(m.at) < memberTimeout {
+		if now.Sub(m.at) < memberWindows*b.limits.Window {
 			sum.Requests += m.counts.Requests
 			sum.Retries += m.counts.Retries
 		}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 )
 
+var limits = DefaultLimits()
+
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Guards against instances that together retry more than the budget of the
@@ -18,7 +20,7 @@
 		now := epoch
 		budgets := make([]*Budget, 3)
 		for i := range budgets {
-			budgets[i] = New(now)
+			budgets[i] = New(now, DefaultLimits())
 		}
 		requests, retries := 0, 0
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -40,7 +42,7 @@
 				}
 			}
 		}
-		most := Ratio*float64(requests) + float64(len(budgets))*(1+MinPerSecond*now.Sub(epoch).Seconds())
+		most := limits.Ratio*float64(requests) + float64(len(budgets))*(1+limits.MinPerSecond*now.Sub(epoch).Seconds())
 		if float64(retries) > most+1e-6 {
 			t.Fatalf("%d retries of %d requests in %v, at most %.1f", retries, requests, now.Sub(epoch), most)
 		}
@@ -51,7 +53,7 @@
 // above the budget, and against counts that never age.
 func TestFleetRatioStopsRetries(t *testing.T) {
 	is := is.New(t)
-	b := New(epoch)
+	b := New(epoch, limits)
 	for range 1000 {
 		b.Request(epoch)
 	}
@@ -61,7 +63,7 @@
 	is.True(!b.Allow(epoch))
 	b.Forget("other")
 	is.True(b.Allow(epoch))
-	later := epoch.Add(Window + time.Second)
+	later := epoch.Add(limits.Window + time.Second)
 	is.Equal(b.Own(later), Counts{})
 	is.True(b.Allow(later))
 	is.True(!b.Allow(later)) // no requests in the window: only the minimum rate
@@ -70,7 +72,7 @@
 // Guards against counts that stay wrong after a long pause.
 func TestCountsAfterAPause(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, now := New(epoch), epoch
+		b, now := New(epoch, limits), epoch
 		var times []time.Time
 		for range rapid.IntRange(1, 60).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "ms")) * time.Millisecond)
@@ -79,10 +81,10 @@
 		}
 		most, least := 0, 0
 		for _, at := range times {
-			if now.Sub(at) <= Window {
+			if now.Sub(at) <= limits.Window {
 				most++
 			}
-			if now.Sub(at) < Window-bucketTime {
+			if now.Sub(at) < limits.Window-limits.Window/bucketCount {
 				least++
 			}
 		}
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 )
 
 // Config is the behaviour of an Engine. Zero fields have the defaults named here.
@@ -42,7 +42,7 @@
 	ReportLag   time.Duration
 
 	// Weights limits loads; nil means that every load runs at full speed.
-	Weights platformhttp.WeightStore
+	Weights backinghttp.WeightStore
 	// Load times at full speed.
 	ModelLoadTime   time.Duration // 1 s
 	AdapterLoadTime time.Duration // 5 ms
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 )
 
 // entryKey names a model or an adapter at a version.
@@ -219,7 +219,7 @@
 	if e.config.Weights == nil {
 		return func() {}, 1, true
 	}
-	request := platformhttp.LoadRequest{Engine: e.config.ID, Name: r.key.name, Adapter: r.key.adapter}
+	request := backinghttp.LoadRequest{Engine: e.config.ID, Name: r.key.name, Adapter: r.key.adapter}
 	for {
 		permit, err := e.config.Weights.Acquire(r.boot, request)
 		if err == nil {
--- a/standin/platform/list.go
+++ b/standin/platform/list.go
@@ -10,15 +10,15 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
-	"github.com/hyssophaven/hyssophaven/platform"
 )
 
 // instanceList is what the list shows now and the changes that it does not
 // show yet, in the order in which they were made.
 type instanceList struct {
-	instances map[fleet.InstanceID]platform.ListedInstance
+	instances map[fleet.InstanceID]backing.ListedInstance
 	endpoints map[fleet.EndpointID]fleet.Endpoint
 	pending   []listChange
 }
@@ -31,7 +31,7 @@
 // advance applies the changes that are visible at the given time.
 func (l *instanceList) advance(now time.Time) {
 	if l.instances == nil {
-		l.instances = make(map[fleet.InstanceID]platform.ListedInstance)
+		l.instances = make(map[fleet.InstanceID]backing.ListedInstance)
 		l.endpoints = make(map[fleet.EndpointID]fleet.Endpoint)
 	}
 	for len(l.pending) > 0 && !l.pending[0].visible.After(now) {
@@ -41,9 +41,9 @@
 }
 
 // listing returns what the list shows, ordered by id.
-func (l *instanceList) listing() platform.Listing {
-	return platform.Listing{
-		Instances: slices.SortedFunc(maps.Values(l.instances), func(a, b platform.ListedInstance) int { return cmp.Compare(a.ID, b.ID) }),
+func (l *instanceList) listing() backing.Listing {
+	return backing.Listing{
+		Instances: slices.SortedFunc(maps.Values(l.instances), func(a, b backing.ListedInstance) int { return cmp.Compare(a.ID, b.ID) }),
 		Endpoints: slices.SortedFunc(maps.Values(l.endpoints), func(a, b fleet.Endpoint) int { return cmp.Compare(a.ID, b.ID) }),
 	}
 }
@@ -55,7 +55,7 @@
 }
 
 // PutInstance lists an instance, or changes its entry, after the list's lag.
-func (p *Platform) PutInstance(i platform.ListedInstance) {
+func (p *Platform) PutInstance(i backing.ListedInstance) {
 	p.changeList(func(l *instanceList) { l.instances[i.ID] = i })
 }
 
@@ -76,9 +76,9 @@
 
 type listReader struct{ p *Platform }
 
-// List implements platform.InstanceList.
-func (r listReader) List(ctx context.Context) (platform.Listing, error) {
-	var out platform.Listing
+// List implements backing.InstanceList.
+func (r listReader) List(ctx context.Context) (backing.Listing, error) {
+	var out backing.Listing
 	err := r.p.call(ctx, Instances, false, func() error {
 		r.p.list.advance(time.Now())
 		out = r.p.list.listing()
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -13,10 +13,10 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/owner"
-	"github.com/hyssophaven/hyssophaven/platform"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 )
 
 // Config is the behaviour of a Platform.
@@ -39,7 +39,7 @@
 
 	// The fields below belong to the owner goroutine.
 	random  *rand.Rand
-	records map[string]platform.Record
+	records map[string]backing.Record
 	// deleted holds the last version of deleted records, so that a record
 	// that is created again continues its versions.
 	deleted map[string]uint64
@@ -55,7 +55,7 @@
 		config:  c,
 		owner:   owner.Start(),
 		random:  rand.New(rand.NewPCG(c.Seed, 1)),
-		records: make(map[string]platform.Record),
+		records: make(map[string]backing.Record),
 		deleted: make(map[string]uint64),
 		objects: make(map[string][]byte),
 		faults:  make(map[Service]Faults),
@@ -66,20 +66,20 @@
 	return p
 }
 
-// Close ends the platform. Later calls fail with platform.ErrUnavailable.
+// Close ends the platform. Later calls fail with backing.ErrUnavailable.
 func (p *Platform) Close() { p.owner.Close() }
 
 // Tables returns the table service.
-func (p *Platform) Tables() platform.TableStore { return tableStore{p} }
+func (p *Platform) Tables() backing.TableStore { return tableStore{p} }
 
 // Objects returns the object store.
-func (p *Platform) Objects() platform.ObjectStore { return objectStore{p} }
+func (p *Platform) Objects() backing.ObjectStore { return objectStore{p} }
 
 // Instances returns the instance list.
-func (p *Platform) Instances() platform.InstanceList { return listReader{p} }
+func (p *Platform) Instances() backing.InstanceList { return listReader{p} }
 
 // Weights returns the weight store.
-func (p *Platform) Weights() platformhttp.WeightStore { return p.weights }
+func (p *Platform) Weights() backinghttp.WeightStore { return p.weights }
 
 // Handler serves the platform's protocol, and for tests GET /counts,
 // GET and PUT /faults/{service}, PUT and DELETE /list/instances/{id} and
@@ -91,26 +91,26 @@
 	var fault Faults
 	var lose bool
 	if !p.owner.Do(func() { fault, lose = p.begin(s, write) }) {
-		return fmt.Errorf("%w: platform is closed", platform.ErrUnavailable)
+		return fmt.Errorf("%w: platform is closed", backing.ErrUnavailable)
 	}
 	if err := wait(ctx, fault.Delay); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	if fault.Down {
-		return fmt.Errorf("%w: %s is down", platform.ErrUnavailable, s)
+		return fmt.Errorf("%w: %s is down", backing.ErrUnavailable, s)
 	}
 	var err error
 	if !p.owner.Do(func() { err = f() }) {
-		return fmt.Errorf("%w: platform is closed", platform.ErrUnavailable)
+		return fmt.Errorf("%w: platform is closed", backing.ErrUnavailable)
 	}
 	if err != nil {
 		return err
 	}
 	if waitErr := wait(ctx, fault.AnswerDelay); waitErr != nil && write {
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, waitErr)
+		return fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, waitErr)
 	}
 	if lose {
-		return fmt.Errorf("%w: answer is lost on demand", platform.ErrUnknownOutcome)
+		return fmt.Errorf("%w: answer is lost on demand", backing.ErrUnknownOutcome)
 	}
 	return nil
 }
@@ -141,7 +141,7 @@
 	r.Delete("/list/instances/{id}", p.deleteInstance)
 	r.Put("/list/endpoints/{id}", p.putEndpoint)
 	r.Delete("/list/endpoints/{id}", p.deleteEndpoint)
-	r.Mount("/", platformhttp.NewHandler(platformhttp.Services{
+	r.Mount("/", backinghttp.NewHandler(backinghttp.Services{
 		Tables: p.Tables(), Objects: p.Objects(), Instances: p.Instances(), Weights: p.Weights(),
 	}, p.config.BearerToken))
 	return r
@@ -175,7 +175,7 @@
 }
 
 func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
-	var m platformhttp.InstanceMessage
+	var m backinghttp.InstanceMessage
 	if !jsonhttp.Decode(w, r, 1<<16, &m) {
 		return
 	}
@@ -190,7 +190,7 @@
 }
 
 func (p *Platform) putEndpoint(w http.ResponseWriter, r *http.Request) {
-	var m platformhttp.EndpointMessage
+	var m backinghttp.EndpointMessage
 	if !jsonhttp.Decode(w, r, 1<<16, &m) {
 		return
 	}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/platform"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
 )
 
-func write(key string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte("v")}}}
+func write(key string) backing.Txn {
+	return backing.Txn{Writes: []backing.Write{{Key: key, Value: []byte("v")}}}
 }
 
 // Guards against a lost answer that also loses the write, or a fault that goes
@@ -29,8 +29,8 @@
 	defer p.Close()
 	p.SetFaults(Tables, Faults{LoseAnswers: 1})
 	_, err := p.Tables().Commit(t.Context(), write("a"))
-	is.True(errors.Is(err, platform.ErrUnknownOutcome))
-	records, err := p.Tables().Read(t.Context(), platform.Query{Keys: []string{"a"}})
+	is.True(errors.Is(err, backing.ErrUnknownOutcome))
+	records, err := p.Tables().Read(t.Context(), backing.Query{Keys: []string{"a"}})
 	is.NoErr(err)
 	is.Equal(len(records), 1)
 	_, err = p.Tables().Commit(t.Context(), write("b"))
@@ -63,10 +63,10 @@
 	defer p.Close()
 	p.SetFaults(Tables, Faults{Down: true})
 	_, err := p.Tables().Commit(t.Context(), write("a"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, backing.ErrUnavailable))
 	is.NoErr(p.Objects().Put(t.Context(), "o", nil))
 	p.SetFaults(Tables, Faults{})
-	records, err := p.Tables().Read(t.Context(), platform.Query{Prefix: "a"})
+	records, err := p.Tables().Read(t.Context(), backing.Query{Prefix: "a"})
 	is.NoErr(err)
 	is.Equal(len(records), 0)
 	is.Equal(p.Counts()[Tables].Refused, 1)
@@ -103,13 +103,13 @@
 		p := New(Config{Weights: WeightConfig{LoadsPerSecond: 2, Loads: 2, PermitTime: time.Minute}})
 		defer p.Close()
 		start := time.Now()
-		acquire := func() platformhttp.Permit {
-			permit, err := p.Weights().Acquire(t.Context(), platformhttp.LoadRequest{Engine: "e", Name: "m"})
+		acquire := func() backinghttp.Permit {
+			permit, err := p.Weights().Acquire(t.Context(), backinghttp.LoadRequest{Engine: "e", Name: "m"})
 			is.NoErr(err)
 			return permit
 		}
 		var slowdowns []float64
-		var last platformhttp.Permit
+		var last backinghttp.Permit
 		for range 4 {
 			last = acquire()
 			slowdowns = append(slowdowns, last.Slowdown)
--- a/standin/platform/stores.go
+++ b/standin/platform/stores.go
@@ -9,14 +9,14 @@
 	"slices"
 	"strings"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 )
 
 type tableStore struct{ p *Platform }
 
-// Read implements platform.TableStore.
-func (t tableStore) Read(ctx context.Context, q platform.Query) ([]platform.Record, error) {
-	var out []platform.Record
+// Read implements backing.TableStore.
+func (t tableStore) Read(ctx context.Context, q backing.Query) ([]backing.Record, error) {
+	var out []backing.Record
 	err := t.p.call(ctx, Tables, false, func() error {
 		out = t.p.selectRecords(q)
 		return nil
@@ -24,8 +24,8 @@
 	return out, err
 }
 
-// Commit implements platform.TableStore.
-func (t tableStore) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements backing.TableStore.
+func (t tableStore) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	var versions []uint64
 	err := t.p.call(ctx, Tables, true, func() error {
 		var err error
@@ -38,8 +38,8 @@
 	return versions, nil
 }
 
-func (p *Platform) selectRecords(q platform.Query) []platform.Record {
-	var out []platform.Record
+func (p *Platform) selectRecords(q backing.Query) []backing.Record {
+	var out []backing.Record
 	if q.Prefix != "" {
 		for key, r := range p.records {
 			if strings.HasPrefix(key, q.Prefix) {
@@ -52,17 +52,17 @@
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Record) int { return cmp.Compare(a.Key, b.Key) })
-	return slices.CompactFunc(out, func(a, b platform.Record) bool { return a.Key == b.Key })
+	slices.SortFunc(out, func(a, b backing.Record) int { return cmp.Compare(a.Key, b.Key) })
+	return slices.CompactFunc(out, func(a, b backing.Record) bool { return a.Key == b.Key })
 }
 
-func (p *Platform) commit(t platform.Txn) ([]uint64, error) {
+func (p *Platform) commit(t backing.Txn) ([]uint64, error) {
 	for _, c := range t.Conditions {
 		if have := p.records[c.Key].Version; have != c.Version {
 			n := p.counts[Tables]
 			n.Conflicts++
 			p.counts[Tables] = n
-			return nil, fmt.Errorf("%w: record %q has version %d, not %d", platform.ErrConflict, c.Key, have, c.Version)
+			return nil, fmt.Errorf("%w: record %q has version %d, not %d", backing.ErrConflict, c.Key, have, c.Version)
 		}
 	}
 	versions := make([]uint64, len(t.Writes))
@@ -74,7 +74,7 @@
 			continue
 		}
 		delete(p.deleted, w.Key)
-		p.records[w.Key] = platform.Record{Key: w.Key, Value: bytes.Clone(w.Value), Version: last + 1}
+		p.records[w.Key] = backing.Record{Key: w.Key, Value: bytes.Clone(w.Value), Version: last + 1}
 		versions[i] = last + 1
 	}
 	return versions, nil
@@ -82,7 +82,7 @@
 
 type objectStore struct{ p *Platform }
 
-// Put implements platform.ObjectStore.
+// Put implements backing.ObjectStore.
 func (o objectStore) Put(ctx context.Context, name string, data []byte) error {
 	return o.p.call(ctx, Objects, true, func() error {
 		o.p.objects[name] = bytes.Clone(data)
@@ -90,13 +90,13 @@
 	})
 }
 
-// Get implements platform.ObjectStore.
+// Get implements backing.ObjectStore.
 func (o objectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	var out []byte
 	err := o.p.call(ctx, Objects, false, func() error {
 		data, ok := o.p.objects[name]
 		if !ok {
-			return fmt.Errorf("%w: object %q", platform.ErrNotFound, name)
+			return fmt.Errorf("%w: object %q", backing.ErrNotFound, name)
 		}
 		out = bytes.Clone(data)
 		return nil
@@ -104,7 +104,7 @@
 	return out, err
 }
 
-// List implements platform.ObjectStore.
+// List implements backing.ObjectStore.
 func (o objectStore) List(ctx context.Context, prefix string) ([]string, error) {
 	var out []string
 	err := o.p.call(ctx, Objects, false, func() error {
@@ -119,7 +119,7 @@
 	return out, err
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements backing.ObjectStore.
 func (o objectStore) Delete(ctx context.Context, name string) error {
 	return o.p.call(ctx, Objects, true, func() error {
 		delete(o.p.objects, name)
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
-	"github.com/hyssophaven/hyssophaven/platform"
-	"github.com/hyssophaven/hyssophaven/platform/platformhttp"
+	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 )
 
 // WeightConfig limits the weight store. Zero fields mean no limit.
@@ -46,20 +46,20 @@
 	return &weightStore{p: p, config: c, limiter: rate.NewLimiter(limit, 1), permits: make(map[string]permit)}
 }
 
-// Acquire implements platformhttp.WeightStore.
-func (w *weightStore) Acquire(ctx context.Context, r platformhttp.LoadRequest) (platformhttp.Permit, error) {
+// Acquire implements backinghttp.WeightStore.
+func (w *weightStore) Acquire(ctx context.Context, r backinghttp.LoadRequest) (backinghttp.Permit, error) {
 	if !r.Adapter {
 		if err := w.limiter.Wait(ctx); err != nil {
-			return platformhttp.Permit{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+			return backinghttp.Permit{}, fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 		}
 	}
-	granted := platformhttp.Permit{ID: uuid.NewString()}
+	granted := backinghttp.Permit{ID: uuid.NewString()}
 	err := w.p.call(ctx, Weights, true, func() error {
 		granted.Slowdown = w.grant(time.Now(), granted.ID, r.Adapter)
 		return nil
 	})
 	if err != nil {
-		return platformhttp.Permit{}, err
+		return backinghttp.Permit{}, err
 	}
 	return granted, nil
 }
@@ -86,7 +86,7 @@
 	return max(1, float64(inTransit)/float64(fullSpeed))
 }
 
-// Release implements platformhttp.WeightStore.
+// Release implements backinghttp.WeightStore.
 func (w *weightStore) Release(ctx context.Context, id string) error {
 	return w.p.call(ctx, Weights, true, func() error {
 		delete(w.permits, id)
--- a/tablestore/tablestore.go
+++ b/tablestore/tablestore.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 )
@@ -35,12 +35,12 @@
 
 // Store reads and edits the table. It is safe for concurrent use.
 type Store struct {
-	records platform.TableStore
+	records backing.TableStore
 	now     func() time.Time
 }
 
 // New returns a Store on the given table service.
-func New(records platform.TableStore) *Store {
+func New(records backing.TableStore) *Store {
 	return &Store{records: records, now: time.Now}
 }
 
@@ -60,7 +60,7 @@
 
 // Head returns the newest revision, 0 if there is no table yet.
 func (s *Store) Head(ctx context.Context) (uint64, error) {
-	records, err := s.records.Read(ctx, platform.Query{Keys: []string{headKey}})
+	records, err := s.records.Read(ctx, backing.Query{Keys: []string{headKey}})
 	if err != nil {
 		return 0, fmt.Errorf("read table head: %w", err)
 	}
@@ -81,7 +81,7 @@
 
 // load also returns the version of the head record.
 func (s *Store) load(ctx context.Context) (*table.Snapshot, uint64, error) {
-	records, err := s.records.Read(ctx, platform.Query{Keys: []string{headKey}, Prefix: rowPrefix})
+	records, err := s.records.Read(ctx, backing.Query{Keys: []string{headKey}, Prefix: rowPrefix})
 	if err != nil {
 		return nil, 0, fmt.Errorf("read table: %w", err)
 	}
@@ -104,7 +104,7 @@
 	return table.NewSnapshot(revision, rows), headVersion, nil
 }
 
-func decodeHead(r platform.Record) (uint64, error) {
+func decodeHead(r backing.Record) (uint64, error) {
 	var h head
 	if err := json.Unmarshal(r.Value, &h); err != nil {
 		return 0, fmt.Errorf("read table head: %w", err)
@@ -113,8 +113,8 @@
 }
 
 // Edit applies e and returns the accepted table. It fails with a
-// *table.ConflictError, a *table.InvalidError, platform.ErrUnavailable, or
-// platform.ErrUnknownOutcome if neither the commit's answer nor the history
+// *table.ConflictError, a *table.InvalidError, backing.ErrUnavailable, or
+// backing.ErrUnknownOutcome if neither the commit's answer nor the history
 // could be read.
 func (s *Store) Edit(ctx context.Context, e table.Edit) (*table.Snapshot, error) {
 	attempt := editAttempt{id: uuid.NewString(), edit: e}
@@ -124,7 +124,7 @@
 			return after, err
 		}
 	}
-	return nil, fmt.Errorf("commit edit: %w after %d attempts", platform.ErrConflict, maxEditAttempts)
+	return nil, fmt.Errorf("commit edit: %w after %d attempts", backing.ErrConflict, maxEditAttempts)
 }
 
 // editAttempt is an edit that may be committed more than once before it is accepted.
@@ -157,9 +157,9 @@
 	switch {
 	case err == nil:
 		return after, true, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return nil, false, nil
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, backing.ErrUnknownOutcome):
 		a.unknown = after.Revision
 		committed, readErr := s.committed(ctx, a)
 		return after, committed, s.editError(a, readErr)
@@ -174,7 +174,7 @@
 		return nil
 	}
 	if a.unknown > 0 {
-		return fmt.Errorf("commit edit %s: %w; look for it in the history (%w)", a.id, platform.ErrUnknownOutcome, err)
+		return fmt.Errorf("commit edit %s: %w; look for it in the history (%w)", a.id, backing.ErrUnknownOutcome, err)
 	}
 	return fmt.Errorf("commit edit: %w", err)
 }
@@ -184,7 +184,7 @@
 	if a.unknown == 0 {
 		return false, nil
 	}
-	records, err := s.records.Read(ctx, platform.Query{Keys: []string{historyKey(a.unknown)}})
+	records, err := s.records.Read(ctx, backing.Query{Keys: []string{historyKey(a.unknown)}})
 	if err != nil || len(records) == 0 {
 		return false, err
 	}
@@ -195,36 +195,36 @@
 	return h.EditID == a.id, nil
 }
 
-func (s *Store) editTxn(before, after *table.Snapshot, headVersion uint64, a *editAttempt) (platform.Txn, error) {
+func (s *Store) editTxn(before, after *table.Snapshot, headVersion uint64, a *editAttempt) (backing.Txn, error) {
 	entry := HistoryEntry{Revision: after.Revision, EditID: a.id, Author: a.edit.Author, At: s.now().UTC()}
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: headKey, Version: headVersion}}}
+	txn := backing.Txn{Conditions: []backing.Condition{{Key: headKey, Version: headVersion}}}
 	for _, c := range a.edit.Changes {
 		if c.Remove {
 			entry.Removed = append(entry.Removed, c.Row.Name)
-			txn.Writes = append(txn.Writes, platform.Write{Key: rowPrefix + c.Row.Name, Delete: true})
+			txn.Writes = append(txn.Writes, backing.Write{Key: rowPrefix + c.Row.Name, Delete: true})
 			continue
 		}
 		row, _ := after.Row(c.Row.Name)
 		value, err := tablecodec.EncodeRow(row)
 		if err != nil {
-			return platform.Txn{}, err
+			return backing.Txn{}, err
 		}
 		entry.Set = append(entry.Set, c.Row.Name)
-		txn.Writes = append(txn.Writes, platform.Write{Key: rowPrefix + c.Row.Name, Value: value})
+		txn.Writes = append(txn.Writes, backing.Write{Key: rowPrefix + c.Row.Name, Value: value})
 	}
 	headValue, err := json.Marshal(head{Revision: after.Revision})
 	if err != nil {
-		return platform.Txn{}, err
+		return backing.Txn{}, err
 	}
 	entryValue, err := json.Marshal(entry)
 	if err != nil {
-		return platform.Txn{}, err
+		return backing.Txn{}, err
 	}
 	txn.Writes = append(txn.Writes,
-		platform.Write{Key: headKey, Value: headValue},
-		platform.Write{Key: historyKey(after.Revision), Value: entryValue})
+		backing.Write{Key: headKey, Value: headValue},
+		backing.Write{Key: historyKey(after.Revision), Value: entryValue})
 	if before.Revision > historyLength {
-		txn.Writes = append(txn.Writes, platform.Write{Key: historyKey(before.Revision - historyLength), Delete: true})
+		txn.Writes = append(txn.Writes, backing.Write{Key: historyKey(before.Revision - historyLength), Delete: true})
 	}
 	return txn, nil
 }
@@ -234,7 +234,7 @@
 
 // History returns up to limit accepted edits, newest first.
 func (s *Store) History(ctx context.Context, limit int) ([]HistoryEntry, error) {
-	records, err := s.records.Read(ctx, platform.Query{Prefix: historyPrefix})
+	records, err := s.records.Read(ctx, backing.Query{Prefix: historyPrefix})
 	if err != nil {
 		return nil, fmt.Errorf("read table history: %w", err)
 	}
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/control"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/peer"
-	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 	"github.com/hyssophaven/hyssophaven/tablestore"
@@ -42,8 +42,8 @@
 
 // Config sets up the service.
 type Config struct {
-	Records  platform.TableStore
-	Objects  platform.ObjectStore
+	Records  backing.TableStore
+	Objects  backing.ObjectStore
 	Interval time.Duration // between reads of the head
 	Timeout  time.Duration // of one fetch from a peer
 	Vars     *expvar.Map
