--- /dev/null
+++ b/cli/edge.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/hyssophaven/hyssophaven/edge"
+	"github.com/hyssophaven/hyssophaven/logsink"
+	"github.com/hyssophaven/hyssophaven/platform"
+)
+
+// logFlushTimeout bounds the write of the last log lines of a stopping process.
+const logFlushTimeout = 200 * time.Millisecond
+
+func edgeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "serve callers on the users' platform until SIGTERM, then shut down gracefully",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "node-file", Usage: "read the platform's settings from `FILE`", Sources: cli.EnvVars(platform.NodeFileVariable), Required: true},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+		},
+		Action: runEdge,
+	}
+}
+
+func runEdge(ctx context.Context, c *cli.Command) error {
+	path := c.String("node-file")
+	node, err := platform.ReadNode(path)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return usageErrorf("log level %q: want debug, info, warn or error", c.String("log-level"))
+	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close(logFlushTimeout)
+	logger := log.NewWithOptions(sink, log.Options{
+		ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Level: level, Formatter: log.LogfmtFormatter,
+	})
+	instance, err := edge.New(node, logger)
+	if err != nil {
+		return err
+	}
+	if err := instance.Start(ctx); err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	for {
+		select {
+		case <-reload:
+			checkReload(logger, path)
+		case <-ctx.Done():
+			return errors.Join(instance.Stop(context.WithoutCancel(ctx)), nil)
+		}
+	}
+}
+
+// checkReload reads the settings again. What they hold belongs to the process's
+// start: its addresses and bounds are those of its machine.
+func checkReload(logger *log.Logger, path string) {
+	node, err := platform.ReadNode(path)
+	if err != nil {
+		logger.Error("settings can't be read; the old ones stay", "file", path, "error", err)
+		return
+	}
+	logger.Info("settings read again", "file", path, "instance", node.ID, "bounds", fmt.Sprintf("%+v", node.Bounds))
+}
--- /dev/null
+++ b/controlplane/core.go
@@ -0,0 +1,117 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/leader"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
+	"github.com/hyssophaven/hyssophaven/residency"
+	"github.com/hyssophaven/hyssophaven/retry"
+)
+
+const (
+	// lapseGrace is the time after the store's return for which entries that
+	// lapsed while it was away are kept.
+	lapseGrace = 2 * time.Second
+	// planInterval is the time between plans of model loads.
+	planInterval = 200 * time.Millisecond
+	// assumedInstances divides the slack of the retry budget while the number
+	// of instances is not known; deployments of today have up to ten.
+	assumedInstances = 10
+	// budgetShare is the part of the allowed retry ratio that is used, because
+	// requests are counted here a little later than by the deployment.
+	budgetShare = 0.8
+)
+
+// core is the control state. Only the control goroutine touches it.
+type core struct {
+	node    nodeconfig.Node
+	log     *log.Logger
+	metrics *metrics.Registry
+	bus     *kernel.Bus
+	publish func(*Snapshot)
+	post    func(event)
+
+	config   *catalog.Config
+	roster   *catalog.Roster
+	dispatch *dispatch.State
+	leader   *leader.State
+	plan     *residency.State
+	planned  time.Time
+	ordering bool // this instance may give orders
+	stopping bool
+
+	storeAway map[string]bool // by table
+	storeBack time.Time       // last return of the store
+
+	demand   map[string]*modelDemand
+	peers    map[string]*peerState
+	adapters map[adapterKey][]adapterWaiter
+}
+
+func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
+	b := node.Bounds
+	c := &core{
+		node: node, log: logger, metrics: registry, bus: bus, publish: func(*Snapshot) {}, post: func(event) {},
+		roster: catalog.NewRoster(), plan: residency.New(),
+		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), b.LeaseTurn),
+		dispatch: dispatch.New(dispatch.Options{
+			Zone: node.Zone, Seed: uint64(now.UnixNano()),
+			Retries: retry.Limits{
+				Window: b.RetryWindow, Ratio: budgetShare * b.RetryRatio,
+				MinPerSecond: b.RetrySlack / b.RetryWindow.Seconds() / assumedInstances / 2,
+				Burst:        b.RetrySlack / assumedInstances / 2,
+			},
+		}),
+		storeAway: make(map[string]bool), demand: make(map[string]*modelDemand),
+		peers: make(map[string]*peerState), adapters: make(map[adapterKey][]adapterWaiter),
+	}
+	return c
+}
+
+func (c *core) tick(now time.Time, boot bootclock.Time) {
+	for _, id := range c.roster.Expire(now) {
+		c.log.Info("replica dropped", "replica", id, "reason", "entry did not come back with the store")
+		c.replicaChanged(id, nil)
+	}
+	c.tickLeader(now, boot)
+	c.expireAdapters(now)
+	c.metrics.Gauge("control_queue", "events").Set(0)
+}
+
+// snapshotChanged publishes what traffic sees.
+func (c *core) snapshotChanged() {
+	c.publish(&Snapshot{Config: c.config, Stopping: c.stopping})
+}
+
+// send publishes work for another service.
+func (c *core) send(ev any) {
+	if err := kernel.PublishAny(c.bus, ev); err != nil {
+		c.log.Error("publish an event", "error", err)
+	}
+}
+
+// takeConfig takes over a newer config.
+func (c *core) takeConfig(config *catalog.Config) {
+	if c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.config = config
+	c.dispatch.SetConfig(config)
+	c.plan.SetConfig(config)
+	c.snapshotChanged()
+	c.log.Info("config taken over", "version", config.Version, "routes", len(config.Routes()), "services", len(config.Services))
+}
+
+// replicaChanged hands a replica's new description to the decisions.
+func (c *core) replicaChanged(id string, info *catalog.Replica) {
+	c.dispatch.SetReplica(id, info)
+	c.plan.SetReplica(id, info)
+}
--- /dev/null
+++ b/controlplane/demand.go
@@ -0,0 +1,51 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/residency"
+)
+
+// notLoadedWait is the share of the goal that counts as the wait of a request
+// whose model no replica holds.
+const notLoadedWait = 3.0
+
+// modelDemand is the demand for one model at this instance since the last report.
+type modelDemand struct {
+	requests, tokens int
+	waitShare        float64 // sum over requests
+}
+
+// countDemand records the demand that a decision shows.
+func (c *core) countDemand(_ time.Time, req *dispatch.Request, d dispatch.Decision) {
+	if req.Model == "" {
+		return
+	}
+	m, ok := c.demand[req.Model]
+	if !ok {
+		m = &modelDemand{}
+		c.demand[req.Model] = m
+	}
+	m.requests++
+	m.tokens += max(0, req.PromptTokens-d.CachedTokens)
+	switch {
+	case d.Cause == dispatch.CauseNotLoaded:
+		m.waitShare += notLoadedWait
+	case d.Verdict == dispatch.Send && req.Route.Goal > 0:
+		m.waitShare += min(notLoadedWait, float64(d.Expected)/float64(req.Route.Goal))
+	}
+}
+
+// takeDemand returns the demand since the last call.
+func (c *core) takeDemand() map[string]residency.Demand {
+	out := make(map[string]residency.Demand, len(c.demand))
+	for model, m := range c.demand {
+		if m.requests == 0 {
+			continue
+		}
+		out[model] = residency.Demand{Requests: m.requests, Tokens: m.tokens, WaitShare: m.waitShare / float64(m.requests)}
+		*m = modelDemand{}
+	}
+	return out
+}
--- /dev/null
+++ b/controlplane/orders.go
@@ -0,0 +1,173 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/leader"
+	"github.com/hyssophaven/hyssophaven/residency"
+)
+
+// SendOrder asks for an order to be sent. It must not be sent at or after Until.
+type SendOrder struct {
+	Order  *residency.Order
+	Holder string
+	Epoch  uint64
+	Until  bootclock.Time
+}
+
+// AskReplica asks for a replica's report.
+type AskReplica struct {
+	Replica, Address string
+	Delay            time.Duration
+}
+
+// UseLease asks for a read or a write of the lease.
+type UseLease struct {
+	Action leader.Action
+	Write  leader.Write
+}
+
+// tickLeader keeps the lease and, as its holder, plans orders.
+func (c *core) tickLeader(now time.Time, boot bootclock.Time) {
+	if a := c.leader.Tick(boot); a != leader.None {
+		c.send(UseLease{Action: a, Write: c.leader.Next()})
+	}
+	_, ok := c.leader.OrderUntil(boot)
+	if ok != c.ordering {
+		c.ordering = ok
+		c.log.Info("order lease", "ordering", ok, "holder", c.leader.Row().Holder, "epoch", c.leader.Epoch(), "version", c.leader.Row().Version)
+		if ok {
+			c.act(now, c.plan.Hold(now))
+		}
+	}
+	if !c.leader.Held() {
+		return
+	}
+	if now.Sub(c.planned) >= planInterval {
+		c.planned = now
+		for model, d := range c.takeDemand() {
+			c.plan.AddDemand(now, model, d)
+		}
+		if ok {
+			c.act(now, c.plan.Plan(now))
+		}
+	}
+}
+
+// act carries out the actions of the plan.
+func (c *core) act(now time.Time, actions []residency.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Order != nil:
+			c.order(now, a.Order)
+		case a.Report != "":
+			if r := c.replicaAddress(a.Report); r != "" {
+				c.send(AskReplica{Replica: a.Report, Address: r, Delay: a.Delay})
+			} else {
+				c.act(now, c.plan.Reported(now, a.Report, nil))
+			}
+		case a.Ready != nil:
+			c.adapterReady(*a.Ready, a.Delay)
+		}
+	}
+}
+
+func (c *core) replicaAddress(id string) string {
+	for _, r := range c.roster.Replicas() {
+		if r.ID == id {
+			return r.Address
+		}
+	}
+	return ""
+}
+
+func (c *core) order(now time.Time, o *residency.Order) {
+	until, ok := c.leader.OrderUntil(bootclock.Now())
+	if !ok {
+		c.act(now, c.plan.Answered(now, o, residency.Unsent))
+		return
+	}
+	c.send(SendOrder{Order: o, Holder: c.node.ID, Epoch: c.leader.Epoch(), Until: until})
+}
+
+// OrderAnswered is the answer to an order.
+type OrderAnswered struct {
+	Order   *residency.Order
+	Outcome residency.Outcome
+	Took    time.Duration
+	Err     error
+}
+
+func (e OrderAnswered) apply(c *core, now time.Time) {
+	o := e.Order
+	c.metrics.Counter("orders", "operation", operationName(o), "outcome", e.Outcome.String()).Add(1)
+	c.log.Info("order answered", "replica", o.Replica, "operation", operationName(o), "model", o.Model, "adapter", o.Adapter,
+		"expected", o.Expected, "reason", o.Reason, "outcome", e.Outcome.String(), "took", e.Took, "error", e.Err)
+	c.act(now, c.plan.Answered(now, o, e.Outcome))
+}
+
+func operationName(o *residency.Order) string {
+	if o.Operation == residency.Load {
+		return "load"
+	}
+	return "unload"
+}
+
+// ReplicaReported is a replica's report; nil if it could not be had.
+type ReplicaReported struct {
+	Replica string
+	Report  *residency.Report
+	Err     error
+}
+
+func (e ReplicaReported) apply(c *core, now time.Time) {
+	if e.Err != nil {
+		c.log.Warn("replica did not report", "replica", e.Replica, "error", e.Err)
+	}
+	c.act(now, c.plan.Reported(now, e.Replica, e.Report))
+}
+
+// LeaseSeen is the lease as it was read from the store.
+type LeaseSeen struct{ Row leader.Row }
+
+func (e LeaseSeen) apply(c *core, _ time.Time) {
+	before := c.leader.Row()
+	c.leader.Seen(bootclock.Now(), e.Row)
+	c.leaseChanged(before)
+}
+
+// LeaseWritten is the confirmation of a write of the lease.
+type LeaseWritten struct{ Version uint64 }
+
+func (e LeaseWritten) apply(c *core, _ time.Time) {
+	before := c.leader.Row()
+	c.leader.Written(bootclock.Now(), e.Version)
+	c.leaseChanged(before)
+}
+
+// LeaseFailed is a read or write of the lease without effect or with an unknown one.
+type LeaseFailed struct {
+	Conflict bool
+	Err      error
+}
+
+func (e LeaseFailed) apply(c *core, _ time.Time) {
+	c.leader.Failed(bootclock.Now(), e.Conflict)
+	c.log.Info("lease call failed", "conflict", e.Conflict, "error", e.Err)
+}
+
+// HolderChanged says where the holder of the order lease listens for peers.
+type HolderChanged struct {
+	Address string
+	Self    bool
+}
+
+func (c *core) leaseChanged(before leader.Row) {
+	row := c.leader.Row()
+	if before.Holder == row.Holder && before.Epoch == row.Epoch && before.Start == row.Start {
+		return
+	}
+	c.log.Info("order lease seen", "holder", row.Holder, "epoch", row.Epoch, "version", row.Version, "held", c.leader.Held())
+	c.send(HolderChanged{Address: row.Address, Self: c.leader.Held()})
+}
--- /dev/null
+++ b/controlplane/peers.go
@@ -0,0 +1,120 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/residency"
+)
+
+// peerLifetime is the age up to which a peer's state counts.
+const peerLifetime = 2 * time.Second
+
+// PeerState is what one instance tells the holder of the order lease.
+type PeerState struct {
+	Instance string                      `json:"instance"`
+	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
+	Demand   map[string]residency.Demand `json:"demand"` // by model
+}
+
+// FleetState is the holder's answer.
+type FleetState struct {
+	Holder string                   `json:"holder"`
+	Epoch  uint64                   `json:"epoch"`
+	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
+}
+
+type peerState struct {
+	loads map[string]dispatch.Load
+	at    time.Time
+}
+
+type ownState struct{ answer chan<- PeerState }
+
+// OwnState returns this instance's state for the holder. Demand is what came
+// since the last call.
+func (s *Service) OwnState(ctx context.Context) (PeerState, error) {
+	answer := make(chan PeerState, 1)
+	return ask(ctx, s, ownState{answer: answer}, answer)
+}
+
+func (e ownState) apply(c *core, _ time.Time) {
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand()}
+}
+
+type servePeer struct {
+	peer   PeerState
+	answer chan<- FleetState
+}
+
+// ServePeer takes over a peer's state and returns that of the other instances.
+func (s *Service) ServePeer(ctx context.Context, p PeerState) (FleetState, error) {
+	answer := make(chan FleetState, 1)
+	return ask(ctx, s, servePeer{peer: p, answer: answer}, answer)
+}
+
+func (e servePeer) apply(c *core, now time.Time) {
+	if _, ok := c.peers[e.peer.Instance]; !ok {
+		c.log.Info("peer seen", "peer", e.peer.Instance)
+	}
+	c.peers[e.peer.Instance] = &peerState{loads: e.peer.Loads, at: now}
+	for model, d := range e.peer.Demand {
+		c.plan.AddDemand(now, model, d)
+	}
+	c.sumPeers(now)
+	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance)}
+	if c.leader.Held() {
+		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
+	}
+	e.answer <- state
+}
+
+// sumPeers hands the load of all peers to dispatch.
+func (c *core) sumPeers(now time.Time) {
+	sum := make(map[string]dispatch.Load)
+	for name, p := range c.peers {
+		if now.Sub(p.at) > peerLifetime {
+			c.log.Info("peer lost", "peer", name, "last_seen", now.Sub(p.at))
+			delete(c.peers, name)
+			continue
+		}
+		addLoads(sum, p.loads)
+	}
+	c.setPeerLoads(now, sum)
+}
+
+func (c *core) setPeerLoads(now time.Time, sum map[string]dispatch.Load) {
+	for _, r := range c.roster.Replicas() {
+		c.dispatch.SetPeerLoad(now, r.ID, sum[r.ID])
+	}
+}
+
+// othersLoad returns the load of all instances but one.
+func (c *core) othersLoad(now time.Time, except string) map[string]dispatch.Load {
+	sum := c.dispatch.OwnLoad()
+	for name, p := range c.peers {
+		if name != except && now.Sub(p.at) <= peerLifetime {
+			addLoads(sum, p.loads)
+		}
+	}
+	return sum
+}
+
+func addLoads(sum, loads map[string]dispatch.Load) {
+	for id, l := range loads {
+		s := sum[id]
+		s.Requests += l.Requests
+		s.UnreadTokens += l.UnreadTokens
+		sum[id] = s
+	}
+}
+
+// FleetSeen is the holder's answer to this instance's state.
+type FleetSeen struct{ State FleetState }
+
+func (e FleetSeen) apply(c *core, now time.Time) {
+	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
+	c.setPeerLoads(now, e.State.Loads)
+}
--- /dev/null
+++ b/controlplane/requests.go
@@ -0,0 +1,106 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/dispatch"
+)
+
+// Flight is one send of a request to a replica.
+type Flight struct {
+	Request  *dispatch.Request
+	Decision dispatch.Decision
+	// Unread are the prompt tokens that the replica is thought to read.
+	Unread int
+	SentAt time.Time
+}
+
+// Query asks where to send a request.
+type Query struct {
+	Request *dispatch.Request
+	// Tried are the replicas that were chosen for it. Arrivals of these sends
+	// reached a replica, and Ran replicas may have run it.
+	Tried         []string
+	Arrivals, Ran int
+}
+
+// Admission is the answer to a Query. Flight is nil if the request is refused.
+type Admission struct {
+	Decision dispatch.Decision
+	Flight   *Flight
+}
+
+type admit struct {
+	query  Query
+	answer chan<- Admission
+}
+
+// Admit decides where a request is sent and counts it as in flight there; the
+// caller reports its end with Finish.
+func (s *Service) Admit(ctx context.Context, q Query) (Admission, error) {
+	answer := make(chan Admission, 1)
+	return ask(ctx, s, admit{query: q, answer: answer}, answer)
+}
+
+func (e admit) apply(c *core, now time.Time) {
+	req := e.query.Request
+	if len(e.query.Tried) == 0 {
+		c.dispatch.Arrived(now, req)
+	}
+	d := c.dispatch.Choose(now, req, dispatch.History{Tried: e.query.Tried, Arrivals: e.query.Arrivals, Ran: e.query.Ran})
+	c.countDemand(now, req, d)
+	if d.Verdict == dispatch.Refuse {
+		e.answer <- Admission{Decision: d}
+		return
+	}
+	unread := c.dispatch.Sent(now, req, d.Replica.ID)
+	if req.Adapter != "" {
+		c.plan.UsedAdapter(now, d.Replica.ID, req.Model, req.Adapter)
+	}
+	e.answer <- Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, Unread: unread, SentAt: now}}
+}
+
+type firstByte struct {
+	flight *Flight
+	took   time.Duration
+	report *dispatch.Report
+}
+
+// FirstByte reports that the answer of a flight has begun, took after its send.
+func (s *Service) FirstByte(f *Flight, took time.Duration, report *dispatch.Report) {
+	s.post(firstByte{flight: f, took: took, report: report})
+}
+
+func (e firstByte) apply(c *core, now time.Time) {
+	f := e.flight
+	c.dispatch.FirstByte(now, f.Request, f.Decision.Replica.ID, f.Unread, f.Decision.Expected, e.took)
+	f.Unread = 0
+	if e.report != nil {
+		c.dispatch.SetReport(now, f.Decision.Replica.ID, *e.report)
+	}
+}
+
+type finish struct {
+	flight  *Flight
+	outcome dispatch.Outcome
+	report  *dispatch.Report
+}
+
+// Finish reports the end of a flight. report is the load that the replica
+// stated, or nil.
+func (s *Service) Finish(f *Flight, outcome dispatch.Outcome, report *dispatch.Report) {
+	s.post(finish{flight: f, outcome: outcome, report: report})
+}
+
+func (e finish) apply(c *core, now time.Time) {
+	f := e.flight
+	id := f.Decision.Replica.ID
+	if e.report != nil {
+		c.dispatch.SetReport(now, id, *e.report)
+	}
+	if c.dispatch.Finished(now, f.Request, id, e.outcome, f.Unread) {
+		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
+		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
+	}
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -35,9 +35,15 @@
 	loadingRetryAfter = 1500 * time.Millisecond
 )
 
-// Choose decides where a request is sent. tried lists replicas to which it was
-// sent before; ran is the number of those that may have run it.
-func (s *State) Choose(now time.Time, req *Request, tried []string, ran int) Decision {
+// History is what was done for a request before.
+type History struct {
+	Tried    []string // replicas that were chosen
+	Arrivals int      // sends that reached a replica
+	Ran      int      // replicas that may have run the request
+}
+
+// Choose decides where a request is sent.
+func (s *State) Choose(now time.Time, req *Request, h History) Decision {
 	if left := req.Deadline.Sub(now); left < minTimeLeft {
 		return Decision{Verdict: Refuse, Cause: CauseNoTime}
 	}
@@ -45,16 +51,14 @@
 		return Decision{Verdict: Refuse, Cause: CauseCrashes, RetryAfter: crashMemory}
 	}
 	svc := s.service(req.Service)
-	if len(tried) > 0 {
-		if ran >= req.Route.Attempts {
-			return Decision{Verdict: Refuse, Cause: CauseAttempts}
-		}
+	if h.Ran >= req.Route.Attempts {
+		return Decision{Verdict: Refuse, Cause: CauseAttempts}
 	}
-	d := s.best(now, svc, req, tried)
+	d := s.best(now, svc, req, h.Tried)
 	if d.Verdict == Refuse {
 		return d
 	}
-	if len(tried) > 0 && !s.budget(svc, now).Allow(now) {
+	if h.Arrivals > 0 && !s.budget(svc, now).Allow(now) {
 		return Decision{Verdict: Refuse, Cause: CauseBudget, RetryAfter: refusedRetryAfter}
 	}
 	return d
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,112 @@
+// Package edge assembles an instance that serves on the users' platform: it
+// creates the services and registers them on a kernel.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/ingress"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/netdial"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
+	"github.com/hyssophaven/hyssophaven/ordering"
+	"github.com/hyssophaven/hyssophaven/peering"
+	"github.com/hyssophaven/hyssophaven/platform"
+	"github.com/hyssophaven/hyssophaven/upstream"
+	"github.com/hyssophaven/hyssophaven/watch"
+)
+
+const (
+	// dialTimeout bounds connections to the store and to replicas: many round
+	// trips between data centres.
+	dialTimeout = 600 * time.Millisecond
+	// memoryShare is the part of the instance's memory at which the collector
+	// works harder.
+	memoryShare = 0.6
+	// collectorPercent trades memory for processor time; the live heap is a few
+	// megabytes.
+	collectorPercent = 150
+	// MetricsPort and metricsPath are where the counters are served.
+	MetricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// Instance is one edge instance.
+type Instance struct {
+	node    nodeconfig.Node
+	kernel  *kernel.Kernel
+	gateway *ingress.Gateway
+	metrics *http.Server
+	log     *log.Logger
+}
+
+// New registers all services of an instance.
+func New(node nodeconfig.Node, logger *log.Logger) (*Instance, error) {
+	k, err := kernel.New()
+	if err != nil {
+		return nil, err
+	}
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryBytes)))
+	}
+	debug.SetGCPercent(collectorPercent)
+	registry := metrics.New()
+	dial := netdial.Dialer(dialTimeout)
+	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
+	i := &Instance{node: node, kernel: k, log: logger}
+	i.gateway = ingress.New(ingress.Options{
+		Node: node, ReadinessPath: platform.ReadinessPath, Protocol: platform.Protocol{}, Pool: pool, Log: logger, Metrics: registry,
+	})
+	source := watch.Source{
+		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ReplicaTable: platform.ReplicaTable,
+		DecodeConfig: platform.DecodeConfig, DecodeReplica: platform.DecodeReplica,
+	}
+	k.Register(controlplane.New(node, logger, registry))
+	k.Register(watch.New(store, source, logger, registry))
+	k.Register(ordering.New(store, pool, platform.OrderCodec{}, logger))
+	k.Register(peering.New(node, logger))
+	k.Register(i.gateway)
+	router := chi.NewRouter()
+	router.Get(metricsPath, registry.ServeHTTP)
+	i.metrics = &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
+	return i, nil
+}
+
+// Start starts all services.
+func (i *Instance) Start(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(i.node.PeerHost, MetricsPort))
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	go func() {
+		if err := i.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			i.log.Error("metrics listener ended", "error", err)
+		}
+	}()
+	if err := i.kernel.Start(ctx); err != nil {
+		return errors.Join(err, i.metrics.Close())
+	}
+	i.log.Info("instance started", "instance", i.node.ID, "zone", i.node.Zone, "callers", i.node.Callers, "store", i.node.Store)
+	return nil
+}
+
+// Stop drains the instance and stops all services.
+func (i *Instance) Stop(ctx context.Context) error {
+	deadline := time.Now().Add(i.node.Bounds.Grace)
+	i.log.Info("instance stops", "instance", i.node.ID, "grace", i.node.Bounds.Grace)
+	i.gateway.Drain(ctx, deadline)
+	err := errors.Join(i.kernel.Stop(ctx), i.metrics.Close())
+	i.log.Info("instance stopped", "instance", i.node.ID, "error", err)
+	return err
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,131 @@
+// Package metrics holds an instance's counters, gauges and latency histograms.
+// They are expvar variables, and a handler writes them as text, one line each.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Registry is a set of variables by name and labels. It is safe for concurrent use.
+type Registry struct {
+	mu         sync.Mutex
+	ints       map[string]*expvar.Int
+	histograms map[string]*Histogram
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{ints: make(map[string]*expvar.Int), histograms: make(map[string]*Histogram)}
+}
+
+// key formats a name with its labels, which alternate between name and value.
+func key(name string, labels []string) string {
+	if len(labels) < 2 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name + "{")
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// Counter returns the counter with a name and labels (name, value, …).
+func (r *Registry) Counter(name string, labels ...string) *expvar.Int { return r.int(key(name, labels)) }
+
+// Gauge returns the gauge with a name; unit is its only label.
+func (r *Registry) Gauge(name, unit string) *expvar.Int { return r.int(key(name, []string{"unit", unit})) }
+
+func (r *Registry) int(k string) *expvar.Int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.ints[k]
+	if !ok {
+		v = new(expvar.Int)
+		r.ints[k] = v
+	}
+	return v
+}
+
+// bucketBounds are the upper bounds of a histogram's buckets, in milliseconds.
+var bucketBounds = [...]int64{1, 2, 5, 10, 20, 50, 100, 150, 250, 500, 800, 1000, 2000, 5000, 10000, 20000}
+
+// Histogram counts durations in buckets.
+type Histogram struct {
+	mu     sync.Mutex
+	counts [len(bucketBounds) + 1]int64
+	sum    time.Duration
+}
+
+// Histogram returns the histogram with a name and labels (name, value, …).
+func (r *Registry) Histogram(name string, labels ...string) *Histogram {
+	k := key(name, labels)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.histograms[k]
+	if !ok {
+		h = &Histogram{}
+		r.histograms[k] = h
+	}
+	return h
+}
+
+// Observe counts a duration.
+func (h *Histogram) Observe(d time.Duration) {
+	i := 0
+	for i < len(bucketBounds) && d.Milliseconds() > bucketBounds[i] {
+		i++
+	}
+	h.mu.Lock()
+	h.counts[i]++
+	h.sum += d
+	h.mu.Unlock()
+}
+
+func (h *Histogram) lines(k string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]string, 0, len(h.counts)+1)
+	total := int64(0)
+	for i, n := range h.counts {
+		total += n
+		bound := "inf"
+		if i < len(bucketBounds) {
+			bound = fmt.Sprint(bucketBounds[i])
+		}
+		out = append(out, fmt.Sprintf("%s le_ms=%s %d", k, bound, total))
+	}
+	return append(out, fmt.Sprintf("%s sum_ms %d", k, h.sum.Milliseconds()))
+}
+
+// Lines returns all variables as text, sorted.
+func (r *Registry) Lines() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for k, v := range r.ints {
+		out = append(out, fmt.Sprintf("%s %d", k, v.Value()))
+	}
+	for k, h := range r.histograms {
+		out = append(out, h.lines(k)...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ServeHTTP writes all variables as text.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = fmt.Fprintln(w, strings.Join(r.Lines(), "\n")) // the reader may have left
+}
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -3,7 +3,11 @@
 // platform fill it in.
 package nodeconfig
 
-import "time"
+import (
+	"net"
+	"strconv"
+	"time"
+)
 
 // Node describes one edge instance.
 type Node struct {
@@ -39,3 +43,8 @@
 	// belong to a replica of another service.
 	AddressReuse time.Duration
 }
+
+// PeerAddress is the address on which an instance listens for others.
+func (n Node) PeerAddress() string {
+	return net.JoinHostPort(n.PeerHost, strconv.Itoa(n.FirstPeerPort))
+}
--- /dev/null
+++ b/residency/orders.go
@@ -0,0 +1,210 @@
+package residency
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
+
+const (
+	// maxComing is the number of adapters that a replica takes at the same time.
+	maxComing = 4
+	// adapterRecent is the time for which an adapter counts as in use after it
+	// was wanted last: longer than most requests run.
+	adapterRecent = 1500 * time.Millisecond
+	// loadMargin is added to the declared time of a load: it takes longer while
+	// many loads run.
+	loadMargin = 3 * time.Second
+	// unloadPatience is the time after which an unload is checked by a report.
+	unloadPatience = 3 * time.Second
+)
+
+// free reports whether a replica can get an order now.
+func (r *replica) free(now time.Time) bool {
+	return r.known && r.sent == nil && !r.asked && !now.Before(r.retryAt)
+}
+
+// moving reports whether a load or unload of a model is in progress.
+func (r *replica) moving() bool { return r.loading != "" || r.dropping != "" }
+
+// advance sends the next adapter order of a replica, if there is one.
+func (s *State) advance(now time.Time, id string, r *replica) []Action {
+	var actions []Action
+	for len(r.wishes) > 0 {
+		w := r.wishes[0]
+		switch {
+		case now.After(w.until):
+			actions = append(actions, r.answerWish(id, "no adapter in time")...)
+			continue
+		case r.adapters[w.model+"/"+w.adapter] != nil:
+			actions = append(actions, r.answerWish(id, "")...)
+			continue
+		case !r.known:
+			return append(actions, s.ask(id, r, 0)...)
+		case !r.free(now):
+			return actions
+		}
+		order := s.adapterOrder(now, id, r, w)
+		if order == nil {
+			return append(actions, r.answerWish(id, "no place for the adapter")...)
+		}
+		r.sent = order
+		return append(actions, Action{Order: order})
+	}
+	return actions
+}
+
+// answerWish ends the first wish. An empty reason means success.
+func (r *replica) answerWish(id, reason string) []Action {
+	w := r.wishes[0]
+	r.wishes = r.wishes[1:]
+	result := &AdapterResult{Replica: id, Model: w.model, Adapter: w.adapter, OK: reason == "", Reason: reason}
+	return []Action{{Ready: result}}
+}
+
+// adapterOrder returns the load of an adapter, or the unload that makes a place
+// for it, or nil if there is no place.
+func (s *State) adapterOrder(now time.Time, id string, r *replica, w wish) *Order {
+	e := s.engine(r.info.Service)
+	if e == nil {
+		return nil
+	}
+	order := &Order{
+		Replica: id, Address: r.info.Address, Operation: Load, Model: w.model, Adapter: w.adapter,
+		Expected: r.orders, Reason: "adapter wanted",
+	}
+	fits := s.usedMB(r, e)+s.adapterMB(r, w.model) <= e.WeightsMB
+	if len(r.adapters) < e.AdapterSlots && fits && r.coming(now) < maxComing {
+		return order
+	}
+	victim := r.idleAdapter(now)
+	if victim == "" {
+		return nil
+	}
+	order.Operation = Unload
+	order.Model, order.Adapter, _ = strings.Cut(victim, "/")
+	order.Reason = "place for another adapter"
+	return order
+}
+
+func (r *replica) coming(now time.Time) int {
+	n := 0
+	for _, a := range r.adapters {
+		if now.Before(a.readyAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// idleAdapter returns the adapter that was used least recently, or "" if all
+// are in use.
+func (r *replica) idleAdapter(now time.Time) string {
+	victim, oldest := "", now.Add(-adapterRecent)
+	for key, a := range r.adapters {
+		if a.used.Before(oldest) {
+			victim, oldest = key, a.used
+		}
+	}
+	return victim
+}
+
+// usedMB returns the memory that models and adapters take, with what may still come.
+func (s *State) usedMB(r *replica, e *catalog.Engine) float64 {
+	used := 0.0
+	for _, m := range r.info.Models {
+		if declared := e.Model(m.Name); declared != nil {
+			used += declared.WeightsMB
+		} else {
+			return e.WeightsMB // an unknown model leaves no room that is certain
+		}
+	}
+	if r.loading != "" && !r.info.Holds(r.loading) {
+		if m := e.Model(r.loading); m != nil {
+			used += m.WeightsMB
+		}
+	}
+	for _, a := range r.adapters {
+		used += a.size
+	}
+	return used
+}
+
+// Answered takes over the answer to an order.
+func (s *State) Answered(now time.Time, order *Order, outcome Outcome) []Action {
+	r, ok := s.replicas[order.Replica]
+	if !ok || r.sent != order {
+		return nil
+	}
+	r.sent = nil
+	switch outcome {
+	case Accepted:
+		r.orders++
+		s.carriedOut(now, r, order)
+	case AlreadyHolds:
+		if order.Operation == Unload {
+			r.orders++
+		}
+		s.carriedOut(now, r, order)
+		if order.Adapter == "" {
+			r.loading, r.dropping = "", ""
+		}
+		r.known = false // whether the order counted shows in the report
+		return append(s.advance(now, order.Replica, r), s.ask(order.Replica, r, reportLag)...)
+	case Unsent, Rejected:
+		r.retryAt = now.Add(unknownHold)
+		return append(r.dropWish(order), s.advance(now, order.Replica, r)...)
+	case Busy, Fenced, OtherReplica, Unknown:
+		return s.uncertain(now, r, order)
+	}
+	return s.advance(now, order.Replica, r)
+}
+
+// uncertain asks the replica before its next order. A load that may still come
+// is counted in memory until then.
+func (s *State) uncertain(now time.Time, r *replica, order *Order) []Action {
+	r.known = false
+	if order.Operation == Load && order.Adapter == "" {
+		r.loading, r.readyAt = order.Model, now.Add(loadMargin)
+	}
+	r.retryAt = now.Add(reportLag)
+	return append(r.dropWish(order), s.ask(order.Replica, r, reportLag)...)
+}
+
+// dropWish ends the wish for the order's adapter without success.
+func (r *replica) dropWish(order *Order) []Action {
+	i := slices.IndexFunc(r.wishes, func(w wish) bool { return w.model == order.Model && w.adapter == order.Adapter })
+	if i < 0 {
+		return nil
+	}
+	w := r.wishes[i]
+	r.wishes = slices.Delete(r.wishes, i, i+1)
+	return []Action{{Ready: &AdapterResult{Replica: order.Replica, Model: w.model, Adapter: w.adapter, Reason: "order not carried out"}}}
+}
+
+// carriedOut records the effect of an accepted order.
+func (s *State) carriedOut(now time.Time, r *replica, order *Order) {
+	key := order.Model + "/" + order.Adapter
+	switch {
+	case order.Adapter != "" && order.Operation == Load:
+		mb := s.adapterMB(r, order.Model)
+		ready := now.Add(adapterBase + time.Duration(mb*float64(adapterPerMB)))
+		r.adapters[key] = &adapter{readyAt: ready, used: now, size: mb}
+	case order.Adapter != "":
+		delete(r.adapters, key)
+	case order.Operation == Load:
+		r.loading, r.readyAt = order.Model, now.Add(s.loadTime(r, order.Model)+loadMargin)
+	default:
+		r.dropping, r.dropBy = order.Model, now.Add(unloadPatience)
+	}
+}
+
+func (s *State) loadTime(r *replica, model string) time.Duration {
+	e := s.engine(r.info.Service)
+	if e == nil || e.Model(model) == nil {
+		return 0
+	}
+	return e.Model(model).LoadTime
+}
--- /dev/null
+++ b/residency/residency.go
@@ -0,0 +1,297 @@
+// Package residency decides which orders replicas get: which models and
+// adapters they load and unload. It is a state machine without I/O that never
+// reads a clock. Only the holder of the order lease acts on it.
+//
+// Invariants: a replica has at most one order on its way; what it holds, loads
+// and may still load never exceeds its memory or its places for adapters.
+package residency
+
+import (
+	"strings"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
+
+// Operation is what an order does.
+type Operation uint8
+
+// The operations.
+const (
+	Load Operation = iota
+	Unload
+)
+
+// Order is one order to a replica. Adapter is empty for the model itself.
+type Order struct {
+	Replica, Address string
+	Operation        Operation
+	Model, Adapter   string
+	// Expected is the number of orders that the replica must have accepted.
+	Expected int64
+	// FromStore says that the load counts against the weight store's rate.
+	FromStore bool
+	Reason    string
+}
+
+// Outcome is a replica's answer to an order.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Accepted Outcome = iota
+	AlreadyHolds
+	// Busy means that another order is in progress, or that the number of
+	// accepted orders differs.
+	Busy
+	// Fenced means that the replica has seen a newer epoch.
+	Fenced
+	// OtherReplica means that the address belongs to another replica.
+	OtherReplica
+	Rejected
+	// Unsent means that the order never left.
+	Unsent
+	// Unknown means that the order may be carried out, possibly later.
+	Unknown
+)
+
+var outcomeNames = [...]string{"accepted", "already-holds", "busy", "fenced", "other-replica", "rejected", "unsent", "unknown"}
+
+// String returns the outcome's name for logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Report is what a replica says of itself when it is asked.
+type Report struct {
+	Models           []catalog.Resident
+	Coming           []string // MODEL/ADAPTER that are being loaded
+	Busy             bool
+	Orders           int64
+	Born             int64
+	InMemory, OnDisk []string
+}
+
+// Action is something that the control goroutine has carried out.
+type Action struct {
+	Order *Order // to be sent
+	// Report names a replica that is to be asked after Delay.
+	Report string
+	Delay  time.Duration
+	// Ready is an adapter that can be used after Delay, or that can't be had.
+	Ready *AdapterResult
+}
+
+// AdapterResult is the end of a wish for an adapter.
+type AdapterResult struct {
+	Replica, Model, Adapter string
+	OK                      bool
+	Reason                  string
+}
+
+const (
+	// adapterBase and adapterPerMB estimate the time to load an adapter: 12 MB
+	// take 6.3 ms and 66 MB take 19 ms while few are in transit.
+	adapterBase  = 5 * time.Millisecond
+	adapterPerMB = 240 * time.Microsecond
+	// reportLag is the age of what a replica reports of itself, with a margin.
+	reportLag = 150 * time.Millisecond
+	// unknownHold is the time after which an order without an answer, which
+	// replicas may carry out seconds late, is taken as not carried out. The
+	// expected order number makes a later one harmless once another was accepted.
+	unknownHold = 300 * time.Millisecond
+	// adapterGiveUp bounds the wait for an adapter.
+	adapterGiveUp = 600 * time.Millisecond
+)
+
+// State is what the holder knows of the replicas of all engines.
+type State struct {
+	config   *catalog.Config
+	replicas map[string]*replica
+	demand   map[string]*demand // by model
+	loads    bucket
+	last     time.Time // of the last plan
+}
+
+type replica struct {
+	info     *catalog.Replica
+	orders   int64 // accepted, as far as known
+	known    bool  // orders was read from the replica since this instance holds the lease
+	asked    bool  // a report is on its way
+	sent     *Order
+	retryAt  time.Time
+	loading  string // model that is being loaded
+	readyAt  time.Time
+	dropping string // model that is being unloaded
+	dropBy   time.Time
+	adapters map[string]*adapter // by MODEL/ADAPTER
+	wishes   []wish
+}
+
+type adapter struct {
+	readyAt time.Time
+	used    time.Time
+	size    float64 // MB
+}
+
+type wish struct {
+	model, adapter string
+	until          time.Time
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{replicas: make(map[string]*replica), demand: make(map[string]*demand)}
+}
+
+// SetConfig takes over a newer config.
+func (s *State) SetConfig(c *catalog.Config) { s.config = c }
+
+func (s *State) engine(service string) *catalog.Engine {
+	if s.config == nil {
+		return nil
+	}
+	if declared, ok := s.config.Services[service]; ok {
+		return declared.Engine
+	}
+	return nil
+}
+
+// Hold starts a term as holder of the lease: nothing is known for certain, so
+// every replica is asked before its first order.
+func (s *State) Hold(now time.Time) []Action {
+	s.loads = newBucket(now)
+	var actions []Action
+	for id, r := range s.replicas {
+		r.known, r.sent, r.loading, r.dropping, r.wishes = false, nil, "", "", nil
+		actions = append(actions, s.ask(id, r, 0)...)
+	}
+	return actions
+}
+
+func (s *State) ask(id string, r *replica, delay time.Duration) []Action {
+	if r.asked || s.engine(r.info.Service) == nil {
+		return nil
+	}
+	r.asked = true
+	return []Action{{Report: id, Delay: delay}}
+}
+
+// SetReplica takes over what a replica says of itself; nil means that it is gone.
+func (s *State) SetReplica(id string, info *catalog.Replica) {
+	if info == nil {
+		delete(s.replicas, id)
+		return
+	}
+	r, ok := s.replicas[id]
+	if !ok || r.info.Born != info.Born {
+		r = &replica{adapters: make(map[string]*adapter), orders: info.Orders}
+		s.replicas[id] = r
+	}
+	r.info = info
+	if r.sent == nil {
+		r.orders = max(r.orders, info.Orders)
+	}
+	s.settle(r)
+	s.syncAdapters(r, info.Models, false)
+}
+
+// settle ends a load or unload that the replica's description shows as done.
+func (s *State) settle(r *replica) {
+	if r.loading != "" && r.info.Holds(r.loading) {
+		r.loading = ""
+	}
+	if r.dropping != "" && !r.info.Holds(r.dropping) {
+		r.dropping = ""
+	}
+}
+
+// syncAdapters takes over the adapters that a replica lists. A complete list
+// removes the others.
+func (s *State) syncAdapters(r *replica, models []catalog.Resident, complete bool) {
+	listed := make(map[string]bool)
+	for _, m := range models {
+		for _, a := range m.Adapters {
+			key := m.Name + "/" + a
+			listed[key] = true
+			if r.adapters[key] == nil {
+				r.adapters[key] = &adapter{size: s.adapterMB(r, m.Name)}
+			}
+		}
+	}
+	for key := range r.adapters {
+		model, _, _ := strings.Cut(key, "/")
+		if (complete && !listed[key]) || !r.info.Holds(model) {
+			delete(r.adapters, key)
+		}
+	}
+}
+
+func (s *State) adapterMB(r *replica, model string) float64 {
+	if e := s.engine(r.info.Service); e != nil {
+		if m := e.Model(model); m != nil {
+			return m.AdapterMB
+		}
+	}
+	return 0
+}
+
+// Reported takes over a replica's report; nil means that it could not be asked.
+func (s *State) Reported(now time.Time, id string, report *Report) []Action {
+	r, ok := s.replicas[id]
+	if !ok {
+		return nil
+	}
+	r.asked = false
+	if report == nil || (report.Born != 0 && r.info.Born != 0 && report.Born != r.info.Born) {
+		r.retryAt = now.Add(unknownHold)
+		return nil
+	}
+	if r.sent != nil {
+		return nil // the order's own answer is newer
+	}
+	r.known, r.orders = true, report.Orders
+	fresh := *r.info
+	fresh.Models, fresh.InMemory, fresh.OnDisk = report.Models, report.InMemory, report.OnDisk
+	r.info = &fresh
+	s.settle(r)
+	coming := report.Models
+	for _, c := range report.Coming {
+		model, rest, _ := strings.Cut(c, "/")
+		name, _, _ := strings.Cut(rest, "@")
+		coming = append(coming, catalog.Resident{Name: model, Adapters: []string{name}})
+	}
+	s.syncAdapters(r, coming, true)
+	if report.Busy {
+		r.retryAt = now.Add(unknownHold)
+	} else {
+		r.loading, r.dropping = "", ""
+	}
+	return s.advance(now, id, r)
+}
+
+// WantAdapter asks for an adapter on a replica that holds its model.
+func (s *State) WantAdapter(now time.Time, id, model, name string) []Action {
+	r, ok := s.replicas[id]
+	if !ok || !r.info.Holds(model) || r.info.Leaving {
+		return []Action{{Ready: &AdapterResult{Replica: id, Model: model, Adapter: name, Reason: "replica lacks the model"}}}
+	}
+	if a := r.adapters[model+"/"+name]; a != nil {
+		a.used = now
+		return []Action{{Ready: &AdapterResult{Replica: id, Model: model, Adapter: name, OK: true}, Delay: max(0, a.readyAt.Sub(now))}}
+	}
+	for _, w := range r.wishes {
+		if w.model == model && w.adapter == name {
+			return nil // the first wish answers all
+		}
+	}
+	r.wishes = append(r.wishes, wish{model: model, adapter: name, until: now.Add(adapterGiveUp)})
+	return s.advance(now, id, r)
+}
+
+// UsedAdapter records that an adapter is in use, so that it is not dropped.
+func (s *State) UsedAdapter(now time.Time, id, model, name string) {
+	if r, ok := s.replicas[id]; ok {
+		if a := r.adapters[model+"/"+name]; a != nil {
+			a.used = now
+		}
+	}
+}
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,166 @@
+// Package watch follows the operators' config and the list of replicas in the
+// shared store and tells the control goroutine what it sees. It decides nothing.
+package watch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/rowstore"
+	"github.com/hyssophaven/hyssophaven/worker"
+)
+
+// Name is the service's name in the kernel.
+const Name = "watch"
+
+const (
+	// feedWait is how long one call of a feed waits: calls are priced, and
+	// connections that went silent are found by probes.
+	feedWait = 15 * time.Second
+	// retryFirst and retryMax bound the pause after a failed call. Changes have
+	// to be in force within 2 s, and a store that is down is not to be flooded.
+	retryFirst = 100 * time.Millisecond
+	retryMax   = 400 * time.Millisecond
+)
+
+// Source says which tables are followed and how their rows are read.
+type Source struct {
+	ConfigTable, ConfigKey string
+	ReplicaTable           string
+	DecodeConfig           func(value []byte) (*catalog.Config, error)
+	DecodeReplica          func(id string, value []byte) (*catalog.Replica, error)
+}
+
+// Service follows the tables. It implements kernel.Service.
+type Service struct {
+	store   rowstore.Store
+	source  Source
+	log     *log.Logger
+	metrics *metrics.Registry
+	control *controlplane.Service
+	group   *worker.Group
+}
+
+// New returns a service that has not been started.
+func New(store rowstore.Store, source Source, logger *log.Logger, registry *metrics.Registry) *Service {
+	return &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup()}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Requires implements kernel.Service.
+func (s *Service) Requires() []string { return []string{controlplane.Name} }
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.control, err = kernel.Lookup[*controlplane.Service](k, controlplane.Name); err != nil {
+		return err
+	}
+	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ConfigTable, s.configRows) })
+	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ReplicaTable, s.replicaRows) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
+
+// follow reads a table and then its feed, until ctx ends. full says whether the
+// rows are the whole table.
+func (s *Service) follow(ctx context.Context, table string, take func(page rowstore.Page, full bool)) {
+	var version uint64
+	known := false
+	pause := retryFirst
+	for ctx.Err() == nil {
+		page, full, err := s.next(ctx, table, version, known)
+		if err != nil {
+			known = known && !errors.Is(err, rowstore.ErrCompacted)
+			s.metrics.Counter("store_calls", "table", table, "result", "failed").Add(1)
+			if !errors.Is(err, rowstore.ErrCompacted) {
+				s.control.Post(controlplane.StoreState{Table: table, Away: true})
+				s.log.Debug("store does not answer", "table", table, "version", version, "error", err)
+				if !wait(ctx, pause) {
+					return
+				}
+				pause = min(2*pause, retryMax)
+			}
+			continue
+		}
+		pause = retryFirst
+		s.metrics.Counter("store_calls", "table", table, "result", "answered").Add(1)
+		s.control.Post(controlplane.StoreState{Table: table})
+		if page.Version < version {
+			s.log.Warn("store answered from the past", "table", table, "version", version, "answer", page.Version)
+			if !wait(ctx, retryMax) {
+				return
+			}
+			continue
+		}
+		take(page, full)
+		version, known = page.Version, true
+	}
+}
+
+// next returns the next page: the whole table at first, then its changes.
+func (s *Service) next(ctx context.Context, table string, version uint64, known bool) (rowstore.Page, bool, error) {
+	if !known {
+		page, err := s.store.Read(ctx, table)
+		return page, true, err
+	}
+	page, err := s.store.Feed(ctx, table, version, feedWait)
+	return page, false, err
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Service) configRows(page rowstore.Page, _ bool) {
+	for _, row := range page.Rows {
+		if row.Key != s.source.ConfigKey || row.Removed {
+			continue
+		}
+		config, err := s.source.DecodeConfig(row.Value)
+		if err != nil {
+			s.log.Error("config can't be read", "row_version", row.Version, "error", err)
+			continue
+		}
+		s.control.Post(controlplane.ConfigSeen{Config: config})
+	}
+}
+
+func (s *Service) replicaRows(page rowstore.Page, full bool) {
+	var entries []catalog.Entry
+	var removed []string
+	for _, row := range page.Rows {
+		if row.Removed {
+			removed = append(removed, row.Key)
+			continue
+		}
+		replica, err := s.source.DecodeReplica(row.Key, row.Value)
+		if err != nil {
+			s.log.Warn("entry can't be read", "replica", row.Key, "row_version", row.Version, "error", err)
+		}
+		entries = append(entries, catalog.Entry{ID: row.Key, Version: row.Version, Replica: replica})
+	}
+	if full {
+		s.control.Post(controlplane.ReplicasRead{Entries: entries, Version: page.Version})
+		return
+	}
+	s.control.Post(controlplane.ReplicasChanged{Entries: entries, Removed: removed, Version: page.Version})
+}
