--- a/leader/leader.go
+++ b/leader/leader.go
@@ -235,8 +235,9 @@
 	s.pending = false
 	s.nextRead = now.Add(readRetry)
 	if conflict {
-		s.held = false
-		s.contact, s.nextRead = 0, now
+		// The row changed; it must be read before the next write.
+		s.held, s.known = false, false
+		s.nextRead = now
 		return
 	}
 	if s.held {
