--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -20,8 +20,6 @@
 	// InMemory and OnDisk name models whose weights the replica can load
 	// without the weight store.
 	InMemory, OnDisk []string
-	// Orders is the number of orders accepted since the replica's start.
-	Orders int64
 	// Born is the replica's start in Unix milliseconds; it tells two lifetimes
 	// under one id apart.
 	Born int64
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -48,8 +48,11 @@
 	ordering bool // this instance may give orders
 	stopping bool
 
-	storeAway map[string]bool // by table
-	storeBack time.Time       // last return of the store
+	storeAway map[string]bool      // by table
+	storeBack time.Time            // last return of the store
+	versions  map[string]uint64    // newest row that was read, by table
+	behind    map[string]time.Time // since when a peer knows a newer row, by table
+	leaseLost bool                 // the last call for the lease had no answer
 
 	demand   map[string]*modelDemand
 	peers    map[string]*peerState
@@ -70,7 +73,7 @@
 				Burst:        b.RetrySlack / assumedInstances / 2,
 			},
 		}),
-		storeAway: make(map[string]bool), demand: make(map[string]*modelDemand),
+		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), adapters: make(map[adapterKey][]adapterWaiter),
 	}
 	return c
@@ -79,7 +82,7 @@
 func (c *core) tick(now time.Time, boot bootclock.Time) {
 	for _, id := range c.roster.Expire(now) {
 		c.log.Info("replica dropped", "replica", id, "reason", "entry did not come back with the store")
-		c.replicaChanged(id, nil)
+		c.replicaChanged(now, id, nil)
 	}
 	c.tickLeader(now, boot)
 	c.expireAdapters(now)
@@ -111,7 +114,7 @@
 }
 
 // replicaChanged hands a replica's new description to the decisions.
-func (c *core) replicaChanged(id string, info *catalog.Replica) {
+func (c *core) replicaChanged(now time.Time, id string, info *catalog.Replica) {
 	c.dispatch.SetReplica(id, info)
-	c.plan.SetReplica(id, info)
+	c.plan.SetReplica(now, id, info)
 }
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -11,6 +11,54 @@
 
 func (e ConfigSeen) apply(c *core, _ time.Time) { c.takeConfig(e.Config) }
 
+// RowsSeen is the newest version of a row that was read from a table.
+type RowsSeen struct {
+	Table   string
+	Version uint64
+}
+
+func (e RowsSeen) apply(c *core, _ time.Time) {
+	c.versions[e.Table] = max(c.versions[e.Table], e.Version)
+	delete(c.behind, e.Table)
+}
+
+// FeedBehind says that a table's feed misses changes, or may have been lost
+// with a store that was away, and is to be called again.
+type FeedBehind struct{ Table string }
+
+// behindTime is the time for which a peer must know a newer row before the feed
+// is doubted: a change reaches instances within some tens of milliseconds.
+const behindTime = 300 * time.Millisecond
+
+// compareVersions doubts the feeds of tables of which a peer knows newer rows.
+func (c *core) compareVersions(now time.Time, peer map[string]uint64) {
+	for table, version := range peer {
+		since, known := c.behind[table]
+		switch {
+		case version <= c.versions[table]:
+			delete(c.behind, table)
+		case !known:
+			c.behind[table] = now
+		case now.Sub(since) >= behindTime:
+			c.log.Warn("feed is behind", "table", table, "version", c.versions[table], "peer_version", version)
+			c.behind[table] = now
+			c.send(FeedBehind{Table: table})
+		}
+	}
+}
+
+// leaseAnswered doubts the feeds when the store answers again: calls that were
+// waiting may never be answered.
+func (c *core) leaseAnswered() {
+	if !c.leaseLost {
+		return
+	}
+	c.leaseLost = false
+	for table := range c.versions {
+		c.send(FeedBehind{Table: table})
+	}
+}
+
 // ReplicasRead is a full read of the list of replicas.
 type ReplicasRead struct {
 	Entries []catalog.Entry
@@ -22,7 +70,7 @@
 	if now.Sub(c.storeBack) < lapseGrace {
 		dropAt = c.storeBack.Add(lapseGrace)
 	}
-	c.rosterChanged(c.roster.Replace(e.Entries, e.Version, dropAt), e.Entries)
+	c.rosterChanged(now, c.roster.Replace(e.Entries, e.Version, dropAt), e.Entries)
 }
 
 // ReplicasChanged are changed rows of the list of replicas.
@@ -33,7 +81,7 @@
 }
 
 func (e ReplicasChanged) apply(c *core, now time.Time) {
-	c.rosterChanged(c.roster.Apply(e.Entries, e.Version), e.Entries)
+	c.rosterChanged(now, c.roster.Apply(e.Entries, e.Version), e.Entries)
 	var dropAt time.Time
 	if c.away() || now.Sub(c.storeBack) < lapseGrace {
 		dropAt = now.Add(lapseGrace)
@@ -41,20 +89,20 @@
 	for _, id := range e.Removed {
 		if c.roster.Remove(id, e.Version, dropAt) {
 			c.log.Info("replica dropped", "replica", id, "reason", "entry removed", "version", e.Version)
-			c.replicaChanged(id, nil)
+			c.replicaChanged(now, id, nil)
 		}
 	}
 }
 
 // rosterChanged tells the decisions about changed entries.
-func (c *core) rosterChanged(changed []string, entries []catalog.Entry) {
+func (c *core) rosterChanged(now time.Time, changed []string, entries []catalog.Entry) {
 	byID := make(map[string]catalog.Entry, len(entries))
 	for _, e := range entries {
 		byID[e.ID] = e
 	}
 	for _, id := range changed {
 		e := byID[id]
-		c.replicaChanged(id, e.Replica)
+		c.replicaChanged(now, id, e.Replica)
 		if e.Replica == nil {
 			c.log.Info("replica not usable", "replica", id, "version", e.Version)
 			continue
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -134,6 +134,7 @@
 func (e LeaseSeen) apply(c *core, _ time.Time) {
 	before := c.leader.Row()
 	c.leader.Seen(bootclock.Now(), e.Row)
+	c.leaseAnswered()
 	c.leaseChanged(before)
 }
 
@@ -143,6 +144,7 @@
 func (e LeaseWritten) apply(c *core, _ time.Time) {
 	before := c.leader.Row()
 	c.leader.Written(bootclock.Now(), e.Version)
+	c.leaseAnswered()
 	c.leaseChanged(before)
 }
 
@@ -154,6 +156,7 @@
 
 func (e LeaseFailed) apply(c *core, _ time.Time) {
 	c.leader.Failed(bootclock.Now(), e.Conflict)
+	c.leaseLost = c.leaseLost || !e.Conflict
 	c.log.Info("lease call failed", "conflict", e.Conflict, "error", e.Err)
 }
 
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
@@ -17,6 +18,7 @@
 	Instance string                      `json:"instance"`
 	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
 	Demand   map[string]residency.Demand `json:"demand"` // by model
+	Versions map[string]uint64           `json:"versions"`
 }
 
 // FleetState is the holder's answer.
@@ -24,6 +26,8 @@
 	Holder string                   `json:"holder"`
 	Epoch  uint64                   `json:"epoch"`
 	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
+	// Versions are the newest rows that the holder has read, by table.
+	Versions map[string]uint64 `json:"versions"`
 }
 
 type peerState struct {
@@ -41,7 +45,7 @@
 }
 
 func (e ownState) apply(c *core, _ time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand()}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions)}
 }
 
 type servePeer struct {
@@ -64,7 +68,8 @@
 		c.plan.AddDemand(now, model, d)
 	}
 	c.sumPeers(now)
-	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance)}
+	c.compareVersions(now, e.peer.Versions)
+	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions)}
 	if c.leader.Held() {
 		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
 	}
@@ -116,5 +121,6 @@
 
 func (e FleetSeen) apply(c *core, now time.Time) {
 	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
+	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
 }
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -42,7 +42,7 @@
 			actions = append(actions, r.answerWish(id, "")...)
 			continue
 		case !r.known:
-			return append(actions, s.ask(id, r, 0)...)
+			return append(actions, s.ask(now, id, r)...)
 		case !r.free(now):
 			return actions
 		}
@@ -114,14 +114,17 @@
 // usedMB returns the memory that models and adapters take, with what may still come.
 func (s *State) usedMB(r *replica, e *catalog.Engine) float64 {
 	used := 0.0
-	for _, m := range r.info.Models {
+	for i, m := range append(slices.Clone(r.info.Models), r.reported...) {
+		if i >= len(r.info.Models) && r.info.Holds(m.Name) {
+			continue
+		}
 		if declared := e.Model(m.Name); declared != nil {
 			used += declared.WeightsMB
 		} else {
 			return e.WeightsMB // an unknown model leaves no room that is certain
 		}
 	}
-	if r.loading != "" && !r.info.Holds(r.loading) {
+	if r.loading != "" && !r.holds(r.loading) {
 		if m := e.Model(r.loading); m != nil {
 			used += m.WeightsMB
 		}
@@ -144,15 +147,13 @@
 		r.orders++
 		s.carriedOut(now, r, order)
 	case AlreadyHolds:
-		if order.Operation == Unload {
-			r.orders++
+		if order.Operation == Unload && order.Adapter != "" {
+			r.orders++ // an adapter that is not in use is dropped at once
+			s.carriedOut(now, r, order)
+			break
 		}
-		s.carriedOut(now, r, order)
-		if order.Adapter == "" {
-			r.loading, r.dropping = "", ""
-		}
-		r.known = false // whether the order counted shows in the report
-		return append(s.advance(now, order.Replica, r), s.ask(order.Replica, r, reportLag)...)
+		// The replica was not as it was thought to be.
+		return s.uncertain(now, r, order)
 	case Unsent, Rejected:
 		r.retryAt = now.Add(unknownHold)
 		return append(r.dropWish(order), s.advance(now, order.Replica, r)...)
@@ -169,8 +170,8 @@
 	if order.Operation == Load && order.Adapter == "" {
 		r.loading, r.readyAt = order.Model, now.Add(loadMargin)
 	}
-	r.retryAt = now.Add(reportLag)
-	return append(r.dropWish(order), s.ask(order.Replica, r, reportLag)...)
+	r.touched = now
+	return append(r.dropWish(order), s.ask(now, order.Replica, r)...)
 }
 
 // dropWish ends the wish for the order's adapter without success.
@@ -186,6 +187,7 @@
 
 // carriedOut records the effect of an accepted order.
 func (s *State) carriedOut(now time.Time, r *replica, order *Order) {
+	r.touched = now
 	key := order.Model + "/" + order.Adapter
 	switch {
 	case order.Adapter != "" && order.Operation == Load:
@@ -198,6 +200,7 @@
 		r.loading, r.readyAt = order.Model, now.Add(s.loadTime(r, order.Model)+loadMargin)
 	default:
 		r.dropping, r.dropBy = order.Model, now.Add(unloadPatience)
+		r.reported = slices.DeleteFunc(r.reported, func(m catalog.Resident) bool { return m.Name == order.Model })
 	}
 }
 
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -107,7 +107,7 @@
 	overdue := (r.loading != "" && now.After(r.readyAt)) || (r.dropping != "" && now.After(r.dropBy))
 	if !r.known || overdue {
 		r.readyAt, r.dropBy = now.Add(unloadPatience), now.Add(unloadPatience)
-		return s.ask(id, r, 0)
+		return s.ask(now, id, r)
 	}
 	return s.advance(now, id, r)
 }
@@ -158,7 +158,7 @@
 		case r.dropping == model:
 		case r.loading == model:
 			coming++
-		case r.info.Holds(model):
+		case r.holds(model):
 			held++
 		}
 	}
@@ -204,7 +204,7 @@
 	var bestReplica *replica
 	bestScore := 0.0
 	for id, r := range pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.info.Holds(n.model.Name) {
+		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) {
 			continue
 		}
 		order, score := s.candidate(now, e, pool, id, r, n)
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -7,6 +7,7 @@
 package residency
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -93,7 +94,10 @@
 	adapterBase  = 5 * time.Millisecond
 	adapterPerMB = 240 * time.Microsecond
 	// reportLag is the age of what a replica reports of itself, with a margin.
-	reportLag = 150 * time.Millisecond
+	reportLag = 350 * time.Millisecond
+	// entryLag is the time after an order for which the list of replicas may
+	// still show what was before it: a heartbeat and the way to the list.
+	entryLag = 2500 * time.Millisecond
 	// unknownHold is the time after which an order without an answer, which
 	// replicas may carry out seconds late, is taken as not carried out. The
 	// expected order number makes a later one harmless once another was accepted.
@@ -112,10 +116,12 @@
 }
 
 type replica struct {
-	info     *catalog.Replica
-	orders   int64 // accepted, as far as known
-	known    bool  // orders was read from the replica since this instance holds the lease
-	asked    bool  // a report is on its way
+	info     *catalog.Replica   // as the list of replicas shows it
+	reported []catalog.Resident // models of the last report
+	touched  time.Time          // of the last order that may have been accepted
+	orders   int64              // accepted, as far as known
+	known    bool               // orders was read from the replica since this instance holds the lease
+	asked    bool               // a report is on its way
 	sent     *Order
 	retryAt  time.Time
 	loading  string // model that is being loaded
@@ -162,40 +168,36 @@
 	var actions []Action
 	for id, r := range s.replicas {
 		r.known, r.sent, r.loading, r.dropping, r.wishes = false, nil, "", "", nil
-		actions = append(actions, s.ask(id, r, 0)...)
+		actions = append(actions, s.ask(now, id, r)...)
 	}
 	return actions
 }
 
-func (s *State) ask(id string, r *replica, delay time.Duration) []Action {
+// ask asks a replica for a report that is newer than the last order.
+func (s *State) ask(now time.Time, id string, r *replica) []Action {
 	if r.asked || s.engine(r.info.Service) == nil {
 		return nil
 	}
 	r.asked = true
-	return []Action{{Report: id, Delay: delay}}
+	return []Action{{Report: id, Delay: max(0, r.touched.Add(reportLag).Sub(now))}}
 }
 
 // SetReplica takes over what a replica says of itself; nil means that it is gone.
-func (s *State) SetReplica(id string, info *catalog.Replica) {
+func (s *State) SetReplica(now time.Time, id string, info *catalog.Replica) {
 	if info == nil {
 		delete(s.replicas, id)
 		return
 	}
 	r, ok := s.replicas[id]
 	if !ok || r.info.Born != info.Born {
-		r = &replica{adapters: make(map[string]*adapter), orders: info.Orders}
+		r = &replica{adapters: make(map[string]*adapter)}
 		s.replicas[id] = r
 	}
 	r.info = info
-	if r.sent == nil {
-		r.orders = max(r.orders, info.Orders)
+	if now.Sub(r.touched) > entryLag {
+		r.reported = nil
+		s.syncAdapters(r, info.Models, false)
 	}
-	s.settle(r)
-	s.syncAdapters(r, info.Models, false)
-}
-
-// settle ends a load or unload that the replica's description shows as done.
-func (s *State) settle(r *replica) {
 	if r.loading != "" && r.info.Holds(r.loading) {
 		r.loading = ""
 	}
@@ -219,12 +221,17 @@
 	}
 	for key := range r.adapters {
 		model, _, _ := strings.Cut(key, "/")
-		if (complete && !listed[key]) || !r.info.Holds(model) {
+		if (complete && !listed[key]) || !r.holds(model) {
 			delete(r.adapters, key)
 		}
 	}
 }
 
+// holds reports whether the replica holds a model, by the list or by its report.
+func (r *replica) holds(model string) bool {
+	return r.info.Holds(model) || slices.ContainsFunc(r.reported, func(m catalog.Resident) bool { return m.Name == model })
+}
+
 func (s *State) adapterMB(r *replica, model string) float64 {
 	if e := s.engine(r.info.Service); e != nil {
 		if m := e.Model(model); m != nil {
@@ -248,11 +255,7 @@
 	if r.sent != nil {
 		return nil // the order's own answer is newer
 	}
-	r.known, r.orders = true, report.Orders
-	fresh := *r.info
-	fresh.Models, fresh.InMemory, fresh.OnDisk = report.Models, report.InMemory, report.OnDisk
-	r.info = &fresh
-	s.settle(r)
+	r.known, r.orders, r.reported = true, report.Orders, report.Models
 	coming := report.Models
 	for _, c := range report.Coming {
 		model, rest, _ := strings.Cut(c, "/")
@@ -263,7 +266,9 @@
 	if report.Busy {
 		r.retryAt = now.Add(unknownHold)
 	} else {
+		// The models of the report count until the list shows them.
 		r.loading, r.dropping = "", ""
+		r.touched = now
 	}
 	return s.advance(now, id, r)
 }
@@ -271,7 +276,7 @@
 // WantAdapter asks for an adapter on a replica that holds its model.
 func (s *State) WantAdapter(now time.Time, id, model, name string) []Action {
 	r, ok := s.replicas[id]
-	if !ok || !r.info.Holds(model) || r.info.Leaving {
+	if !ok || !r.holds(model) || r.info.Leaving {
 		return []Action{{Ready: &AdapterResult{Replica: id, Model: model, Adapter: name, Reason: "replica lacks the model"}}}
 	}
 	if a := r.adapters[model+"/"+name]; a != nil {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -23,7 +23,9 @@
 const (
 	// feedWait is how long one call of a feed waits: calls are priced, and
 	// connections that went silent are found by probes.
-	feedWait = 15 * time.Second
+	feedWait = 8 * time.Second
+	// hurryTimeout bounds the call that follows a doubt: the store answers it at once.
+	hurryTimeout = 800 * time.Millisecond
 	// retryFirst and retryMax bound the pause after a failed call. Changes have
 	// to be in force within 2 s, and a store that is down is not to be flooded.
 	retryFirst = 100 * time.Millisecond
@@ -46,11 +48,14 @@
 	metrics *metrics.Registry
 	control *controlplane.Service
 	group   *worker.Group
+	// doubts cancel the calls that wait, by table. They are set up before the
+	// goroutines start.
+	doubts map[string]chan struct{}
 }
 
 // New returns a service that has not been started.
 func New(store rowstore.Store, source Source, logger *log.Logger, registry *metrics.Registry) *Service {
-	return &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup()}
+	return &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup(), doubts: make(map[string]chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -65,6 +70,12 @@
 	if s.control, err = kernel.Lookup[*controlplane.Service](k, controlplane.Name); err != nil {
 		return err
 	}
+	for _, table := range []string{s.source.ConfigTable, s.source.ReplicaTable} {
+		s.doubts[table] = make(chan struct{}, 1)
+	}
+	if err := kernel.Subscribe(k.Bus(), "watch.behind", s.feedBehind); err != nil {
+		return err
+	}
 	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ConfigTable, s.configRows) })
 	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ReplicaTable, s.replicaRows) })
 	return nil
@@ -73,14 +84,27 @@
 // Stop implements kernel.Service.
 func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
+// feedBehind ends the call that waits on a feed, so that it is made again.
+func (s *Service) feedBehind(_ context.Context, e controlplane.FeedBehind) {
+	select {
+	case s.doubts[e.Table] <- struct{}{}:
+	default:
+	}
+}
+
 // follow reads a table and then its feed, until ctx ends. full says whether the
 // rows are the whole table.
 func (s *Service) follow(ctx context.Context, table string, take func(page rowstore.Page, full bool)) {
 	var version uint64
 	known := false
 	pause := retryFirst
+	hurry := false
 	for ctx.Err() == nil {
-		page, full, err := s.next(ctx, table, version, known)
+		page, full, err := s.next(ctx, table, version, known, hurry)
+		hurry = errors.Is(err, errDoubted)
+		if hurry {
+			continue
+		}
 		if err != nil {
 			known = known && !errors.Is(err, rowstore.ErrCompacted)
 			s.metrics.Counter("store_calls", "table", table, "result", "failed").Add(1)
@@ -105,17 +129,50 @@
 			continue
 		}
 		take(page, full)
+		s.control.Post(controlplane.RowsSeen{Table: table, Version: newest(page)})
 		version, known = page.Version, true
 	}
 }
 
-// next returns the next page: the whole table at first, then its changes.
-func (s *Service) next(ctx context.Context, table string, version uint64, known bool) (rowstore.Page, bool, error) {
+func newest(page rowstore.Page) uint64 {
+	var version uint64
+	for _, row := range page.Rows {
+		version = max(version, row.Version)
+	}
+	return version
+}
+
+// errDoubted ends a call that waits on a feed which is thought to be lost.
+var errDoubted = errors.New("the feed is doubted")
+
+// next returns the next page: the whole table at first, then its changes. In a
+// hurry, it does not wait for changes.
+func (s *Service) next(ctx context.Context, table string, version uint64, known, hurry bool) (rowstore.Page, bool, error) {
 	if !known {
 		page, err := s.store.Read(ctx, table)
 		return page, true, err
 	}
+	if hurry {
+		ctx, cancel := context.WithTimeout(ctx, hurryTimeout)
+		defer cancel()
+		page, err := s.store.Feed(ctx, table, version, 0)
+		return page, false, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-s.doubts[table]:
+			cancel(errDoubted)
+		case <-done:
+		}
+	}()
 	page, err := s.store.Feed(ctx, table, version, feedWait)
+	if err != nil && errors.Is(context.Cause(ctx), errDoubted) {
+		err = errDoubted
+	}
 	return page, false, err
 }
 
