--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -50,6 +50,7 @@
 			c.plan.AddDemand(now, model, d)
 		}
 		if ok {
+			c.useAdapters(now, c.dispatch.OwnLoad())
 			c.act(now, c.plan.Plan(now))
 		}
 	}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
@@ -67,6 +68,7 @@
 	for model, d := range e.peer.Demand {
 		c.plan.AddDemand(now, model, d)
 	}
+	c.useAdapters(now, e.peer.Loads)
 	c.sumPeers(now)
 	c.compareVersions(now, e.peer.Versions)
 	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions)}
@@ -76,6 +78,16 @@
 	e.answer <- state
 }
 
+// useAdapters tells the plan which adapters are in use.
+func (c *core) useAdapters(now time.Time, loads map[string]dispatch.Load) {
+	for id, load := range loads {
+		for _, key := range load.Adapters {
+			model, adapter, _ := strings.Cut(key, "/")
+			c.plan.UsedAdapter(now, id, model, adapter)
+		}
+	}
+}
+
 // sumPeers hands the load of all peers to dispatch.
 func (c *core) sumPeers(now time.Time) {
 	sum := make(map[string]dispatch.Load)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,7 +4,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
@@ -191,7 +193,9 @@
 	out := make(map[string]Load)
 	for id, r := range s.replicas {
 		if r.own.Requests > 0 {
-			out[id] = r.own
+			load := r.own
+			load.Adapters = slices.Sorted(maps.Keys(r.inUse))
+			out[id] = load
 		}
 	}
 	return out
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -75,6 +75,9 @@
 	if r.asideFor > 0 {
 		r.trial = true
 	}
+	if req.Adapter != "" {
+		r.inUse[adapterKey(req.Model, req.Adapter)]++
+	}
 	r.own.Requests++
 	r.sentSince++
 	unread = max(0, req.PromptTokens-r.prefixes.cached(req.Parts))
@@ -83,6 +86,17 @@
 	return unread
 }
 
+// release ends the use of a request's adapter.
+func (r *replica) release(req *Request) {
+	if req.Adapter == "" {
+		return
+	}
+	key := adapterKey(req.Model, req.Adapter)
+	if r.inUse[key]--; r.inUse[key] <= 0 {
+		delete(r.inUse, key)
+	}
+}
+
 // FirstByte records the beginning of an answer. unread is the number of prompt
 // tokens that Sent had counted; expected is the estimate at that time.
 func (s *State) FirstByte(now time.Time, req *Request, replicaID string, unread int, expected, took time.Duration) {
@@ -124,6 +138,7 @@
 	if !ok {
 		return false
 	}
+	r.release(req)
 	r.own.Requests = max(0, r.own.Requests-1)
 	r.own.UnreadTokens = max(0, r.own.UnreadTokens-unread)
 	switch outcome {
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -13,6 +13,9 @@
 	Requests int // sent and not finished
 	// UnreadTokens are tokens of prompts whose first event has not come yet.
 	UnreadTokens int
+	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
+	// filled in for other instances only.
+	Adapters []string `json:",omitempty"`
 }
 
 // Report is a load report of a replica.
@@ -48,6 +51,7 @@
 	info     *catalog.Replica
 	hash     uint64          // of the id
 	adapters map[string]bool // MODEL/ADAPTER
+	inUse    map[string]int  // requests by adapter
 	own      Load
 	peers    Load
 	peersAt  time.Time
@@ -66,7 +70,7 @@
 }
 
 func newReplica(info *catalog.Replica) *replica {
-	r := &replica{hash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), slowness: 1, prefixes: newPrefixes()}
+	r := &replica{hash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), inUse: make(map[string]int), slowness: 1, prefixes: newPrefixes()}
 	r.update(info)
 	return r
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -20,6 +20,10 @@
 	errEncoded  = errors.New("the answer has a content encoding")
 	errUnsigned = errors.New("a success without the replica's signature")
 	errOldEvent = errors.New("an event has no id, or one that is not greater than the last")
+	// An answer without a length that ends in the middle of an event was cut off,
+	// although its connection ended in order.
+	errPartEvent = errors.New("the stream ends within an event")
+	errNoEvent   = errors.New("the stream has no event")
 	// errCaller means that the caller does not take the answer.
 	errCaller = errors.New("write to the caller")
 )
@@ -263,8 +267,11 @@
 // end finishes a stream whose answer was complete.
 func (s *eventStream) end() (dispatch.Outcome, bool, error) {
 	x := s.exchange
-	if err := x.writeEvents(s.answer, s.buffer); err != nil {
-		return dispatch.Canceled, false, err
+	if len(bytes.TrimSpace(s.buffer)) > 0 {
+		return dispatch.Broken, false, errPartEvent
+	}
+	if !x.started {
+		return dispatch.Broken, false, errNoEvent
 	}
 	x.status = s.answer.Status
 	return dispatch.Answered, true, nil
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -145,11 +145,11 @@
 	switch outcome {
 	case Accepted:
 		r.orders++
-		s.carriedOut(now, r, order)
+		s.carriedOut(now, r, order, outcome)
 	case AlreadyHolds:
 		if order.Operation == Unload && order.Adapter != "" {
 			r.orders++ // an adapter that is not in use is dropped at once
-			s.carriedOut(now, r, order)
+			s.carriedOut(now, r, order, outcome)
 			break
 		}
 		// The replica was not as it was thought to be.
@@ -186,7 +186,7 @@
 }
 
 // carriedOut records the effect of an accepted order.
-func (s *State) carriedOut(now time.Time, r *replica, order *Order) {
+func (s *State) carriedOut(now time.Time, r *replica, order *Order, outcome Outcome) {
 	r.touched = now
 	key := order.Model + "/" + order.Adapter
 	switch {
@@ -194,6 +194,9 @@
 		mb := s.adapterMB(r, order.Model)
 		ready := now.Add(adapterBase + time.Duration(mb*float64(adapterPerMB)))
 		r.adapters[key] = &adapter{readyAt: ready, used: now, size: mb}
+	case order.Adapter != "" && outcome == Accepted:
+		// It stays until the requests that use it end; the report shows when.
+		r.known = false
 	case order.Adapter != "":
 		delete(r.adapters, key)
 	case order.Operation == Load:
