--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -44,6 +44,9 @@
 	if x.route.Kind == catalog.Stream && a.Status == http.StatusOK {
 		return x.relayStream(f, a, head, sent)
 	}
+	if x.started {
+		return dispatch.Failed, false, x.discard(a) // it can't follow the events that were passed on
+	}
 	x.gateway.control.FirstByte(f, time.Since(sent), head.Report)
 	return x.relayPlain(a)
 }
