--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -39,14 +39,15 @@
 	publish func(*Snapshot)
 	post    func(event)
 
-	config   *catalog.Config
-	roster   *catalog.Roster
-	dispatch *dispatch.State
-	leader   *leader.State
-	plan     *residency.State
-	planned  time.Time
-	ordering bool // this instance may give orders
-	stopping bool
+	config       *catalog.Config
+	roster       *catalog.Roster
+	dispatch     *dispatch.State
+	leader       *leader.State
+	plan         *residency.State
+	planned      time.Time
+	modelsLogged time.Time
+	ordering     bool // this instance may give orders
+	stopping     bool
 
 	storeAway map[string]bool      // by table
 	storeBack time.Time            // last return of the store
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -13,8 +13,9 @@
 
 // modelDemand is the demand for one model at this instance since the last report.
 type modelDemand struct {
-	requests, tokens int
-	waitShare        float64 // sum over requests
+	requests  int
+	reading   float64 // sum over requests
+	waitShare float64 // sum over requests
 }
 
 // countDemand records the demand that a decision shows.
@@ -28,7 +29,11 @@
 		c.demand[req.Model] = m
 	}
 	m.requests++
-	m.tokens += max(0, req.PromptTokens-d.CachedTokens)
+	if d.Verdict == dispatch.Send {
+		m.reading += d.Reading
+	} else {
+		m.reading += c.dispatch.Reading(req)
+	}
 	switch {
 	case d.Cause == dispatch.CauseNotLoaded:
 		m.waitShare += notLoadedWait
@@ -44,7 +49,7 @@
 		if m.requests == 0 {
 			continue
 		}
-		out[model] = residency.Demand{Requests: m.requests, Tokens: m.tokens, WaitShare: m.waitShare / float64(m.requests)}
+		out[model] = residency.Demand{Requests: m.requests, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests)}
 		*m = modelDemand{}
 	}
 	return out
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
@@ -8,6 +10,13 @@
 	"github.com/hyssophaven/hyssophaven/residency"
 )
 
+const (
+	// modelsLogInterval is the time between two lines on the most used models,
+	// and maxLoggedModels bounds such a line.
+	modelsLogInterval = 2 * time.Second
+	maxLoggedModels   = 8
+)
+
 // SendOrder asks for an order to be sent. It must not be sent at or after Until.
 type SendOrder struct {
 	Order  *residency.Order
@@ -52,8 +61,26 @@
 		if ok {
 			c.useAdapters(now, c.dispatch.OwnLoad())
 			c.act(now, c.plan.Plan(now))
+			c.dispatch.SetMoving(c.plan.Moving())
+			c.logModels(now)
+		}
+	}
+}
+
+// logModels writes the most used models, for the explanation of waits.
+func (c *core) logModels(now time.Time) {
+	if now.Sub(c.modelsLogged) < modelsLogInterval {
+		return
+	}
+	c.modelsLogged = now
+	var b strings.Builder
+	for i, m := range c.plan.Models() {
+		if i == maxLoggedModels {
+			break
 		}
+		fmt.Fprintf(&b, "%s held=%d coming=%d use=%.2f wait=%.2f pace=%.2f; ", m.Model, m.Held, m.Coming, m.Use, m.Wait, c.dispatch.Pace(m.Model))
 	}
+	c.log.Info("models", "moving", len(c.plan.Moving()), "waiting", fmt.Sprint(c.plan.Waiting(now)), "most_used", b.String())
 }
 
 // act carries out the actions of the plan.
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -29,6 +29,8 @@
 	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64 `json:"versions"`
+	// Moving are the replicas that load or unload a model.
+	Moving []string `json:"moving"`
 }
 
 type peerState struct {
@@ -73,7 +75,7 @@
 	c.compareVersions(now, e.peer.Versions)
 	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions)}
 	if c.leader.Held() {
-		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
+		state.Holder, state.Epoch, state.Moving = c.node.ID, c.leader.Epoch(), c.plan.Moving()
 	}
 	e.answer <- state
 }
@@ -123,7 +125,7 @@
 	for id, l := range loads {
 		s := sum[id]
 		s.Requests += l.Requests
-		s.UnreadTokens += l.UnreadTokens
+		s.Unread += l.Unread
 		sum[id] = s
 	}
 }
@@ -135,4 +137,5 @@
 	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
+	c.dispatch.SetMoving(e.State.Moving)
 }
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -11,9 +11,9 @@
 type Flight struct {
 	Request  *dispatch.Request
 	Decision dispatch.Decision
-	// Unread are the prompt tokens that the replica is thought to read.
-	Unread int
-	SentAt time.Time
+	// Reading is the reading work that the replica is thought to have with it.
+	Reading float64
+	SentAt  time.Time
 }
 
 // Query asks where to send a request.
@@ -54,11 +54,11 @@
 		e.answer <- Admission{Decision: d}
 		return
 	}
-	unread := c.dispatch.Sent(now, req, d.Replica.ID)
+	reading := c.dispatch.Sent(now, req, d.Replica.ID)
 	if req.Adapter != "" {
 		c.plan.UsedAdapter(now, d.Replica.ID, req.Model, req.Adapter)
 	}
-	e.answer <- Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, Unread: unread, SentAt: now}}
+	e.answer <- Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, Reading: reading, SentAt: now}}
 }
 
 type firstByte struct {
@@ -74,8 +74,8 @@
 
 func (e firstByte) apply(c *core, now time.Time) {
 	f := e.flight
-	c.dispatch.FirstByte(now, f.Request, f.Decision.Replica.ID, f.Unread, f.Decision.Expected, e.took)
-	f.Unread = 0
+	c.dispatch.FirstByte(f.Request, f.Decision, f.Reading, e.took)
+	f.Reading = 0
 	if e.report != nil {
 		c.dispatch.SetReport(now, f.Decision.Replica.ID, *e.report)
 	}
@@ -99,7 +99,7 @@
 	if e.report != nil {
 		c.dispatch.SetReport(now, id, *e.report)
 	}
-	if c.dispatch.Finished(now, f.Request, id, e.outcome, f.Unread) {
+	if c.dispatch.Finished(now, f.Request, id, e.outcome, f.Reading) {
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
 		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -70,7 +70,11 @@
 	var lowest time.Duration
 	cause := CauseNoReplica
 	for _, r := range svc.replicas {
-		if r.info.Leaving || slices.Contains(tried, r.info.ID) {
+		if r.info.Leaving {
+			continue
+		}
+		if slices.Contains(tried, r.info.ID) {
+			cause = CauseAllTried
 			continue
 		}
 		if req.Model != "" && !r.info.Holds(req.Model) {
@@ -83,6 +87,12 @@
 			cause = CauseAside
 			continue
 		}
+		if r.moving && !r.hasAdapter(req.Model, req.Adapter) {
+			if cause == CauseNoReplica {
+				cause = CauseNoAdapter
+			}
+			continue
+		}
 		score := s.score(now, svc, r, req)
 		if best == nil || score < lowest {
 			best, lowest = r, score
@@ -91,10 +101,12 @@
 	if best == nil {
 		return s.refuse(cause)
 	}
+	reading := s.reading(best, req)
 	return Decision{
 		Replica: best.info, NeedsAdapter: !best.hasAdapter(req.Model, req.Adapter),
-		Expected: s.estimate(now, svc, best, req), CachedTokens: best.prefixes.cached(req.Parts),
-		LoadAge: now.Sub(best.reportAt), Running: best.inFlight(now),
+		Expected: s.estimate(now, svc, best, req), Base: readingTime(best.unread(now, svc.reading) + reading), Reading: reading,
+		CachedTokens: best.prefixes.cached(req.Parts),
+		LoadAge:      now.Sub(best.reportAt), Running: best.inFlight(now),
 	}
 }
 
@@ -119,7 +131,7 @@
 			for _, p := range req.Parts[:len(req.Parts)-1] {
 				tokens += p.Tokens
 			}
-			score -= time.Duration(affinityShare * float64(tokens) / readTokensPerMS * float64(time.Millisecond))
+			score -= time.Duration(affinityShare * float64(readingTime(float64(tokens)*s.Pace(req.Model))))
 		}
 	}
 	// Equal replicas are chosen in turn, so that instances do not all choose the
@@ -149,10 +161,7 @@
 	if req.Model == "" {
 		return s.plainEstimate(svc, r, running)
 	}
-	unread := r.unread(now, svc.promptTokens)
-	fresh := req.PromptTokens - r.prefixes.cached(req.Parts)
-	ms := float64(unread+fresh) / readTokensPerMS
-	estimate := firstStep + time.Duration(ms*float64(time.Millisecond))
+	estimate := firstStep + readingTime(r.unread(now, svc.reading)+s.reading(r, req))
 	if over := running + 1 - s.concurrency(svc, r); over > 0 {
 		estimate += time.Duration(over) * slotWait
 	}
@@ -162,6 +171,30 @@
 	return time.Duration(float64(estimate) * r.slowness)
 }
 
+// reading returns the reading work of a request on a replica.
+func (s *State) reading(r *replica, req *Request) float64 {
+	return float64(max(0, req.PromptTokens-r.prefixes.cached(req.Parts))) * s.Pace(req.Model)
+}
+
+// Reading returns the reading work of a request of which nothing is cached.
+func (s *State) Reading(req *Request) float64 {
+	return float64(req.PromptTokens) * s.Pace(req.Model)
+}
+
+// readingTime returns the time that an engine takes for reading work.
+func readingTime(work float64) time.Duration {
+	return time.Duration(work / readTokensPerMS * float64(time.Millisecond))
+}
+
+// Pace returns how long a model takes to read a token, against a model of pace
+// 1. It is learned from the time to the first event.
+func (s *State) Pace(model string) float64 {
+	if p, ok := s.paces[model]; ok {
+		return p
+	}
+	return 1
+}
+
 // concurrency returns how many requests of the usual size run at once: slots,
 // or fewer if memory for their tokens ends first.
 func (s *State) concurrency(svc *service, r *replica) int {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	CauseNone         Cause = ""
 	CauseNoReplica    Cause = "no-replica"     // none is known, or all are leaving
 	CauseNotLoaded    Cause = "model-loading"  // no replica holds the model
+	CauseNoAdapter    Cause = "adapter-waits"  // replicas with the model can't take an adapter now
+	CauseAllTried     Cause = "all-tried"      // no replica is left that was not tried
 	CauseAside        Cause = "replicas-aside" // all replicas failed recently
 	CauseBudget       Cause = "retry-budget"
 	CauseAttempts     Cause = "attempts-used"
@@ -74,6 +76,10 @@
 	NeedsAdapter bool
 	// Expected is the estimated time to the first byte of the answer.
 	Expected time.Duration
+	// Base is the part of Expected that the model's reading explains, before the
+	// replica's slowness; Reading is the reading work of the request itself.
+	Base    time.Duration
+	Reading float64
 	// CachedTokens are the tokens of the prompt that the replica has read before.
 	CachedTokens int
 	// LoadAge is the age of the load report that the estimate used.
@@ -97,6 +103,7 @@
 	replicas map[string]*replica
 	services map[string]*service
 	crashes  crashes
+	paces    map[string]float64 // by model, see Pace
 	random   *rand.Rand
 }
 
@@ -106,17 +113,17 @@
 	retries  *retry.Budget
 	// typical is the moving average of the time to the first byte.
 	typical time.Duration
-	// shared is the moving average of prompt tokens, for replicas whose waiting
-	// requests belong to other instances.
+	// Moving averages of the tokens of requests, and of the reading work of one.
 	promptTokens float64
 	outputTokens float64
+	reading      float64
 }
 
 // New returns a state without replicas.
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
-		crashes: make(crashes), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), paces: make(map[string]float64), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
@@ -133,7 +140,7 @@
 		}
 		return
 	}
-	if known && (old.info.Born != info.Born || old.info.Address != info.Address || old.info.Service != info.Service) {
+	if known && ((old.info.Born != 0 && info.Born != 0 && old.info.Born != info.Born) || old.info.Address != info.Address || old.info.Service != info.Service) {
 		s.detach(old)
 		known = false
 	}
@@ -187,6 +194,13 @@
 	}
 }
 
+// SetMoving records which replicas load or unload a model.
+func (s *State) SetMoving(ids []string) {
+	for id, r := range s.replicas {
+		r.moving = slices.Contains(ids, id)
+	}
+}
+
 // OwnLoad returns what this instance has in flight on each replica, for the
 // other instances. Idle replicas are left out.
 func (s *State) OwnLoad() map[string]Load {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -44,6 +44,18 @@
 	slowWeight = 0.15
 	// slowness stays within these bounds, so that a replica is tried again.
 	minSlowness, maxSlowness = 0.25, 12.0
+	// forgetSlowness draws slowness back to 1, so that what all replicas have in
+	// common becomes part of the models' pace.
+	forgetSlowness = 0.02
+	// paceWeight is the weight of the newest answer in a model's pace, and
+	// maxPaceStep bounds what one answer says.
+	paceWeight  = 0.15
+	maxPaceStep = 6.0
+	// A model's pace stays within these bounds.
+	minPace, maxPace = 0.05, 4.0
+	// ownReadingShare is the share of the expected reading that must be the
+	// request's own for its answer to say something of its model.
+	ownReadingShare = 0.5
 	// typicalWeight is the weight of the newest request in a service's averages.
 	typicalWeight = 0.05
 )
@@ -66,8 +78,8 @@
 }
 
 // Sent records that a request is on its way to a replica. It returns the
-// number of prompt tokens that the replica is thought to read for it.
-func (s *State) Sent(now time.Time, req *Request, replicaID string) (unread int) {
+// reading work that the replica is thought to have with it.
+func (s *State) Sent(now time.Time, req *Request, replicaID string) (reading float64) {
 	r, ok := s.replicas[replicaID]
 	if !ok {
 		return 0
@@ -80,10 +92,14 @@
 	}
 	r.own.Requests++
 	r.sentSince++
-	unread = max(0, req.PromptTokens-r.prefixes.cached(req.Parts))
-	r.own.UnreadTokens += unread
+	reading = s.reading(r, req)
+	r.own.Unread += reading
+	if req.Model != "" {
+		svc := s.service(req.Service)
+		svc.reading = average(svc.reading, reading)
+	}
 	r.prefixes.add(now, req.Parts)
-	return unread
+	return reading
 }
 
 // release ends the use of a request's adapter.
@@ -97,25 +113,37 @@
 	}
 }
 
-// FirstByte records the beginning of an answer. unread is the number of prompt
-// tokens that Sent had counted; expected is the estimate at that time.
-func (s *State) FirstByte(now time.Time, req *Request, replicaID string, unread int, expected, took time.Duration) {
-	r, ok := s.replicas[replicaID]
+// FirstByte records the beginning of an answer, took after the send. reading is
+// the work that Sent had counted; d is the decision on which it was sent.
+func (s *State) FirstByte(req *Request, d Decision, reading float64, took time.Duration) {
+	r, ok := s.replicas[d.Replica.ID]
 	if !ok {
 		return
 	}
-	r.own.UnreadTokens = max(0, r.own.UnreadTokens-unread)
+	r.own.Unread = max(0, r.own.Unread-reading)
 	svc := s.service(req.Service)
 	if svc.typical == 0 {
 		svc.typical = took
 	}
 	svc.typical += time.Duration(typicalWeight * float64(took-svc.typical))
-	if expected <= 0 {
+	if d.Expected <= 0 {
+		return
+	}
+	ratio := min(max(float64(took)*r.slowness/float64(d.Expected), minSlowness), maxSlowness)
+	s.learnPace(req, r, d, took)
+	r.slowness = math.Exp((1-slowWeight)*math.Log(r.slowness) + slowWeight*math.Log(ratio) - forgetSlowness*math.Log(r.slowness))
+}
+
+// learnPace corrects the pace of a model where its own reading is most of the
+// expected time.
+func (s *State) learnPace(req *Request, r *replica, d Decision, took time.Duration) {
+	own := readingTime(d.Reading)
+	if req.Model == "" || d.NeedsAdapter || float64(own) < ownReadingShare*float64(d.Base) || own <= firstStep/2 {
 		return
 	}
-	base := float64(expected) / r.slowness
-	ratio := min(max(float64(took)/base, minSlowness), maxSlowness)
-	r.slowness = math.Exp((1-slowWeight)*math.Log(r.slowness) + slowWeight*math.Log(ratio))
+	ratio := float64(max(took-firstStep, time.Millisecond)) / float64(d.Base) / r.slowness
+	pace := s.Pace(req.Model) * math.Pow(min(max(ratio, 1/maxPaceStep), maxPaceStep), paceWeight)
+	s.paces[req.Model] = min(max(pace, minPace), maxPace)
 }
 
 // SetReport records the load that a replica stated in an answer.
@@ -127,7 +155,7 @@
 
 // Finished records the end of a send. It reports whether the replica is put
 // aside because of it.
-func (s *State) Finished(now time.Time, req *Request, replicaID string, outcome Outcome, unread int) bool {
+func (s *State) Finished(now time.Time, req *Request, replicaID string, outcome Outcome, reading float64) bool {
 	if outcome == Answered {
 		delete(s.crashes, req.Fingerprint)
 	}
@@ -140,7 +168,7 @@
 	}
 	r.release(req)
 	r.own.Requests = max(0, r.own.Requests-1)
-	r.own.UnreadTokens = max(0, r.own.UnreadTokens-unread)
+	r.own.Unread = max(0, r.own.Unread-reading)
 	switch outcome {
 	case Answered:
 		r.succeeded()
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -11,8 +11,9 @@
 // Load is work in flight on a replica.
 type Load struct {
 	Requests int // sent and not finished
-	// UnreadTokens are tokens of prompts whose first event has not come yet.
-	UnreadTokens int
+	// Unread is the reading work for prompts whose first event has not come yet,
+	// in tokens of a model of pace 1.
+	Unread float64
 	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
 	// filled in for other instances only.
 	Adapters []string `json:",omitempty"`
@@ -66,6 +67,7 @@
 	aside    time.Time // no work before this time
 	asideFor time.Duration
 	trial    bool // one request is out to try the replica again
+	moving   bool // it loads or unloads a model, and takes no other order
 	prefixes prefixes
 }
 
@@ -126,14 +128,14 @@
 	return n
 }
 
-// unread estimates the prompt tokens that the replica reads before a new one.
-func (r *replica) unread(now time.Time, promptTokens float64) int {
-	n := r.own.UnreadTokens
+// unread estimates the reading work that the replica does before a new request.
+func (r *replica) unread(now time.Time, typical float64) float64 {
+	n := r.own.Unread
 	if now.Sub(r.peersAt) < peerLifetime {
-		n += r.peers.UnreadTokens
+		n += r.peers.Unread
 	}
 	if now.Sub(r.reportAt) < reportLifetime {
-		n = max(n, int(float64(r.report.Waiting)*promptTokens))
+		n = max(n, float64(r.report.Waiting)*typical)
 	}
 	return n
 }
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -12,8 +12,8 @@
 	// maxComing is the number of adapters that a replica takes at the same time.
 	maxComing = 4
 	// adapterRecent is the time for which an adapter counts as in use after it
-	// was wanted last: longer than most requests run.
-	adapterRecent = 1500 * time.Millisecond
+	// was seen in use: instances tell what they use four times a second.
+	adapterRecent = 700 * time.Millisecond
 	// loadMargin is added to the declared time of a load: it takes longer while
 	// many loads run.
 	loadMargin = 3 * time.Second
@@ -26,6 +26,17 @@
 	return r.known && r.sent == nil && !r.asked && !now.Before(r.retryAt)
 }
 
+// Moving returns the replicas that load or unload a model. They take no other order.
+func (s *State) Moving() []string {
+	var out []string
+	for id, r := range s.replicas {
+		if r.moving() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // moving reports whether a load or unload of a model is in progress.
 func (r *replica) moving() bool { return r.loading != "" || r.dropping != "" }
 
@@ -41,6 +52,9 @@
 		case r.adapters[w.model+"/"+w.adapter] != nil:
 			actions = append(actions, r.answerWish(id, "")...)
 			continue
+		case r.moving():
+			actions = append(actions, r.answerWish(id, "replica is loading a model")...)
+			continue
 		case !r.known:
 			return append(actions, s.ask(now, id, r)...)
 		case !r.free(now):
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -11,18 +11,23 @@
 const (
 	// demandHalf is the time over which demand is averaged: demand moves to
 	// other models within a few seconds.
-	demandHalf = 3 * time.Second
+	demandHalf = 2500 * time.Millisecond
 	// recentDemand is the time for which a model counts as asked for.
 	recentDemand = 15 * time.Second
+	// engineReading is the reading work that a replica does in a second, the
+	// scale of utilization.
+	engineReading = 19_000.0
+	// fewUsed is the utilization of a model's copies below which it gets no more.
+	fewUsed = 0.15
 	// lateShare is the share of the goal that requests for a model may wait on
-	// average before it gets one more copy.
+	// average before it gets one more copy whatever its utilization.
 	lateShare = 0.5
-	// victimShare is the greatest demand of a copy that is dropped, against the
-	// demand for each copy of the model that replaces it.
-	victimShare = 0.3
-	// copySettle is the time from a model's last order to the next copy of it,
-	// beside loads that are still on their way.
-	copySettle = 1500 * time.Millisecond
+	// swapGain is how many times as much used the copies of a model must be as
+	// those of the model that gives way would be after it.
+	swapGain = 1.8
+	// copySettle is the time from a load of a model to the next copy of it beyond
+	// the first.
+	copySettle = 600 * time.Millisecond
 	// maxLoading is the number of loads at once, over all replicas: about the
 	// number that the weight store serves at full speed.
 	maxLoading = 6
@@ -36,19 +41,27 @@
 // Demand is what instances report of the requests for a model.
 type Demand struct {
 	Requests int // since the last report
-	// Tokens are the prompt tokens that had to be read.
-	Tokens int
+	// Reading is their reading work, in tokens of a model of pace 1.
+	Reading float64
 	// WaitShare is the average expected wait as a share of the goal.
 	WaitShare float64
 }
 
 type demand struct {
-	tokens  float64 // a second, moving average
+	reading float64 // a second, moving average
 	wait    float64 // moving average of WaitShare
 	asked   time.Time
 	ordered time.Time
 }
 
+// use returns the utilization that a number of copies would have.
+func (d *demand) use(copies int) float64 {
+	if d == nil {
+		return 0
+	}
+	return d.reading / engineReading / float64(max(copies, 1))
+}
+
 // AddDemand takes over the demand for a model since the last call by the same instance.
 func (s *State) AddDemand(now time.Time, model string, d Demand) {
 	m, ok := s.demand[model]
@@ -60,7 +73,7 @@
 		return
 	}
 	m.asked = now
-	m.tokens += float64(d.Tokens) / demandHalf.Seconds()
+	m.reading += d.Reading / demandHalf.Seconds()
 	weight := min(1, 0.1*float64(d.Requests))
 	m.wait += weight * (d.WaitShare - m.wait)
 }
@@ -74,13 +87,68 @@
 	}
 	keep := max(0, 1-dt.Seconds()/demandHalf.Seconds())
 	for _, d := range s.demand {
-		d.tokens *= keep
+		d.reading *= keep
 		if now.Sub(d.asked) > demandHalf {
 			d.wait *= keep
 		}
 	}
 }
 
+// ModelState is a model as the plan sees it.
+type ModelState struct {
+	Model        string
+	Held, Coming int     // copies
+	Use          float64 // of each copy
+	Wait         float64 // expected waits as a share of the goal
+}
+
+// Models returns the models that are asked for, most used first.
+func (s *State) Models() []ModelState {
+	var out []ModelState
+	if s.config == nil {
+		return nil
+	}
+	for _, service := range s.config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		pool := s.pool(service.Name)
+		for _, m := range service.Engine.Models {
+			d := s.demand[m.Name]
+			if d == nil || d.reading < 1 {
+				continue
+			}
+			held, coming := copies(pool, m.Name)
+			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: d.use(held), Wait: d.wait})
+		}
+	}
+	slices.SortFunc(out, func(a, b ModelState) int { return cmp.Compare(b.Use, a.Use) })
+	return out
+}
+
+// Waiting returns the replicas that can't get an order now, with the reason.
+func (s *State) Waiting(now time.Time) map[string]string {
+	out := make(map[string]string)
+	for id, r := range s.replicas {
+		switch {
+		case s.engine(r.info.Service) == nil:
+		case r.sent != nil:
+			out[id] = "order on its way"
+		case r.asked:
+			out[id] = "report on its way"
+		case !r.known:
+			out[id] = "not reported"
+		case now.Before(r.retryAt):
+			out[id] = "pause after an order"
+		case r.moving():
+			out[id] = "model " + r.loading + r.dropping
+		case len(r.wishes) > 0:
+			out[id] = "adapters wanted"
+		}
+	}
+	return out
+}
+
 // Plan gives the orders for models that are due now, at most one for each replica.
 func (s *State) Plan(now time.Time) []Action {
 	s.decay(now)
@@ -116,7 +184,8 @@
 type need struct {
 	model  *catalog.Model
 	copies int
-	weight float64
+	use    float64 // of each copy
+	late   bool
 	urgent bool // no replica holds it and it is asked for
 }
 
@@ -173,30 +242,39 @@
 		m := &e.Models[i]
 		held, coming := copies(pool, m.Name)
 		d := s.demand[m.Name]
-		n := need{model: m, copies: held + coming}
-		if d != nil {
-			n.weight = d.tokens
-		}
+		n := need{model: m, copies: held + coming, use: d.use(held + coming)}
 		switch {
 		case held+coming == 0:
 			n.urgent = d != nil && now.Sub(d.asked) < recentDemand
 			out = append(out, n)
-		case d != nil && coming == 0 && d.wait > lateShare && now.Sub(d.ordered) > copySettle && held < len(pool):
+		case d == nil || held+coming >= len(pool) || now.Sub(d.ordered) < copySettle:
+		case n.use > fewUsed:
+			out = append(out, n)
+		case d.wait > lateShare && coming == 0:
+			n.late = true
 			out = append(out, n)
 		}
 	}
 	slices.SortFunc(out, func(a, b need) int {
-		if a.urgent != b.urgent {
-			if a.urgent {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(min(a.copies, 1), min(b.copies, 1)), cmp.Compare(b.weight, a.weight))
+		return cmp.Or(cmp.Compare(b.class(), a.class()), cmp.Compare(b.use, a.use))
 	})
 	return out
 }
 
+// class orders needs: a model that is asked for and missing, one whose copies
+// are used much, one whose requests wait, and one that is only missing.
+func (n need) class() int {
+	switch {
+	case n.urgent:
+		return 3
+	case n.copies > 0 && !n.late:
+		return 2
+	case n.late:
+		return 1
+	}
+	return 0
+}
+
 // place gives the order that brings a copy of the model nearer: a load where
 // there is room, otherwise the unload that makes room.
 func (s *State) place(now time.Time, e *catalog.Engine, pool map[string]*replica, n need) *Action {
@@ -239,10 +317,10 @@
 	order.FromStore = !atHand
 	score := -s.busyness(r, pool)
 	if atHand {
-		score += n.weight + 1
+		score += atHandBonus
 	}
 	if s.usedMB(r, e)+n.model.WeightsMB <= e.WeightsMB {
-		return order, score + n.weight + 1
+		return order, score + freeBonus
 	}
 	victim, loss := s.victim(now, e, pool, r, n)
 	if victim == "" {
@@ -253,46 +331,62 @@
 	return order, score - loss
 }
 
-// busyness is the demand that a replica carries, in prompt tokens a second.
+const (
+	// atHandBonus is what a load without the weight store, which is several times
+	// as fast, is worth against the utilization of a replica.
+	atHandBonus = 0.4
+	// freeBonus is what room without an unload is worth.
+	freeBonus = 0.3
+	// copyLoss is how much the loss of one of a few copies counts where demand
+	// is not known yet: operators place busy models on many replicas.
+	copyLoss = 0.2
+)
+
+// busyness is the utilization that a replica's models bring.
 func (s *State) busyness(r *replica, pool map[string]*replica) float64 {
 	sum := 0.0
 	for _, m := range r.info.Models {
-		if d := s.demand[m.Name]; d != nil {
-			held, _ := copies(pool, m.Name)
-			sum += d.tokens / float64(max(held, 1))
-		}
+		held, _ := copies(pool, m.Name)
+		sum += s.demand[m.Name].use(held)
 	}
 	return sum
 }
 
-// victim returns the model whose copy on a replica is needed least, or "". The
-// last copy of a model stays, as does one that is needed more than the new one.
+// candidateVictim is a model that may give way on a replica, and what is lost with it.
+type candidateVictim struct {
+	model string
+	mb    float64
+	loss  float64
+}
+
+// victim returns the model that gives way first so that a replica gets room for
+// another, or "", and what is lost with all that must give way. The last copy
+// of a model stays, as does one that would be needed more than the new one.
 func (s *State) victim(now time.Time, e *catalog.Engine, pool map[string]*replica, r *replica, n need) (string, float64) {
-	best, lowest := "", 0.0
+	var candidates []candidateVictim
 	for _, m := range r.info.Models {
 		held, _ := copies(pool, m.Name)
-		if held < 2 {
-			continue
-		}
 		declared := e.Model(m.Name)
-		if declared == nil || s.usedMB(r, e)-declared.WeightsMB+n.model.WeightsMB > e.WeightsMB {
+		if held < 2 || declared == nil {
 			continue
 		}
-		each := 0.0
-		if d := s.demand[m.Name]; d != nil {
-			each = d.tokens / float64(held-1)
-			if d.wait > lateShare && now.Sub(d.asked) < demandHalf {
-				continue
-			}
-		}
-		if n.copies > 0 && each > victimShare*n.weight/float64(n.copies) {
+		d := s.demand[m.Name]
+		after := d.use(held - 1)
+		if n.copies > 0 && (after*swapGain > n.use || d != nil && d.wait > lateShare && now.Sub(d.asked) < demandHalf) {
 			continue
 		}
-		if best == "" || each < lowest {
-			best, lowest = m.Name, each
+		candidates = append(candidates, candidateVictim{m.Name, declared.WeightsMB, after + copyLoss/float64(held)})
+	}
+	slices.SortFunc(candidates, func(a, b candidateVictim) int { return cmp.Compare(a.loss, b.loss) })
+	missing := s.usedMB(r, e) + n.model.WeightsMB - e.WeightsMB
+	loss := 0.0
+	for _, c := range candidates {
+		missing, loss = missing-c.mb, loss+c.loss
+		if missing <= 0 {
+			return candidates[0].model, loss
 		}
 	}
-	return best, lowest
+	return "", 0
 }
 
 // bucket limits loads from the weight store.
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -189,7 +189,7 @@
 		return
 	}
 	r, ok := s.replicas[id]
-	if !ok || r.info.Born != info.Born {
+	if !ok || (r.info.Born != 0 && info.Born != 0 && r.info.Born != info.Born) || r.info.Address != info.Address {
 		r = &replica{adapters: make(map[string]*adapter)}
 		s.replicas[id] = r
 	}
