dispatch: requests that will miss their goal wait behind those that can reach it

They now get a lower urgency level than their rank, still above the next one, and are refused only past their caller's patience.

--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -125,7 +125,9 @@
 	for id, l := range loads {
 		s := sum[id]
 		s.Requests += l.Requests
-		s.Unread += l.Unread
+		for level, work := range l.Unread {
+			s.Unread[level] += work
+		}
 		sum[id] = s
 	}
 }
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -54,7 +54,7 @@
 		e.answer <- Admission{Decision: d}
 		return
 	}
-	reading := c.dispatch.Sent(now, req, d.Replica.ID)
+	reading := c.dispatch.Sent(now, req, d)
 	if req.Adapter != "" {
 		c.plan.UsedAdapter(now, d.Replica.ID, req.Model, req.Adapter)
 	}
@@ -99,7 +99,7 @@
 	if e.report != nil {
 		c.dispatch.SetReport(now, id, *e.report)
 	}
-	if c.dispatch.Finished(now, f.Request, id, e.outcome, f.Reading) {
+	if c.dispatch.Finished(now, f.Request, f.Decision, e.outcome, f.Reading) {
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
 		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -30,6 +30,15 @@
 	// refusedRetryAfter is when a caller should come back to a service whose
 	// replicas are full or failing: about the time after which they are tried again.
 	refusedRetryAfter = 400 * time.Millisecond
+	// overloadRetryAfter is when a caller should come back to replicas whose
+	// queues are longer than it would wait.
+	overloadRetryAfter = time.Second
+	// Callers leave a stream before its first event after a pause of two seconds,
+	// four times its goal or eight times the longest pause on time, whichever is
+	// longest. A little less is used, because the way back takes time too.
+	minPatience   = 1900 * time.Millisecond
+	patienceGoals = 4
+	patienceGaps  = 8
 	// loadingRetryAfter is when a caller should come back for a model that is
 	// being loaded: about the time of a load from a replica's disk.
 	loadingRetryAfter = 1500 * time.Millisecond
@@ -66,48 +75,75 @@
 
 // best returns the replica with the lowest estimate.
 func (s *State) best(now time.Time, svc *service, req *Request, tried []string) Decision {
-	var best *replica
-	var lowest time.Duration
+	usable, cause := s.candidates(now, svc, req, tried)
+	if len(usable) == 0 {
+		return s.refuse(cause)
+	}
+	at := level(req, false)
+	chosen := s.lowest(now, svc, usable, req, at)
+	expected := s.estimate(now, svc, chosen, req, at)
+	if req.Model != "" && req.Route.Goal > 0 && now.Add(expected).After(req.Arrived.Add(req.Route.Goal)) {
+		at = level(req, true)
+		chosen = s.lowest(now, svc, usable, req, at)
+		expected = s.estimate(now, svc, chosen, req, at)
+		if expected > patience(req) && len(tried) == 0 {
+			return Decision{Verdict: Refuse, Cause: CauseOverload, RetryAfter: overloadRetryAfter, Expected: expected}
+		}
+	}
+	reading := s.reading(chosen, req)
+	return Decision{
+		Replica: chosen.info, NeedsAdapter: !chosen.hasAdapter(req.Model, req.Adapter), Urgency: at,
+		Expected: expected, Base: readingTime(chosen.unread(now, at, svc.reading) + reading), Reading: reading,
+		CachedTokens: chosen.prefixes.cached(req.Parts), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
+	}
+}
+
+// patience returns the time for which a caller waits for the first event.
+func patience(req *Request) time.Duration {
+	return max(minPatience, patienceGoals*req.Route.Goal, patienceGaps*req.Route.EventGap)
+}
+
+// candidates returns the replicas that can get a request, or the reason why
+// there is none. Replicas that fail are taken if there is no other.
+func (s *State) candidates(now time.Time, svc *service, req *Request, tried []string) ([]*replica, Cause) {
+	var usable, failing []*replica
 	cause := CauseNoReplica
 	for _, r := range svc.replicas {
-		if r.info.Leaving {
-			continue
-		}
-		if slices.Contains(tried, r.info.ID) {
+		switch {
+		case r.info.Leaving:
+		case slices.Contains(tried, r.info.ID):
 			cause = CauseAllTried
-			continue
-		}
-		if req.Model != "" && !r.info.Holds(req.Model) {
+		case req.Model != "" && !r.info.Holds(req.Model):
 			if cause == CauseNoReplica {
 				cause = CauseNotLoaded
 			}
-			continue
-		}
-		if !r.usable(now) {
+		case r.moving && !r.hasAdapter(req.Model, req.Adapter):
+			cause = CauseNoAdapter
+		case r.usable(now):
+			usable = append(usable, r)
+		default:
 			cause = CauseAside
-			continue
-		}
-		if r.moving && !r.hasAdapter(req.Model, req.Adapter) {
-			if cause == CauseNoReplica {
-				cause = CauseNoAdapter
+			if r.lastResort() {
+				failing = append(failing, r)
 			}
-			continue
-		}
-		score := s.score(now, svc, r, req)
-		if best == nil || score < lowest {
-			best, lowest = r, score
 		}
 	}
-	if best == nil {
-		return s.refuse(cause)
+	if len(usable) == 0 {
+		usable = failing
 	}
-	reading := s.reading(best, req)
-	return Decision{
-		Replica: best.info, NeedsAdapter: !best.hasAdapter(req.Model, req.Adapter),
-		Expected: s.estimate(now, svc, best, req), Base: readingTime(best.unread(now, svc.reading) + reading), Reading: reading,
-		CachedTokens: best.prefixes.cached(req.Parts),
-		LoadAge:      now.Sub(best.reportAt), Running: best.inFlight(now),
+	return usable, cause
+}
+
+// lowest returns the replica with the lowest score.
+func (s *State) lowest(now time.Time, svc *service, usable []*replica, req *Request, at int) *replica {
+	var best *replica
+	var lowest time.Duration
+	for _, r := range usable {
+		if score := s.score(now, svc, r, req, at); best == nil || score < lowest {
+			best, lowest = r, score
+		}
 	}
+	return best
 }
 
 func (s *State) refuse(cause Cause) Decision {
@@ -119,8 +155,8 @@
 }
 
 // score is the estimate with preferences that do not change the time itself.
-func (s *State) score(now time.Time, svc *service, r *replica, req *Request) time.Duration {
-	score := s.estimate(now, svc, r, req)
+func (s *State) score(now time.Time, svc *service, r *replica, req *Request, at int) time.Duration {
+	score := s.estimate(now, svc, r, req, at)
 	if r.info.Zone != s.options.Zone {
 		score += otherZone
 	}
@@ -155,13 +191,14 @@
 	return best
 }
 
-// estimate returns the expected time to the first byte of the answer.
-func (s *State) estimate(now time.Time, svc *service, r *replica, req *Request) time.Duration {
+// estimate returns the expected time to the first byte of the answer to a
+// request at an urgency level.
+func (s *State) estimate(now time.Time, svc *service, r *replica, req *Request, at int) time.Duration {
 	running := r.inFlight(now)
 	if req.Model == "" {
 		return s.plainEstimate(svc, r, running)
 	}
-	estimate := firstStep + readingTime(r.unread(now, svc.reading)+s.reading(r, req))
+	estimate := firstStep + readingTime(r.unread(now, at, svc.reading)+s.reading(r, req))
 	if over := running + 1 - s.concurrency(svc, r); over > 0 {
 		estimate += time.Duration(over) * slotWait
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,6 +76,8 @@
 	NeedsAdapter bool
 	// Expected is the estimated time to the first byte of the answer.
 	Expected time.Duration
+	// Urgency is the level for the engine.
+	Urgency int
 	// Base is the part of Expected that the model's reading explains, before the
 	// replica's slowness; Reading is the reading work of the request itself.
 	Base    time.Duration
@@ -95,6 +97,29 @@
 	Seed    uint64
 }
 
+// LevelCount is the number of urgency levels of engines; 0 is the most urgent.
+const LevelCount = 10
+
+const (
+	// levelStep spreads the ranks of routes over the levels.
+	levelStep = 3
+	// firstLevel is the level of the most urgent rank.
+	firstLevel = 1
+	// lateLevels are added for a request that is expected to miss its goal. It
+	// stays before the next rank, and no longer delays those that can still
+	// reach their goal.
+	lateLevels = 2
+)
+
+// level returns the urgency level of a request.
+func level(req *Request, late bool) int {
+	l := firstLevel + levelStep*max(req.Route.Rank, 0)
+	if late {
+		l += lateLevels
+	}
+	return min(l, LevelCount-1)
+}
+
 // State is what one instance knows of replicas and of its own requests. It is
 // not safe for concurrent use.
 type State struct {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -79,8 +79,8 @@
 
 // Sent records that a request is on its way to a replica. It returns the
 // reading work that the replica is thought to have with it.
-func (s *State) Sent(now time.Time, req *Request, replicaID string) (reading float64) {
-	r, ok := s.replicas[replicaID]
+func (s *State) Sent(now time.Time, req *Request, d Decision) (reading float64) {
+	r, ok := s.replicas[d.Replica.ID]
 	if !ok {
 		return 0
 	}
@@ -93,7 +93,7 @@
 	r.own.Requests++
 	r.sentSince++
 	reading = s.reading(r, req)
-	r.own.Unread += reading
+	r.own.Unread[d.Urgency] += reading
 	if req.Model != "" {
 		svc := s.service(req.Service)
 		svc.reading = average(svc.reading, reading)
@@ -102,6 +102,11 @@
 	return reading
 }
 
+// read takes finished reading work off.
+func (r *replica) read(level int, work float64) {
+	r.own.Unread[level] = max(0, r.own.Unread[level]-work)
+}
+
 // release ends the use of a request's adapter.
 func (r *replica) release(req *Request) {
 	if req.Adapter == "" {
@@ -120,7 +125,7 @@
 	if !ok {
 		return
 	}
-	r.own.Unread = max(0, r.own.Unread-reading)
+	r.read(d.Urgency, reading)
 	svc := s.service(req.Service)
 	if svc.typical == 0 {
 		svc.typical = took
@@ -155,20 +160,20 @@
 
 // Finished records the end of a send. It reports whether the replica is put
 // aside because of it.
-func (s *State) Finished(now time.Time, req *Request, replicaID string, outcome Outcome, reading float64) bool {
+func (s *State) Finished(now time.Time, req *Request, d Decision, outcome Outcome, reading float64) bool {
 	if outcome == Answered {
 		delete(s.crashes, req.Fingerprint)
 	}
 	if outcome == Broken {
 		s.crashes.add(now, req.Fingerprint)
 	}
-	r, ok := s.replicas[replicaID]
+	r, ok := s.replicas[d.Replica.ID]
 	if !ok {
 		return false
 	}
 	r.release(req)
 	r.own.Requests = max(0, r.own.Requests-1)
-	r.own.Unread = max(0, r.own.Unread-reading)
+	r.read(d.Urgency, reading)
 	switch outcome {
 	case Answered:
 		r.succeeded()
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -12,8 +12,8 @@
 type Load struct {
 	Requests int // sent and not finished
 	// Unread is the reading work for prompts whose first event has not come yet,
-	// in tokens of a model of pace 1.
-	Unread float64
+	// in tokens of a model of pace 1, by urgency level.
+	Unread [LevelCount]float64
 	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
 	// filled in for other instances only.
 	Adapters []string `json:",omitempty"`
@@ -61,14 +61,15 @@
 	// sentSince is the number of own requests sent since the report.
 	sentSince int
 	// slowness is the moving ratio of measured to estimated time to the first byte.
-	slowness float64
-	failures int
-	failing  float64
-	aside    time.Time // no work before this time
-	asideFor time.Duration
-	trial    bool // one request is out to try the replica again
-	moving   bool // it loads or unloads a model, and takes no other order
-	prefixes prefixes
+	slowness    float64
+	failures    int
+	unreachable bool // the last failure was that no connection could be made
+	failing     float64
+	aside       time.Time // no work before this time
+	asideFor    time.Duration
+	trial       bool // one request is out to try the replica again
+	moving      bool // it loads or unloads a model, and takes no other order
+	prefixes    prefixes
 }
 
 func newReplica(info *catalog.Replica) *replica {
@@ -128,11 +129,19 @@
 	return n
 }
 
-// unread estimates the reading work that the replica does before a new request.
-func (r *replica) unread(now time.Time, typical float64) float64 {
-	n := r.own.Unread
-	if now.Sub(r.peersAt) < peerLifetime {
-		n += r.peers.Unread
+// unread estimates the reading work that the replica does before a new request
+// of an urgency level: engines admit more urgent requests first.
+func (r *replica) unread(now time.Time, level int, typical float64) float64 {
+	n := 0.0
+	peers := now.Sub(r.peersAt) < peerLifetime
+	for l := 0; l <= level; l++ {
+		n += r.own.Unread[l]
+		if peers {
+			n += r.peers.Unread[l]
+		}
+	}
+	if level < LevelCount-1 && r.ownBelow(level) {
+		return n // the report does not tell whose requests wait
 	}
 	if now.Sub(r.reportAt) < reportLifetime {
 		n = max(n, float64(r.report.Waiting)*typical)
@@ -140,6 +149,20 @@
 	return n
 }
 
+// ownBelow reports whether less urgent work is known to wait on the replica.
+func (r *replica) ownBelow(level int) bool {
+	for l := level + 1; l < LevelCount; l++ {
+		if r.own.Unread[l]+r.peers.Unread[l] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lastResort reports whether a replica that is aside may get a request because
+// no other one can: it answers, though badly.
+func (r *replica) lastResort() bool { return !r.info.Leaving && !r.unreachable }
+
 // usable reports whether the replica may get a request. A replica that was put
 // aside gets one request as a trial when its time is over.
 func (r *replica) usable(now time.Time) bool {
@@ -150,7 +173,7 @@
 }
 
 func (r *replica) succeeded() {
-	r.failures, r.asideFor, r.trial = 0, 0, false
+	r.failures, r.asideFor, r.trial, r.unreachable = 0, 0, false, false
 	r.failing *= 1 - failureWeight
 }
 
@@ -158,6 +181,7 @@
 // replica is put aside by it.
 func (r *replica) failed(now time.Time, unreachable bool) bool {
 	r.failures++
+	r.unreachable = unreachable
 	r.failing += failureWeight * (1 - r.failing)
 	wasTrial := r.trial
 	r.trial = false
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -116,7 +116,10 @@
 // call builds the request for a replica.
 func (x *exchange) call(d dispatch.Decision) *upstream.Call {
 	to := Addressing{
-		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: urgency(x.request), LastEvent: x.lastEvent,
+		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: -1, LastEvent: x.lastEvent,
+	}
+	if x.request.Model != "" {
+		to.Urgency = d.Urgency
 	}
 	return &upstream.Call{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
@@ -124,21 +127,6 @@
 	}
 }
 
-const (
-	// urgencyStep spreads the ranks of routes over the engines' urgency levels.
-	urgencyStep = 3
-	// maxUrgency is the least urgent level.
-	maxUrgency = 9
-)
-
-// urgency returns the level that engines get for a rank; negative for plain services.
-func urgency(req *dispatch.Request) int {
-	if req.Model == "" {
-		return -1
-	}
-	return min(1+urgencyStep*req.Route.Rank, maxUrgency)
-}
-
 // silence returns how long an answer may take to begin. Requests that may go on
 // elsewhere do not wait for a replica that is silent much longer than expected.
 func (x *exchange) silence(d dispatch.Decision) time.Duration {
