--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -86,7 +86,7 @@
 		at = level(req, true)
 		chosen = s.lowest(now, svc, usable, req, at)
 		expected = s.estimate(now, svc, chosen, req, at)
-		if expected > patience(req) && len(tried) == 0 {
+		if expected > 3*patience(req) && len(tried) == 0 {
 			return Decision{Verdict: Refuse, Cause: CauseOverload, RetryAfter: overloadRetryAfter, Expected: expected}
 		}
 	}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -102,6 +102,8 @@
 	// replicas may carry out seconds late, is taken as not carried out. The
 	// expected order number makes a later one harmless once another was accepted.
 	unknownHold = 300 * time.Millisecond
+	// unknownModel stands for the model of an order that another holder gave.
+	unknownModel = "?"
 	// adapterGiveUp bounds the wait for an adapter.
 	adapterGiveUp = 600 * time.Millisecond
 )
@@ -198,7 +200,7 @@
 		r.reported = nil
 		s.syncAdapters(r, info.Models, false)
 	}
-	if r.loading != "" && r.info.Holds(r.loading) {
+	if r.loading != "" && r.loading != unknownModel && r.info.Holds(r.loading) {
 		r.loading = ""
 	}
 	if r.dropping != "" && !r.info.Holds(r.dropping) {
@@ -264,7 +266,9 @@
 	}
 	s.syncAdapters(r, coming, true)
 	if report.Busy {
-		r.retryAt = now.Add(unknownHold)
+		// What it loads is not known and may arrive at any moment: no order until
+		// a later report shows the end.
+		r.loading, r.readyAt = unknownModel, now.Add(unknownHold)
 	} else {
 		// The models of the report count until the list shows them.
 		r.loading, r.dropping = "", ""
