--- a/catalog/config.go
+++ b/catalog/config.go
@@ -179,6 +179,6 @@
 	LoadTime  time.Duration // from the weight store
 	WarmTime  time.Duration // from the replica's memory
 	DiskTime  time.Duration // from the replica's disk
-	Adapters  int
+	Adapters  []string
 	AdapterMB float64
 }
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -14,8 +14,9 @@
 // modelDemand is the demand for one model at this instance since the last report.
 type modelDemand struct {
 	requests  int
-	reading   float64 // sum over requests
-	waitShare float64 // sum over requests
+	reading   float64        // sum over requests
+	waitShare float64        // sum over requests
+	adapters  map[string]int // requests by adapter
 }
 
 // countDemand records the demand that a decision shows.
@@ -29,6 +30,12 @@
 		c.demand[req.Model] = m
 	}
 	m.requests++
+	if req.Adapter != "" {
+		if m.adapters == nil {
+			m.adapters = make(map[string]int)
+		}
+		m.adapters[req.Adapter]++
+	}
 	if d.Verdict == dispatch.Send {
 		m.reading += d.Reading
 	} else {
@@ -49,7 +56,7 @@
 		if m.requests == 0 {
 			continue
 		}
-		out[model] = residency.Demand{Requests: m.requests, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests)}
+		out[model] = residency.Demand{Requests: m.requests, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests), Adapters: m.adapters}
 		*m = modelDemand{}
 	}
 	return out
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -12,6 +12,9 @@
 	// demandHalf is the time over which demand is averaged: demand moves to
 	// other models within a few seconds.
 	demandHalf = 2500 * time.Millisecond
+	// adapterDemandHalf is the same for adapters, each of which is asked for
+	// every few seconds only.
+	adapterDemandHalf = 15 * time.Second
 	// recentDemand is the time for which a model counts as asked for.
 	recentDemand = 15 * time.Second
 	// engineReading is the reading work that a replica does in a second, the
@@ -45,6 +48,8 @@
 	Reading float64
 	// WaitShare is the average expected wait as a share of the goal.
 	WaitShare float64
+	// Adapters are the requests by adapter.
+	Adapters map[string]int `json:",omitempty"`
 }
 
 type demand struct {
@@ -73,6 +78,9 @@
 		return
 	}
 	m.asked = now
+	for name, n := range d.Adapters {
+		s.AddAdapterDemand(model, name, n)
+	}
 	m.reading += d.Reading / demandHalf.Seconds()
 	weight := min(1, 0.1*float64(d.Requests))
 	m.wait += weight * (d.WaitShare - m.wait)
@@ -86,6 +94,13 @@
 		return
 	}
 	keep := max(0, 1-dt.Seconds()/demandHalf.Seconds())
+	for key, n := range s.adapterDemand {
+		if n *= 1 - dt.Seconds()/adapterDemandHalf.Seconds(); n < 0.01 {
+			delete(s.adapterDemand, key)
+		} else {
+			s.adapterDemand[key] = n
+		}
+	}
 	for _, d := range s.demand {
 		d.reading *= keep
 		if now.Sub(d.asked) > demandHalf {
@@ -162,6 +177,7 @@
 	for _, service := range s.config.Services {
 		if service.Engine != nil {
 			actions = append(actions, s.planEngine(now, service)...)
+			actions = append(actions, s.prefetch(now, service.Engine, s.pool(service.Name))...)
 		}
 	}
 	return actions
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -113,8 +113,10 @@
 	config   *catalog.Config
 	replicas map[string]*replica
 	demand   map[string]*demand // by model
-	loads    bucket
-	last     time.Time // of the last plan
+	// adapterDemand are the requests by MODEL/ADAPTER, fading with time.
+	adapterDemand map[string]float64
+	loads         bucket
+	last          time.Time // of the last plan
 }
 
 type replica struct {
@@ -147,7 +149,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{replicas: make(map[string]*replica), demand: make(map[string]*demand)}
+	return &State{replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64)}
 }
 
 // SetConfig takes over a newer config.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -26,6 +26,10 @@
 	feedWait = 8 * time.Second
 	// hurryTimeout bounds the call that follows a doubt: the store answers it at once.
 	hurryTimeout = 800 * time.Millisecond
+	// batchPause gathers changes of the list of replicas, which come several
+	// times a second, into one call. It is far below the 2 s within which a
+	// leaving replica must be left alone.
+	batchPause = 400 * time.Millisecond
 	// retryFirst and retryMax bound the pause after a failed call. Changes have
 	// to be in force within 2 s, and a store that is down is not to be flooded.
 	retryFirst = 100 * time.Millisecond
@@ -131,6 +135,9 @@
 		take(page, full)
 		s.control.Post(controlplane.RowsSeen{Table: table, Version: newest(page)})
 		version, known = page.Version, true
+		if table == s.source.ReplicaTable && !wait(ctx, batchPause) {
+			return
+		}
 	}
 }
 
