dispatch: learn the pace of models on quiet replicas and share it; fewer swaps

Answers of busy replicas said more of their queues than of the model: m0 (0.11) was learned as 0.65 to 1.3. Copies are swapped only for three times the use.

--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -20,6 +20,7 @@
 	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
 	Demand   map[string]residency.Demand `json:"demand"` // by model
 	Versions map[string]uint64           `json:"versions"`
+	Paces    map[string]float64          `json:"paces"` // by model
 }
 
 // FleetState is the holder's answer.
@@ -28,7 +29,8 @@
 	Epoch  uint64                   `json:"epoch"`
 	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
 	// Versions are the newest rows that the holder has read, by table.
-	Versions map[string]uint64 `json:"versions"`
+	Versions map[string]uint64  `json:"versions"`
+	Paces    map[string]float64 `json:"paces"` // by model
 	// Moving are the replicas that load or unload a model.
 	Moving []string `json:"moving"`
 }
@@ -48,7 +50,7 @@
 }
 
 func (e ownState) apply(c *core, _ time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions)}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces()}
 }
 
 type servePeer struct {
@@ -71,9 +73,10 @@
 		c.plan.AddDemand(now, model, d)
 	}
 	c.useAdapters(now, e.peer.Loads)
+	c.dispatch.AdoptPaces(e.peer.Paces)
 	c.sumPeers(now)
 	c.compareVersions(now, e.peer.Versions)
-	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions)}
+	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces()}
 	if c.leader.Held() {
 		state.Holder, state.Epoch, state.Moving = c.node.ID, c.leader.Epoch(), c.plan.Moving()
 	}
@@ -140,4 +143,5 @@
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetMoving(e.State.Moving)
+	c.dispatch.AdoptPaces(e.State.Paces)
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -21,13 +21,13 @@
 	// scale of utilization.
 	engineReading = 19_000.0
 	// fewUsed is the utilization of a model's copies below which it gets no more.
-	fewUsed = 0.15
+	fewUsed = 0.3
 	// lateShare is the share of the goal that requests for a model may wait on
 	// average before it gets one more copy whatever its utilization.
 	lateShare = 0.5
 	// swapGain is how many times as much used the copies of a model must be as
 	// those of the model that gives way would be after it.
-	swapGain = 1.8
+	swapGain = 3.0
 	// copySettle is the time from a load of a model to the next copy of it beyond
 	// the first.
 	copySettle = 600 * time.Millisecond
