--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -37,8 +37,10 @@
 	started   bool
 	firstByte time.Time
 	lastEvent string // id of the last event passed on
-	failure   *bufferedAnswer
-	steps     []step
+	// sendFirstByte is the time from the current send to the first byte of its answer.
+	sendFirstByte time.Duration
+	failure       *bufferedAnswer
+	steps         []step
 }
 
 // bufferedAnswer is an answer that was read whole.
@@ -95,6 +97,7 @@
 		}
 	}
 	sent := time.Now()
+	x.sendFirstByte = 0
 	answer, err := x.gateway.pool.Do(ctx, d.Replica.Address, x.call(d), x.silence(d))
 	if err == nil || !errors.Is(err, upstream.ErrNotSent) {
 		x.arrivals++
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -36,6 +36,8 @@
 	expected  time.Duration
 	loadAge   time.Duration
 	running   int
+	urgency   int
+	firstByte time.Duration // from the send to the first byte; 0 if none came
 	cached    int
 	adapter   bool // had to be brought
 	since     time.Duration
@@ -44,9 +46,9 @@
 
 // String formats the step as key=value pairs.
 func (s step) String() string {
-	text := fmt.Sprintf("replica=%s outcome=%s sent_after=%s ended_after=%s expected=%s running=%d load_age=%s cached_tokens=%d adapter_loaded=%t",
+	text := fmt.Sprintf("replica=%s outcome=%s sent_after=%s ended_after=%s first_byte_after=%s expected=%s urgency=%d running=%d load_age=%s cached_tokens=%d adapter_loaded=%t",
 		s.replica, s.outcome, s.sentAfter.Round(time.Millisecond), s.since.Round(time.Millisecond),
-		s.expected.Round(time.Millisecond), s.running, s.loadAge.Round(time.Millisecond), s.cached, s.adapter)
+		s.firstByte.Round(time.Millisecond), s.expected.Round(time.Millisecond), s.urgency, s.running, s.loadAge.Round(time.Millisecond), s.cached, s.adapter)
 	if s.err != nil {
 		text += fmt.Sprintf(" error=%q", s.err.Error())
 	}
@@ -57,12 +59,9 @@
 func (x *exchange) note(f *controlplane.Flight, outcome dispatch.Outcome, err error) {
 	d := f.Decision
 	x.steps = append(x.steps, step{
-		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running,
+		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running, urgency: d.Urgency, firstByte: x.sendFirstByte,
 		cached: d.CachedTokens, adapter: d.NeedsAdapter, since: time.Since(x.arrived), sentAfter: f.SentAt.Sub(x.arrived),
 	})
-	if f.SentAt.IsZero() {
-		return
-	}
 	x.gateway.metrics.Counter("sends", "kind", x.route.Kind.String(), "outcome", outcome.String()).Add(1)
 }
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -47,10 +47,16 @@
 	if x.started {
 		return dispatch.Failed, false, x.discard(a) // it can't follow the events that were passed on
 	}
-	x.gateway.control.FirstByte(f, time.Since(sent), head.Report)
+	x.begin(f, head, sent)
 	return x.relayPlain(a)
 }
 
+// begin reports that the answer of a send has begun.
+func (x *exchange) begin(f *controlplane.Flight, head AnswerHead, sent time.Time) {
+	x.sendFirstByte = time.Since(sent)
+	x.gateway.control.FirstByte(f, x.sendFirstByte, head.Report)
+}
+
 func (x *exchange) checkHead(a *upstream.Answer, head AnswerHead) error {
 	success := a.Status >= 200 && a.Status < 300
 	switch {
@@ -158,7 +164,7 @@
 		n, err := a.Read(s.space())
 		if n > 0 && !s.any {
 			s.any = true
-			x.gateway.control.FirstByte(f, time.Since(sent), head.Report)
+			x.begin(f, head, sent)
 		}
 		if passErr := s.pass(n); passErr != nil {
 			if errors.Is(passErr, errCaller) {
