residency: second copies of models that have one

Where copies of busier models can spare the room, each model gets a second copy, in another data centre first: a model shift saturated the only copy for the 8 s of a load, and a crash left none.

--- a/residency/plan.go
+++ b/residency/plan.go
@@ -34,6 +34,9 @@
 	// maxLoading is the number of loads at once, over all replicas: about the
 	// number that the weight store serves at full speed.
 	maxLoading = 6
+	// maxSpareLoading is the same for second copies of models that are not
+	// missed yet.
+	maxSpareLoading = 3
 	// loadBurst is the number of loads from the store that may begin at once.
 	loadBurst = 3
 	// startLoads is the number that may begin at once in a new term: the
@@ -203,6 +206,7 @@
 	use    float64 // of each copy
 	late   bool
 	urgent bool // no replica holds it and it is asked for
+	spare  bool // one replica holds it, and its loss or more demand would make callers wait for a load
 }
 
 func (s *State) planEngine(now time.Time, service *catalog.Service) []Action {
@@ -215,7 +219,7 @@
 	}
 	var actions []Action
 	for _, n := range s.needs(now, service.Engine, pool) {
-		if loading >= maxLoading {
+		if loading >= maxLoading || (n.spare && loading >= maxSpareLoading) {
 			break
 		}
 		if a := s.place(now, service.Engine, pool, n); a != nil {
@@ -263,6 +267,9 @@
 		case held+coming == 0:
 			n.urgent = d != nil && now.Sub(d.asked) < recentDemand
 			out = append(out, n)
+		case held+coming == 1 && n.use <= fewUsed:
+			n.spare = true
+			out = append(out, n)
 		case d == nil || held+coming >= len(pool) || now.Sub(d.ordered) < copySettle:
 		case n.use > fewUsed:
 			out = append(out, n)
@@ -278,9 +285,12 @@
 }
 
 // class orders needs: a model that is asked for and missing, one whose copies
-// are used much, one whose requests wait, and one that is only missing.
+// are used much, one whose requests wait, one that is only missing, and one that
+// has a single copy.
 func (n need) class() int {
 	switch {
+	case n.spare:
+		return -1
 	case n.urgent:
 		return 3
 	case n.copies > 0 && !n.late:
@@ -309,7 +319,7 @@
 	if best == nil {
 		return nil
 	}
-	if best.FromStore && !s.loads.take(now, e.LoadsPerSec) {
+	if best.FromStore && !s.loads.take(now, e.LoadsPerSec, n.spare) {
 		return nil
 	}
 	bestReplica.sent = best
@@ -326,12 +336,18 @@
 		Replica: id, Address: r.info.Address, Operation: Load, Model: n.model.Name, Expected: r.orders,
 		Reason: "requests wait too long",
 	}
-	if n.copies == 0 {
+	switch {
+	case n.copies == 0:
 		order.Reason = "no copy"
+	case n.spare:
+		order.Reason = "single copy"
 	}
 	atHand := slices.Contains(r.info.InMemory, n.model.Name) || slices.Contains(r.info.OnDisk, n.model.Name)
 	order.FromStore = !atHand
 	score := -s.busyness(r, pool)
+	if n.copies > 0 && !zoneHolds(pool, r.info.Zone, n.model.Name) {
+		score += zoneBonus
+	}
 	if atHand {
 		score += atHandBonus
 	}
@@ -353,11 +369,23 @@
 	atHandBonus = 0.4
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
+	// zoneBonus is what the first copy in a data centre is worth.
+	zoneBonus = 0.2
 	// copyLoss is how much the loss of one of a few copies counts where demand
 	// is not known yet: operators place busy models on many replicas.
 	copyLoss = 0.2
 )
 
+// zoneHolds reports whether a replica in a data centre holds or loads a model.
+func zoneHolds(pool map[string]*replica, zone, model string) bool {
+	for _, r := range pool {
+		if r.info.Zone == zone && (r.loading == model || r.holds(model)) {
+			return true
+		}
+	}
+	return false
+}
+
 // busyness is the utilization that a replica's models bring.
 func (s *State) busyness(r *replica, pool map[string]*replica) float64 {
 	sum := 0.0
@@ -383,12 +411,15 @@
 	for _, m := range r.info.Models {
 		held, _ := copies(pool, m.Name)
 		declared := e.Model(m.Name)
-		if held < 2 || declared == nil {
+		if held < 2 || declared == nil || (n.spare && held < 3) {
 			continue
 		}
 		d := s.demand[m.Name]
 		after := d.use(held - 1)
-		if n.copies > 0 && (after*swapGain > n.use || d != nil && d.wait > lateShare && now.Sub(d.asked) < demandHalf) {
+		if n.spare && after > fewUsed {
+			continue
+		}
+		if n.copies > 0 && !n.spare && (after*swapGain > n.use || d != nil && d.wait > lateShare && now.Sub(d.asked) < demandHalf) {
 			continue
 		}
 		candidates = append(candidates, candidateVictim{m.Name, declared.WeightsMB, after + copyLoss/float64(held)})
@@ -413,10 +444,11 @@
 
 func newBucket(now time.Time) bucket { return bucket{tokens: startLoads, at: now} }
 
-func (b *bucket) take(now time.Time, perSecond float64) bool {
+// take uses one load. A spare load leaves one for models that are missed.
+func (b *bucket) take(now time.Time, perSecond float64, spare bool) bool {
 	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*perSecond, loadBurst)
 	b.at = now
-	if b.tokens < 1 {
+	if b.tokens < 1 || (spare && b.tokens < 2) {
 		return false
 	}
 	b.tokens--
