--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -91,6 +91,29 @@
 	return changed
 }
 
+// Superseded returns the ids of replicas whose address a replica that started
+// later has taken.
+func (r *Roster) Superseded() []string {
+	newest := make(map[string]*Replica)
+	var out []string
+	for _, e := range r.entries {
+		if e.Replica == nil || e.Replica.Born == 0 {
+			continue
+		}
+		other, ok := newest[e.Replica.Address]
+		switch {
+		case !ok:
+			newest[e.Replica.Address] = e.Replica
+		case other.Born < e.Replica.Born:
+			newest[e.Replica.Address] = e.Replica
+			out = append(out, other.ID)
+		case other.Born > e.Replica.Born:
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
 // Replace takes over a full read. A read that is older than what is known is
 // ignored. Entries that the read lacks are dropped, at dropAt if that is not zero.
 func (r *Roster) Replace(rows []Entry, version uint64, dropAt time.Time) []string {
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -109,6 +109,17 @@
 		}
 		c.log.Debug("replica seen", "replica", id, "version", e.Version, "leaving", e.Replica.Leaving, "models", len(e.Replica.Models))
 	}
+	if len(changed) > 0 {
+		c.dropSuperseded(now)
+	}
+}
+
+// dropSuperseded drops replicas whose address belongs to a later one. Their
+// entries last until their leases run out.
+func (c *core) dropSuperseded(now time.Time) {
+	for _, id := range c.roster.Superseded() {
+		c.replicaChanged(now, id, nil)
+	}
 }
 
 // StoreState says whether the store answers reads of a table.
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -60,6 +60,7 @@
 		}
 		if ok {
 			c.useAdapters(now, c.dispatch.OwnLoad())
+			c.findUnreachable(now)
 			c.act(now, c.plan.Plan(now))
 			c.dispatch.SetMoving(c.plan.Moving())
 			c.logModels(now)
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -93,6 +93,37 @@
 	}
 }
 
+// unreachableBy is the number of instances that must fail to connect to a
+// replica before its models are loaded elsewhere: one alone may be cut off.
+const unreachableBy = 2
+
+// findUnreachable tells the plan which replicas can't be reached.
+func (c *core) findUnreachable(now time.Time) {
+	count := make(map[string]int)
+	for id, load := range c.dispatch.OwnLoad() {
+		if load.Unreachable {
+			count[id]++
+		}
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.at) > peerLifetime {
+			continue
+		}
+		for id, load := range p.loads {
+			if load.Unreachable {
+				count[id]++
+			}
+		}
+	}
+	var down []string
+	for id, n := range count {
+		if n >= unreachableBy {
+			down = append(down, id)
+		}
+	}
+	c.plan.SetUnreachable(down)
+}
+
 // sumPeers hands the load of all peers to dispatch.
 func (c *core) sumPeers(now time.Time) {
 	sum := make(map[string]dispatch.Load)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -227,12 +227,14 @@
 }
 
 // OwnLoad returns what this instance has in flight on each replica, for the
-// other instances. Idle replicas are left out.
+// other instances. Idle replicas that can be reached are left out.
 func (s *State) OwnLoad() map[string]Load {
 	out := make(map[string]Load)
 	for id, r := range s.replicas {
-		if r.own.Requests > 0 {
+		down := r.unreachable && r.asideFor > 0
+		if r.own.Requests > 0 || down {
 			load := r.own
+			load.Unreachable = down
 			load.Adapters = slices.Sorted(maps.Keys(r.inUse))
 			out[id] = load
 		}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -17,6 +17,8 @@
 	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
 	// filled in for other instances only.
 	Adapters []string `json:",omitempty"`
+	// Unreachable says that the last connection to the replica could not be made.
+	Unreachable bool `json:",omitempty"`
 }
 
 // Report is a load report of a replica.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -218,6 +218,7 @@
 		}
 	}
 	var actions []Action
+	actions = append(actions, s.fill(now, service.Engine, pool)...)
 	for _, n := range s.needs(now, service.Engine, pool) {
 		if loading >= maxLoading || (n.spare && loading >= maxSpareLoading) {
 			break
@@ -233,7 +234,7 @@
 func (s *State) pool(service string) map[string]*replica {
 	pool := make(map[string]*replica)
 	for id, r := range s.replicas {
-		if r.info.Service == service && !r.info.Leaving {
+		if r.info.Service == service && !r.info.Leaving && !r.down {
 			pool[id] = r
 		}
 	}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -134,6 +134,7 @@
 	dropBy   time.Time
 	adapters map[string]*adapter // by MODEL/ADAPTER
 	wishes   []wish
+	down     bool // instances can't connect to it
 }
 
 type adapter struct {
@@ -279,6 +280,14 @@
 	return s.advance(now, id, r)
 }
 
+// SetUnreachable records the replicas that instances can't connect to. They
+// have probably crashed, and replicas restart empty.
+func (s *State) SetUnreachable(ids []string) {
+	for id, r := range s.replicas {
+		r.down = slices.Contains(ids, id)
+	}
+}
+
 // WantAdapter asks for an adapter on a replica that holds its model.
 func (s *State) WantAdapter(now time.Time, id, model, name string) []Action {
 	r, ok := s.replicas[id]
