edge, platformtest: test instances against stand-ins of the platform

The stand-ins of the store and of replicas speak the platform's formats with faults on demand. Found by the tests: a body that is too large reset the connection before its caller saw the 413.

--- /dev/null
+++ b/edge/fleet_test.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/platform/platformtest"
+)
+
+func (d *deployment) ordering() int { return strings.Count(d.logs.String(), "ordering=true") }
+
+// Guards against two instances that give orders, against a lease that stays
+// with a stopped holder, and against epochs that repeat.
+func TestOneHolderGivesOrders(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 3)
+	d.eventually("one instance gives orders", func() bool { return d.ordering() == 1 })
+	for i := range 3 {
+		got := d.do(i, request{method: "POST", path: "/chat/x", model: fmt.Sprintf("m1/a%d", i+1)})
+		is.Equal(got.status, http.StatusOK) // also through instances that do not hold the lease
+	}
+	holders := d.holders()
+	is.Equal(len(holders), 1)
+	for i, node := range d.nodes {
+		if holders[node.ID] {
+			is.NoErr(d.instances[i].kernel.Stop(context.Background()))
+		}
+	}
+	d.eventually("another instance gives orders", func() bool { return d.ordering() == 2 })
+	epochs := make(map[uint64]string)
+	for _, e := range d.engines {
+		last := uint64(0)
+		for _, o := range e.Orders() {
+			is.True(o.Fence >= last)
+			last = o.Fence
+			is.True(epochs[o.Fence] == "" || epochs[o.Fence] == o.Holder)
+			epochs[o.Fence] = o.Holder
+		}
+	}
+}
+
+func (d *deployment) holders() map[string]bool {
+	out := make(map[string]bool)
+	for _, e := range d.engines {
+		for _, o := range e.Orders() {
+			out[o.Holder] = true
+		}
+	}
+	return out
+}
+
+// Guards against a config that is not in force within its bound, or that goes
+// back, while the store is silent, forgets its history or answers from the past.
+func TestConfigComesThroughStoreTrouble(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 2)
+	d.eventually("one instance gives orders", func() bool { return d.ordering() == 1 })
+	version := 1
+	next := func() string {
+		version++
+		d.putConfig(version, fmt.Sprintf(`,{"name":"r%d","host":"h.example","path-prefix":"/r%d/","kind":"idempotent","timeout-ms":1000,"goal-ms":100,"priority":2,"service":"app","attempts":2}`, version, version))
+		return fmt.Sprintf("/r%d/x", version)
+	}
+	everywhere := func(path string) {
+		t.Helper()
+		for i := range d.instances {
+			d.eventually(path+" is known", func() bool { return d.do(i, request{method: "GET", path: path}).status == http.StatusOK })
+		}
+	}
+	everywhere(next())
+
+	d.store.SetFaults(platformtest.Faults{Silent: true})
+	path := next()
+	is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK) // served meanwhile
+	d.store.SetFaults(platformtest.Faults{})
+	everywhere(path)
+
+	path = next()
+	d.store.Compact()
+	everywhere(path)
+
+	d.store.SetFaults(platformtest.Faults{Refuse: true})
+	path = next()
+	is.Equal(d.do(0, request{method: "POST", path: "/book/x"}).status, http.StatusOK)
+	d.store.SetFaults(platformtest.Faults{Stale: 3})
+	is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
+	d.store.SetFaults(platformtest.Faults{})
+	everywhere(path)
+}
+
+// Guards against new work for a replica that is leaving, and against the loss of
+// requests when replicas leave.
+func TestLeavingReplicaGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 1)
+	d.store.Put("servers", d.apps[0].ID, d.apps[0].Entry("app", "z1", "draining"))
+	d.eventually("the leaving replica is left alone", func() bool {
+		before := len(d.apps[0].Runs())
+		for range 10 {
+			is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
+		}
+		return len(d.apps[0].Runs()) == before
+	})
+	// Bytes from another writer name no replica, and disturb the others in nothing.
+	d.store.Put("servers", "ghost", "not an entry")
+	d.store.Put("servers", "ghost-2", platformtest.Entry{Service: "app", State: "odd"})
+	for range 10 {
+		is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
+	}
+}
+
+// Guards against requests that a planned stop cuts or refuses.
+func TestStopCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 2)
+	for _, e := range d.engines {
+		e.EventGap = 150 * time.Millisecond
+	}
+	var wg sync.WaitGroup
+	results := make([]reply, 6)
+	for i := range results {
+		wg.Go(func() {
+			results[i] = d.do(0, request{method: "POST", path: "/chat/x", id: fmt.Sprintf("stop-%d", i), model: "m1", body: fmt.Sprint(i)})
+		})
+	}
+	d.eventually("all streams run", func() bool { return len(d.engines[0].Runs())+len(d.engines[1].Runs()) >= len(results) })
+	is.NoErr(d.instances[0].Stop(context.Background()))
+	wg.Wait()
+	for i, r := range results {
+		is.NoErr(r.err)
+		is.Equal(r.body, events(fmt.Sprintf("stop-%d", i), 6))
+	}
+	status, _ := d.get("http://" + d.nodes[0].Readiness + "/hyssophaven/readiness")
+	is.True(status != http.StatusOK)
+}
+
+// Guards against an instance that says it is ready, or answers 404, before it
+// knows any config.
+func TestInstanceWithoutConfigIsNotReady(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 1)
+	d.store.SetFaults(platformtest.Faults{Refuse: true})
+	late := *d.instances[0]
+	node := d.nodes[0]
+	n := hosts.Add(1)
+	node.ID, node.PeerHost = "late", fmt.Sprintf("127.0.200.%d", n)
+	node.Callers, node.Readiness = freeAddress(t, node.PeerHost), freeAddress(t, node.PeerHost)
+	i, err := New(node, late.log)
+	is.NoErr(err)
+	is.NoErr(i.Start(context.Background()))
+	defer func() { _ = i.kernel.Stop(context.Background()); _ = i.metrics.Close() }()
+	status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
+	is.Equal(status, http.StatusServiceUnavailable)
+	d.nodes = append(d.nodes, node)
+	got := d.do(1, request{method: "GET", path: "/look/x"})
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	d.store.SetFaults(platformtest.Faults{})
+	d.eventually("the instance is ready", func() bool {
+		status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
+		return status == http.StatusOK
+	})
+}
+
+// Guards against failed requests that can't be traced by their id, and against
+// counters that are not served.
+func TestFailedRequestsAreTracedByID(t *testing.T) {
+	is := is.New(t)
+	d := start(t, 1)
+	faultAll(d.apps, platformtest.Shed)
+	d.do(0, request{method: "POST", path: "/book/x", id: "trace-refused"})
+	faultAll(d.apps, platformtest.Lose)
+	d.do(0, request{method: "GET", path: "/look/x", id: "trace-repeated"})
+	faultAll(d.engines, platformtest.BreakOff)
+	d.do(0, request{method: "POST", path: "/once/x", id: "trace-broken", model: "m1"})
+	for id, want := range map[string]string{
+		"trace-refused": "outcome=not-executed", "trace-repeated": "outcome=broken", "trace-broken": "broken-off",
+	} {
+		d.eventually("a line on "+id, func() bool {
+			for _, line := range strings.Split(d.logs.String(), "\n") {
+				if strings.Contains(line, "request="+id) && strings.Contains(line, want) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	status, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + metricsPath)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, `requests{kind="non-idempotent"`))
+	is.True(strings.Contains(text, "first_byte{"))
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -21,6 +21,9 @@
 	// bodyTimeout bounds the time to read a body: callers send at once, and a
 	// lossy link needs a few retransmissions.
 	bodyTimeout = 10 * time.Second
+	// maxDrain and drainTimeout bound what is read of a body that is too large.
+	maxDrain     = 1 << 20
+	drainTimeout = time.Second
 	// unknownConfigRetry is when a caller should come back to an instance that
 	// has no config yet.
 	unknownConfigRetry = 500 * time.Millisecond
@@ -61,6 +64,10 @@
 // readBody reads the whole body. It answers the caller itself if it can't.
 func (x *exchange) readBody(limits catalog.Limits) bool {
 	if limits.MaxBodyBytes > 0 && x.r.ContentLength > limits.MaxBodyBytes {
+		// A connection that is closed with unread bytes is reset, and its caller
+		// may never see the answer.
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.arrived.Add(drainTimeout))
+		_, _ = io.CopyN(io.Discard, x.r.Body, maxDrain)
 		x.w.Header().Set("Connection", "close")
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
@@ -84,10 +91,12 @@
 		x.body = buffer.Bytes()
 		return true
 	}
-	x.w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
+	if !errors.As(err, &tooLarge) { // the server closes by itself after a body that is too large
+		x.w.Header().Set("Connection", "close")
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case tooLarge != nil:
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuse(http.StatusRequestTimeout, "body-too-slow", 0)
