--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -62,7 +62,7 @@
 			c.useAdapters(now, c.dispatch.OwnLoad())
 			c.findUnreachable(now)
 			c.act(now, c.plan.Plan(now))
-			c.dispatch.SetMoving(c.plan.Moving())
+			c.dispatch.SetMoving(c.plan.Moving(), c.plan.Dropping())
 			c.logModels(now)
 		}
 	}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -33,6 +33,8 @@
 	Paces    map[string]float64 `json:"paces"` // by model
 	// Moving are the replicas that load or unload a model.
 	Moving []string `json:"moving"`
+	// Dropping are the models that are being unloaded or will be, by replica.
+	Dropping map[string]string `json:"dropping"`
 }
 
 type peerState struct {
@@ -78,7 +80,8 @@
 	c.compareVersions(now, e.peer.Versions)
 	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces()}
 	if c.leader.Held() {
-		state.Holder, state.Epoch, state.Moving = c.node.ID, c.leader.Epoch(), c.plan.Moving()
+		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
+		state.Moving, state.Dropping = c.plan.Moving(), c.plan.Dropping()
 	}
 	e.answer <- state
 }
@@ -173,6 +176,6 @@
 	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
-	c.dispatch.SetMoving(e.State.Moving)
+	c.dispatch.SetMoving(e.State.Moving, e.State.Dropping)
 	c.dispatch.AdoptPaces(e.State.Paces)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -117,6 +117,8 @@
 			if cause == CauseNoReplica {
 				cause = CauseNotLoaded
 			}
+		case req.Model != "" && r.dropping == req.Model:
+			cause = CauseUnloading
 		case r.moving && !r.hasAdapter(req.Model, req.Adapter):
 			cause = CauseNoAdapter
 		case r.usable(now):
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,11 +52,12 @@
 // The causes of refusals.
 const (
 	CauseNone         Cause = ""
-	CauseNoReplica    Cause = "no-replica"     // none is known, or all are leaving
-	CauseNotLoaded    Cause = "model-loading"  // no replica holds the model
-	CauseNoAdapter    Cause = "adapter-waits"  // replicas with the model can't take an adapter now
-	CauseAllTried     Cause = "all-tried"      // no replica is left that was not tried
-	CauseAside        Cause = "replicas-aside" // all replicas failed recently
+	CauseNoReplica    Cause = "no-replica"      // none is known, or all are leaving
+	CauseNotLoaded    Cause = "model-loading"   // no replica holds the model
+	CauseNoAdapter    Cause = "adapter-waits"   // replicas with the model can't take an adapter now
+	CauseUnloading    Cause = "model-unloading" // replicas that hold the model unload it
+	CauseAllTried     Cause = "all-tried"       // no replica is left that was not tried
+	CauseAside        Cause = "replicas-aside"  // all replicas failed recently
 	CauseBudget       Cause = "retry-budget"
 	CauseAttempts     Cause = "attempts-used"
 	CauseCrashes      Cause = "crashes-replicas"
@@ -219,10 +220,11 @@
 	}
 }
 
-// SetMoving records which replicas load or unload a model.
-func (s *State) SetMoving(ids []string) {
+// SetMoving records which replicas load or unload a model, and which models are
+// being unloaded or will be, by replica.
+func (s *State) SetMoving(ids []string, dropping map[string]string) {
 	for id, r := range s.replicas {
-		r.moving = slices.Contains(ids, id)
+		r.moving, r.dropping = slices.Contains(ids, id), dropping[id]
 	}
 }
 
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -69,8 +69,9 @@
 	failing     float64
 	aside       time.Time // no work before this time
 	asideFor    time.Duration
-	trial       bool // one request is out to try the replica again
-	moving      bool // it loads or unloads a model, and takes no other order
+	trial       bool   // one request is out to try the replica again
+	moving      bool   // it loads or unloads a model, and takes no other order
+	dropping    string // model that is being unloaded, or will be
 	prefixes    prefixes
 }
 
--- a/residency/fill.go
+++ b/residency/fill.go
@@ -16,7 +16,7 @@
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
 			continue
 		}
-		model := s.bestAtHand(e, pool, r)
+		model := s.bestAtHand(now, e, pool, r)
 		if model == "" {
 			continue
 		}
@@ -30,12 +30,12 @@
 
 // bestAtHand returns the model at hand that a replica has room for and whose
 // copies are used most, missing ones first, or "".
-func (s *State) bestAtHand(e *catalog.Engine, pool map[string]*replica, r *replica) string {
+func (s *State) bestAtHand(now time.Time, e *catalog.Engine, pool map[string]*replica, r *replica) string {
 	best, highest := "", 0.0
 	room := e.WeightsMB - s.usedMB(r, e)
 	for _, name := range append(slices.Clone(r.info.InMemory), r.info.OnDisk...) {
 		m := e.Model(name)
-		if m == nil || m.WeightsMB > room || r.holds(name) {
+		if m == nil || m.WeightsMB > room || r.holds(name) || !r.reservedFor(now, name) {
 			continue
 		}
 		held, coming := copies(pool, name)
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -37,6 +37,17 @@
 	return out
 }
 
+// Dropping returns the models that are being unloaded or will be, by replica.
+func (s *State) Dropping() map[string]string {
+	out := make(map[string]string)
+	for id, r := range s.replicas {
+		if r.dropping != "" {
+			out[id] = r.dropping
+		}
+	}
+	return out
+}
+
 // moving reports whether a load or unload of a model is in progress.
 func (r *replica) moving() bool { return r.loading != "" || r.dropping != "" }
 
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -37,6 +37,12 @@
 	// maxSpareLoading is the same for second copies of models that are not
 	// missed yet.
 	maxSpareLoading = 3
+	// announceTime is the time from the decision to unload a model to its order.
+	// Instances hear of it four times a second.
+	announceTime = 300 * time.Millisecond
+	// reserveTime is how long room stays reserved for the model for which it was
+	// made: an unload waits for the runs of the model.
+	reserveTime = 5 * time.Second
 	// loadBurst is the number of loads from the store that may begin at once.
 	loadBurst = 3
 	// startLoads is the number that may begin at once in a new term: the
@@ -191,6 +197,14 @@
 	if now.Before(r.retryAt) || r.sent != nil {
 		return nil
 	}
+	if r.unload != nil && r.free(now) {
+		if now.Before(r.unloadAt) {
+			return nil
+		}
+		r.sent, r.unload = r.unload, nil
+		r.sent.Expected = r.orders
+		return []Action{{Order: r.sent}}
+	}
 	overdue := (r.loading != "" && now.After(r.readyAt)) || (r.dropping != "" && now.After(r.dropBy))
 	if !r.known || overdue {
 		r.readyAt, r.dropBy = now.Add(unloadPatience), now.Add(unloadPatience)
@@ -223,8 +237,9 @@
 		if loading >= maxLoading || (n.spare && loading >= maxSpareLoading) {
 			break
 		}
-		if a := s.place(now, service.Engine, pool, n); a != nil {
-			actions = append(actions, *a)
+		placed, placing := s.place(now, service.Engine, pool, n)
+		actions = append(actions, placed...)
+		if placing {
 			loading++
 		}
 	}
@@ -303,13 +318,14 @@
 }
 
 // place gives the order that brings a copy of the model nearer: a load where
-// there is room, otherwise the unload that makes room.
-func (s *State) place(now time.Time, e *catalog.Engine, pool map[string]*replica, n need) *Action {
+// there is room, otherwise the unload that makes room. An unload is announced
+// before it is ordered.
+func (s *State) place(now time.Time, e *catalog.Engine, pool map[string]*replica, n need) ([]Action, bool) {
 	var best *Order
 	var bestReplica *replica
 	bestScore := 0.0
 	for id, r := range pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) {
+		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) || !r.reservedFor(now, n.model.Name) {
 			continue
 		}
 		order, score := s.candidate(now, e, pool, id, r, n)
@@ -317,17 +333,26 @@
 			best, bestReplica, bestScore = order, r, score
 		}
 	}
-	if best == nil {
-		return nil
+	if best == nil || (best.FromStore && !s.loads.take(now, e.LoadsPerSec, n.spare)) {
+		return nil, false
 	}
-	if best.FromStore && !s.loads.take(now, e.LoadsPerSec, n.spare) {
-		return nil
+	if best.Operation == Unload {
+		bestReplica.dropping, bestReplica.dropBy = best.Model, now.Add(announceTime+unloadPatience)
+		bestReplica.unload, bestReplica.unloadAt = best, now.Add(announceTime)
+		bestReplica.reserved, bestReplica.reservedBy = n.model.Name, now.Add(reserveTime)
+		return nil, true
 	}
-	bestReplica.sent = best
-	if d := s.demand[n.model.Name]; d != nil && best.Operation == Load {
+	bestReplica.sent, bestReplica.reserved = best, ""
+	if d := s.demand[n.model.Name]; d != nil {
 		d.ordered = now
 	}
-	return &Action{Order: best}
+	return []Action{{Order: best}}, true
+}
+
+// reservedFor reports whether a replica may load a model: its room was made for
+// that one, or for none.
+func (r *replica) reservedFor(now time.Time, model string) bool {
+	return r.reserved == "" || r.reserved == model || now.After(r.reservedBy)
 }
 
 // candidate returns the order that would bring a model to one replica, and how
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -130,11 +130,18 @@
 	retryAt  time.Time
 	loading  string // model that is being loaded
 	readyAt  time.Time
-	dropping string // model that is being unloaded
+	dropping string // model that is being unloaded, or will be
 	dropBy   time.Time
-	adapters map[string]*adapter // by MODEL/ADAPTER
-	wishes   []wish
-	down     bool // instances can't connect to it
+	// unload is an order that waits until unloadAt, so that instances stop
+	// sending requests for the model first.
+	unload   *Order
+	unloadAt time.Time
+	// reserved is the model for which room was made, until reservedBy.
+	reserved   string
+	reservedBy time.Time
+	adapters   map[string]*adapter // by MODEL/ADAPTER
+	wishes     []wish
+	down       bool // instances can't connect to it
 }
 
 type adapter struct {
@@ -172,7 +179,7 @@
 	s.loads = newBucket(now)
 	var actions []Action
 	for id, r := range s.replicas {
-		r.known, r.sent, r.loading, r.dropping, r.wishes = false, nil, "", "", nil
+		r.known, r.sent, r.loading, r.dropping, r.wishes, r.unload, r.reserved = false, nil, "", "", nil, nil, ""
 		actions = append(actions, s.ask(now, id, r)...)
 	}
 	return actions
@@ -207,7 +214,7 @@
 		r.loading = ""
 	}
 	if r.dropping != "" && !r.info.Holds(r.dropping) {
-		r.dropping = ""
+		r.dropping, r.unload = "", nil
 	}
 }
 
@@ -274,7 +281,7 @@
 		r.loading, r.readyAt = unknownModel, now.Add(unknownHold)
 	} else {
 		// The models of the report count until the list shows them.
-		r.loading, r.dropping = "", ""
+		r.loading, r.dropping, r.unload = "", "", nil
 		r.touched = now
 	}
 	return s.advance(now, id, r)
