--- a/leader/leader.go
+++ b/leader/leader.go
@@ -37,6 +37,9 @@
 	Epoch   uint64 `json:"epoch"`
 	// Start tells the holder's processes apart.
 	Start int64 `json:"start"`
+	// Settled says that the turn after the predecessor is over, so that the holder
+	// may order.
+	Settled bool `json:"settled,omitempty"`
 	// Released says that the holder will not order any more.
 	Released bool `json:"released,omitempty"`
 }
@@ -133,6 +136,7 @@
 	case s.known && s.mayTake(now):
 		next := s.self
 		next.Epoch = s.row.Epoch + 1
+		next.Settled = s.ownBefore() && s.row.Settled
 		return s.write(now, next)
 	}
 	s.nextRead = now.Add(readRetry)
@@ -149,7 +153,9 @@
 	if now < s.renewAt {
 		return None
 	}
-	return s.write(now, s.row.Lease)
+	next := s.row.Lease
+	next.Settled = next.Settled || now >= s.orderFrom
+	return s.write(now, next)
 }
 
 func (s *State) start(now bootclock.Time, a Action) Action {
@@ -221,9 +227,11 @@
 // gave its last order at most a term after the lease was seen first as it was.
 func (s *State) takeFrom(now bootclock.Time) bootclock.Time {
 	switch {
-	case s.row.Version == 0, s.ownBefore():
+	case s.row.Version == 0, s.ownBefore() && s.row.Settled:
 		return now
-	case s.row.Released:
+	case s.row.Released, s.ownBefore():
+		// An own lease that is not settled is a take-over of which the answer was
+		// lost, or after which this instance started again.
 		return s.rowAt.Add(s.turn + turnMargin)
 	}
 	return s.rowAt.Add(Term + s.turn + turnMargin)
