--- a/ordering/ordering.go
+++ b/actuator/actuator.go
@@ -1,7 +1,7 @@
-// Package ordering carries out what the control goroutine decides about orders:
+// Package actuator carries out what the control goroutine decides about orders:
 // it sends them to replicas, asks replicas for reports, and reads and writes
 // the order lease. It decides nothing and never repeats a call.
-package ordering
+package actuator
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 )
 
 // Name is the service's name in the kernel.
-const Name = "ordering"
+const Name = "actuator"
 
 const (
 	// leaseTable and leaseKey name the row of the order lease.
@@ -80,9 +80,9 @@
 		return err
 	}
 	return errors.Join(
-		worker.Subscribe(s.group, k.Bus(), "ordering.order", s.sendOrder),
-		worker.Subscribe(s.group, k.Bus(), "ordering.report", s.askReplica),
-		worker.Subscribe(s.group, k.Bus(), "ordering.lease", s.useLease),
+		worker.Subscribe(s.group, k.Bus(), "actuator.order", s.sendOrder),
+		worker.Subscribe(s.group, k.Bus(), "actuator.report", s.askReplica),
+		worker.Subscribe(s.group, k.Bus(), "actuator.lease", s.useLease),
 	)
 }
 
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,75 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id string, version uint64, address string, born int64) Entry {
+	return Entry{ID: id, Version: version, Replica: &Replica{ID: id, Address: address, Born: born}}
+}
+
+// Guards against requests for the wrong service: the longest prefix decides.
+func TestLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	short, long := &Route{Name: "short", Host: "h", Prefix: "/a/"}, &Route{Name: "long", Host: "h", Prefix: "/a/b/"}
+	c := NewConfig(1, Limits{}, nil, []*Route{short, long})
+	is.Equal(c.Find("h", "/a/b/c"), long)
+	is.Equal(c.Find("h:80", "/a/c"), short)
+	is.Equal(c.Find("h", "/b/"), nil)
+	is.Equal(c.Find("other", "/a/"), nil)
+}
+
+// Guards against a split that ignores its weights or differs between instances.
+func TestPickFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
+	counts := make(map[string]int)
+	for i := range 5000 {
+		id := string(rune('a'+i%26)) + time.Duration(i).String()
+		is.Equal(r.Pick(id), r.Pick(id))
+		counts[r.Pick(id)]++
+	}
+	is.True(counts["b"] > 350 && counts["b"] < 650)
+	is.Equal(counts["none"], 0)
+}
+
+// Guards against entries that go back to an older row, or to what a store that
+// answers from the past shows.
+func TestRosterDoesNotGoBack(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster()
+	r.Apply([]Entry{entry("a", 5, "x:1", 1)}, 5)
+	is.Equal(len(r.Apply([]Entry{entry("a", 4, "old:1", 1)}, 5)), 0)
+	is.Equal(len(r.Replace(nil, 3, time.Time{})), 0)
+	is.Equal(len(r.Replicas()), 1)
+	is.Equal(r.Remove("a", 4, time.Time{}), false)
+	is.Equal(r.Remove("a", 6, time.Time{}), true)
+	is.Equal(len(r.Replicas()), 0)
+}
+
+// Guards against replicas that are lost with entries that lapsed while the store
+// was away, and against ones that stay for ever when they do not come back.
+func TestLapsedEntriesHaveGrace(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster()
+	r.Apply([]Entry{entry("a", 1, "x:1", 1), entry("b", 2, "y:1", 1)}, 2)
+	r.Replace(nil, 5, epoch.Add(2*time.Second))
+	is.Equal(len(r.Replicas()), 2)
+	r.Apply([]Entry{entry("a", 6, "x:1", 1)}, 6)
+	is.Equal(len(r.Expire(epoch.Add(time.Second))), 0)
+	is.Equal(r.Expire(epoch.Add(2*time.Second)), []string{"b"})
+	is.Equal(len(r.Replicas()), 1)
+}
+
+// Guards against work for a replica whose address belongs to one that started later.
+func TestAddressBelongsToTheLatest(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster()
+	r.Apply([]Entry{entry("old", 1, "x:1", 10), entry("other", 2, "y:1", 5), entry("new", 3, "x:1", 20)}, 3)
+	is.Equal(r.Superseded(), []string{"old"})
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -43,7 +43,7 @@
 			fmt.Fprintf(stderr, "hyssophaven: unknown command %q; see hyssophaven --help\n", name)
 		},
 		Commands: []*cli.Command{
-			devCommand(), edgeCommand(), serveCommand(), checkCommand(), tableCommand(), statusCommand(), quarantineCommand(),
+			devCommand(), edgeCommand(), explainCommand(), serveCommand(), checkCommand(), tableCommand(), statusCommand(), quarantineCommand(),
 			reportCommand(), loadCommand(), compareCommand(), capacityCommand(), standinCommand(), versionCommand(),
 		},
 	}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,7 +100,7 @@
 func (d *deployment) addInstance() *Instance {
 	d.t.Helper()
 	n := hosts.Add(1)
-	host := fmt.Sprintf("127.0.%d.%d", 10+n/200, 1+n%200)
+	host := loopback(n)
 	node := nodeconfig.Node{
 		ID: "edge-" + host, Zone: "z1", Callers: freeAddress(d.t, host), Readiness: freeAddress(d.t, host), PeerHost: host,
 		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.store.Address(),
@@ -127,6 +128,12 @@
 	return i
 }
 
+// loopback returns an address that no other instance of this process has, and
+// hardly one of another test process.
+func loopback(n int32) string {
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, n/200, 1+n%200)
+}
+
 func freeAddress(t *testing.T, host string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", host+":0")
@@ -164,7 +171,6 @@
 // request is a caller's request; reply is what came of it.
 type request struct {
 	method, path, id, body, model string
-	lastEvent                     int
 	header                        http.Header
 	timeLeft                      time.Duration
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -14,13 +14,13 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/actuator"
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/ingress"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
-	"github.com/hyssophaven/hyssophaven/ordering"
 	"github.com/hyssophaven/hyssophaven/peering"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/upstream"
@@ -74,7 +74,7 @@
 	}
 	k.Register(controlplane.New(node, logger, registry))
 	k.Register(watch.New(store, source, logger, registry))
-	k.Register(ordering.New(store, pool, platform.OrderCodec{}, logger))
+	k.Register(actuator.New(store, pool, platform.OrderCodec{}, logger))
 	k.Register(peering.New(node, logger))
 	k.Register(i.gateway)
 	router := chi.NewRouter()
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -150,7 +150,7 @@
 	late := *d.instances[0]
 	node := d.nodes[0]
 	n := hosts.Add(1)
-	node.ID, node.PeerHost = "late", fmt.Sprintf("127.0.200.%d", n)
+	node.ID, node.PeerHost = "late", loopback(n)
 	node.Callers, node.Readiness = freeAddress(t, node.PeerHost), freeAddress(t, node.PeerHost)
 	i, err := New(node, late.log)
 	is.NoErr(err)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -158,7 +158,7 @@
 
 // relayStream passes on events as they come, each only when it is complete.
 func (x *exchange) relayStream(f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
-	s := &eventStream{exchange: x, answer: a, first: x.lastEvent == ""}
+	s := &eventStream{exchange: x, answer: a}
 	x.setStreamSilence(a, x.silence(f.Decision))
 	for {
 		n, err := a.Read(s.space())
@@ -197,9 +197,7 @@
 	exchange *exchange
 	answer   *upstream.Answer
 	buffer   []byte // begins with an event that is not complete
-	free     []byte // space behind buffer for the next read
 	any      bool
-	first    bool // no event was passed on by an earlier replica
 }
 
 const eventBuffer = 2 << 10
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -34,7 +34,9 @@
 	cut    bool          // no way to the store
 }
 
-func (i *instance) now(t time.Duration) bootclock.Time { return bootclock.Time(time.Minute + t + i.offset) }
+func (i *instance) now(t time.Duration) bootclock.Time {
+	return bootclock.Time(time.Minute + t + i.offset)
+}
 
 // world is some instances with one store.
 type world struct {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -42,10 +42,14 @@
 }
 
 // Counter returns the counter with a name and labels (name, value, …).
-func (r *Registry) Counter(name string, labels ...string) *expvar.Int { return r.int(key(name, labels)) }
+func (r *Registry) Counter(name string, labels ...string) *expvar.Int {
+	return r.int(key(name, labels))
+}
 
 // Gauge returns the gauge with a name; unit is its only label.
-func (r *Registry) Gauge(name, unit string) *expvar.Int { return r.int(key(name, []string{"unit", unit})) }
+func (r *Registry) Gauge(name, unit string) *expvar.Int {
+	return r.int(key(name, []string{"unit", unit}))
+}
 
 func (r *Registry) int(k string) *expvar.Int {
 	r.mu.Lock()
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -118,61 +118,6 @@
 	}
 }
 
-// ModelState is a model as the plan sees it.
-type ModelState struct {
-	Model        string
-	Held, Coming int     // copies
-	Use          float64 // of each copy
-	Wait         float64 // expected waits as a share of the goal
-}
-
-// Models returns the models that are asked for, most used first.
-func (s *State) Models() []ModelState {
-	var out []ModelState
-	if s.config == nil {
-		return nil
-	}
-	for _, service := range s.config.Services {
-		if service.Engine == nil {
-			continue
-		}
-		pool := s.pool(service.Name)
-		for _, m := range service.Engine.Models {
-			d := s.demand[m.Name]
-			if d == nil || d.reading < 1 {
-				continue
-			}
-			held, coming := copies(pool, m.Name)
-			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: d.use(held), Wait: d.wait})
-		}
-	}
-	slices.SortFunc(out, func(a, b ModelState) int { return cmp.Compare(b.Use, a.Use) })
-	return out
-}
-
-// Waiting returns the replicas that can't get an order now, with the reason.
-func (s *State) Waiting(now time.Time) map[string]string {
-	out := make(map[string]string)
-	for id, r := range s.replicas {
-		switch {
-		case s.engine(r.info.Service) == nil:
-		case r.sent != nil:
-			out[id] = "order on its way"
-		case r.asked:
-			out[id] = "report on its way"
-		case !r.known:
-			out[id] = "not reported"
-		case now.Before(r.retryAt):
-			out[id] = "pause after an order"
-		case r.moving():
-			out[id] = "model " + r.loading + r.dropping
-		case len(r.wishes) > 0:
-			out[id] = "adapters wanted"
-		}
-	}
-	return out
-}
-
 // Plan gives the orders for models that are due now, at most one for each replica.
 func (s *State) Plan(now time.Time) []Action {
 	s.decay(now)
@@ -461,22 +406,3 @@
 	}
 	return "", 0
 }
-
-// bucket limits loads from the weight store.
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
-func newBucket(now time.Time) bucket { return bucket{tokens: startLoads, at: now} }
-
-// take uses one load. A spare load leaves one for models that are missed.
-func (b *bucket) take(now time.Time, perSecond float64, spare bool) bool {
-	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*perSecond, loadBurst)
-	b.at = now
-	if b.tokens < 1 || (spare && b.tokens < 2) {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- /dev/null
+++ b/residency/status.go
@@ -0,0 +1,62 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ModelState is a model as the plan sees it.
+type ModelState struct {
+	Model        string
+	Held, Coming int     // copies
+	Use          float64 // of each copy
+	Wait         float64 // expected waits as a share of the goal
+}
+
+// Models returns the models that are asked for, most used first.
+func (s *State) Models() []ModelState {
+	var out []ModelState
+	if s.config == nil {
+		return nil
+	}
+	for _, service := range s.config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		pool := s.pool(service.Name)
+		for _, m := range service.Engine.Models {
+			d := s.demand[m.Name]
+			if d == nil || d.reading < 1 {
+				continue
+			}
+			held, coming := copies(pool, m.Name)
+			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: d.use(held), Wait: d.wait})
+		}
+	}
+	slices.SortFunc(out, func(a, b ModelState) int { return cmp.Compare(b.Use, a.Use) })
+	return out
+}
+
+// Waiting returns the replicas that can't get an order now, with the reason.
+func (s *State) Waiting(now time.Time) map[string]string {
+	out := make(map[string]string)
+	for id, r := range s.replicas {
+		switch {
+		case s.engine(r.info.Service) == nil:
+		case r.sent != nil:
+			out[id] = "order on its way"
+		case r.asked:
+			out[id] = "report on its way"
+		case !r.known:
+			out[id] = "not reported"
+		case now.Before(r.retryAt):
+			out[id] = "pause after an order"
+		case r.moving():
+			out[id] = "model " + r.loading + r.dropping
+		case len(r.wishes) > 0:
+			out[id] = "adapters wanted"
+		}
+	}
+	return out
+}
