--- a/residency/orders.go
+++ b/residency/orders.go
@@ -58,13 +58,14 @@
 		w := r.wishes[0]
 		switch {
 		case now.After(w.until):
-			actions = append(actions, r.answerWish(id, "no adapter in time")...)
+			actions = append(actions, r.answerWish(id, "no adapter in time", 0))
 			continue
 		case r.adapters[w.model+"/"+w.adapter] != nil:
-			actions = append(actions, r.answerWish(id, "")...)
+			arrives := r.adapters[w.model+"/"+w.adapter].readyAt.Sub(now)
+			actions = append(actions, r.answerWish(id, "", max(0, arrives)))
 			continue
 		case r.moving():
-			actions = append(actions, r.answerWish(id, "replica is loading a model")...)
+			actions = append(actions, r.answerWish(id, "replica is loading a model", 0))
 			continue
 		case !r.known:
 			return append(actions, s.ask(now, id, r)...)
@@ -73,7 +74,7 @@
 		}
 		order := s.adapterOrder(now, id, r, w)
 		if order == nil {
-			return append(actions, r.answerWish(id, "no place for the adapter")...)
+			return append(actions, r.answerWish(id, "no place for the adapter", 0))
 		}
 		r.sent = order
 		return append(actions, Action{Order: order})
@@ -81,12 +82,12 @@
 	return actions
 }
 
-// answerWish ends the first wish. An empty reason means success.
-func (r *replica) answerWish(id, reason string) []Action {
+// answerWish ends the first wish, after delay. An empty reason means success.
+func (r *replica) answerWish(id, reason string, delay time.Duration) Action {
 	w := r.wishes[0]
 	r.wishes = r.wishes[1:]
 	result := &AdapterResult{Replica: id, Model: w.model, Adapter: w.adapter, OK: reason == "", Reason: reason}
-	return []Action{{Ready: result}}
+	return Action{Ready: result, Delay: delay}
 }
 
 // adapterOrder returns the load of an adapter, or the unload that makes a place
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -385,3 +385,25 @@
 	}
 	is.True(slices.IsSortedFunc(taken, time.Time.Compare))
 }
+
+// Guards against a request that is sent before its adapter has arrived: the
+// replica turns it away (inc-879f, inc-c756).
+func TestAdapterIsReadyAfterItsLoad(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 1)
+	e := w.engines["r0"]
+	e.step(w.now)
+	w.state.Hold(w.now)
+	w.state.Reported(w.now, "r0", &e.history[0])
+	var ready *Action
+	actions := w.state.WantAdapter(w.now, "r0", "m0", "a1")
+	is.Equal(len(actions), 1)
+	order := actions[0].Order
+	for _, a := range w.state.Answered(w.now, order, e.carryOut(w.now, w.config, *order)) {
+		if a.Ready != nil {
+			ready = &a
+		}
+	}
+	is.True(ready != nil && ready.Ready.OK)
+	is.True(ready.Delay >= adapterBase)
+}
