--- a/cli/edge.go
+++ b/cli/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -51,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	instance.ExportDropped(sink.Dropped)
 	if err := instance.Start(ctx); err != nil {
 		return err
 	}
@@ -62,7 +62,7 @@
 		case <-reload:
 			checkReload(logger, path)
 		case <-ctx.Done():
-			return errors.Join(instance.Stop(context.WithoutCancel(ctx)), nil)
+			return instance.Stop(context.WithoutCancel(ctx))
 		}
 	}
 }
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -87,7 +87,6 @@
 	}
 	c.tickLeader(now, boot)
 	c.expireAdapters(now)
-	c.metrics.Gauge("control_queue", "events").Set(0)
 }
 
 // snapshotChanged publishes what traffic sees.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -44,11 +45,12 @@
 
 // Instance is one edge instance.
 type Instance struct {
-	node    nodeconfig.Node
-	kernel  *kernel.Kernel
-	gateway *ingress.Gateway
-	metrics *http.Server
-	log     *log.Logger
+	node     nodeconfig.Node
+	kernel   *kernel.Kernel
+	gateway  *ingress.Gateway
+	metrics  *http.Server
+	registry *metrics.Registry
+	log      *log.Logger
 }
 
 // New registers all services of an instance.
@@ -64,7 +66,10 @@
 	registry := metrics.New()
 	dial := netdial.Dialer(dialTimeout)
 	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
-	i := &Instance{node: node, kernel: k, log: logger}
+	registry.Function("connections_opened", pool.Opened)
+	registry.Function("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+	registry.Function("memory_bytes", heapInUse)
+	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
 	i.gateway = ingress.New(ingress.Options{
 		Node: node, ReadinessPath: platform.ReadinessPath, Protocol: platform.Protocol{}, Pool: pool, Log: logger, Metrics: registry,
 	})
@@ -83,6 +88,17 @@
 	return i, nil
 }
 
+// ExportDropped exports the number of log lines that were dropped.
+func (i *Instance) ExportDropped(dropped func() int64) {
+	i.registry.Function("log_lines_dropped", dropped)
+}
+
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse)
+}
+
 // Start starts all services.
 func (i *Instance) Start(ctx context.Context) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(i.node.PeerHost, MetricsPort))
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -197,3 +198,51 @@
 	is.True(strings.Contains(text, `requests{kind="non-idempotent"`))
 	is.True(strings.Contains(text, "first_byte{"))
 }
+
+// Guards against metrics that the page does not list, and against listed ones
+// that no instance exports.
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/metrics.md")
+	is.NoErr(err)
+	_, section, found := strings.Cut(string(page), "## Edge instances")
+	is.True(found)
+	d := start(t, 1)
+	d.instances[0].ExportDropped(func() int64 { return 0 })
+	for range 6 { // two failures in a row put a replica aside
+		faultAll(d.apps, platformtest.Lose)
+		d.do(0, request{method: "GET", path: fmt.Sprintf("/look/%d", ids.Add(1))})
+	}
+	listed := make(map[string]bool)
+	for _, line := range strings.Split(section, "\n") {
+		if name, ok := strings.CutPrefix(line, "| `"); ok {
+			name, _, _ = strings.Cut(name, "`")
+			listed[name] = true
+		}
+	}
+	d.eventually("all listed metrics are exported", func() bool {
+		exported := d.exported()
+		for name := range listed {
+			if !exported[name] {
+				return false
+			}
+		}
+		return true
+	})
+	for name := range d.exported() {
+		is.True(listed[name]) // docs/metrics.md lists it
+	}
+}
+
+// exported returns the names that the first instance exports.
+func (d *deployment) exported() map[string]bool {
+	d.do(0, request{method: "POST", path: "/chat/x", model: "m1/a1", body: fmt.Sprint(ids.Add(1))})
+	_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + metricsPath)
+	out := make(map[string]bool)
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		name, _, _ := strings.Cut(line, " ")
+		name, _, _ = strings.Cut(name, "{")
+		out[name] = true
+	}
+	return out
+}
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -140,14 +140,14 @@
 func TestFailureDoesNotFollowEvents(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	d.engines[0].Fault(platformtest.BreakOff, platformtest.Fail)
-	d.engines[1].Fault(platformtest.BreakOff, platformtest.Fail)
-	d.do(0, request{method: "POST", path: "/chat/x", id: "one", model: "m1", body: "p"})
-	got := d.do(0, request{method: "POST", path: "/chat/x", id: "two", model: "m1", body: "p"})
-	is.True(!strings.Contains(got.body, "failed at"))
-	if got.err == nil && got.status == http.StatusOK {
-		is.Equal(got.body, events("two", 6))
+	for _, e := range d.engines {
+		e.FailResumed = true
+		e.Fault(platformtest.BreakOff)
 	}
+	got := d.do(0, request{method: "POST", path: "/chat/x", id: "one", model: "m1", body: "p"})
+	is.True(got.err != nil) // the answer breaks off
+	is.Equal(got.body, events("one", 3))
+	is.Equal(len(d.runs("one")), 2)
 }
 
 // Guards against a stream that may not be resumed and ends as complete after it
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package metrics holds an instance's counters, gauges and latency histograms.
-// They are expvar variables, and a handler writes them as text, one line each.
+// Package metrics holds an instance's counters and latency histograms. Counters
+// are expvar variables, and a handler writes all as text, one line each.
 package metrics
 
 import (
@@ -17,11 +17,12 @@
 	mu         sync.Mutex
 	ints       map[string]*expvar.Int
 	histograms map[string]*Histogram
+	functions  map[string]func() int64
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{ints: make(map[string]*expvar.Int), histograms: make(map[string]*Histogram)}
+	return &Registry{ints: make(map[string]*expvar.Int), histograms: make(map[string]*Histogram), functions: make(map[string]func() int64)}
 }
 
 // key formats a name with its labels, which alternate between name and value.
@@ -46,9 +47,11 @@
 	return r.int(key(name, labels))
 }
 
-// Gauge returns the gauge with a name; unit is its only label.
-func (r *Registry) Gauge(name, unit string) *expvar.Int {
-	return r.int(key(name, []string{"unit", unit}))
+// Function exports what value returns when the variables are read.
+func (r *Registry) Function(name string, value func() int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.functions[name] = value
 }
 
 func (r *Registry) int(k string) *expvar.Int {
@@ -121,6 +124,9 @@
 	for k, v := range r.ints {
 		out = append(out, fmt.Sprintf("%s %d", k, v.Value()))
 	}
+	for k, value := range r.functions {
+		out = append(out, fmt.Sprintf("%s %d", k, value()))
+	}
 	for k, h := range r.histograms {
 		out = append(out, h.lines(k)...)
 	}
