--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -7,11 +7,11 @@
 
 // Replica is one endpoint as it describes itself.
 type Replica struct {
-	ID      string
-	Service string
-	Address string // host:port
-	Zone    string
-	Slots   int
+	ID         string
+	Service    string
+	Address    string // host:port
+	DataCentre string
+	Slots      int
 	// Leaving replicas get no new work.
 	Leaving bool
 	// Remaining is the time until a leaving replica is gone; 0 if unknown.
--- a/cli/check.go
+++ b/cli/check.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/hyssophaven/hyssophaven/finding"
+	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/settings"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 )
@@ -23,14 +24,15 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "check the settings in `FILE`"},
 			&cli.StringFlag{Name: "table", Usage: "check the table in `FILE`"},
+			&cli.StringFlag{Name: "node-file", Usage: "check the platform's settings of an edge instance in `FILE`"},
 		},
 		Action: runCheck,
 	}
 }
 
 func runCheck(_ context.Context, c *cli.Command) error {
-	if !c.IsSet("config") && !c.IsSet("table") {
-		return usageErrorf("check needs --config, --table or both")
+	if !c.IsSet("config") && !c.IsSet("table") && !c.IsSet("node-file") {
+		return usageErrorf("check needs --config, --table or --node-file")
 	}
 	var found []finding.Finding
 	if file := c.String("config"); file != "" {
@@ -40,6 +42,13 @@
 		}
 		found = append(found, finding.Of(err)...)
 	}
+	if file := c.String("node-file"); file != "" {
+		_, err := platform.ReadNode(file)
+		if err != nil && finding.Of(err) == nil {
+			return err
+		}
+		found = append(found, finding.Of(err)...)
+	}
 	if file := c.String("table"); file != "" {
 		data, err := os.ReadFile(file)
 		if err != nil {
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -67,7 +67,7 @@
 		roster: catalog.NewRoster(), plan: residency.New(),
 		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), b.LeaseTurn),
 		dispatch: dispatch.New(dispatch.Options{
-			Zone: node.Zone, Seed: uint64(now.UnixNano()),
+			DataCentre: node.DataCentre, Seed: uint64(now.UnixNano()),
 			Retries: retry.Limits{
 				Window: b.RetryWindow, Ratio: budgetShare * b.RetryRatio,
 				MinPerSecond: b.RetrySlack / b.RetryWindow.Seconds() / assumedInstances / 2,
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -21,6 +21,8 @@
 	Demand   map[string]residency.Demand `json:"demand"` // by model
 	Versions map[string]uint64           `json:"versions"`
 	Paces    map[string]float64          `json:"paces"` // by model
+	// Crashes are broken runs by the content of requests.
+	Crashes map[uint64]int `json:"crashes,omitempty"`
 }
 
 // FleetState is the holder's answer.
@@ -31,6 +33,8 @@
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64  `json:"versions"`
 	Paces    map[string]float64 `json:"paces"` // by model
+	// Crashes are broken runs at all other instances, by the content of requests.
+	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// Moving are the replicas that load or unload a model.
 	Moving []string `json:"moving"`
 	// Dropping are the models that are being unloaded or will be, by replica.
@@ -38,8 +42,9 @@
 }
 
 type peerState struct {
-	loads map[string]dispatch.Load
-	at    time.Time
+	loads   map[string]dispatch.Load
+	crashes map[uint64]int
+	at      time.Time
 }
 
 type ownState struct{ answer chan<- PeerState }
@@ -51,8 +56,8 @@
 	return ask(ctx, s, ownState{answer: answer}, answer)
 }
 
-func (e ownState) apply(c *core, _ time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces()}
+func (e ownState) apply(c *core, now time.Time) {
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Crashes: c.dispatch.OwnCrashes(now)}
 }
 
 type servePeer struct {
@@ -70,7 +75,7 @@
 	if _, ok := c.peers[e.peer.Instance]; !ok {
 		c.log.Info("peer seen", "peer", e.peer.Instance)
 	}
-	c.peers[e.peer.Instance] = &peerState{loads: e.peer.Loads, at: now}
+	c.peers[e.peer.Instance] = &peerState{loads: e.peer.Loads, crashes: e.peer.Crashes, at: now}
 	for model, d := range e.peer.Demand {
 		c.plan.AddDemand(now, model, d)
 	}
@@ -78,7 +83,8 @@
 	c.dispatch.AdoptPaces(e.peer.Paces)
 	c.sumPeers(now)
 	c.compareVersions(now, e.peer.Versions)
-	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces()}
+	c.dispatch.SetPeerCrashes(c.othersCrashes(now, c.node.ID))
+	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Crashes: c.othersCrashes(now, e.peer.Instance)}
 	if c.leader.Held() {
 		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
 		state.Moving, state.Dropping = c.plan.Moving(), c.plan.Dropping()
@@ -158,6 +164,23 @@
 	return sum
 }
 
+// othersCrashes returns the broken runs at all instances but one.
+func (c *core) othersCrashes(now time.Time, except string) map[uint64]int {
+	sum := make(map[uint64]int)
+	if except != c.node.ID {
+		sum = c.dispatch.OwnCrashes(now)
+	}
+	for name, p := range c.peers {
+		if name == except || now.Sub(p.at) > peerLifetime {
+			continue
+		}
+		for content, n := range p.crashes {
+			sum[content] += n
+		}
+	}
+	return sum
+}
+
 func addLoads(sum, loads map[string]dispatch.Load) {
 	for id, l := range loads {
 		s := sum[id]
@@ -178,4 +201,5 @@
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetMoving(e.State.Moving, e.State.Dropping)
 	c.dispatch.AdoptPaces(e.State.Paces)
+	c.dispatch.SetPeerCrashes(e.State.Crashes)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -19,9 +19,9 @@
 	// adapterWait is the usual time to bring an adapter onto a replica, with the
 	// way to the instance that gives the order.
 	adapterWait = 25 * time.Millisecond
-	// otherZone is the extra time of a way between zones and back, and the worth
+	// otherDataCentre is the extra time of a way between data centres and back, and the worth
 	// of the bytes that cross.
-	otherZone = 6 * time.Millisecond
+	otherDataCentre = 6 * time.Millisecond
 	// affinityShare is the part of the reading time of shared parts by which the
 	// replica that all instances prefer for them is favoured.
 	affinityShare = 0.5
@@ -56,7 +56,7 @@
 	if left := req.Deadline.Sub(now); left < minTimeLeft {
 		return Decision{Verdict: Refuse, Cause: CauseNoTime}
 	}
-	if s.crashes.refuses(now, req.Fingerprint) {
+	if s.crashes.refuses(now, req.Fingerprint, s.peerCrashes[req.Fingerprint]) {
 		return Decision{Verdict: Refuse, Cause: CauseCrashes, RetryAfter: crashMemory}
 	}
 	svc := s.service(req.Service)
@@ -159,8 +159,8 @@
 // score is the estimate with preferences that do not change the time itself.
 func (s *State) score(now time.Time, svc *service, r *replica, req *Request, at int) time.Duration {
 	score := s.estimate(now, svc, r, req, at)
-	if r.info.Zone != s.options.Zone {
-		score += otherZone
+	if r.info.DataCentre != s.options.DataCentre {
+		score += otherDataCentre
 	}
 	if req.Model != "" && len(req.Parts) > 1 {
 		shared := req.Parts[len(req.Parts)-2].Key
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,7 +92,7 @@
 
 // Options are the fixed inputs of a state.
 type Options struct {
-	Zone string
+	DataCentre string
 	// Retries bounds repeated sends, for this instance and each service.
 	Retries retry.Limits
 	Seed    uint64
@@ -129,8 +129,10 @@
 	replicas map[string]*replica
 	services map[string]*service
 	crashes  crashes
-	paces    map[string]float64 // by model, see Pace
-	random   *rand.Rand
+	// peerCrashes are the counts of the other instances.
+	peerCrashes map[uint64]int
+	paces       map[string]float64 // by model, see Pace
+	random      *rand.Rand
 }
 
 // service is what is known of all replicas of one service.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,7 +14,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newState(replicas ...*catalog.Replica) *State {
-	s := New(Options{Zone: "z", Seed: 1, Retries: retry.Limits{Window: 10 * time.Second, Ratio: 0.1, MinPerSecond: 0.1, Burst: 2}})
+	s := New(Options{DataCentre: "z", Seed: 1, Retries: retry.Limits{Window: 10 * time.Second, Ratio: 0.1, MinPerSecond: 0.1, Burst: 2}})
 	for _, r := range replicas {
 		s.SetReplica(r.ID, r)
 	}
@@ -22,7 +22,7 @@
 }
 
 func engine(id string, models ...string) *catalog.Replica {
-	r := &catalog.Replica{ID: id, Service: "llm", Address: id + ":1", Zone: "z", Slots: 8}
+	r := &catalog.Replica{ID: id, Service: "llm", Address: id + ":1", DataCentre: "z", Slots: 8}
 	for _, m := range models {
 		r.Models = append(r.Models, catalog.Resident{Name: m})
 	}
@@ -30,7 +30,7 @@
 }
 
 func app(id string) *catalog.Replica {
-	return &catalog.Replica{ID: id, Service: "app", Address: id + ":1", Zone: "z", Slots: 2}
+	return &catalog.Replica{ID: id, Service: "app", Address: id + ":1", DataCentre: "z", Slots: 2}
 }
 
 func stream(id string, rank int) *Request {
@@ -164,6 +164,13 @@
 	is.Equal(s.Choose(epoch, plain("2"), History{}).Verdict, Send)
 	s.Finished(epoch, plain("2"), Decision{Replica: app("b")}, Broken, 0)
 	is.Equal(s.Choose(epoch, plain("3"), History{}).Cause, CauseCrashes)
+	// Two crashes elsewhere and one here are the third of the fleet.
+	fleet := newState(app("a"), app("b"))
+	fleet.SetPeerCrashes(map[uint64]int{7: 2})
+	is.Equal(fleet.Choose(epoch, plain("1"), History{}).Verdict, Send)
+	fleet.Finished(epoch, plain("1"), Decision{Replica: app("a")}, Broken, 0)
+	is.Equal(fleet.Choose(epoch, plain("2"), History{}).Cause, CauseCrashes)
+	is.Equal(fleet.OwnCrashes(epoch), map[uint64]int{7: 1})
 	later := epoch.Add(crashMemory + time.Second)
 	forgiven := plain("4")
 	forgiven.Deadline = later.Add(time.Second)
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -102,7 +102,7 @@
 	n := hosts.Add(1)
 	host := loopback(n)
 	node := nodeconfig.Node{
-		ID: "edge-" + host, Zone: "z1", Callers: freeAddress(d.t, host), Readiness: freeAddress(d.t, host), PeerHost: host,
+		ID: "edge-" + host, DataCentre: "z1", Callers: freeAddress(d.t, host), Readiness: freeAddress(d.t, host), PeerHost: host,
 		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.store.Address(),
 		Bounds: nodeconfig.Bounds{
 			Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,7 +113,7 @@
 	if err := i.kernel.Start(ctx); err != nil {
 		return errors.Join(err, i.metrics.Close())
 	}
-	i.log.Info("instance started", "instance", i.node.ID, "zone", i.node.Zone, "callers", i.node.Callers, "store", i.node.Store)
+	i.log.Info("instance started", "instance", i.node.ID, "data_centre", i.node.DataCentre, "callers", i.node.Callers, "store", i.node.Store)
 	return nil
 }
 
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -11,8 +11,8 @@
 
 // Node describes one edge instance.
 type Node struct {
-	ID   string
-	Zone string // data centre
+	ID         string
+	DataCentre string
 	// Callers and Readiness are the addresses of the callers' listener and of
 	// the readiness check, as host:port.
 	Callers, Readiness string
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -316,8 +316,8 @@
 	atHand := slices.Contains(r.info.InMemory, n.model.Name) || slices.Contains(r.info.OnDisk, n.model.Name)
 	order.FromStore = !atHand
 	score := -s.busyness(r, pool)
-	if n.copies > 0 && !zoneHolds(pool, r.info.Zone, n.model.Name) {
-		score += zoneBonus
+	if n.copies > 0 && !dataCentreHolds(pool, r.info.DataCentre, n.model.Name) {
+		score += dataCentreBonus
 	}
 	if atHand {
 		score += atHandBonus
@@ -340,17 +340,17 @@
 	atHandBonus = 0.4
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
-	// zoneBonus is what the first copy in a data centre is worth.
-	zoneBonus = 0.2
+	// dataCentreBonus is what the first copy in a data centre is worth.
+	dataCentreBonus = 0.2
 	// copyLoss is how much the loss of one of a few copies counts where demand
 	// is not known yet: operators place busy models on many replicas.
 	copyLoss = 0.2
 )
 
-// zoneHolds reports whether a replica in a data centre holds or loads a model.
-func zoneHolds(pool map[string]*replica, zone, model string) bool {
+// dataCentreHolds reports whether a replica in a data centre holds or loads a model.
+func dataCentreHolds(pool map[string]*replica, dataCentre, model string) bool {
 	for _, r := range pool {
-		if r.info.Zone == zone && (r.loading == model || r.holds(model)) {
+		if r.info.DataCentre == dataCentre && (r.loading == model || r.holds(model)) {
 			return true
 		}
 	}
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -158,7 +158,7 @@
 // entry shows the list's row of a replica, some steps old.
 func (w *world) entry(id string, lag int) {
 	e := w.engines[id]
-	info := &catalog.Replica{ID: id, Service: service, Address: id + ":1", Zone: "z", Slots: 8, Born: 1, Models: e.residents()}
+	info := &catalog.Replica{ID: id, Service: service, Address: id + ":1", DataCentre: "z", Slots: 8, Born: 1, Models: e.residents()}
 	// The list never goes back.
 	e.shown = max(e.shown, len(e.history)-1-lag)
 	if len(e.history) > 0 {
