--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -30,9 +30,10 @@
 	arrived time.Time
 
 	tried    []string
-	arrivals int // sends that reached a replica
-	ran      int // replicas that may have run the request
-	status   int // of the answer that was passed on
+	arrivals int              // sends that reached a replica
+	ran      int              // replicas that may have run the request
+	status   int              // of the answer that was passed on
+	last     dispatch.Outcome // of the last send
 	// started says that the head of an answer has been passed on.
 	started   bool
 	firstByte time.Time
@@ -70,7 +71,7 @@
 			x.finish(x.status, "")
 			return
 		}
-		x.tried = append(x.tried, d.Replica.ID)
+		x.tried, x.last = append(x.tried, d.Replica.ID), outcome
 		if outcome.MayHaveRun() {
 			x.ran++
 		}
@@ -179,7 +180,8 @@
 		x.finish(x.status, "")
 	case x.ran == 0:
 		x.refuse(http.StatusServiceUnavailable, cause, retryAfter)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || x.last == dispatch.Silent:
+		// The wait for the replica may end just before the request's own time.
 		x.refuse(http.StatusGatewayTimeout, cause, 0)
 	default:
 		x.refuse(http.StatusBadGateway, cause, 0)
