residency: plan for larger fleets; relay the list of replicas

Change: the holder of the order lease hands the list on with its answers, and instances call the store every 4 s while that list is current. Loads on their way count, a model that is used many times over gets several copies at a time, and an only copy that nobody asks for gives way at three times the full use. Loads at once and the burst follow the declared rate and bounds. Paces are learned by the size of models.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -73,3 +73,21 @@
 	r.Apply([]Entry{entry("old", 1, "x:1", 10), entry("other", 2, "y:1", 5), entry("new", 3, "x:1", 20)}, 3)
 	is.Equal(r.Superseded(), []string{"old"})
 }
+
+// Guards against changes of the list that are not handed on to other instances:
+// changed and removed entries, and those that lapsed with the store.
+func TestChangesSinceAVersion(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster()
+	r.Apply([]Entry{entry("a", 1, "x:1", 1), entry("b", 2, "y:1", 1), entry("c", 3, "z:1", 1)}, 3)
+	is.Equal(len(r.Since(0)), 3)
+	is.Equal(len(r.Since(3)), 0)
+	r.Remove("a", 4, time.Time{})
+	r.Remove("b", 5, epoch)
+	r.Expire(epoch)
+	other := NewRoster()
+	other.Apply([]Entry{entry("a", 1, "x:1", 1), entry("b", 2, "y:1", 1), entry("c", 3, "z:1", 1)}, 3)
+	is.Equal(len(other.Apply(r.Since(3), r.Version())), 2)
+	is.Equal(len(other.Replicas()), 1)
+	is.Equal(other.Version(), uint64(5))
+}
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -142,23 +142,19 @@
 
 // Service is a set of replicas that answer the same requests.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int     // of all callers to one replica; 0 if unlimited
-	Engine         *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Engine describes the model engine that every replica of a service runs.
 type Engine struct {
-	Slots         int // requests that run at once
-	KVTokens      int // tokens of prompts and answers that fit in memory
-	WeightsMB     float64
-	AdapterSlots  int
-	LoadsPerSec   float64 // loads from the weight store, over all replicas
-	Models        []Model
-	modelsByName  map[string]*Model
-	EventTokens   int // tokens in one event of a stream
-	ParallelWatch int // cache watches that a replica keeps waiting
+	Slots        int // requests that run at once
+	KVTokens     int // tokens of prompts and answers that fit in memory
+	WeightsMB    float64
+	AdapterSlots int
+	LoadsPerSec  float64 // loads from the weight store, over all replicas
+	Models       []Model
+	modelsByName map[string]*Model
 }
 
 // Index prepares look-ups by name. It is called once, before the engine is shared.
@@ -177,8 +173,6 @@
 	Name      string
 	WeightsMB float64
 	LoadTime  time.Duration // from the weight store
-	WarmTime  time.Duration // from the replica's memory
-	DiskTime  time.Duration // from the replica's disk
 	Adapters  []string
 	AdapterMB float64
 }
--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -76,6 +76,17 @@
 // Version returns the newest version of the list that was taken over.
 func (r *Roster) Version() uint64 { return r.version }
 
+// Since returns the entries that changed after the version, removed ones included.
+func (r *Roster) Since(version uint64) []Entry {
+	var out []Entry
+	for _, e := range r.entries {
+		if e.Version > version {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Apply takes over changed rows. It returns the ids whose replica changed.
 func (r *Roster) Apply(rows []Entry, version uint64) []string {
 	var changed []string
@@ -165,7 +176,7 @@
 			continue
 		}
 		delete(r.missing, id)
-		r.entries[id] = Entry{ID: id, Version: r.entries[id].Version}
+		r.entries[id] = Entry{ID: id, Version: r.version}
 		dropped = append(dropped, id)
 	}
 	return dropped
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -54,6 +54,11 @@
 	versions  map[string]uint64    // newest row that was read, by table
 	behind    map[string]time.Time // since when a peer knows a newer row, by table
 	leaseLost bool                 // the last call for the lease had no answer
+	storeSeen time.Time            // last answer of the store
+
+	listTable   string    // table of the list of replicas
+	listAt      time.Time // when the holder's list was current
+	listRelayed bool      // the holder keeps the list current
 
 	demand   map[string]*modelDemand
 	peers    map[string]*peerState
@@ -64,7 +69,7 @@
 	b := node.Bounds
 	c := &core{
 		node: node, log: logger, metrics: registry, bus: bus, publish: func(*Snapshot) {}, post: func(event) {},
-		roster: catalog.NewRoster(), plan: residency.New(),
+		roster: catalog.NewRoster(), plan: residency.New(residency.Limits{Window: b.LoadWindow, Excess: b.LoadExcess}),
 		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), b.LeaseTurn),
 		dispatch: dispatch.New(dispatch.Options{
 			DataCentre: node.DataCentre, Seed: uint64(now.UnixNano()),
@@ -86,6 +91,7 @@
 		c.replicaChanged(now, id, nil)
 	}
 	c.tickLeader(now, boot)
+	c.checkList(now)
 	c.expireAdapters(now)
 }
 
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -17,7 +17,8 @@
 	Version uint64
 }
 
-func (e RowsSeen) apply(c *core, _ time.Time) {
+func (e RowsSeen) apply(c *core, now time.Time) {
+	c.storeSeen = now
 	c.versions[e.Table] = max(c.versions[e.Table], e.Version)
 	delete(c.behind, e.Table)
 }
@@ -49,7 +50,8 @@
 
 // leaseAnswered doubts the feeds when the store answers again: calls that were
 // waiting may never be answered.
-func (c *core) leaseAnswered() {
+func (c *core) leaseAnswered(now time.Time) {
+	c.storeSeen = now
 	if !c.leaseLost {
 		return
 	}
@@ -61,11 +63,13 @@
 
 // ReplicasRead is a full read of the list of replicas.
 type ReplicasRead struct {
+	Table   string
 	Entries []catalog.Entry
 	Version uint64
 }
 
 func (e ReplicasRead) apply(c *core, now time.Time) {
+	c.listTable = e.Table
 	var dropAt time.Time
 	if now.Sub(c.storeBack) < lapseGrace {
 		dropAt = c.storeBack.Add(lapseGrace)
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -160,20 +160,20 @@
 // LeaseSeen is the lease as it was read from the store.
 type LeaseSeen struct{ Row leader.Row }
 
-func (e LeaseSeen) apply(c *core, _ time.Time) {
+func (e LeaseSeen) apply(c *core, now time.Time) {
 	before := c.leader.Row()
 	c.leader.Seen(bootclock.Now(), e.Row)
-	c.leaseAnswered()
+	c.leaseAnswered(now)
 	c.leaseChanged(before)
 }
 
 // LeaseWritten is the confirmation of a write of the lease.
 type LeaseWritten struct{ Version uint64 }
 
-func (e LeaseWritten) apply(c *core, _ time.Time) {
+func (e LeaseWritten) apply(c *core, now time.Time) {
 	before := c.leader.Row()
 	c.leader.Written(bootclock.Now(), e.Version)
-	c.leaseAnswered()
+	c.leaseAnswered(now)
 	c.leaseChanged(before)
 }
 
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/residency"
 )
@@ -20,9 +21,11 @@
 	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
 	Demand   map[string]residency.Demand `json:"demand"` // by model
 	Versions map[string]uint64           `json:"versions"`
-	Paces    map[string]float64          `json:"paces"` // by model
+	Paces    map[string]float64          `json:"paces"` // by the size of models
 	// Crashes are broken runs by the content of requests.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// ListVersion is the version of the list of replicas that the instance knows.
+	ListVersion uint64 `json:"list_version"`
 }
 
 // FleetState is the holder's answer.
@@ -32,13 +35,19 @@
 	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64  `json:"versions"`
-	Paces    map[string]float64 `json:"paces"` // by model
+	Paces    map[string]float64 `json:"paces"` // by the size of models
 	// Crashes are broken runs at all other instances, by the content of requests.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// Moving are the replicas that load or unload a model.
 	Moving []string `json:"moving"`
 	// Dropping are the models that are being unloaded or will be, by replica.
 	Dropping map[string]string `json:"dropping"`
+	// List is what changed in the list of replicas after the peer's version.
+	List []catalog.Entry `json:"list,omitempty"`
+	// ListVersion is the version of the holder's list, and StoreAge the time since
+	// the store last answered the holder.
+	ListVersion uint64        `json:"list_version"`
+	StoreAge    time.Duration `json:"store_age"`
 }
 
 type peerState struct {
@@ -57,7 +66,7 @@
 }
 
 func (e ownState) apply(c *core, now time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Crashes: c.dispatch.OwnCrashes(now)}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.takeDemand(), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Crashes: c.dispatch.OwnCrashes(now), ListVersion: c.roster.Version()}
 }
 
 type servePeer struct {
@@ -88,6 +97,8 @@
 	if c.leader.Held() {
 		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
 		state.Moving, state.Dropping = c.plan.Moving(), c.plan.Dropping()
+		state.List, state.ListVersion = c.roster.Since(e.peer.ListVersion), c.roster.Version()
+		state.StoreAge = now.Sub(c.storeSeen)
 	}
 	e.answer <- state
 }
@@ -197,6 +208,7 @@
 
 func (e FleetSeen) apply(c *core, now time.Time) {
 	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
+	c.takeList(now, e.State)
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetMoving(e.State.Moving, e.State.Dropping)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/rendezvous"
 )
 
@@ -225,15 +224,6 @@
 	return time.Duration(work / readTokensPerMS * float64(time.Millisecond))
 }
 
-// Pace returns how long a model takes to read a token, against a model of pace
-// 1. It is learned from the time to the first event.
-func (s *State) Pace(model string) float64 {
-	if p, ok := s.paces[model]; ok {
-		return p
-	}
-	return 1
-}
-
 // concurrency returns how many requests of the usual size run at once: slots,
 // or fewer if memory for their tokens ends first.
 func (s *State) concurrency(svc *service, r *replica) int {
@@ -261,15 +251,3 @@
 	share := float64(running) / float64(max(r.info.Slots, 1))
 	return time.Duration(float64(typical) * r.slowness * (1 + 0.3*min(share, 1) + float64(waiting)/float64(max(r.info.Slots, 1))))
 }
-
-// Model returns the model's declaration, or nil if the service does not declare it.
-func (s *State) Model(service, model string) *catalog.Model {
-	if s.config == nil {
-		return nil
-	}
-	declared, ok := s.config.Services[service]
-	if !ok || declared.Engine == nil {
-		return nil
-	}
-	return declared.Engine.Model(model)
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,19 +51,18 @@
 
 // The causes of refusals.
 const (
-	CauseNone         Cause = ""
-	CauseNoReplica    Cause = "no-replica"      // none is known, or all are leaving
-	CauseNotLoaded    Cause = "model-loading"   // no replica holds the model
-	CauseNoAdapter    Cause = "adapter-waits"   // replicas with the model can't take an adapter now
-	CauseUnloading    Cause = "model-unloading" // replicas that hold the model unload it
-	CauseAllTried     Cause = "all-tried"       // no replica is left that was not tried
-	CauseAside        Cause = "replicas-aside"  // all replicas failed recently
-	CauseBudget       Cause = "retry-budget"
-	CauseAttempts     Cause = "attempts-used"
-	CauseCrashes      Cause = "crashes-replicas"
-	CauseOverload     Cause = "overload"
-	CauseNoTime       Cause = "no-time-left"
-	CauseUnknownModel Cause = "unknown-model"
+	CauseNone      Cause = ""
+	CauseNoReplica Cause = "no-replica"      // none is known, or all are leaving
+	CauseNotLoaded Cause = "model-loading"   // no replica holds the model
+	CauseNoAdapter Cause = "adapter-waits"   // replicas with the model can't take an adapter now
+	CauseUnloading Cause = "model-unloading" // replicas that hold the model unload it
+	CauseAllTried  Cause = "all-tried"       // no replica is left that was not tried
+	CauseAside     Cause = "replicas-aside"  // all replicas failed recently
+	CauseBudget    Cause = "retry-budget"
+	CauseAttempts  Cause = "attempts-used"
+	CauseCrashes   Cause = "crashes-replicas"
+	CauseOverload  Cause = "overload"
+	CauseNoTime    Cause = "no-time-left"
 )
 
 // Decision is the outcome of Choose.
@@ -131,7 +130,7 @@
 	crashes  crashes
 	// peerCrashes are the counts of the other instances.
 	peerCrashes map[uint64]int
-	paces       map[string]float64 // by model, see Pace
+	paces       paces
 	random      *rand.Rand
 }
 
@@ -151,12 +150,15 @@
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
-		crashes: make(crashes), paces: make(map[string]float64), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), paces: newPaces(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
 // SetConfig takes over a newer config.
-func (s *State) SetConfig(c *catalog.Config) { s.config = c }
+func (s *State) SetConfig(c *catalog.Config) {
+	s.config = c
+	s.paces.setConfig(c)
+}
 
 // SetReplica takes over what a replica says of itself; nil means that it is gone.
 func (s *State) SetReplica(id string, info *catalog.Replica) {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"math"
 	"time"
 )
@@ -48,18 +47,6 @@
 	// forgetSlowness draws slowness back to 1, so that what all replicas have in
 	// common becomes part of the models' pace.
 	forgetSlowness = 0.02
-	// paceWeight is the weight of the newest answer in a model's pace, and
-	// maxPaceStep bounds what one answer says.
-	paceWeight  = 0.4
-	maxPaceStep = 10.0
-	// quietRunning is the number of requests on a replica up to which it counts
-	// as having little else to do.
-	quietRunning = 4
-	// A model's pace stays within these bounds.
-	minPace, maxPace = 0.05, 4.0
-	// ownReadingShare is the share of the expected reading that must be the
-	// request's own for its answer to say something of its model.
-	ownReadingShare = 0.8
 	// typicalWeight is the weight of the newest request in a service's averages.
 	typicalWeight = 0.05
 )
@@ -143,30 +130,6 @@
 	r.slowness = math.Exp((1-slowWeight)*math.Log(r.slowness) + slowWeight*math.Log(ratio) - forgetSlowness*math.Log(r.slowness))
 }
 
-// learnPace corrects the pace of a model by an answer of a replica that had
-// little else to do.
-func (s *State) learnPace(req *Request, d Decision, took time.Duration) {
-	own := readingTime(d.Reading)
-	if req.Model == "" || d.NeedsAdapter || d.Running > quietRunning || own < firstStep || float64(own) < ownReadingShare*float64(d.Base) {
-		return
-	}
-	ratio := float64(max(took-firstStep, time.Millisecond)) / float64(d.Base)
-	pace := s.Pace(req.Model) * math.Pow(min(max(ratio, 1/maxPaceStep), maxPaceStep), paceWeight)
-	s.paces[req.Model] = min(max(pace, minPace), maxPace)
-}
-
-// Paces returns the paces that this instance has learned, by model.
-func (s *State) Paces() map[string]float64 { return maps.Clone(s.paces) }
-
-// AdoptPaces takes over the paces of models that this instance knows nothing of.
-func (s *State) AdoptPaces(paces map[string]float64) {
-	for model, pace := range paces {
-		if _, known := s.paces[model]; !known && pace >= minPace && pace <= maxPace {
-			s.paces[model] = pace
-		}
-	}
-}
-
 // SetReport records the load that a replica stated in an answer.
 func (s *State) SetReport(now time.Time, replicaID string, report Report) {
 	if r, ok := s.replicas[replicaID]; ok {
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -57,18 +56,6 @@
 // of one test do not share the fixed metrics port.
 var hosts atomic.Int32
 
-const testConfig = `{"version":%d,
-"routes":[
- {"name":"chat","host":"h.example","path-prefix":"/chat/","kind":"stream","timeout-ms":8000,"goal-ms":500,"priority":0,"service":"llm","attempts":2,"sticky":true,"resumable":true,"gap-goal-ms":250},
- {"name":"once","host":"h.example","path-prefix":"/once/","kind":"stream","timeout-ms":8000,"goal-ms":500,"priority":1,"service":"llm","attempts":1,"resumable":false,"gap-goal-ms":250},
- {"name":"book","host":"h.example","path-prefix":"/book/","kind":"non_idempotent","timeout-ms":1500,"goal-ms":150,"priority":2,"service":"app","attempts":1},
- {"name":"look","host":"h.example","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"goal-ms":150,"priority":2,"service":"app","attempts":2}%s],
-"services":[
- {"name":"llm","health-path":"/health","max-conns":100,"engine":{"slot-count":8,"kv-capacity":100000,"weights-mb":200000,"adapter-slots":4,"loads-per-s":5,
-  "models":[{"name":"m1","weights-mb":70000,"load-s":0.2,"adapters":3,"adapter-mb":10},{"name":"m2","weights-mb":70000,"load-s":0.2,"adapters":0}]}},
- {"name":"app","health-path":"/health","max-conns":100}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
-
 // start runs a deployment and waits until each instance knows the config and
 // the replicas.
 func start(t *testing.T, instances int) *deployment {
@@ -94,7 +81,7 @@
 }
 
 func (d *deployment) putConfig(version int, moreRoutes string) {
-	d.store.Put("op", "config", json.RawMessage(fmt.Sprintf(testConfig, version, moreRoutes)))
+	d.store.Put("op", "config", platformtest.Config(version, moreRoutes))
 }
 
 func (d *deployment) addInstance() *Instance {
@@ -106,7 +93,7 @@
 		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.store.Address(),
 		Bounds: nodeconfig.Bounds{
 			Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
-			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, AddressReuse: 2 * time.Second,
+			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
 		},
 	}
 	i, err := New(node, log.NewWithOptions(d.logs, log.Options{Formatter: log.LogfmtFormatter}))
@@ -241,12 +228,3 @@
 		r.Fault(f)
 	}
 }
-
-// events returns the body of a whole stream.
-func events(id string, n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s.%d\n\n", i, id, i)
-	}
-	return b.String()
-}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -136,7 +136,7 @@
 	wg.Wait()
 	for i, r := range results {
 		is.NoErr(r.err)
-		is.Equal(r.body, events(fmt.Sprintf("stop-%d", i), 6))
+		is.Equal(r.body, platformtest.Events(fmt.Sprintf("stop-%d", i), 6))
 	}
 	status, _ := d.get("http://" + d.nodes[0].Readiness + "/hyssophaven/readiness")
 	is.True(status != http.StatusOK)
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -40,7 +40,7 @@
 		is.Equal(runs[0].Model, r.model)
 		is.Equal(got.header.Get("X-Hyssophaven-Server-Seal"), "seal-"+runs[0].Replica)
 		if r.model != "" {
-			is.Equal(got.body, events(r.id, 6))
+			is.Equal(got.body, platformtest.Events(r.id, 6))
 		} else {
 			is.Equal(got.body, "answer of "+runs[0].Replica)
 		}
@@ -122,13 +122,13 @@
 	faultAll(d.engines, platformtest.BreakOff)
 	// Both break off once: the first run is resumed, and the second breaks too.
 	got := d.do(0, request{method: "POST", path: "/chat/x", id: "first", model: "m1", body: "p"})
-	is.True(got.err != nil || got.body == events("first", 6))
+	is.True(got.err != nil || got.body == platformtest.Events("first", 6))
 	d.engines[0].Fault(platformtest.BreakOff)
 	for i := range 4 {
 		id := fmt.Sprintf("resumed-%d", i)
 		got = d.do(0, request{method: "POST", path: "/chat/x", id: id, model: "m1", body: id})
 		is.NoErr(got.err)
-		is.Equal(got.body, events(id, 6))
+		is.Equal(got.body, platformtest.Events(id, 6))
 		if runs := d.runs(id); len(runs) == 2 {
 			is.True(runs[0].LastEvent == 3 || runs[1].LastEvent == 3)
 		}
@@ -146,7 +146,7 @@
 	}
 	got := d.do(0, request{method: "POST", path: "/chat/x", id: "one", model: "m1", body: "p"})
 	is.True(got.err != nil) // the answer breaks off
-	is.Equal(got.body, events("one", 3))
+	is.Equal(got.body, platformtest.Events("one", 3))
 	is.Equal(len(d.runs("one")), 2)
 }
 
@@ -158,7 +158,7 @@
 	faultAll(d.engines, platformtest.BreakOff)
 	got := d.do(0, request{method: "POST", path: "/once/x", id: "off", model: "m1", body: "p"})
 	is.True(got.err != nil)
-	is.Equal(got.body, events("off", 3))
+	is.Equal(got.body, platformtest.Events("off", 3))
 	is.Equal(len(d.runs("off")), 1)
 }
 
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -52,16 +52,26 @@
 
 func startProcess(t *testing.T, dir, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
-	output, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log := filepath.Join(dir, name+".log")
+	output, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
+	p := startProcessTo(t, output, name, args...)
+	p.log = log
+	return p
+}
+
+// startProcessTo starts a process whose output goes to a file or pipe, which it
+// closes on this side.
+func startProcessTo(t *testing.T, output *os.File, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, done: make(chan struct{})}
 	p.cmd = exec.Command(binary, args...)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	// The kernel ends the process if the test binary dies without cleaning up.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	err = p.cmd.Start()
+	err := p.cmd.Start()
 	_ = output.Close()
 	if err != nil {
 		t.Fatalf("start %s: %v", name, err)
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -37,11 +37,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// LoadWindow is the window over which loads from the weight store are counted.
+	// LoadWindow is the window over which loads from the weight store are counted:
+	// at most its rate × LoadWindow × LoadExcess + 3 of them may begin in it.
 	LoadWindow time.Duration
-	// AddressReuse is the time after which the address of an ended replica may
-	// belong to a replica of another service.
-	AddressReuse time.Duration
+	LoadExcess float64
 }
 
 // PeerAddress is the address on which an instance listens for others.
--- a/residency/bucket.go
+++ b/residency/bucket.go
@@ -2,6 +2,30 @@
 
 import "time"
 
+// Limits bound the loads that begin at the weight store.
+type Limits struct {
+	// In any Window, at most rate × Window × Excess + a few loads may begin.
+	Window time.Duration
+	Excess float64
+}
+
+const (
+	// fewLoads is the number of loads beyond the rate that the weight store bears
+	// in any window.
+	fewLoads = 3
+	// excessShare is the part of the allowed excess that is used: orders reach
+	// replicas earlier or later than others.
+	excessShare = 0.5
+	// startLoads is the number of loads that may begin at once in a new term: the
+	// predecessor may have used the rate until it stopped.
+	startLoads = 1
+)
+
+// burst returns the number of loads that may begin at once.
+func (l Limits) burst(perSecond float64) float64 {
+	return fewLoads + excessShare*max(0, l.Excess-1)*perSecond*l.Window.Seconds()
+}
+
 // bucket limits loads from the weight store.
 type bucket struct {
 	tokens float64
@@ -11,8 +35,8 @@
 func newBucket(now time.Time) bucket { return bucket{tokens: startLoads, at: now} }
 
 // take uses one load. A spare load leaves one for models that are missed.
-func (b *bucket) take(now time.Time, perSecond float64, spare bool) bool {
-	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*perSecond, loadBurst)
+func (b *bucket) take(now time.Time, perSecond float64, limits Limits, spare bool) bool {
+	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*perSecond, limits.burst(perSecond))
 	b.at = now
 	if b.tokens < 1 || (spare && b.tokens < 2) {
 		return false
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,20 +23,28 @@
 	engineReading = 19_000.0
 	// fewUsed is the utilization of a model's copies below which it gets no more.
 	fewUsed = 0.3
+	// fullyUsed is the utilization from which on a model takes the room of the only
+	// copy of one that nobody has asked for of late. Every model has a copy as long
+	// as there is room; without one, the first request for it brings it.
+	fullyUsed = 3.0
 	// lateShare is the share of the goal that requests for a model may wait on
 	// average before it gets one more copy whatever its utilization.
 	lateShare = 0.5
 	// swapGain is how many times as much used the copies of a model must be as
 	// those of the model that gives way would be after it.
 	swapGain = 3.0
+	// wellUsed is the utilization for which a model gets several copies at a time;
+	// at most as many as it has, because a short burst must not push many other
+	// models out.
+	wellUsed = 0.6
 	// copySettle is the time from a load of a model to the next copy of it beyond
 	// the first.
 	copySettle = 600 * time.Millisecond
-	// maxLoading is the number of loads at once, over all replicas: about the
-	// number that the weight store serves at full speed.
-	maxLoading = 6
-	// maxSpareLoading is the same for second copies of models that are not
-	// missed yet.
+	// minLoading is the number of loads that may be in progress over all replicas
+	// however slow the weight store is: loads from a replica's disk need none of it.
+	minLoading = 6
+	// maxSpareLoading is the number of loads at a time for second copies of models
+	// that are not missed yet: a replica takes no adapters while it loads a model.
 	maxSpareLoading = 3
 	// announceTime is the time from the decision to unload a model to its order.
 	// Instances hear of it four times a second.
@@ -43,11 +52,6 @@
 	// reserveTime is how long room stays reserved for the model for which it was
 	// made: an unload waits for the runs of the model.
 	reserveTime = 5 * time.Second
-	// loadBurst is the number of loads from the store that may begin at once.
-	loadBurst = 3
-	// startLoads is the number that may begin at once in a new term: the
-	// predecessor may have used the rate until it stopped.
-	startLoads = 1
 )
 
 // Demand is what instances report of the requests for a model.
@@ -131,7 +135,7 @@
 	for _, service := range s.config.Services {
 		if service.Engine != nil {
 			actions = append(actions, s.planEngine(now, service)...)
-			actions = append(actions, s.prefetch(now, service.Engine, s.pool(service.Name))...)
+			actions = append(actions, s.prefetch(now, service.Engine, s.count(service.Name))...)
 		}
 	}
 	return actions
@@ -162,68 +166,63 @@
 type need struct {
 	model  *catalog.Model
 	copies int
-	use    float64 // of each copy
-	late   bool
-	urgent bool // no replica holds it and it is asked for
-	spare  bool // one replica holds it, and its loss or more demand would make callers wait for a load
+	// missing is the number of copies to add now.
+	missing int
+	use     float64 // of each copy
+	late    bool
+	urgent  bool // no replica holds it and it is asked for
+	spare   bool // one replica holds it, and its loss or more demand would make callers wait for a load
 }
 
 func (s *State) planEngine(now time.Time, service *catalog.Service) []Action {
-	pool := s.pool(service.Name)
+	c := s.count(service.Name)
 	loading := 0
-	for _, r := range pool {
+	for _, r := range c.pool {
 		if r.loading != "" {
 			loading++
 		}
 	}
-	var actions []Action
-	actions = append(actions, s.fill(now, service.Engine, pool)...)
-	for _, n := range s.needs(now, service.Engine, pool) {
-		if loading >= maxLoading || (n.spare && loading >= maxSpareLoading) {
-			break
-		}
-		placed, placing := s.place(now, service.Engine, pool, n)
-		actions = append(actions, placed...)
-		if placing {
+	most := atOnce(service.Engine)
+	actions := s.fill(now, service.Engine, c)
+	for _, n := range s.needs(now, service.Engine, c) {
+		for range n.missing {
+			if loading >= most || (n.spare && loading >= maxSpareLoading) {
+				return actions
+			}
+			placed, placing := s.place(now, service.Engine, c, n)
+			actions = append(actions, placed...)
+			if !placing {
+				break
+			}
 			loading++
 		}
 	}
 	return actions
 }
 
-func (s *State) pool(service string) map[string]*replica {
-	pool := make(map[string]*replica)
-	for id, r := range s.replicas {
-		if r.info.Service == service && !r.info.Leaving && !r.down {
-			pool[id] = r
-		}
+// atOnce returns the number of loads at a time: as many as the weight store
+// serves at its rate while one lasts.
+func atOnce(e *catalog.Engine) int {
+	var sum time.Duration
+	for i := range e.Models {
+		sum += e.Models[i].LoadTime
 	}
-	return pool
-}
-
-// copies counts the replicas that hold or load a model.
-func copies(pool map[string]*replica, model string) (held, coming int) {
-	for _, r := range pool {
-		switch {
-		case r.dropping == model:
-		case r.loading == model:
-			coming++
-		case r.holds(model):
-			held++
-		}
+	if len(e.Models) == 0 {
+		return minLoading
 	}
-	return held, coming
+	mean := sum.Seconds() / float64(len(e.Models))
+	return max(minLoading, int(e.LoadsPerSec*mean))
 }
 
 // needs lists the models that should have one more copy, most important first:
 // models without any copy, then those whose requests wait too long.
-func (s *State) needs(now time.Time, e *catalog.Engine, pool map[string]*replica) []need {
+func (s *State) needs(now time.Time, e *catalog.Engine, c *census) []need {
 	var out []need
 	for i := range e.Models {
 		m := &e.Models[i]
-		held, coming := copies(pool, m.Name)
+		held, coming := c.copies(m.Name)
 		d := s.demand[m.Name]
-		n := need{model: m, copies: held + coming, use: d.use(held + coming)}
+		n := need{model: m, copies: held + coming, missing: 1, use: d.use(held + coming)}
 		switch {
 		case held+coming == 0:
 			n.urgent = d != nil && now.Sub(d.asked) < recentDemand
@@ -231,8 +230,10 @@
 		case held+coming == 1 && n.use <= fewUsed:
 			n.spare = true
 			out = append(out, n)
-		case d == nil || held+coming >= len(pool) || now.Sub(d.ordered) < copySettle:
+		case d == nil || held+coming >= len(c.pool) || now.Sub(d.ordered) < copySettle:
 		case n.use > fewUsed:
+			wanted := int(math.Ceil(d.use(1) / wellUsed))
+			n.missing = max(1, min(wanted-n.copies, n.copies))
 			out = append(out, n)
 		case d.wait > lateShare && coming == 0:
 			n.late = true
@@ -265,29 +266,31 @@
 // place gives the order that brings a copy of the model nearer: a load where
 // there is room, otherwise the unload that makes room. An unload is announced
 // before it is ordered.
-func (s *State) place(now time.Time, e *catalog.Engine, pool map[string]*replica, n need) ([]Action, bool) {
+func (s *State) place(now time.Time, e *catalog.Engine, c *census, n need) ([]Action, bool) {
 	var best *Order
 	var bestReplica *replica
 	bestScore := 0.0
-	for id, r := range pool {
+	for id, r := range c.pool {
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) || !r.reservedFor(now, n.model.Name) {
 			continue
 		}
-		order, score := s.candidate(now, e, pool, id, r, n)
+		order, score := s.candidate(now, e, c, id, r, n)
 		if order != nil && (best == nil || score > bestScore) {
 			best, bestReplica, bestScore = order, r, score
 		}
 	}
-	if best == nil || (best.FromStore && !s.loads.take(now, e.LoadsPerSec, n.spare)) {
+	if best == nil || (best.FromStore && !s.loads.take(now, e.LoadsPerSec, s.limits, n.spare)) {
 		return nil, false
 	}
 	if best.Operation == Unload {
+		c.dropped(best.Model)
 		bestReplica.dropping, bestReplica.dropBy = best.Model, now.Add(announceTime+unloadPatience)
 		bestReplica.unload, bestReplica.unloadAt = best, now.Add(announceTime)
 		bestReplica.reserved, bestReplica.reservedBy = n.model.Name, now.Add(reserveTime)
 		return nil, true
 	}
 	bestReplica.sent, bestReplica.reserved = best, ""
+	c.loads(bestReplica, best.Model)
 	if d := s.demand[n.model.Name]; d != nil {
 		d.ordered = now
 	}
@@ -302,7 +305,7 @@
 
 // candidate returns the order that would bring a model to one replica, and how
 // good that replica is for it.
-func (s *State) candidate(now time.Time, e *catalog.Engine, pool map[string]*replica, id string, r *replica, n need) (*Order, float64) {
+func (s *State) candidate(now time.Time, e *catalog.Engine, c *census, id string, r *replica, n need) (*Order, float64) {
 	order := &Order{
 		Replica: id, Address: r.info.Address, Operation: Load, Model: n.model.Name, Expected: r.orders,
 		Reason: "requests wait too long",
@@ -315,8 +318,8 @@
 	}
 	atHand := slices.Contains(r.info.InMemory, n.model.Name) || slices.Contains(r.info.OnDisk, n.model.Name)
 	order.FromStore = !atHand
-	score := -s.busyness(r, pool)
-	if n.copies > 0 && !dataCentreHolds(pool, r.info.DataCentre, n.model.Name) {
+	score := -s.busyness(r, c)
+	if n.copies > 0 && !c.places[place{r.info.DataCentre, n.model.Name}] {
 		score += dataCentreBonus
 	}
 	if atHand {
@@ -325,7 +328,7 @@
 	if s.usedMB(r, e)+n.model.WeightsMB <= e.WeightsMB {
 		return order, score + freeBonus
 	}
-	victim, loss := s.victim(now, e, pool, r, n)
+	victim, loss := s.victim(now, e, c, r, n)
 	if victim == "" {
 		return nil, 0
 	}
@@ -347,21 +350,11 @@
 	copyLoss = 0.2
 )
 
-// dataCentreHolds reports whether a replica in a data centre holds or loads a model.
-func dataCentreHolds(pool map[string]*replica, dataCentre, model string) bool {
-	for _, r := range pool {
-		if r.info.DataCentre == dataCentre && (r.loading == model || r.holds(model)) {
-			return true
-		}
-	}
-	return false
-}
-
 // busyness is the utilization that a replica's models bring.
-func (s *State) busyness(r *replica, pool map[string]*replica) float64 {
+func (s *State) busyness(r *replica, c *census) float64 {
 	sum := 0.0
 	for _, m := range r.info.Models {
-		held, _ := copies(pool, m.Name)
+		held, _ := c.copies(m.Name)
 		sum += s.demand[m.Name].use(held)
 	}
 	return sum
@@ -375,31 +368,33 @@
 }
 
 // victim returns the model that gives way first so that a replica gets room for
-// another, or "", and what is lost with all that must give way. The last copy
-// of a model stays, as does one that would be needed more than the new one.
-func (s *State) victim(now time.Time, e *catalog.Engine, pool map[string]*replica, r *replica, n need) (string, float64) {
+// another, or "", and what is lost with all that must give way. A copy that would
+// be needed more than the new one stays.
+func (s *State) victim(now time.Time, e *catalog.Engine, c *census, r *replica, n need) (string, float64) {
 	var candidates []candidateVictim
 	for _, m := range r.info.Models {
-		held, _ := copies(pool, m.Name)
+		held, _ := c.copies(m.Name)
 		declared := e.Model(m.Name)
-		if held < 2 || declared == nil || (n.spare && held < 3) {
-			continue
-		}
 		d := s.demand[m.Name]
 		after := d.use(held - 1)
-		if n.spare && after > fewUsed {
+		missed := n.urgent || n.copies > 0 && !n.spare
+		cold := missed && (n.urgent || n.use > fullyUsed) && (d == nil || now.Sub(d.asked) > recentDemand)
+		if declared == nil || (held < 2 && !cold) || (n.spare && held < 3) {
 			continue
 		}
-		if n.copies > 0 && !n.spare && (after*swapGain > n.use || d != nil && d.wait > lateShare && now.Sub(d.asked) < demandHalf) {
+		if !missed && after > fewUsed {
+			continue // nobody waits for the new copy
+		}
+		if n.copies > 0 && missed && (after*swapGain > n.use || d != nil && d.wait > lateShare && now.Sub(d.asked) < demandHalf) {
 			continue
 		}
-		candidates = append(candidates, candidateVictim{m.Name, declared.WeightsMB, after + copyLoss/float64(held)})
+		candidates = append(candidates, candidateVictim{m.Name, declared.WeightsMB, after + copyLoss/float64(max(held, 1))})
 	}
 	slices.SortFunc(candidates, func(a, b candidateVictim) int { return cmp.Compare(a.loss, b.loss) })
 	missing := s.usedMB(r, e) + n.model.WeightsMB - e.WeightsMB
 	loss := 0.0
-	for _, c := range candidates {
-		missing, loss = missing-c.mb, loss+c.loss
+	for _, v := range candidates {
+		missing, loss = missing-v.mb, loss+v.loss
 		if missing <= 0 {
 			return candidates[0].model, loss
 		}
--- /dev/null
+++ b/residency/plan_test.go
@@ -0,0 +1,109 @@
+package residency
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
+
+// pool is a State with replicas that have reported, each with some models. Every
+// model takes a third of a replica.
+type pool struct {
+	state *State
+	now   time.Time
+}
+
+func newPool(models int, held ...[]string) *pool {
+	e := &catalog.Engine{Slots: 8, WeightsMB: 90, AdapterSlots: 3, LoadsPerSec: 20}
+	for n := range models {
+		e.Models = append(e.Models, catalog.Model{Name: "m" + strconv.Itoa(n), WeightsMB: 30, LoadTime: time.Second})
+	}
+	e.Index()
+	p := &pool{state: New(testLimits), now: epoch}
+	p.state.SetConfig(catalog.NewConfig(1, catalog.Limits{}, []*catalog.Service{{Name: service, Engine: e}}, nil))
+	for i, names := range held {
+		id := "r" + strconv.Itoa(i)
+		info := &catalog.Replica{ID: id, Service: service, Address: id + ":1", DataCentre: "z", Slots: 8, Born: 1, OnDisk: []string{"m0", "m1", "m2"}}
+		for _, name := range names {
+			info.Models = append(info.Models, catalog.Resident{Name: name})
+		}
+		p.state.SetReplica(p.now, id, info)
+	}
+	p.state.Hold(p.now)
+	p.now = p.now.Add(10 * time.Second) // the weight store's rate is not what binds
+	for id, r := range p.state.replicas {
+		p.state.Reported(p.now, id, &Report{Born: 1, Models: r.info.Models})
+	}
+	return p
+}
+
+// demand lets a model be asked for with the given utilization of one copy.
+func (p *pool) demand(model string, use float64) {
+	p.state.AddDemand(p.now, model, Demand{Requests: 10, Reading: use * engineReading * demandHalf.Seconds()})
+}
+
+// plan returns the loads by model, and the models that begin to give way.
+func (p *pool) plan() (loads, dropping map[string]int) {
+	loads, dropping = make(map[string]int), make(map[string]int)
+	for _, a := range p.state.Plan(p.now) {
+		if a.Order != nil && a.Order.Operation == Load {
+			loads[a.Order.Model]++
+		}
+	}
+	for _, model := range p.state.Dropping() {
+		dropping[model]++
+	}
+	return loads, dropping
+}
+
+// Guards against replicas that are emptied at the same moment and all load the
+// same model, because loads that are on their way were not counted.
+func TestEmptyReplicasLoadDifferentModels(t *testing.T) {
+	is := is.New(t)
+	p := newPool(3, nil, nil, nil)
+	loads, _ := p.plan()
+	is.Equal(loads, map[string]int{"m0": 1, "m1": 1, "m2": 1})
+}
+
+// Guards against a model that is used many times over and gets its copies one
+// by one, each a load after the other.
+func TestBusyModelGetsSeveralCopies(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, []string{"m0"}, []string{"m0"}, nil, nil, nil, nil)
+	for _, r := range p.state.replicas {
+		r.info.OnDisk = nil
+	}
+	p.demand("m0", 5)
+	loads, _ := p.plan()
+	is.Equal(loads, map[string]int{"m0": 2}) // as many as it has
+}
+
+// Guards against a model that is used many times over while replicas keep
+// models that nobody asks for, and against the loss of models that are asked for.
+func TestUnusedModelGivesWay(t *testing.T) {
+	is := is.New(t)
+	p := newPool(6, []string{"m0", "m1", "m2"}, []string{"m3", "m4", "m5"})
+	for n := range 5 {
+		p.demand("m"+strconv.Itoa(n), 0.01)
+	}
+	p.demand("m0", 5)
+	_, dropping := p.plan()
+	is.Equal(dropping, map[string]int{"m5": 1})
+}
+
+// Guards against a copy of a used model that gives way to a model that nobody
+// asks for.
+func TestUsedModelDoesNotGiveWayToUnused(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4, []string{"m0", "m1", "m2"}, []string{"m0", "m1", "m2"})
+	for n := range 3 {
+		p.demand("m"+strconv.Itoa(n), 0.8)
+	}
+	loads, dropping := p.plan() // m3 has no copy, and nobody has asked for it
+	is.Equal(loads["m3"], 0)
+	is.Equal(len(dropping), 0)
+}
--- a/residency/prefetch.go
+++ b/residency/prefetch.go
@@ -28,9 +28,9 @@
 // prefetch fills free places with adapters of the models in demand, because no
 // adapter can be loaded while the replica loads a model. Replicas differ in
 // what they take first, so that all adapters are somewhere.
-func (s *State) prefetch(now time.Time, e *catalog.Engine, pool map[string]*replica) []Action {
+func (s *State) prefetch(now time.Time, e *catalog.Engine, c *census) []Action {
 	var actions []Action
-	for id, r := range pool {
+	for id, r := range c.pool {
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
 			continue
 		}
@@ -38,7 +38,7 @@
 		if room <= 0 {
 			continue
 		}
-		for _, key := range s.missingAdapters(e, pool, id, r, room) {
+		for _, key := range s.missingAdapters(e, c, id, r, room) {
 			r.wishes = append(r.wishes, wish{model: key.model, adapter: key.name, until: now.Add(adapterGiveUp)})
 		}
 		actions = append(actions, s.advance(now, id, r)...)
@@ -53,12 +53,12 @@
 }
 
 // missingAdapters returns the adapters that a replica should load next.
-func (s *State) missingAdapters(e *catalog.Engine, pool map[string]*replica, id string, r *replica, most int) []adapterChoice {
+func (s *State) missingAdapters(e *catalog.Engine, c *census, id string, r *replica, most int) []adapterChoice {
 	var out []adapterChoice
 	hash := rendezvous.Hash(id)
 	for _, m := range r.info.Models {
 		declared := e.Model(m.Name)
-		held, _ := copies(pool, m.Name)
+		held, _ := c.copies(m.Name)
 		if declared == nil || s.demand[m.Name].use(held) < prefetchUse {
 			continue
 		}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -115,6 +115,7 @@
 	demand   map[string]*demand // by model
 	// adapterDemand are the requests by MODEL/ADAPTER, fading with time.
 	adapterDemand map[string]float64
+	limits        Limits
 	loads         bucket
 	last          time.Time // of the last plan
 }
@@ -156,8 +157,8 @@
 }
 
 // New returns an empty state.
-func New() *State {
-	return &State{replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64)}
+func New(limits Limits) *State {
+	return &State{limits: limits, replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64)}
 }
 
 // SetConfig takes over a newer config.
--- a/residency/status.go
+++ b/residency/status.go
@@ -24,13 +24,13 @@
 		if service.Engine == nil {
 			continue
 		}
-		pool := s.pool(service.Name)
+		c := s.count(service.Name)
 		for _, m := range service.Engine.Models {
 			d := s.demand[m.Name]
 			if d == nil || d.reading < 1 {
 				continue
 			}
-			held, coming := copies(pool, m.Name)
+			held, coming := c.copies(m.Name)
 			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: d.use(held), Wait: d.wait})
 		}
 	}
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -16,6 +16,8 @@
 
 const service = "llm"
 
+var testLimits = Limits{Window: 5 * time.Second, Excess: 1.1}
+
 func testConfig() *catalog.Config {
 	e := &catalog.Engine{Slots: 8, WeightsMB: 200, AdapterSlots: 3, LoadsPerSec: 5}
 	for n := range 6 {
@@ -141,7 +143,7 @@
 const stepTime = 100 * time.Millisecond
 
 func newWorld(fail func(string, ...any), n int) *world {
-	w := &world{state: New(), engines: make(map[string]*engine), now: epoch}
+	w := &world{state: New(testLimits), engines: make(map[string]*engine), now: epoch}
 	c := testConfig()
 	w.state.SetConfig(c)
 	w.config = c.Services[service].Engine
@@ -254,7 +256,7 @@
 			case 7:
 				if rapid.IntRange(0, 5).Draw(t, "holder") == 0 {
 					w.reports = nil
-					fresh := New() // another instance becomes the holder
+					fresh := New(testLimits) // another instance becomes the holder
 					fresh.SetConfig(testConfig())
 					w.state = fresh
 					for _, other := range ids {
@@ -362,28 +364,30 @@
 	is.True(len(announced) > 0)
 }
 
-// Guards against more loads from the weight store than its rate allows.
+// Guards against more loads from the weight store than its rate allows, at small
+// and at large deployments.
 func TestLoadsStayWithinTheRate(t *testing.T) {
-	is := is.New(t)
-	const perSecond, window, excess = 1.5, 5 * time.Second, 1.1
-	b := newBucket(epoch)
-	var taken []time.Time
-	for ms := 0; ms < 60_000; ms += 50 {
-		now := epoch.Add(time.Duration(ms) * time.Millisecond)
-		if b.take(now, perSecond, false) {
-			taken = append(taken, now)
+	for _, perSecond := range []float64{0.3, 1.5, 9, 60} {
+		is := is.New(t)
+		b := newBucket(epoch)
+		var taken []time.Time
+		for ms := 0; ms < 60_000; ms += 50 {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			for b.take(now, perSecond, testLimits, false) {
+				taken = append(taken, now)
+			}
 		}
-	}
-	for _, first := range taken {
-		n := 0
-		for _, at := range taken {
-			if !at.Before(first) && at.Sub(first) <= window {
-				n++
+		for i, first := range taken {
+			n := 0
+			for _, at := range taken[i:] {
+				if at.Sub(first) <= testLimits.Window {
+					n++
+				}
 			}
+			is.True(float64(n) <= perSecond*testLimits.Window.Seconds()*testLimits.Excess+3)
 		}
-		is.True(float64(n) <= perSecond*window.Seconds()*excess+3)
+		is.True(slices.IsSortedFunc(taken, time.Time.Compare))
 	}
-	is.True(slices.IsSortedFunc(taken, time.Time.Compare))
 }
 
 // Guards against a request that is sent before its adapter has arrived: the
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,9 @@
 	// times a second, into one call. It is far below the 2 s within which a
 	// leaving replica must be left alone.
 	batchPause = 400 * time.Millisecond
+	// relayedPause replaces batchPause while the holder of the order lease hands
+	// on the changes. The calls that remain show a holder whose own feed is lost.
+	relayedPause = 4 * time.Second
 	// retryFirst and retryMax bound the pause after a failed call. Changes have
 	// to be in force within 2 s, and a store that is down is not to be flooded.
 	retryFirst = 100 * time.Millisecond
@@ -55,6 +59,8 @@
 	// doubts cancel the calls that wait, by table. They are set up before the
 	// goroutines start.
 	doubts map[string]chan struct{}
+	// relayed says that the holder of the order lease hands on the list of replicas.
+	relayed atomic.Bool
 }
 
 // New returns a service that has not been started.
@@ -77,7 +83,10 @@
 	for _, table := range []string{s.source.ConfigTable, s.source.ReplicaTable} {
 		s.doubts[table] = make(chan struct{}, 1)
 	}
-	if err := kernel.Subscribe(k.Bus(), "watch.behind", s.feedBehind); err != nil {
+	if err := errors.Join(
+		kernel.Subscribe(k.Bus(), "watch.behind", s.feedBehind),
+		kernel.Subscribe(k.Bus(), "watch.relayed", s.listRelayed),
+	); err != nil {
 		return err
 	}
 	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ConfigTable, s.configRows) })
@@ -89,13 +98,25 @@
 func (s *Service) Stop(ctx context.Context) error { return s.group.Stop(ctx) }
 
 // feedBehind ends the call that waits on a feed, so that it is made again.
-func (s *Service) feedBehind(_ context.Context, e controlplane.FeedBehind) {
+func (s *Service) feedBehind(_ context.Context, e controlplane.FeedBehind) { s.doubt(e.Table) }
+
+func (s *Service) doubt(table string) {
 	select {
-	case s.doubts[e.Table] <- struct{}{}:
+	case s.doubts[table] <- struct{}{}:
 	default:
 	}
 }
 
+// listRelayed sets the pace of the calls for the list of replicas. A call that
+// waits is made again when the holder is lost, because it may have been sent
+// before a trouble that nobody noticed.
+func (s *Service) listRelayed(_ context.Context, e controlplane.ListRelayed) {
+	s.relayed.Store(e.Relayed)
+	if !e.Relayed {
+		s.doubt(s.source.ReplicaTable)
+	}
+}
+
 // follow reads a table and then its feed, until ctx ends. full says whether the
 // rows are the whole table.
 func (s *Service) follow(ctx context.Context, table string, take func(page rowstore.Page, full bool)) {
@@ -135,12 +156,30 @@
 		take(page, full)
 		s.control.Post(controlplane.RowsSeen{Table: table, Version: newest(page)})
 		version, known = page.Version, true
-		if table == s.source.ReplicaTable && !wait(ctx, batchPause) {
-			return
+		if table == s.source.ReplicaTable {
+			hurry = s.pause(ctx, table)
 		}
 	}
 }
 
+// pause lets changes of the list of replicas gather. It returns true if the feed
+// is doubted meanwhile.
+func (s *Service) pause(ctx context.Context, table string) bool {
+	pause := batchPause
+	if s.relayed.Load() {
+		pause = relayedPause
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.doubts[table]:
+		return true
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func newest(page rowstore.Page) uint64 {
 	var version uint64
 	for _, row := range page.Rows {
@@ -223,7 +262,7 @@
 		entries = append(entries, catalog.Entry{ID: row.Key, Version: row.Version, Replica: replica})
 	}
 	if full {
-		s.control.Post(controlplane.ReplicasRead{Entries: entries, Version: page.Version})
+		s.control.Post(controlplane.ReplicasRead{Table: s.source.ReplicaTable, Entries: entries, Version: page.Version})
 		return
 	}
 	s.control.Post(controlplane.ReplicasChanged{Entries: entries, Removed: removed, Version: page.Version})
