residency: a move that makes room counts as a coming copy

Change: the need for which room is made stays with the replica, counts as a coming copy, and is carried on before other needs.

--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -75,7 +75,7 @@
 	}
 	c.modelsLogged = now
 	var b strings.Builder
-	for i, m := range c.plan.Models() {
+	for i, m := range c.plan.Models(now) {
 		if i == maxLoggedModels {
 			break
 		}
--- a/residency/census.go
+++ b/residency/census.go
@@ -1,5 +1,7 @@
 package residency
 
+import "time"
+
 // census is where the models of a service are, for the duration of one plan.
 type census struct {
 	pool map[string]*replica // that can be used, by id
@@ -12,7 +14,7 @@
 type place struct{ dataCentre, model string }
 
 // count returns the census of a service.
-func (s *State) count(service string) *census {
+func (s *State) count(now time.Time, service string) *census {
 	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool)}
 	for id, r := range s.replicas {
 		if r.info.Service != service || r.info.Leaving || r.down {
@@ -32,6 +34,8 @@
 		}
 		if o := r.sent; o != nil && o.Operation == Load && o.Adapter == "" && o.Model != r.loading {
 			c.loads(r, o.Model)
+		} else if r.reservedNow(now) && r.loading != r.reserved.model.Name {
+			c.loads(r, r.reserved.model.Name)
 		}
 	}
 	return c
--- a/residency/fill.go
+++ b/residency/fill.go
@@ -13,10 +13,10 @@
 func (s *State) fill(now time.Time, e *catalog.Engine, c *census) []Action {
 	var actions []Action
 	for id, r := range c.pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
+		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.reservedNow(now) {
 			continue
 		}
-		model := s.bestAtHand(now, e, c, r)
+		model := s.bestAtHand(e, c, r)
 		if model == "" {
 			continue
 		}
@@ -31,12 +31,12 @@
 
 // bestAtHand returns the model at hand that a replica has room for and whose
 // copies are used most, missing ones first, or "".
-func (s *State) bestAtHand(now time.Time, e *catalog.Engine, c *census, r *replica) string {
+func (s *State) bestAtHand(e *catalog.Engine, c *census, r *replica) string {
 	best, highest := "", 0.0
 	room := e.WeightsMB - s.usedMB(r, e)
 	for _, name := range append(slices.Clone(r.info.InMemory), r.info.OnDisk...) {
 		m := e.Model(name)
-		if m == nil || m.WeightsMB > room || r.holds(name) || !r.reservedFor(now, name) {
+		if m == nil || m.WeightsMB > room || r.holds(name) {
 			continue
 		}
 		held, coming := c.copies(name)
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -137,8 +137,8 @@
 	// sending requests for the model first.
 	unload   *Order
 	unloadAt time.Time
-	// reserved is the model for which room was made, until reservedBy.
-	reserved   string
+	// reserved is the need for which room is made, until reservedBy.
+	reserved   *need
 	reservedBy time.Time
 	adapters   map[string]*adapter // by MODEL/ADAPTER
 	wishes     []wish
@@ -180,7 +180,7 @@
 	s.loads = newBucket(now)
 	var actions []Action
 	for id, r := range s.replicas {
-		r.known, r.sent, r.loading, r.dropping, r.wishes, r.unload, r.reserved = false, nil, "", "", nil, nil, ""
+		r.known, r.sent, r.loading, r.dropping, r.wishes, r.unload, r.reserved = false, nil, "", "", nil, nil, nil
 		actions = append(actions, s.ask(now, id, r)...)
 	}
 	return actions
--- a/residency/status.go
+++ b/residency/status.go
@@ -15,7 +15,7 @@
 }
 
 // Models returns the models that are asked for, most used first.
-func (s *State) Models() []ModelState {
+func (s *State) Models(now time.Time) []ModelState {
 	var out []ModelState
 	if s.config == nil {
 		return nil
@@ -24,7 +24,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		c := s.count(service.Name)
+		c := s.count(now, service.Name)
 		for _, m := range service.Engine.Models {
 			d := s.demand[m.Name]
 			if d == nil || d.reading < 1 {
