--- a/cli/check.go
+++ b/cli/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/hyssophaven/hyssophaven/edge"
 	"github.com/hyssophaven/hyssophaven/finding"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/settings"
@@ -20,43 +21,47 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check",
-		Usage: "check settings and tables; exit code 1 if there is any finding",
+		Usage: "check settings, tables and deploy files; exit code 1 if there is any finding",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "check the settings in `FILE`"},
 			&cli.StringFlag{Name: "table", Usage: "check the table in `FILE`"},
 			&cli.StringFlag{Name: "node-file", Usage: "check the platform's settings of an edge instance in `FILE`"},
+			&cli.StringFlag{Name: "deploy-file", Usage: "check the platform's deploy file in `FILE`"},
 		},
 		Action: runCheck,
 	}
 }
 
+// checks are what each flag of the command checks.
+var checks = []struct {
+	flag string
+	run  func(file string) ([]finding.Finding, error)
+}{
+	{"config", checkSettings},
+	{"table", checkTable},
+	{"node-file", func(file string) ([]finding.Finding, error) { return platform.CheckNode(file, edge.MetricsPort) }},
+	{"deploy-file", func(file string) ([]finding.Finding, error) {
+		return platform.CheckDeploy(file, platform.Deploy{Program: programName, Command: edgeName, Metrics: edge.MetricsPort + edge.MetricsPath})
+	}},
+}
+
 func runCheck(_ context.Context, c *cli.Command) error {
-	if !c.IsSet("config") && !c.IsSet("table") && !c.IsSet("node-file") {
-		return usageErrorf("check needs --config, --table or --node-file")
-	}
 	var found []finding.Finding
-	if file := c.String("config"); file != "" {
-		_, err := settings.Load(file)
-		if err != nil && finding.Of(err) == nil {
-			return err
+	checked := false
+	for _, check := range checks {
+		file := c.String(check.flag)
+		if file == "" {
+			continue
 		}
-		found = append(found, finding.Of(err)...)
-	}
-	if file := c.String("node-file"); file != "" {
-		_, err := platform.ReadNode(file)
-		if err != nil && finding.Of(err) == nil {
-			return err
-		}
-		found = append(found, finding.Of(err)...)
-	}
-	if file := c.String("table"); file != "" {
-		data, err := os.ReadFile(file)
+		checked = true
+		findings, err := check.run(file)
 		if err != nil {
 			return err
 		}
-		var problems finding.List
-		tablecodec.DecodeFile(file, data, &problems)
-		found = append(found, problems.All()...)
+		found = append(found, findings...)
+	}
+	if !checked {
+		return usageErrorf("check needs --config, --table, --node-file or --deploy-file")
 	}
 	for _, f := range found {
 		if _, err := fmt.Fprintln(c.Root().Writer, f); err != nil {
@@ -69,3 +74,21 @@
 	_, err := fmt.Fprintln(c.Root().Writer, "no findings")
 	return err
 }
+
+func checkSettings(file string) ([]finding.Finding, error) {
+	_, err := settings.Load(file)
+	if found := finding.Of(err); found != nil {
+		return found, nil
+	}
+	return nil, err
+}
+
+func checkTable(file string) ([]finding.Finding, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var problems finding.List
+	tablecodec.DecodeFile(file, data, &problems)
+	return problems.All(), nil
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,11 +26,14 @@
 	return &usageError{message: fmt.Sprintf(format, args...)}
 }
 
+// programName is the name of the binary.
+const programName = "hyssophaven"
+
 // Run executes the command line and returns the process's exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	unknown := false
 	root := &cli.Command{
-		Name:           "hyssophaven",
+		Name:           programName,
 		Usage:          "serve many language models and adapters on few accelerators",
 		Writer:         stdout,
 		ErrWriter:      stderr,
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -48,3 +48,57 @@
 	is.True(strings.Contains(out, config+":2:1: instance.id"))
 	is.True(strings.Contains(out, table+":4:1: row.weight"))
 }
+
+const nodeSettings = `{
+  "node-name": "n", "ip": "10.0.0.1", "zone": "z",
+  "listen": {"front": "10.0.0.1:8000", "ready": "nowhere"},
+  "inner-ports": [7380, 7395],
+  "limits": {"memory-mb": 284},
+  "platform": {"address": "10.0.0.9:80"},
+  "bounds": {
+    "grace-s": 8, "lease-ms": 100, "budget-ratio": 0.2,
+    "budget-window-s": 10, "ceiling-window-s": 5
+  }
+}`
+
+// Guards against findings of the platform's settings without their line, and
+// against bounds that can't be met and pass the check.
+func TestCheckNodeFile(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "node.json")
+	is.NoErr(os.WriteFile(file, []byte(nodeSettings), 0o600))
+	code, out, _ := run(t, "check", "--node-file", file)
+	is.Equal(code, ExitFailure)
+	is.True(strings.Contains(out, file+":3:"))
+	is.True(strings.Contains(out, "listen.ready"))
+	is.NoErr(os.WriteFile(file, []byte(strings.Replace(nodeSettings, "nowhere", "10.0.0.1:8001", 1)), 0o600))
+	code, out, _ = run(t, "check", "--node-file", file)
+	is.Equal(code, ExitFailure)
+	is.True(strings.Contains(out, file+":8:"))
+	is.True(strings.Contains(out, "bounds.lease-ms: is 100ms"))
+	is.NoErr(os.WriteFile(file, []byte("{\n\"ip\": 5}"), 0o600))
+	_, out, _ = run(t, "check", "--node-file", file)
+	is.True(strings.Contains(out, file+":2:"))
+}
+
+// Guards against a deploy file that starts another program, or names another
+// metrics address than the one that processes serve.
+func TestCheckDeployFile(t *testing.T) {
+	is := is.New(t)
+	const shipped = "../deploy/system.toml"
+	code, out, _ := run(t, "check", "--deploy-file", shipped)
+	is.Equal(out, "no findings\n")
+	is.Equal(code, ExitOK)
+	good, err := os.ReadFile(shipped)
+	is.NoErr(err)
+	file := filepath.Join(t.TempDir(), "system.toml")
+	for old, new := range map[string]string{
+		"9464/metrics": "9465/metrics", "hyssophaven edge": "hyssophaven serve", "target/hyssophaven": "bin/hyssophaven",
+		"share = 1.0": "share = 2.0", `serves = ["edge"]`: `serves = ["callers"]`, "-o target/": "-o bin/", "[roles.edge]": "[role]", "on = ": "class = ",
+	} {
+		is.NoErr(os.WriteFile(file, []byte(strings.Replace(string(good), old, new, 1)), 0o600))
+		code, out, _ := run(t, "check", "--deploy-file", file)
+		is.Equal(code, ExitFailure)               // of the changed file
+		is.True(strings.HasPrefix(out, file+":")) // with its place
+	}
+}
--- a/cli/edge.go
+++ b/cli/edge.go
@@ -19,9 +19,12 @@
 // logFlushTimeout bounds the write of the last log lines of a stopping process.
 const logFlushTimeout = 200 * time.Millisecond
 
+// edgeName is the name of the command that serves on the users' platform.
+const edgeName = "edge"
+
 func edgeCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "edge",
+		Name:  edgeName,
 		Usage: "serve callers on the users' platform until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "node-file", Usage: "read the platform's settings from `FILE`", Sources: cli.EnvVars(platform.NodeFileVariable), Required: true},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,9 +38,9 @@
 	// collectorPercent trades memory for processor time; the live heap is a few
 	// megabytes.
 	collectorPercent = 150
-	// MetricsPort and metricsPath are where the counters are served.
+	// MetricsPort and MetricsPath are where the counters are served.
 	MetricsPort = "9464"
-	metricsPath = "/metrics"
+	MetricsPath = "/metrics"
 )
 
 // Instance is one edge instance.
@@ -83,7 +83,7 @@
 	k.Register(peering.New(node, logger))
 	k.Register(i.gateway)
 	router := chi.NewRouter()
-	router.Get(metricsPath, registry.ServeHTTP)
+	router.Get(MetricsPath, registry.ServeHTTP)
 	i.metrics = &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
 	return i, nil
 }
@@ -113,6 +113,9 @@
 	if err := i.kernel.Start(ctx); err != nil {
 		return errors.Join(err, i.metrics.Close())
 	}
+	for _, c := range i.node.Contradictions(MetricsPort) {
+		i.log.Warn("setting can't be met", "field", c.Field.String(), "finding", c.Message)
+	}
 	i.log.Info("instance started", "instance", i.node.ID, "data_centre", i.node.DataCentre, "callers", i.node.Callers, "store", i.node.Store)
 	return nil
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -193,7 +193,7 @@
 			return false
 		})
 	}
-	status, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + metricsPath)
+	status, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + MetricsPath)
 	is.Equal(status, http.StatusOK)
 	is.True(strings.Contains(text, `requests{kind="non-idempotent"`))
 	is.True(strings.Contains(text, "first_byte{"))
@@ -237,7 +237,7 @@
 // exported returns the names that the first instance exports.
 func (d *deployment) exported() map[string]bool {
 	d.do(0, request{method: "POST", path: "/chat/x", model: "m1/a1", body: fmt.Sprint(ids.Add(1))})
-	_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + metricsPath)
+	_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + MetricsPath)
 	out := make(map[string]bool)
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
 		name, _, _ := strings.Cut(line, " ")
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -41,6 +41,10 @@
 	// at most its rate × LoadWindow × LoadExcess + 3 of them may begin in it.
 	LoadWindow time.Duration
 	LoadExcess float64
+	// Leave is the time after which a leaving replica must get no new work, and
+	// ConfigTime that after which a change of the config must be in force; 0 if
+	// the deployment does not say.
+	Leave, ConfigTime time.Duration
 }
 
 // PeerAddress is the address on which an instance listens for others.
--- a/residency/place.go
+++ b/residency/place.go
@@ -96,7 +96,7 @@
 	}
 	atHand := slices.Contains(r.info.InMemory, n.model.Name) || slices.Contains(r.info.OnDisk, n.model.Name)
 	order.FromStore = !atHand
-	score := -s.busyness(r, c)
+	score := -min(maxBusyness, s.busyness(r, c))
 	if n.copies > 0 && !c.places[place{r.info.DataCentre, n.model.Name}] {
 		score += dataCentreBonus
 	}
@@ -119,6 +119,9 @@
 	// atHandBonus is what a load without the weight store, which is several times
 	// as fast, is worth against the utilization of a replica.
 	atHandBonus = 0.4
+	// maxBusyness bounds what the use of a replica counts against it: all are busy
+	// when models are missing most.
+	maxBusyness = 0.5
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
 	// dataCentreBonus is what the first copy in a data centre is worth.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,7 +30,7 @@
 	// batchPause gathers changes of the list of replicas, which come several
 	// times a second, into one call. It is far below the 2 s within which a
 	// leaving replica must be left alone.
-	batchPause = 400 * time.Millisecond
+	batchPause = 200 * time.Millisecond
 	// relayedPause replaces batchPause while the holder of the order lease hands
 	// on the changes. The calls that remain show a holder whose own feed is lost.
 	relayedPause = 4 * time.Second
