controlplane: notice the end of a holder sooner; adapters before models

Change: the holder names the version of its lease and says when it released it; requests whose adapter is nowhere are refused with the time after which one can be ordered; adapters that were asked for come before loads of models. Sums of load are made once a tick instead of once for each state of a peer, whose cost grew with the square of the instances.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -46,7 +46,10 @@
 	plan         *residency.State
 	planned      time.Time
 	modelsLogged time.Time
-	ordering     bool // this instance may give orders
+	ordering     bool      // this instance may give orders
+	holderSeen   time.Time // last answer of another instance that holds the lease
+	holderOrders time.Time // when that instance may order
+	noOrders     bool      // no instance can order an adapter now
 	stopping     bool
 
 	storeAway map[string]bool      // by table
@@ -62,6 +65,7 @@
 
 	demand   map[string]*modelDemand
 	peers    map[string]*peerState
+	fleet    fleetSum // of all instances, at the last tick
 	adapters map[adapterKey][]adapterWaiter
 }
 
@@ -80,7 +84,7 @@
 			},
 		}),
 		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), demand: make(map[string]*modelDemand),
-		peers: make(map[string]*peerState), adapters: make(map[adapterKey][]adapterWaiter),
+		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter),
 	}
 	return c
 }
@@ -90,7 +94,9 @@
 		c.log.Info("replica dropped", "replica", id, "reason", "entry did not come back with the store")
 		c.replicaChanged(now, id, nil)
 	}
+	c.sumPeers(now)
 	c.tickLeader(now, boot)
+	c.checkOrders(now, boot)
 	c.checkList(now)
 	c.expireAdapters(now)
 }
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// holderSilence is the silence of the holder of the order lease after which no
+// adapter is asked of it: two of its answers in a row.
+const holderSilence = 600 * time.Millisecond
+
+// checkOrders tells dispatch whether adapters can be ordered, and if not, when
+// they probably can.
+func (c *core) checkOrders(now time.Time, boot bootclock.Time) {
+	in := c.leader.OrdersIn(boot)
+	switch {
+	case c.ordering:
+		in = 0
+	case now.Sub(c.holderSeen) < holderSilence:
+		in = max(0, c.holderOrders.Sub(now))
+	}
+	if (in > 0) != c.noOrders {
+		c.noOrders = in > 0
+		c.log.Info("orders of adapters", "possible", !c.noOrders, "probably_in", in, "holder_seen", now.Sub(c.holderSeen))
+	}
+	c.dispatch.SetOrders(in == 0, in)
+}
+
 // logModels writes the most used models, for the explanation of waits.
 func (c *core) logModels(now time.Time) {
 	if now.Sub(c.modelsLogged) < modelsLogInterval {
@@ -201,5 +222,5 @@
 		return
 	}
 	c.log.Info("order lease seen", "holder", row.Holder, "epoch", row.Epoch, "version", row.Version, "held", c.leader.Held())
-	c.send(HolderChanged{Address: row.Address, Self: c.leader.Held()})
+	c.send(HolderChanged{Address: row.Address, Self: row.Holder == c.node.ID})
 }
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -30,9 +30,16 @@
 
 // FleetState is the holder's answer.
 type FleetState struct {
-	Holder string                   `json:"holder"`
-	Epoch  uint64                   `json:"epoch"`
-	Loads  map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
+	// Holder is empty if the instance does not hold the lease (any more).
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	// LeaseVersion is the version of the lease's row that the holder wrote last.
+	LeaseVersion uint64 `json:"lease_version"`
+	// OrdersIn is the time until the holder may order.
+	OrdersIn time.Duration `json:"orders_in,omitempty"`
+	// Released names the instance if it has held the lease, and has released it.
+	Released string                   `json:"released,omitempty"`
+	Loads    map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64  `json:"versions"`
 	Paces    map[string]float64 `json:"paces"` // by the size of models
@@ -90,17 +97,28 @@
 	}
 	c.useAdapters(now, e.peer.Loads)
 	c.dispatch.AdoptPaces(e.peer.Paces)
-	c.sumPeers(now)
 	c.compareVersions(now, e.peer.Versions)
-	c.dispatch.SetPeerCrashes(c.othersCrashes(now, c.node.ID))
-	state := FleetState{Loads: c.othersLoad(now, e.peer.Instance), Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Crashes: c.othersCrashes(now, e.peer.Instance)}
+	e.answer <- c.fleetState(now, e.peer)
+}
+
+// fleetState returns what a peer is told.
+func (c *core) fleetState(now time.Time, peer PeerState) FleetState {
+	state := FleetState{
+		Loads: c.fleet.loadsWithout(peer.Loads), Crashes: c.fleet.crashesWithout(peer.Crashes),
+		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(),
+	}
+	row := c.leader.Row()
 	if c.leader.Held() {
-		state.Holder, state.Epoch = c.node.ID, c.leader.Epoch()
+		state.Holder, state.Epoch, state.LeaseVersion = c.node.ID, c.leader.Epoch(), row.Version
+		state.OrdersIn = c.leader.OrdersIn(bootclock.Now())
 		state.Moving, state.Dropping = c.plan.Moving(), c.plan.Dropping()
-		state.List, state.ListVersion = c.roster.Since(e.peer.ListVersion), c.roster.Version()
+		state.List, state.ListVersion = c.roster.Since(peer.ListVersion), c.roster.Version()
 		state.StoreAge = now.Sub(c.storeSeen)
 	}
-	e.answer <- state
+	if row.Released && row.Holder == c.node.ID {
+		state.Released, state.Epoch = row.Holder, row.Epoch
+	}
+	return state
 }
 
 // useAdapters tells the plan which adapters are in use.
@@ -144,18 +162,28 @@
 	c.plan.SetUnreachable(down)
 }
 
-// sumPeers hands the load of all peers to dispatch.
+// sumPeers sums what all instances have in flight, and hands the part of the
+// others to dispatch. It runs at each tick, not for each peer, so that its cost
+// does not grow with the square of the number of instances.
 func (c *core) sumPeers(now time.Time) {
-	sum := make(map[string]dispatch.Load)
+	if len(c.peers) == 0 {
+		return
+	}
+	others := newFleetSum()
 	for name, p := range c.peers {
 		if now.Sub(p.at) > peerLifetime {
 			c.log.Info("peer lost", "peer", name, "last_seen", now.Sub(p.at))
 			delete(c.peers, name)
 			continue
 		}
-		addLoads(sum, p.loads)
+		others.add(p.loads, p.crashes)
+	}
+	if now.Sub(c.holderSeen) > holderSilence { // no other holder tells more
+		c.setPeerLoads(now, others.loads)
+		c.dispatch.SetPeerCrashes(maps.Clone(others.crashes))
 	}
-	c.setPeerLoads(now, sum)
+	others.add(c.dispatch.OwnLoad(), c.dispatch.OwnCrashes(now))
+	c.fleet = others
 }
 
 func (c *core) setPeerLoads(now time.Time, sum map[string]dispatch.Load) {
@@ -164,50 +192,58 @@
 	}
 }
 
-// othersLoad returns the load of all instances but one.
-func (c *core) othersLoad(now time.Time, except string) map[string]dispatch.Load {
-	sum := c.dispatch.OwnLoad()
-	for name, p := range c.peers {
-		if name != except && now.Sub(p.at) <= peerLifetime {
-			addLoads(sum, p.loads)
-		}
-	}
-	return sum
+// fleetSum is what instances have in flight, and broken runs by content.
+type fleetSum struct {
+	loads   map[string]dispatch.Load
+	crashes map[uint64]int
 }
 
-// othersCrashes returns the broken runs at all instances but one.
-func (c *core) othersCrashes(now time.Time, except string) map[uint64]int {
-	sum := make(map[uint64]int)
-	if except != c.node.ID {
-		sum = c.dispatch.OwnCrashes(now)
+func newFleetSum() fleetSum {
+	return fleetSum{loads: make(map[string]dispatch.Load), crashes: make(map[uint64]int)}
+}
+
+func (f fleetSum) add(loads map[string]dispatch.Load, crashes map[uint64]int) {
+	for id, l := range loads {
+		f.loads[id] = f.loads[id].Plus(l)
 	}
-	for name, p := range c.peers {
-		if name == except || now.Sub(p.at) > peerLifetime {
-			continue
-		}
-		for content, n := range p.crashes {
-			sum[content] += n
+	for content, n := range crashes {
+		f.crashes[content] += n
+	}
+}
+
+// loadsWithout returns the sum without one instance's part, which may have
+// changed since the sum was made.
+func (f fleetSum) loadsWithout(own map[string]dispatch.Load) map[string]dispatch.Load {
+	out := make(map[string]dispatch.Load, len(f.loads))
+	for id, l := range f.loads {
+		if l = l.Minus(own[id]); l.Requests > 0 {
+			out[id] = l
 		}
 	}
-	return sum
+	return out
 }
 
-func addLoads(sum, loads map[string]dispatch.Load) {
-	for id, l := range loads {
-		s := sum[id]
-		s.Requests += l.Requests
-		for level, work := range l.Unread {
-			s.Unread[level] += work
+func (f fleetSum) crashesWithout(own map[uint64]int) map[uint64]int {
+	out := make(map[uint64]int, len(f.crashes))
+	for content, n := range f.crashes {
+		if n -= own[content]; n > 0 {
+			out[content] = n
 		}
-		sum[id] = s
 	}
+	return out
 }
 
 // FleetSeen is the holder's answer to this instance's state.
 type FleetSeen struct{ State FleetState }
 
 func (e FleetSeen) apply(c *core, now time.Time) {
-	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch)
+	c.leader.Contact(bootclock.Now(), e.State.Holder, e.State.Epoch, e.State.LeaseVersion)
+	if e.State.Released != "" {
+		c.leader.HolderStops(bootclock.Now(), e.State.Released, e.State.Epoch)
+	}
+	if e.State.Holder != "" {
+		c.holderSeen, c.holderOrders = now, now.Add(e.State.OrdersIn)
+	}
 	c.takeList(now, e.State)
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
--- /dev/null
+++ b/controlplane/peers_test.go
@@ -0,0 +1,78 @@
+package controlplane
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newTestCore(t *testing.T) *core {
+	t.Helper()
+	k, err := kernel.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := nodeconfig.Node{ID: "self", DataCentre: "z", PeerHost: "127.0.0.1", FirstPeerPort: 7380, Bounds: nodeconfig.Bounds{RetryWindow: 10 * time.Second}}
+	return newCore(node, log.New(io.Discard), metrics.New(), k.Bus(), epoch)
+}
+
+func load(requests int) map[string]dispatch.Load {
+	l := dispatch.Load{Requests: requests}
+	l.Unread[1] = float64(100 * requests)
+	return map[string]dispatch.Load{"r": l}
+}
+
+func (c *core) tell(now time.Time, peer string, requests int) FleetState {
+	answer := make(chan FleetState, 1)
+	servePeer{peer: PeerState{Instance: peer, Loads: load(requests)}, answer: answer}.apply(c, now)
+	return <-answer
+}
+
+// Guards against an instance that hears of its own load as that of others, or
+// of load that instances which are gone had in flight.
+func TestPeersHearOfTheOthers(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	now := epoch
+	c.tell(now, "a", 3)
+	c.tell(now, "b", 4)
+	c.sumPeers(now)
+	is.Equal(c.tell(now, "a", 3).Loads["r"].Requests, 4)
+	is.Equal(c.tell(now, "b", 6).Loads["r"].Requests, 1) // its part grew after the sum
+	now = now.Add(peerLifetime / 2)
+	c.tell(now, "b", 4)
+	now = now.Add(peerLifetime/2 + time.Millisecond) // a has been silent for too long
+	c.sumPeers(now)
+	is.Equal(len(c.tell(now, "b", 4).Loads), 0)
+}
+
+// Guards against a list of replicas from the holder that goes back, or that
+// counts as current although the holder has lost the store.
+func TestListFromTheHolder(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	now := epoch.Add(time.Minute)
+	entry := func(version uint64, leaving bool) []catalog.Entry {
+		return []catalog.Entry{{ID: "r", Version: version, Replica: &catalog.Replica{ID: "r", Service: "s", Address: "a:1", Leaving: leaving}}}
+	}
+	ReplicasRead{Table: "replicas", Entries: entry(5, true), Version: 5}.apply(c, now)
+	FleetSeen{State: FleetState{Holder: "other", List: entry(4, false), ListVersion: 4}}.apply(c, now)
+	is.True(c.roster.Replicas()[0].Leaving)
+	is.True(!c.listRelayed)
+	FleetSeen{State: FleetState{Holder: "other", List: entry(6, false), ListVersion: 6}}.apply(c, now)
+	is.True(!c.roster.Replicas()[0].Leaving)
+	is.True(c.listRelayed)
+	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, StoreAge: listLifetime}}.apply(c, now.Add(time.Second))
+	is.True(!c.listRelayed)
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -120,6 +120,8 @@
 			cause = CauseUnloading
 		case r.moving && !r.hasAdapter(req.Model, req.Adapter):
 			cause = CauseNoAdapter
+		case s.noOrders && !r.hasAdapter(req.Model, req.Adapter):
+			cause = CauseNoOrders
 		case r.usable(now):
 			usable = append(usable, r)
 		default:
@@ -149,8 +151,11 @@
 
 func (s *State) refuse(cause Cause) Decision {
 	d := Decision{Verdict: Refuse, Cause: cause, RetryAfter: refusedRetryAfter}
-	if cause == CauseNotLoaded {
+	switch cause {
+	case CauseNotLoaded:
 		d.RetryAfter = loadingRetryAfter
+	case CauseNoOrders:
+		d.RetryAfter = max(refusedRetryAfter, s.ordersIn)
 	}
 	return d
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -55,6 +55,7 @@
 	CauseNoReplica Cause = "no-replica"      // none is known, or all are leaving
 	CauseNotLoaded Cause = "model-loading"   // no replica holds the model
 	CauseNoAdapter Cause = "adapter-waits"   // replicas with the model can't take an adapter now
+	CauseNoOrders  Cause = "no-orders"       // no instance can order an adapter now
 	CauseUnloading Cause = "model-unloading" // replicas that hold the model unload it
 	CauseAllTried  Cause = "all-tried"       // no replica is left that was not tried
 	CauseAside     Cause = "replicas-aside"  // all replicas failed recently
@@ -131,7 +132,11 @@
 	// peerCrashes are the counts of the other instances.
 	peerCrashes map[uint64]int
 	paces       paces
-	random      *rand.Rand
+	// noOrders says that no instance can order adapters now; ordersIn is the time
+	// until one probably can.
+	noOrders bool
+	ordersIn time.Duration
+	random   *rand.Rand
 }
 
 // service is what is known of all replicas of one service.
@@ -232,6 +237,10 @@
 	}
 }
 
+// SetOrders records whether adapters can be ordered now, and if not, after what
+// time they probably can.
+func (s *State) SetOrders(can bool, in time.Duration) { s.noOrders, s.ordersIn = !can, in }
+
 // OwnLoad returns what this instance has in flight on each replica, for the
 // other instances. Idle replicas that can be reached are left out.
 func (s *State) OwnLoad() map[string]Load {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -208,3 +208,25 @@
 	s.Finished(epoch, req, d, Canceled, reading)
 	is.Equal(len(s.OwnLoad()), 0)
 }
+
+// Guards against requests that wait for an adapter which no instance can order,
+// and against callers that come back before one can (inc-6c65).
+func TestNoOrdersForAdapters(t *testing.T) {
+	is := is.New(t)
+	s := newState(engine("a", "m"), engine("b", "m"))
+	s.SetAdapter("b", "m", "present", true)
+	s.SetOrders(false, 3*time.Second)
+	req := stream("r", 0)
+	req.Adapter = "absent"
+	d := s.Choose(epoch, req, History{})
+	is.Equal(d.Verdict, Refuse)
+	is.Equal(d.Cause, CauseNoOrders)
+	is.Equal(d.RetryAfter, 3*time.Second)
+	req.Adapter = "present"
+	d = s.Choose(epoch, req, History{})
+	is.Equal(d.Verdict, Send)
+	is.Equal(d.Replica.ID, "b")
+	s.SetOrders(true, 0)
+	req.Adapter = "absent"
+	is.Equal(s.Choose(epoch, req, History{}).Verdict, Send)
+}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -21,6 +21,24 @@
 	Unreachable bool `json:",omitempty"`
 }
 
+// Plus returns the work of both. Names of adapters are left out.
+func (l Load) Plus(other Load) Load {
+	sum := Load{Requests: l.Requests + other.Requests}
+	for level := range sum.Unread {
+		sum.Unread[level] = l.Unread[level] + other.Unread[level]
+	}
+	return sum
+}
+
+// Minus returns the work without a part of it, at least none.
+func (l Load) Minus(part Load) Load {
+	rest := Load{Requests: max(0, l.Requests-part.Requests)}
+	for level := range rest.Unread {
+		rest.Unread[level] = max(0, l.Unread[level]-part.Unread[level])
+	}
+	return rest
+}
+
 // Report is a load report of a replica.
 type Report struct {
 	Running, Waiting, Slots int
--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -347,7 +347,8 @@
 }
 
 // Guards against requests that a killed instance leaves without a trace at the
-// others: these go on, and a new process of the instance serves again.
+// others: these go on, and a new process of the instance serves again. It must
+// not take itself for the holder that it was (inc-eba7).
 func TestEdgeKilledInstance(t *testing.T) {
 	t.Parallel()
 	f := startEdgeFleet(t, 3)
@@ -358,6 +359,17 @@
 		f.startInstance(holder)
 	})
 	f.during(801, calmShare, plainRoutes, func() { time.Sleep(time.Second) })
+	holder = f.holder(nil)
+	holder.kill()
+	f.startInstance(holder) // the row of the lease still names it
+	f.holder(nil)
+	output, err := os.ReadFile(holder.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(output), `msg="peer seen" peer=`+holder.name) {
+		t.Errorf("%s took itself for a peer", holder.name)
+	}
 }
 
 // Guards against failed requests that can't be traced by their id in the output
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -110,11 +110,41 @@
 	return s.heldUntil, true
 }
 
-// Contact records a sign of life of the holder.
-func (s *State) Contact(now bootclock.Time, holder string, epoch uint64) {
-	if s.known && s.row.Holder == holder && s.row.Epoch == epoch {
-		s.contact = now
+// Contact records a sign of life of the holder, which names the version of the
+// row that it wrote last. A successor counts the term from when it heard of that
+// version.
+func (s *State) Contact(now bootclock.Time, holder string, epoch, version uint64) {
+	if !s.known || s.row.Holder != holder || s.row.Epoch != epoch {
+		return
+	}
+	s.contact = now
+	if version > s.row.Version {
+		s.row.Version, s.rowAt = version, now
+	}
+}
+
+// HolderStops records that the holder said that it has released the lease. The
+// row is read at once.
+func (s *State) HolderStops(now bootclock.Time, holder string, epoch uint64) {
+	if s.known && !s.row.Released && s.row.Holder == holder && s.row.Epoch == epoch {
+		s.contact, s.nextRead = 0, now
+	}
+}
+
+// OrdersIn returns the time until some instance may order again, as far as this
+// one knows; 0 if one may order now or nothing is known.
+func (s *State) OrdersIn(now bootclock.Time) time.Duration {
+	switch {
+	case s.held && now >= s.heldUntil:
+		return renewEvery // the store has not confirmed a renewal for a term
+	case s.held:
+		return max(0, s.orderFrom.Sub(now))
+	case !s.known || s.row.Version == 0 || now.Sub(s.contact) < contactTimeout:
+		return 0
+	case s.row.Released:
+		return max(0, s.rowAt.Add(s.turn+turnMargin).Sub(now))
 	}
+	return max(0, s.rowAt.Add(Term+s.turn+turnMargin).Sub(now))
 }
 
 // Stop ends this instance's term. The next Tick releases a held lease.
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -109,7 +109,7 @@
 		}
 		for o, other := range w.instances {
 			if o != k && !other.cut {
-				other.state.Contact(other.now(t), holder.state.Row().Holder, holder.state.Epoch())
+				other.state.Contact(other.now(t), holder.state.Row().Holder, holder.state.Epoch(), holder.state.Row().Version)
 			}
 		}
 	}
@@ -210,3 +210,46 @@
 	}
 	is.Equal(w.store.row.Holder, "b")
 }
+
+// Guards against a successor that waits out a term from its own read although
+// the holder's last renewal was long before (inc-eba7).
+func TestTermCountsFromTheLastRenewal(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	now := time.Duration(0)
+	for ; now < 5*time.Second; now += 50 * time.Millisecond {
+		w.step(now, 0, "")
+		w.step(now, 1, "")
+		w.contact(now)
+	}
+	last := now
+	w.instances[0].frozen = time.Hour
+	for ; len(w.orders) == 0 || w.orders[len(w.orders)-1].by == 0; now += 50 * time.Millisecond {
+		w.step(now, 1, "")
+		is.True(now < time.Minute)
+		is.True(w.instances[1].state.OrdersIn(w.instances[1].now(now)) <= last+Term+turn+turnMargin+100*time.Millisecond-now)
+	}
+	is.True(now-last <= Term+turn+turnMargin+100*time.Millisecond)
+}
+
+// Guards against a released lease that the others notice only when they miss
+// the holder (inc-01cc).
+func TestReleaseIsHeardOf(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	now := time.Duration(0)
+	for ; now < 5*time.Second; now += 50 * time.Millisecond {
+		w.step(now, 0, "")
+		w.step(now, 1, "")
+		w.contact(now)
+	}
+	w.instances[0].state.Stop()
+	w.step(now, 0, "")
+	is.True(w.store.row.Released)
+	other := w.instances[1]
+	other.state.HolderStops(other.now(now), "a", w.store.row.Epoch)
+	w.step(now, 1, "") // reads
+	w.step(now, 1, "") // takes
+	is.Equal(w.store.row.Holder, "b")
+	is.True(other.state.OrdersIn(other.now(now)) <= turn+turnMargin)
+}
--- a/residency/census.go
+++ b/residency/census.go
@@ -8,6 +8,9 @@
 	// held and coming count the replicas that hold or load a model.
 	held, coming map[string]int
 	places       map[place]bool
+	// adapters are those that some replica holds or is about to load, as
+	// MODEL/ADAPTER.
+	adapters map[string]bool
 }
 
 // place is a model in a data centre.
@@ -15,7 +18,7 @@
 
 // count returns the census of a service.
 func (s *State) count(now time.Time, service string) *census {
-	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool)}
+	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool), adapters: make(map[string]bool)}
 	for id, r := range s.replicas {
 		if r.info.Service != service || r.info.Leaving || r.down {
 			continue
@@ -29,6 +32,12 @@
 				c.add(r, m.Name)
 			}
 		}
+		for key := range r.adapters {
+			c.adapters[key] = true
+		}
+		for _, w := range r.wishes {
+			c.adapters[w.model+"/"+w.adapter] = true
+		}
 		if r.loading != "" {
 			c.loads(r, r.loading)
 		}
--- a/residency/place.go
+++ b/residency/place.go
@@ -19,7 +19,14 @@
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) || r.reservedNow(now) {
 			continue
 		}
+		owed := len(s.owedAdapters(e, c, r)) > 0
+		if owed && !n.urgent {
+			continue
+		}
 		order, score := s.candidate(now, e, c, id, r, n)
+		if owed {
+			score -= owedLoss
+		}
 		if order != nil && (best == nil || score > bestScore) {
 			best, bestReplica, bestScore = order, r, score
 		}
@@ -96,7 +103,7 @@
 	}
 	atHand := slices.Contains(r.info.InMemory, n.model.Name) || slices.Contains(r.info.OnDisk, n.model.Name)
 	order.FromStore = !atHand
-	score := -min(maxBusyness, s.busyness(r, c))
+	score := -s.busyness(r, c)
 	if n.copies > 0 && !c.places[place{r.info.DataCentre, n.model.Name}] {
 		score += dataCentreBonus
 	}
@@ -119,9 +126,8 @@
 	// atHandBonus is what a load without the weight store, which is several times
 	// as fast, is worth against the utilization of a replica.
 	atHandBonus = 0.4
-	// maxBusyness bounds what the use of a replica counts against it: all are busy
-	// when models are missing most.
-	maxBusyness = 0.5
+	// owedLoss is what a load costs on a replica that should bring adapters first.
+	owedLoss = 1.0
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
 	// dataCentreBonus is what the first copy in a data centre is worth.
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -107,3 +107,25 @@
 	is.Equal(loads["m3"], 0)
 	is.Equal(len(dropping), 0)
 }
+
+// Guards against adapters that are asked for and never served, because the only
+// replica with their model goes from one load of a model to the next (trouble-1
+// of petik-booking: 5 of 35 never served).
+func TestAskedAdapterComesBeforeModels(t *testing.T) {
+	is := is.New(t)
+	p := newPool(3, []string{"m0"}, nil)
+	m := p.state.config.Services[service].Engine.Model("m0")
+	m.Adapters, m.AdapterMB = []string{"a1", "a2"}, 1
+	r := p.state.replicas["r0"]
+	r.info.OnDisk, p.state.replicas["r1"].info.OnDisk = nil, nil
+	p.demand("m1", 5)
+	p.state.AddAdapterDemand("m0", "a2", 4)
+	orders := make(map[string]string)
+	for _, a := range p.state.Plan(p.now) {
+		if a.Order != nil {
+			orders[a.Order.Replica] = a.Order.Model + "/" + a.Order.Adapter
+		}
+	}
+	is.Equal(orders["r0"], "m0/a2")
+	is.Equal(orders["r1"], "m1/")
+}
--- a/residency/prefetch.go
+++ b/residency/prefetch.go
@@ -15,6 +15,10 @@
 	// prefetchAtOnce bounds the adapters that are loaded ahead of use on a
 	// replica between two plans.
 	prefetchAtOnce = 2
+	// owedDemand is the fading count of requests from which on an adapter that no
+	// replica holds is loaded ahead of the next request: one request within ten
+	// seconds.
+	owedDemand = 0.5
 	// prefetchUse is the utilization of a model's copies from which on its
 	// adapters are loaded ahead of use.
 	prefetchUse = 0.02
@@ -34,18 +38,43 @@
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
 			continue
 		}
-		room := min(prefetchAtOnce, e.AdapterSlots-spareSlots-len(r.adapters))
-		if room <= 0 {
-			continue
+		next := s.owedAdapters(e, c, r)
+		if len(next) > prefetchAtOnce {
+			next = next[:prefetchAtOnce]
+		}
+		if room := min(prefetchAtOnce, e.AdapterSlots-spareSlots-len(r.adapters)); len(next) == 0 && room > 0 {
+			next = s.missingAdapters(e, c, id, r, room)
 		}
-		for _, key := range s.missingAdapters(e, c, id, r, room) {
-			r.wishes = append(r.wishes, wish{model: key.model, adapter: key.name, until: now.Add(adapterGiveUp)})
+		for _, a := range next {
+			r.wishes = append(r.wishes, wish{model: a.model, adapter: a.name, until: now.Add(adapterGiveUp)})
+			c.adapters[a.model+"/"+a.name] = true
 		}
 		actions = append(actions, s.advance(now, id, r)...)
 	}
 	return actions
 }
 
+// owedAdapters returns the adapters of a replica's models that were asked for of
+// late and are on no replica. They come before loads of models, during which the
+// replica takes no adapter, and one that is not in use gives way to them.
+func (s *State) owedAdapters(e *catalog.Engine, c *census, r *replica) []adapterChoice {
+	var out []adapterChoice
+	for _, m := range r.info.Models {
+		declared := e.Model(m.Name)
+		if declared == nil || r.dropping == m.Name {
+			continue
+		}
+		for _, name := range declared.Adapters {
+			key := m.Name + "/" + name
+			if demand := s.adapterDemand[key]; demand >= owedDemand && !c.adapters[key] {
+				out = append(out, adapterChoice{model: m.Name, name: name, demand: demand})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b adapterChoice) int { return cmp.Compare(b.demand, a.demand) })
+	return out
+}
+
 type adapterChoice struct {
 	model, name string
 	demand      float64
