--- a/residency/place.go
+++ b/residency/place.go
@@ -127,7 +127,7 @@
 	// as fast, is worth against the utilization of a replica.
 	atHandBonus = 0.4
 	// owedLoss is what a load costs on a replica that should bring adapters first.
-	owedLoss = 1.0
+	owedLoss = 0.1
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
 	// dataCentreBonus is what the first copy in a data centre is worth.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -24,7 +24,7 @@
 const (
 	// feedWait is how long one call of a feed waits: calls are priced, and
 	// connections that went silent are found by probes.
-	feedWait = 8 * time.Second
+	feedWait = 12 * time.Second
 	// hurryTimeout bounds the call that follows a doubt: the store answers it at once.
 	hurryTimeout = 800 * time.Millisecond
 	// batchPause gathers changes of the list of replicas, which come several
@@ -33,11 +33,11 @@
 	batchPause = 200 * time.Millisecond
 	// relayedPause replaces batchPause while the holder of the order lease hands
 	// on the changes. The calls that remain show a holder whose own feed is lost.
-	relayedPause = 4 * time.Second
+	relayedPause = 6 * time.Second
 	// retryFirst and retryMax bound the pause after a failed call. Changes have
 	// to be in force within 2 s, and a store that is down is not to be flooded.
 	retryFirst = 100 * time.Millisecond
-	retryMax   = 400 * time.Millisecond
+	retryMax   = 800 * time.Millisecond
 )
 
 // Source says which tables are followed and how their rows are read.
