--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -222,6 +222,9 @@
 	d := start(t, 1)
 	is.Equal(d.do(0, request{method: "GET", path: "/nowhere/x"}).status, http.StatusNotFound)
 	is.Equal(d.do(0, request{method: "POST", path: "/book/x", body: strings.Repeat("x", 200_000)}).status, http.StatusRequestEntityTooLarge)
+	long := http.Header{"X-Long": {strings.Repeat("x", 20_000)}} // the config allows heads of 16 KB
+	is.Equal(d.do(0, request{method: "GET", path: "/look/x", header: long}).status, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(d.do(0, request{method: "GET", path: "/look/x", header: http.Header{"X-Long": {strings.Repeat("x", 12_000)}}}).status, http.StatusOK)
 	req, err := http.NewRequest("GET", "http://"+d.nodes[0].Callers+"/look/x", nil)
 	is.NoErr(err)
 	req.Host = "h.example"
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -29,9 +29,11 @@
 	// idleTimeout keeps connections longer than any declared limit that callers
 	// use up to four fifths of.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds heads until the config states a limit; the limit of
-	// the config is checked for each request.
+	// maxHeaderBytes bounds heads; the limit of the config, which is lower, is
+	// checked for each request.
 	maxHeaderBytes = 64 << 10
+	// acceptPause is the pause after a failed accept: descriptors are short.
+	acceptPause = 20 * time.Millisecond
 	// balancerWait is how long a stopping instance accepts connections: the
 	// balancer asks once a second and takes it out after two failures.
 	balancerWait = 2500 * time.Millisecond
@@ -49,7 +51,8 @@
 	log           *log.Logger
 	metrics       *metrics.Registry
 	control       *controlplane.Service
-	callers       *http.Server
+	listener      net.Listener // of callers
+	callers       *servers
 	readiness     *http.Server
 	stopping      atomic.Bool
 	recorder      recorder
@@ -95,12 +98,10 @@
 	}
 	router := chi.NewRouter()
 	router.Get(g.readinessPath, g.serveReadiness)
-	g.callers = &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: g.log.StandardLog(),
-	}
+	g.listener = callers
+	g.callers = &servers{handler: http.HandlerFunc(g.serve), log: g.log, limits: func() limits { return limitsOf(g.control.Snapshot().Config) }}
 	g.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: g.log.StandardLog()}
-	g.run(g.callers, callers)
+	go g.callers.run(callers)
 	g.run(g.readiness, ready)
 	return nil
 }
@@ -133,7 +134,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
 	defer cancel()
-	if err := g.callers.Shutdown(ctx); err != nil {
+	if err := errors.Join(g.listener.Close(), g.callers.shutdown(ctx)); err != nil {
 		g.log.Warn("requests in flight are cut off", "error", err)
 	}
 }
@@ -142,5 +143,8 @@
 func (g *Gateway) Stop(context.Context) error {
 	g.stopping.Store(true)
 	g.pool.Close()
-	return errors.Join(g.callers.Close(), g.readiness.Close())
+	if err := g.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		g.log.Warn("close the callers' listener", "error", err)
+	}
+	return errors.Join(g.callers.close(), g.readiness.Close())
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -48,6 +48,11 @@
 		x.refuse(http.StatusBadRequest, "malformed-head", 0)
 		return
 	}
+	if limit := config.Limits.MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
+		w.Header().Set("Connection", "close")
+		x.refuse(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", 0)
+		return
+	}
 	target, _, _ := strings.Cut(r.RequestURI, "?")
 	x.route = config.Find(r.Host, target)
 	if x.route == nil {
@@ -61,6 +66,18 @@
 	x.run()
 }
 
+// headBytes returns the size of a request's head as it was sent, up to spaces.
+func headBytes(r *http.Request) int {
+	const separators = len(": ") + len("\r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
 // readBody reads the whole body. It answers the caller itself if it can't.
 func (x *exchange) readBody(limits catalog.Limits) bool {
 	if limits.MaxBodyBytes > 0 && x.r.ContentLength > limits.MaxBodyBytes {
--- /dev/null
+++ b/ingress/servers_test.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+)
+
+// hangTimeout only stops a test that would wait for ever.
+const hangTimeout = 20 * time.Second
+
+// connection is a caller's connection. get sends a request and returns the
+// status of its answer.
+type connection struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *connection {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(hangTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return &connection{Conn: c, answers: bufio.NewReader(c)}
+}
+
+func (c *connection) get(t *testing.T) int {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// Guards against limits of the config that connections do not have, and against
+// connections that are lost when the limits change.
+func TestLimitsOfTheConfig(t *testing.T) {
+	is := is.New(t)
+	var inForce atomic.Pointer[limits]
+	inForce.Store(&limits{header: hangTimeout, idle: hangTimeout})
+	s := &servers{
+		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		log:     log.New(io.Discard), limits: func() limits { return *inForce.Load() },
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.run(l)
+	address := l.Addr().String()
+
+	long := dial(t, address)
+	is.Equal(long.get(t), http.StatusOK)
+	inForce.Store(&limits{header: 50 * time.Millisecond, idle: 50 * time.Millisecond})
+	short := dial(t, address)
+	is.Equal(short.get(t), http.StatusOK)
+	_, err = short.answers.ReadByte()
+	is.True(errors.Is(err, io.EOF)) // it was idle for too long
+	slow := dial(t, address)
+	_, err = io.WriteString(slow, "GET / HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	_, err = io.ReadAll(slow.answers) // until the server closes
+	is.NoErr(err)
+	is.Equal(long.get(t), http.StatusOK) // it keeps the limits that it began with
+
+	is.NoErr(l.Close())
+	is.NoErr(s.shutdown(t.Context()))
+	_, err = long.answers.ReadByte()
+	is.True(err != nil)
+	is.NoErr(s.close())
+}
