--- a/catalog/config.go
+++ b/catalog/config.go
@@ -173,6 +173,8 @@
 	Name      string
 	WeightsMB float64
 	LoadTime  time.Duration // from the weight store
+	WarmTime  time.Duration // from the replica's memory
+	DiskTime  time.Duration // from the replica's disk
 	Adapters  []string
 	AdapterMB float64
 }
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -63,6 +63,7 @@
 			c.findUnreachable(now)
 			c.act(now, c.plan.Plan(now))
 			c.dispatch.SetMoving(c.plan.Moving(), c.plan.Dropping())
+			c.dispatch.SetComing(now, c.plan.Coming(now))
 			c.logModels(now)
 		}
 	}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -49,6 +49,8 @@
 	Moving []string `json:"moving"`
 	// Dropping are the models that are being unloaded or will be, by replica.
 	Dropping map[string]string `json:"dropping"`
+	// Coming is the time until the first copy of a model arrives that is loaded.
+	Coming map[string]time.Duration `json:"coming"`
 	// List is what changed in the list of replicas after the peer's version.
 	List []catalog.Entry `json:"list,omitempty"`
 	// ListVersion is the version of the holder's list, and StoreAge the time since
@@ -111,7 +113,7 @@
 	if c.leader.Held() {
 		state.Holder, state.Epoch, state.LeaseVersion = c.node.ID, c.leader.Epoch(), row.Version
 		state.OrdersIn = c.leader.OrdersIn(bootclock.Now())
-		state.Moving, state.Dropping = c.plan.Moving(), c.plan.Dropping()
+		state.Moving, state.Dropping, state.Coming = c.plan.Moving(), c.plan.Dropping(), c.plan.Coming(now)
 		state.List, state.ListVersion = c.roster.Since(peer.ListVersion), c.roster.Version()
 		state.StoreAge = now.Sub(c.storeSeen)
 	}
@@ -248,6 +250,7 @@
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetMoving(e.State.Moving, e.State.Dropping)
+	c.dispatch.SetComing(now, e.State.Coming)
 	c.dispatch.AdoptPaces(e.State.Paces)
 	c.dispatch.SetPeerCrashes(e.State.Crashes)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -38,9 +38,12 @@
 	minPatience   = 1900 * time.Millisecond
 	patienceGoals = 4
 	patienceGaps  = 8
-	// loadingRetryAfter is when a caller should come back for a model that is
-	// being loaded: about the time of a load from a replica's disk.
+	// loadingRetryAfter is when a caller should come back for a model of which no
+	// load has begun: about the time of a load from a replica's disk.
 	loadingRetryAfter = 1500 * time.Millisecond
+	// arrivalMargin is added to the time until a model arrives: instances hear of
+	// it from the list, which is some hundred milliseconds late.
+	arrivalMargin = 500 * time.Millisecond
 )
 
 // History is what was done for a request before.
@@ -76,7 +79,7 @@
 func (s *State) best(now time.Time, svc *service, req *Request, tried []string) Decision {
 	usable, cause := s.candidates(now, svc, req, tried)
 	if len(usable) == 0 {
-		return s.refuse(cause)
+		return s.refuse(now, req, cause)
 	}
 	at := level(req, false)
 	chosen := s.lowest(now, svc, usable, req, at)
@@ -149,11 +152,15 @@
 	return best
 }
 
-func (s *State) refuse(cause Cause) Decision {
+// refuse says when the caller should come back.
+func (s *State) refuse(now time.Time, req *Request, cause Cause) Decision {
 	d := Decision{Verdict: Refuse, Cause: cause, RetryAfter: refusedRetryAfter}
 	switch cause {
-	case CauseNotLoaded:
+	case CauseNotLoaded, CauseUnloading:
 		d.RetryAfter = loadingRetryAfter
+		if at, ok := s.coming[req.Model]; ok {
+			d.RetryAfter = max(refusedRetryAfter, at.Sub(now)+arrivalMargin)
+		}
 	case CauseNoOrders:
 		d.RetryAfter = max(refusedRetryAfter, s.ordersIn)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -136,7 +136,9 @@
 	// until one probably can.
 	noOrders bool
 	ordersIn time.Duration
-	random   *rand.Rand
+	// coming is when the first copy of a model probably arrives.
+	coming map[string]time.Time
+	random *rand.Rand
 }
 
 // service is what is known of all replicas of one service.
@@ -241,6 +243,15 @@
 // time they probably can.
 func (s *State) SetOrders(can bool, in time.Duration) { s.noOrders, s.ordersIn = !can, in }
 
+// SetComing records the time until the first copy of each model that is being
+// loaded arrives.
+func (s *State) SetComing(now time.Time, in map[string]time.Duration) {
+	s.coming = make(map[string]time.Time, len(in))
+	for model, d := range in {
+		s.coming[model] = now.Add(d)
+	}
+}
+
 // OwnLoad returns what this instance has in flight on each replica, for the
 // other instances. Idle replicas that can be reached are left out.
 func (s *State) OwnLoad() map[string]Load {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -230,3 +230,19 @@
 	req.Adapter = "absent"
 	is.Equal(s.Choose(epoch, req, History{}).Verdict, Send)
 }
+
+// Guards against callers that come back for a model before it has arrived and
+// are refused again, although they have the time to wait for it.
+func TestRefusedCallerComesBackWhenTheModelArrives(t *testing.T) {
+	is := is.New(t)
+	s := newState(engine("a", "other"))
+	req := stream("r", 0)
+	d := s.Choose(epoch, req, History{})
+	is.Equal(d.Cause, CauseNotLoaded)
+	is.Equal(d.RetryAfter, loadingRetryAfter)
+	s.SetComing(epoch, map[string]time.Duration{"m": 4 * time.Second})
+	d = s.Choose(epoch.Add(time.Second), req, History{})
+	is.Equal(d.RetryAfter, 3*time.Second+arrivalMargin)
+	d = s.Choose(epoch.Add(4900*time.Millisecond), req, History{})
+	is.Equal(d.RetryAfter, refusedRetryAfter)
+}
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -226,17 +226,49 @@
 	case order.Adapter != "":
 		delete(r.adapters, key)
 	case order.Operation == Load:
-		r.loading, r.readyAt = order.Model, now.Add(s.loadTime(r, order.Model)+loadMargin)
+		takes := s.loadTime(r, order.Model)
+		r.loading, r.due, r.readyAt = order.Model, now.Add(takes), now.Add(takes+loadMargin)
 	default:
 		r.dropping, r.dropBy = order.Model, now.Add(unloadPatience)
 		r.reported = slices.DeleteFunc(r.reported, func(m catalog.Resident) bool { return m.Name == order.Model })
 	}
 }
 
+// loadTime returns the declared time of a load, by where the replica has the
+// weights.
 func (s *State) loadTime(r *replica, model string) time.Duration {
 	e := s.engine(r.info.Service)
 	if e == nil || e.Model(model) == nil {
 		return 0
 	}
-	return e.Model(model).LoadTime
+	m := e.Model(model)
+	switch {
+	case slices.Contains(r.info.InMemory, model) && m.WarmTime > 0:
+		return m.WarmTime
+	case slices.Contains(r.info.OnDisk, model) && m.DiskTime > 0:
+		return m.DiskTime
+	}
+	return m.LoadTime
+}
+
+// Coming returns the time until the first copy of a model arrives, for the
+// models that are being loaded or for which room is made.
+func (s *State) Coming(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, r := range s.replicas {
+		model, in := "", time.Duration(0)
+		switch {
+		case r.loading != "" && r.loading != unknownModel:
+			model, in = r.loading, max(0, r.due.Sub(now))
+		case r.reservedNow(now):
+			model = r.reserved.model.Name
+			in = announceTime + s.loadTime(r, model)
+		default:
+			continue
+		}
+		if other, ok := out[model]; !ok || in < other {
+			out[model] = in
+		}
+	}
+	return out
 }
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -129,3 +129,21 @@
 	is.Equal(orders["r0"], "m0/a2")
 	is.Equal(orders["r1"], "m1/")
 }
+
+// Guards against a time of arrival that ignores where the weights are, or the
+// unload that has to come first.
+func TestComingModels(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4, nil, []string{"m1", "m2", "m0"})
+	e := p.state.config.Services[service].Engine
+	for i := range e.Models {
+		e.Models[i].LoadTime, e.Models[i].DiskTime = 8*time.Second, 2*time.Second
+	}
+	r := p.state.replicas["r0"]
+	r.info.OnDisk = []string{"m0"}
+	p.state.carriedOut(p.now, r, &Order{Operation: Load, Model: "m0"}, Accepted)
+	other := p.state.replicas["r1"]
+	other.reserved, other.reservedBy = &need{model: e.Model("m3")}, p.now.Add(reserveTime)
+	coming := p.state.Coming(p.now.Add(500 * time.Millisecond))
+	is.Equal(coming, map[string]time.Duration{"m0": 1500 * time.Millisecond, "m3": announceTime + 8*time.Second})
+}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -129,9 +129,10 @@
 	asked    bool               // a report is on its way
 	sent     *Order
 	retryAt  time.Time
-	loading  string // model that is being loaded
-	readyAt  time.Time
-	dropping string // model that is being unloaded, or will be
+	loading  string    // model that is being loaded
+	due      time.Time // when the load probably ends
+	readyAt  time.Time // when it is overdue
+	dropping string    // model that is being unloaded, or will be
 	dropBy   time.Time
 	// unload is an order that waits until unloadAt, so that instances stop
 	// sending requests for the model first.
