metrics: control's queue and delay, age of the list, lease calls, retries

On-call engineers had no figure for the control goroutine, for what an instance believes, or for the retry budget.

--- a/controlplane/controlplane.go
+++ b/controlplane/controlplane.go
@@ -61,6 +61,7 @@
 		stop: make(chan struct{}), ended: make(chan struct{}),
 	}
 	s.snapshot.Store(&Snapshot{})
+	registry.Function("control_queue", func() int64 { return int64(len(s.events)) })
 	return s
 }
 
@@ -98,8 +99,10 @@
 		select {
 		case ev := <-s.events:
 			ev.apply(c, time.Now())
-		case <-ticker.C:
-			c.tick(time.Now(), bootclock.Now())
+		case due := <-ticker.C:
+			now := time.Now()
+			s.metrics.Histogram("control_delay").Observe(now.Sub(due))
+			c.tick(now, bootclock.Now())
 		case <-s.stop:
 			return
 		}
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -60,6 +60,7 @@
 	storeSeen time.Time            // last answer of the store
 
 	listTable   string    // table of the list of replicas
+	listRead    time.Time // last answer of its feed
 	listAt      time.Time // when the holder's list was current
 	listRelayed bool      // the holder keeps the list current
 
@@ -99,6 +100,32 @@
 	c.checkOrders(now, boot)
 	c.checkList(now)
 	c.expireAdapters(now)
+	c.exportState(now)
+}
+
+// exportState sets the gauges of what this instance believes.
+func (c *core) exportState(now time.Time) {
+	current := c.listAt // by the holder
+	if c.listRead.After(current) {
+		current = c.listRead
+	}
+	age := int64(-1)
+	if !current.IsZero() {
+		age = now.Sub(current).Milliseconds()
+	}
+	ordering := int64(0)
+	if c.ordering {
+		ordering = 1
+	}
+	version := int64(0)
+	if c.config != nil {
+		version = c.config.Version
+	}
+	c.metrics.Gauge("list_age").Set(age)
+	c.metrics.Gauge("config_version").Set(version)
+	c.metrics.Gauge("ordering").Set(ordering)
+	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
+	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.Moving())))
 }
 
 // snapshotChanged publishes what traffic sees.
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -19,6 +19,9 @@
 
 func (e RowsSeen) apply(c *core, now time.Time) {
 	c.storeSeen = now
+	if e.Table == c.listTable {
+		c.listRead = now
+	}
 	c.versions[e.Table] = max(c.versions[e.Table], e.Version)
 	delete(c.behind, e.Table)
 }
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -153,6 +153,7 @@
 func (e OrderAnswered) apply(c *core, now time.Time) {
 	o := e.Order
 	c.metrics.Counter("orders", "operation", operationName(o), "outcome", e.Outcome.String()).Add(1)
+	c.metrics.Histogram("order_time", "operation", operationName(o)).Observe(e.Took)
 	c.log.Info("order answered", "replica", o.Replica, "operation", operationName(o), "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "reason", o.Reason, "outcome", e.Outcome.String(), "took", e.Took, "error", e.Err)
 	c.act(now, c.plan.Answered(now, o, e.Outcome))
@@ -179,11 +180,15 @@
 	c.act(now, c.plan.Reported(now, e.Replica, e.Report))
 }
 
+// leaseCalls names the calls for the lease in the metrics of the store's calls.
+const leaseCalls = "lease"
+
 // LeaseSeen is the lease as it was read from the store.
 type LeaseSeen struct{ Row leader.Row }
 
 func (e LeaseSeen) apply(c *core, now time.Time) {
 	before := c.leader.Row()
+	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	c.leader.Seen(bootclock.Now(), e.Row)
 	c.leaseAnswered(now)
 	c.leaseChanged(before)
@@ -194,6 +199,7 @@
 
 func (e LeaseWritten) apply(c *core, now time.Time) {
 	before := c.leader.Row()
+	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	c.leader.Written(bootclock.Now(), e.Version)
 	c.leaseAnswered(now)
 	c.leaseChanged(before)
@@ -206,6 +212,11 @@
 }
 
 func (e LeaseFailed) apply(c *core, _ time.Time) {
+	result := "failed"
+	if e.Conflict {
+		result = "conflict"
+	}
+	c.metrics.Counter("store_calls", "table", leaseCalls, "result", result).Add(1)
 	c.leader.Failed(bootclock.Now(), e.Conflict)
 	c.leaseLost = c.leaseLost || !e.Conflict
 	c.log.Info("lease call failed", "conflict", e.Conflict, "error", e.Err)
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -50,6 +50,9 @@
 	}
 	d := c.dispatch.Choose(now, req, dispatch.History{Tried: e.query.Tried, Arrivals: e.query.Arrivals, Ran: e.query.Ran})
 	c.countDemand(now, req, d)
+	if e.query.Arrivals > 0 {
+		c.countRetry(d)
+	}
 	if d.Verdict == dispatch.Refuse {
 		e.answer <- Admission{Decision: d}
 		return
@@ -61,6 +64,18 @@
 	e.answer <- Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, Reading: reading, SentAt: now}}
 }
 
+// countRetry counts a decision on a request that has reached a replica before.
+func (c *core) countRetry(d dispatch.Decision) {
+	result := "sent"
+	switch {
+	case d.Cause == dispatch.CauseBudget:
+		result = "over-budget"
+	case d.Verdict == dispatch.Refuse:
+		result = "not-possible"
+	}
+	c.metrics.Counter("retries", "result", result).Add(1)
+}
+
 type firstByte struct {
 	flight *Flight
 	took   time.Duration
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -47,6 +47,12 @@
 	return r.int(key(name, labels))
 }
 
+// Gauge returns the variable with a name and labels, which is set to what it is
+// now instead of being counted up.
+func (r *Registry) Gauge(name string, labels ...string) *expvar.Int {
+	return r.int(key(name, labels))
+}
+
 // Function exports what value returns when the variables are read.
 func (r *Registry) Function(name string, value func() int64) {
 	r.mu.Lock()
