--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -66,6 +66,9 @@
 			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
 			return
 		}
+		if len(x.tried) > 0 {
+			x.logRepeat(d)
+		}
 		outcome, done := x.send(ctx, admission.Flight)
 		if done {
 			x.finish(x.status, "")
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -65,6 +65,14 @@
 	x.gateway.metrics.Counter("sends", "kind", x.route.Kind.String(), "outcome", outcome.String()).Add(1)
 }
 
+// logRepeat writes a line on a request that is sent once more. The line on its
+// end repeats this; a process that is killed in between does not write that one.
+func (x *exchange) logRepeat(d dispatch.Decision) {
+	x.gateway.log.Info("request sent again", "request", x.head.ID, "replica", d.Replica.ID, "after", x.last.String(), "sends", len(x.tried),
+		"arrivals", x.arrivals, "ran", x.ran, "last_event", x.lastEvent, "expected", d.Expected.Round(time.Millisecond),
+		"running", d.Running, "load_age", min(d.LoadAge, time.Hour).Round(time.Millisecond), "urgency", d.Urgency, "elapsed", time.Since(x.arrived).Round(time.Millisecond))
+}
+
 // finish records the end of the request. An empty cause means that a replica's
 // answer is passed on whole; status 0 means that the connection is broken off.
 func (x *exchange) finish(status int, cause string) {
--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -386,7 +386,7 @@
 	f.do(f.instances[0], edgeRequest{method: "POST", path: "/once/x", id: "trace-broken", model: "m1"})
 	for id, wants := range map[string][]string{
 		"trace-refused":  {"outcome=not-executed", "status=503"},
-		"trace-repeated": {"outcome=broken", "then replica="},
+		"trace-repeated": {"outcome=broken", "then replica=", `msg="request sent again"`, "after=broken"},
 		"trace-broken":   {"broken-off"},
 	} {
 		waitFor(t, "the story of "+id, func() bool {
