--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -73,6 +73,9 @@
 	return out
 }
 
+// Replica returns a known replica, or nil.
+func (r *Roster) Replica(id string) *Replica { return r.entries[id].Replica }
+
 // Version returns the newest version of the list that was taken over.
 func (r *Roster) Version() uint64 { return r.version }
 
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -113,8 +113,8 @@
 		case a.Order != nil:
 			c.order(now, a.Order)
 		case a.Report != "":
-			if r := c.replicaAddress(a.Report); r != "" {
-				c.send(AskReplica{Replica: a.Report, Address: r, Delay: a.Delay})
+			if r := c.roster.Replica(a.Report); r != nil {
+				c.send(AskReplica{Replica: a.Report, Address: r.Address, Delay: a.Delay})
 			} else {
 				c.act(now, c.plan.Reported(now, a.Report, nil))
 			}
@@ -124,15 +124,6 @@
 	}
 }
 
-func (c *core) replicaAddress(id string) string {
-	for _, r := range c.roster.Replicas() {
-		if r.ID == id {
-			return r.Address
-		}
-	}
-	return ""
-}
-
 func (c *core) order(now time.Time, o *residency.Order) {
 	until, ok := c.leader.OrderUntil(bootclock.Now())
 	if !ok {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -144,8 +144,13 @@
 func (s *State) lowest(now time.Time, svc *service, usable []*replica, req *Request, at int) *replica {
 	var best *replica
 	var lowest time.Duration
+	favourite, bonus := s.favourite(svc, req)
 	for _, r := range usable {
-		if score := s.score(now, svc, r, req, at); best == nil || score < lowest {
+		score := s.score(now, svc, r, req, at)
+		if r.info.ID == favourite {
+			score -= bonus
+		}
+		if best == nil || score < lowest {
 			best, lowest = r, score
 		}
 	}
@@ -173,21 +178,26 @@
 	if r.info.DataCentre != s.options.DataCentre {
 		score += otherDataCentre
 	}
-	if req.Model != "" && len(req.Parts) > 1 {
-		shared := req.Parts[len(req.Parts)-2].Key
-		if r.info.ID == preferred(svc, req.Model, shared) {
-			tokens := 0
-			for _, p := range req.Parts[:len(req.Parts)-1] {
-				tokens += p.Tokens
-			}
-			score -= time.Duration(affinityShare * float64(readingTime(float64(tokens)*s.Pace(req.Model))))
-		}
-	}
 	// Equal replicas are chosen in turn, so that instances do not all choose the
 	// same one.
 	return score + time.Duration(s.random.Int64N(int64(time.Millisecond)))
 }
 
+// favourite returns the replica that all instances prefer for the shared parts
+// of a request's prompt, and by how much; "" if there is none.
+func (s *State) favourite(svc *service, req *Request) (id string, bonus time.Duration) {
+	if req.Model == "" || len(req.Parts) < 2 {
+		return "", 0
+	}
+	shared := req.Parts[:len(req.Parts)-1]
+	tokens := 0
+	for _, p := range shared {
+		tokens += p.Tokens
+	}
+	work := float64(tokens) * s.Pace(req.Model)
+	return preferred(svc, req.Model, shared[len(shared)-1].Key), time.Duration(affinityShare * float64(readingTime(work)))
+}
+
 // preferred returns the id of the replica that every instance prefers for a
 // shared part of a prompt.
 func preferred(svc *service, model string, key uint64) string {
