--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -59,10 +59,10 @@
 	leaseLost bool                 // the last call for the lease had no answer
 	storeSeen time.Time            // last answer of the store
 
-	listTable   string    // table of the list of replicas
-	listRead    time.Time // last answer of its feed
-	listAt      time.Time // when the holder's list was current
-	listRelayed bool      // the holder keeps the list current
+	listTable  string    // table of the list of replicas
+	listRead   time.Time // last answer of its feed
+	listAt     time.Time // when the holder's list was current
+	listSource ListSource
 
 	demand   map[string]*modelDemand
 	peers    map[string]*peerState
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -10,9 +10,27 @@
 // within 2 s, so that time for an own read remains.
 const listLifetime = 1200 * time.Millisecond
 
-// ListRelayed says whether the holder of the order lease keeps this instance's
-// list of replicas current, so that the store need not be asked often.
-type ListRelayed struct{ Relayed bool }
+// ListSource says how this instance learns of changes of the list of replicas.
+type ListSource uint8
+
+// The sources of the list.
+const (
+	// FromStore means that the instance reads the list for itself only.
+	FromStore ListSource = iota
+	// ForOthers means that it reads the list for the others too.
+	ForOthers
+	// FromHolder means that the holder of the order lease keeps its list current,
+	// so that the store need not be asked often.
+	FromHolder
+)
+
+var listSourceNames = [...]string{"store", "store-for-others", "holder"}
+
+// String returns the source's name for logs.
+func (s ListSource) String() string { return listSourceNames[s] }
+
+// ListSourceChanged says that the list comes from another source.
+type ListSourceChanged struct{ Source ListSource }
 
 // takeList takes over the list of replicas from the holder.
 func (c *core) takeList(now time.Time, state FleetState) {
@@ -27,13 +45,19 @@
 	c.checkList(now)
 }
 
-// checkList tells the watch whether the list is relayed.
+// checkList tells the watch where the list comes from.
 func (c *core) checkList(now time.Time) {
-	relayed := now.Sub(c.listAt) < listLifetime && !c.leader.Held()
-	if relayed == c.listRelayed {
+	source := FromStore
+	switch {
+	case c.leader.Held():
+		source = ForOthers
+	case now.Sub(c.listAt) < listLifetime:
+		source = FromHolder
+	}
+	if source == c.listSource {
 		return
 	}
-	c.listRelayed = relayed
-	c.log.Info("list of replicas", "relayed", relayed, "age", now.Sub(c.listAt), "version", c.roster.Version())
-	c.send(ListRelayed{Relayed: relayed})
+	c.listSource = source
+	c.log.Info("list of replicas", "source", source.String(), "age", now.Sub(c.listAt), "version", c.roster.Version())
+	c.send(ListSourceChanged{Source: source})
 }
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -69,10 +69,10 @@
 	ReplicasRead{Table: "replicas", Entries: entry(5, true), Version: 5}.apply(c, now)
 	FleetSeen{State: FleetState{Holder: "other", List: entry(4, false), ListVersion: 4}}.apply(c, now)
 	is.True(c.roster.Replicas()[0].Leaving)
-	is.True(!c.listRelayed)
+	is.Equal(c.listSource, FromStore)
 	FleetSeen{State: FleetState{Holder: "other", List: entry(6, false), ListVersion: 6}}.apply(c, now)
 	is.True(!c.roster.Replicas()[0].Leaving)
-	is.True(c.listRelayed)
+	is.Equal(c.listSource, FromHolder)
 	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, StoreAge: listLifetime}}.apply(c, now.Add(time.Second))
-	is.True(!c.listRelayed)
+	is.Equal(c.listSource, FromStore)
 }
--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -234,7 +234,7 @@
 			others = append(others, i)
 		}
 	}
-	waitFor(t, "the holder to hand on the list", func() bool { return strings.Count(f.logs(), "relayed=true") >= len(others) })
+	waitFor(t, "the holder to hand on the list", func() bool { return strings.Count(f.logs(), "source=holder") >= len(others) })
 	others[0].store.swallow(answers)
 	f.store.Put(platform.ReplicaTable, f.apps[0].ID, f.apps[0].Entry("app", "z1", "draining"))
 	f.leftAlone(f.apps[0], f.instances...)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,9 +30,12 @@
 	// batchPause gathers changes of the list of replicas, which come several
 	// times a second, into one call. It is far below the 2 s within which a
 	// leaving replica must be left alone.
-	batchPause = 200 * time.Millisecond
-	// relayedPause replaces batchPause while the holder of the order lease hands
-	// on the changes. The calls that remain show a holder whose own feed is lost.
+	batchPause = 400 * time.Millisecond
+	// holderPause is that of the holder of the order lease, which hands the list
+	// on: its calls are few among those of all instances.
+	holderPause = 200 * time.Millisecond
+	// relayedPause is that of an instance to which the list is handed on. Its
+	// calls show a holder whose own feed is lost.
 	relayedPause = 6 * time.Second
 	// retryFirst and retryMax bound the pause after a failed call. Changes have
 	// to be in force within 2 s, and a store that is down is not to be flooded.
@@ -59,13 +62,16 @@
 	// doubts cancel the calls that wait, by table. They are set up before the
 	// goroutines start.
 	doubts map[string]chan struct{}
-	// relayed says that the holder of the order lease hands on the list of replicas.
-	relayed atomic.Bool
+	// listPause is the pause, in nanoseconds, between two calls for the list of
+	// replicas.
+	listPause atomic.Int64
 }
 
 // New returns a service that has not been started.
 func New(store rowstore.Store, source Source, logger *log.Logger, registry *metrics.Registry) *Service {
-	return &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup(), doubts: make(map[string]chan struct{})}
+	s := &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup(), doubts: make(map[string]chan struct{})}
+	s.listPause.Store(int64(batchPause))
+	return s
 }
 
 // Name implements kernel.Service.
@@ -85,7 +91,7 @@
 	}
 	if err := errors.Join(
 		kernel.Subscribe(k.Bus(), "watch.behind", s.feedBehind),
-		kernel.Subscribe(k.Bus(), "watch.relayed", s.listRelayed),
+		kernel.Subscribe(k.Bus(), "watch.list", s.listSource),
 	); err != nil {
 		return err
 	}
@@ -107,16 +113,27 @@
 	}
 }
 
-// listRelayed sets the pace of the calls for the list of replicas. A call that
+// listSource sets the pace of the calls for the list of replicas. A call that
 // waits is made again when the holder is lost, because it may have been sent
 // before a trouble that nobody noticed.
-func (s *Service) listRelayed(_ context.Context, e controlplane.ListRelayed) {
-	s.relayed.Store(e.Relayed)
-	if !e.Relayed {
+func (s *Service) listSource(_ context.Context, e controlplane.ListSourceChanged) {
+	s.listPause.Store(int64(pauseOf(e.Source)))
+	if e.Source != controlplane.FromHolder {
 		s.doubt(s.source.ReplicaTable)
 	}
 }
 
+func pauseOf(source controlplane.ListSource) time.Duration {
+	switch source {
+	case controlplane.FromHolder:
+		return relayedPause
+	case controlplane.ForOthers:
+		return holderPause
+	default:
+		return batchPause
+	}
+}
+
 // follow reads a table and then its feed, until ctx ends. full says whether the
 // rows are the whole table.
 func (s *Service) follow(ctx context.Context, table string, take func(page rowstore.Page, full bool)) {
@@ -165,11 +182,7 @@
 // pause lets changes of the list of replicas gather. It returns true if the feed
 // is doubted meanwhile.
 func (s *Service) pause(ctx context.Context, table string) bool {
-	pause := batchPause
-	if s.relayed.Load() {
-		pause = relayedPause
-	}
-	timer := time.NewTimer(pause)
+	timer := time.NewTimer(time.Duration(s.listPause.Load()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
