--- a/residency/place.go
+++ b/residency/place.go
@@ -19,13 +19,13 @@
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) || r.reservedNow(now) {
 			continue
 		}
-		owed := len(s.owedAdapters(e, c, r)) > 0
-		if owed && !n.urgent {
+		requested := len(s.requestedAdapters(e, c, r)) > 0
+		if requested && !n.urgent {
 			continue
 		}
 		order, score := s.candidate(now, e, c, id, r, n)
-		if owed {
-			score -= owedLoss
+		if requested {
+			score -= requestedLoss
 		}
 		if order != nil && (best == nil || score > bestScore) {
 			best, bestReplica, bestScore = order, r, score
@@ -126,8 +126,8 @@
 	// atHandBonus is what a load without the weight store, which is several times
 	// as fast, is worth against the utilization of a replica.
 	atHandBonus = 0.4
-	// owedLoss is what a load costs on a replica that should bring adapters first.
-	owedLoss = 0.1
+	// requestedLoss is what a load costs on a replica that should load requested adapters first.
+	requestedLoss = 0.1
 	// freeBonus is what room without an unload is worth.
 	freeBonus = 0.3
 	// dataCentreBonus is what the first copy in a data centre is worth.
--- a/residency/prefetch.go
+++ b/residency/prefetch.go
@@ -15,10 +15,10 @@
 	// prefetchAtOnce bounds the adapters that are loaded ahead of use on a
 	// replica between two plans.
 	prefetchAtOnce = 2
-	// owedDemand is the fading count of requests from which on an adapter that no
+	// requestedDemand is the fading count of requests from which on an adapter that no
 	// replica holds is loaded ahead of the next request: one request within ten
 	// seconds.
-	owedDemand = 0.5
+	requestedDemand = 0.5
 	// prefetchUse is the utilization of a model's copies from which on its
 	// adapters are loaded ahead of use.
 	prefetchUse = 0.02
@@ -38,7 +38,7 @@
 		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
 			continue
 		}
-		next := s.owedAdapters(e, c, r)
+		next := s.requestedAdapters(e, c, r)
 		if len(next) > prefetchAtOnce {
 			next = next[:prefetchAtOnce]
 		}
@@ -54,10 +54,10 @@
 	return actions
 }
 
-// owedAdapters returns the adapters of a replica's models that were asked for of
+// requestedAdapters returns the adapters of a replica's models that were asked for of
 // late and are on no replica. They come before loads of models, during which the
 // replica takes no adapter, and one that is not in use gives way to them.
-func (s *State) owedAdapters(e *catalog.Engine, c *census, r *replica) []adapterChoice {
+func (s *State) requestedAdapters(e *catalog.Engine, c *census, r *replica) []adapterChoice {
 	var out []adapterChoice
 	for _, m := range r.info.Models {
 		declared := e.Model(m.Name)
@@ -66,7 +66,7 @@
 		}
 		for _, name := range declared.Adapters {
 			key := m.Name + "/" + name
-			if demand := s.adapterDemand[key]; demand >= owedDemand && !c.adapters[key] {
+			if demand := s.adapterDemand[key]; demand >= requestedDemand && !c.adapters[key] {
 				out = append(out, adapterChoice{model: m.Name, name: name, demand: demand})
 			}
 		}
