residency, leader, controlplane: remove what stood twice

One census serves the whole plan of an engine and is asked once which replicas should load requested adapters first, instead of for each need; one condition says that a replica is idle; the time of a lease's successor is worked out in one place.

--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -55,6 +55,7 @@
 // waiting may never be answered.
 func (c *core) leaseAnswered(now time.Time) {
 	c.storeSeen = now
+	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	if !c.leaseLost {
 		return
 	}
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -1,8 +1,6 @@
 package controlplane
 
-import (
-	"time"
-)
+import "time"
 
 // listLifetime is the age up to which a list of replicas that came from the
 // holder counts as current. The store answers the holder every 650 ms, and the
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -179,7 +179,6 @@
 
 func (e LeaseSeen) apply(c *core, now time.Time) {
 	before := c.leader.Row()
-	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	c.leader.Seen(bootclock.Now(), e.Row)
 	c.leaseAnswered(now)
 	c.leaseChanged(before)
@@ -190,7 +189,6 @@
 
 func (e LeaseWritten) apply(c *core, now time.Time) {
 	before := c.leader.Row()
-	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	c.leader.Written(bootclock.Now(), e.Version)
 	c.leaseAnswered(now)
 	c.leaseChanged(before)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -141,10 +141,8 @@
 		return max(0, s.orderFrom.Sub(now))
 	case !s.known || s.row.Version == 0 || now.Sub(s.contact) < contactTimeout:
 		return 0
-	case s.row.Released:
-		return max(0, s.rowAt.Add(s.turn+turnMargin).Sub(now))
 	}
-	return max(0, s.rowAt.Add(Term+s.turn+turnMargin).Sub(now))
+	return max(0, s.successorFrom().Sub(now))
 }
 
 // Stop ends this instance's term. The next Tick releases a held lease.
@@ -259,11 +257,20 @@
 	switch {
 	case s.row.Version == 0, s.ownBefore() && s.row.Settled:
 		return now
-	case s.row.Released, s.ownBefore():
+	case s.ownBefore():
 		// An own lease that is not settled is a take-over of which the answer was
 		// lost, or after which this instance started again.
 		return s.rowAt.Add(s.turn + turnMargin)
 	}
+	return s.successorFrom()
+}
+
+// successorFrom returns the time from which a successor of the lease's holder
+// may order: a turn after it was released, or after its term.
+func (s *State) successorFrom() bootclock.Time {
+	if s.row.Released {
+		return s.rowAt.Add(s.turn + turnMargin)
+	}
 	return s.rowAt.Add(Term + s.turn + turnMargin)
 }
 
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -211,10 +211,9 @@
 	is.Equal(w.store.row.Holder, "b")
 }
 
-// Guards against a successor that waits out a term from its own read although
-// the holder's last renewal was long before (inc-eba7).
-func TestTermCountsFromTheLastRenewal(t *testing.T) {
-	is := is.New(t)
+// settledWorld returns two instances, of which the first has held the lease for
+// 5 s, and the time.
+func settledWorld() (*world, time.Duration) {
 	w := newWorld(2)
 	now := time.Duration(0)
 	for ; now < 5*time.Second; now += 50 * time.Millisecond {
@@ -222,6 +221,14 @@
 		w.step(now, 1, "")
 		w.contact(now)
 	}
+	return w, now
+}
+
+// Guards against a successor that waits out a term from its own read although
+// the holder's last renewal was long before (inc-eba7).
+func TestTermCountsFromTheLastRenewal(t *testing.T) {
+	is := is.New(t)
+	w, now := settledWorld()
 	last := now
 	w.instances[0].frozen = time.Hour
 	for ; len(w.orders) == 0 || w.orders[len(w.orders)-1].by == 0; now += 50 * time.Millisecond {
@@ -236,13 +243,7 @@
 // the holder (inc-01cc).
 func TestReleaseIsHeardOf(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(2)
-	now := time.Duration(0)
-	for ; now < 5*time.Second; now += 50 * time.Millisecond {
-		w.step(now, 0, "")
-		w.step(now, 1, "")
-		w.contact(now)
-	}
+	w, now := settledWorld()
 	w.instances[0].state.Stop()
 	w.step(now, 0, "")
 	is.True(w.store.row.Released)
--- a/residency/census.go
+++ b/residency/census.go
@@ -1,6 +1,10 @@
 package residency
 
-import "time"
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
 
 // census is where the models of a service are, for the duration of one plan.
 type census struct {
@@ -11,16 +15,18 @@
 	// adapters are those that some replica holds or is about to load, as
 	// MODEL/ADAPTER.
 	adapters map[string]bool
+	// requested are the replicas that should load requested adapters first, by id.
+	requested map[string]bool
 }
 
 // place is a model in a data centre.
 type place struct{ dataCentre, model string }
 
 // count returns the census of a service.
-func (s *State) count(now time.Time, service string) *census {
-	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool), adapters: make(map[string]bool)}
+func (s *State) count(now time.Time, service *catalog.Service) *census {
+	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool), adapters: make(map[string]bool), requested: make(map[string]bool)}
 	for id, r := range s.replicas {
-		if r.info.Service != service || r.info.Leaving || r.down {
+		if r.info.Service != service.Name || r.info.Leaving || r.down {
 			continue
 		}
 		c.pool[id] = r
@@ -47,6 +53,9 @@
 			c.loads(r, r.reserved.model.Name)
 		}
 	}
+	for id, r := range c.pool {
+		c.requested[id] = len(s.requestedAdapters(service.Engine, c, r)) > 0
+	}
 	return c
 }
 
--- a/residency/fill.go
+++ b/residency/fill.go
@@ -13,7 +13,7 @@
 func (s *State) fill(now time.Time, e *catalog.Engine, c *census) []Action {
 	var actions []Action
 	for id, r := range c.pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.reservedNow(now) || len(s.requestedAdapters(e, c, r)) > 0 {
+		if !r.idle(now) || r.reservedNow(now) || c.requested[id] {
 			continue
 		}
 		model := s.bestAtHand(e, c, r)
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -51,6 +51,12 @@
 // moving reports whether a load or unload of a model is in progress.
 func (r *replica) moving() bool { return r.loading != "" || r.dropping != "" }
 
+// idle reports whether a replica can begin a move or load adapters ahead of use:
+// nothing is in progress there, and no adapter is asked for.
+func (r *replica) idle(now time.Time) bool {
+	return r.free(now) && !r.moving() && len(r.wishes) == 0
+}
+
 // advance sends the next adapter order of a replica, if there is one.
 func (s *State) advance(now time.Time, id string, r *replica) []Action {
 	var actions []Action
--- a/residency/place.go
+++ b/residency/place.go
@@ -16,10 +16,10 @@
 	var bestReplica *replica
 	bestScore := 0.0
 	for id, r := range c.pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 || r.holds(n.model.Name) || r.reservedNow(now) {
+		if !r.idle(now) || r.reservedNow(now) || r.holds(n.model.Name) {
 			continue
 		}
-		requested := len(s.requestedAdapters(e, c, r)) > 0
+		requested := c.requested[id]
 		if requested && !n.urgent {
 			continue
 		}
@@ -68,7 +68,7 @@
 func (s *State) proceed(now time.Time, e *catalog.Engine, c *census) []Action {
 	var actions []Action
 	for id, r := range c.pool {
-		if !r.reservedNow(now) || !r.free(now) || r.moving() || len(r.wishes) > 0 {
+		if !r.reservedNow(now) || !r.idle(now) {
 			continue
 		}
 		n := *r.reserved
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -134,8 +134,9 @@
 	}
 	for _, service := range s.config.Services {
 		if service.Engine != nil {
-			actions = append(actions, s.planEngine(now, service)...)
-			actions = append(actions, s.prefetch(now, service.Engine, s.count(now, service.Name))...)
+			c := s.count(now, service)
+			actions = append(actions, s.planEngine(now, service.Engine, c)...)
+			actions = append(actions, s.prefetch(now, service.Engine, c)...)
 		}
 	}
 	return actions
@@ -174,23 +175,22 @@
 	spare   bool // one replica holds it, and its loss or more demand would make callers wait for a load
 }
 
-func (s *State) planEngine(now time.Time, service *catalog.Service) []Action {
-	c := s.count(now, service.Name)
+func (s *State) planEngine(now time.Time, e *catalog.Engine, c *census) []Action {
 	loading := 0
 	for _, r := range c.pool {
 		if r.loading != "" {
 			loading++
 		}
 	}
-	most := atOnce(service.Engine)
-	actions := s.proceed(now, service.Engine, c)
-	actions = append(actions, s.fill(now, service.Engine, c)...)
-	for _, n := range s.needs(now, service.Engine, c) {
+	most := atOnce(e)
+	actions := s.proceed(now, e, c)
+	actions = append(actions, s.fill(now, e, c)...)
+	for _, n := range s.needs(now, e, c) {
 		for range n.missing {
 			if loading >= most || (n.spare && loading >= maxSpareLoading) {
 				return actions
 			}
-			placed, placing := s.place(now, service.Engine, c, n)
+			placed, placing := s.place(now, e, c, n)
 			actions = append(actions, placed...)
 			if !placing {
 				break
--- a/residency/prefetch.go
+++ b/residency/prefetch.go
@@ -35,7 +35,7 @@
 func (s *State) prefetch(now time.Time, e *catalog.Engine, c *census) []Action {
 	var actions []Action
 	for id, r := range c.pool {
-		if !r.free(now) || r.moving() || len(r.wishes) > 0 {
+		if !r.idle(now) {
 			continue
 		}
 		next := s.requestedAdapters(e, c, r)
--- a/residency/status.go
+++ b/residency/status.go
@@ -24,7 +24,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		c := s.count(now, service.Name)
+		c := s.count(now, service)
 		for _, m := range service.Engine.Models {
 			d := s.demand[m.Name]
 			if d == nil || d.reading < 1 {
