tests: one caller and one set of back ends for edge instances

The tests in edge and integration each had their own requests, replicas and free addresses. Free addresses are never handed out twice now and lie on a host of the test process: TestBookingHistory failed once because a process found the port of its listener taken.

--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -7,11 +7,13 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/internal/loopbacktest"
 	"github.com/hyssophaven/hyssophaven/platform/platformtest"
 )
 
@@ -24,8 +26,8 @@
 	d := start(t, 3)
 	d.eventually("one instance gives orders", func() bool { return d.ordering() == 1 })
 	for i := range 3 {
-		got := d.do(i, request{method: "POST", path: "/chat/x", model: fmt.Sprintf("m1/a%d", i+1)})
-		is.Equal(got.status, http.StatusOK) // also through instances that do not hold the lease
+		got := d.do(i, request{Method: "POST", Path: "/chat/x", Model: fmt.Sprintf("m1/a%d", i+1)})
+		is.Equal(got.Status, http.StatusOK) // also through instances that do not hold the lease
 	}
 	holders := d.holders()
 	is.Equal(len(holders), 1)
@@ -36,7 +38,7 @@
 	}
 	d.eventually("another instance gives orders", func() bool { return d.ordering() == 2 })
 	epochs := make(map[uint64]string)
-	for _, e := range d.engines {
+	for _, e := range d.Engines {
 		last := uint64(0)
 		for _, o := range e.Orders() {
 			is.True(o.Fence >= last)
@@ -49,7 +51,7 @@
 
 func (d *deployment) holders() map[string]bool {
 	out := make(map[string]bool)
-	for _, e := range d.engines {
+	for _, e := range d.Engines {
 		for _, o := range e.Orders() {
 			out[o.Holder] = true
 		}
@@ -66,33 +68,33 @@
 	version := 1
 	next := func() string {
 		version++
-		d.putConfig(version, fmt.Sprintf(`,{"name":"r%d","host":"h.example","path-prefix":"/r%d/","kind":"idempotent","timeout-ms":1000,"goal-ms":100,"priority":2,"service":"app","attempts":2}`, version, version))
+		d.PutConfig(version, fmt.Sprintf(`,{"name":"r%d","host":"h.example","path-prefix":"/r%d/","kind":"idempotent","timeout-ms":1000,"goal-ms":100,"priority":2,"service":"app","attempts":2}`, version, version))
 		return fmt.Sprintf("/r%d/x", version)
 	}
 	everywhere := func(path string) {
 		t.Helper()
 		for i := range d.instances {
-			d.eventually(path+" is known", func() bool { return d.do(i, request{method: "GET", path: path}).status == http.StatusOK })
+			d.eventually(path+" is known", func() bool { return d.do(i, request{Method: "GET", Path: path}).Status == http.StatusOK })
 		}
 	}
 	everywhere(next())
 
-	d.store.SetFaults(platformtest.Faults{Silent: true})
+	d.Store.SetFaults(platformtest.Faults{Silent: true})
 	path := next()
-	is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK) // served meanwhile
-	d.store.SetFaults(platformtest.Faults{})
+	is.Equal(d.do(0, request{Method: "GET", Path: "/look/x"}).Status, http.StatusOK) // served meanwhile
+	d.Store.SetFaults(platformtest.Faults{})
 	everywhere(path)
 
 	path = next()
-	d.store.Compact()
+	d.Store.Compact()
 	everywhere(path)
 
-	d.store.SetFaults(platformtest.Faults{Refuse: true})
+	d.Store.SetFaults(platformtest.Faults{Refuse: true})
 	path = next()
-	is.Equal(d.do(0, request{method: "POST", path: "/book/x"}).status, http.StatusOK)
-	d.store.SetFaults(platformtest.Faults{Stale: 3})
-	is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
-	d.store.SetFaults(platformtest.Faults{})
+	is.Equal(d.do(0, request{Method: "POST", Path: "/book/x"}).Status, http.StatusOK)
+	d.Store.SetFaults(platformtest.Faults{Stale: 3})
+	is.Equal(d.do(0, request{Method: "GET", Path: "/look/x"}).Status, http.StatusOK)
+	d.Store.SetFaults(platformtest.Faults{})
 	everywhere(path)
 }
 
@@ -101,19 +103,19 @@
 func TestLeavingReplicaGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	d.store.Put("servers", d.apps[0].ID, d.apps[0].Entry("app", "z1", "draining"))
+	d.Store.Put("servers", d.Apps[0].ID, d.Apps[0].Entry("app", "z1", "draining"))
 	d.eventually("the leaving replica is left alone", func() bool {
-		before := len(d.apps[0].Runs())
+		before := len(d.Apps[0].Runs())
 		for range 10 {
-			is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
+			is.Equal(d.do(0, request{Method: "GET", Path: "/look/x"}).Status, http.StatusOK)
 		}
-		return len(d.apps[0].Runs()) == before
+		return len(d.Apps[0].Runs()) == before
 	})
 	// Bytes from another writer name no replica, and disturb the others in nothing.
-	d.store.Put("servers", "ghost", "not an entry")
-	d.store.Put("servers", "ghost-2", platformtest.Entry{Service: "app", State: "odd"})
+	d.Store.Put("servers", "ghost", "not an entry")
+	d.Store.Put("servers", "ghost-2", platformtest.Entry{Service: "app", State: "odd"})
 	for range 10 {
-		is.Equal(d.do(0, request{method: "GET", path: "/look/x"}).status, http.StatusOK)
+		is.Equal(d.do(0, request{Method: "GET", Path: "/look/x"}).Status, http.StatusOK)
 	}
 }
 
@@ -121,22 +123,22 @@
 func TestStopCutsNoStream(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 2)
-	for _, e := range d.engines {
+	for _, e := range d.Engines {
 		e.EventGap = 150 * time.Millisecond
 	}
 	var wg sync.WaitGroup
 	results := make([]reply, 6)
 	for i := range results {
 		wg.Go(func() {
-			results[i] = d.do(0, request{method: "POST", path: "/chat/x", id: fmt.Sprintf("stop-%d", i), model: "m1", body: fmt.Sprint(i)})
+			results[i] = d.do(0, request{Method: "POST", Path: "/chat/x", ID: fmt.Sprintf("stop-%d", i), Model: "m1", Body: fmt.Sprint(i)})
 		})
 	}
-	d.eventually("all streams run", func() bool { return len(d.engines[0].Runs())+len(d.engines[1].Runs()) >= len(results) })
+	d.eventually("all streams run", func() bool { return len(d.Engines[0].Runs())+len(d.Engines[1].Runs()) >= len(results) })
 	is.NoErr(d.instances[0].Stop(context.Background()))
 	wg.Wait()
 	for i, r := range results {
-		is.NoErr(r.err)
-		is.Equal(r.body, platformtest.Events(fmt.Sprintf("stop-%d", i), 6))
+		is.NoErr(r.Err)
+		is.Equal(r.Body, platformtest.Events(fmt.Sprintf("stop-%d", i), 6))
 	}
 	status, _ := d.get("http://" + d.nodes[0].Readiness + "/hyssophaven/readiness")
 	is.True(status != http.StatusOK)
@@ -147,12 +149,11 @@
 func TestInstanceWithoutConfigIsNotReady(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	d.store.SetFaults(platformtest.Faults{Refuse: true})
+	d.Store.SetFaults(platformtest.Faults{Refuse: true})
 	late := *d.instances[0]
 	node := d.nodes[0]
-	n := hosts.Add(1)
-	node.ID, node.PeerHost = "late", loopback(n)
-	node.Callers, node.Readiness = freeAddress(t, node.PeerHost), freeAddress(t, node.PeerHost)
+	node.ID, node.PeerHost = "late", loopbacktest.Host()
+	node.Callers, node.Readiness = loopbacktest.Address(t, node.PeerHost), loopbacktest.Address(t, node.PeerHost)
 	i, err := New(node, late.log)
 	is.NoErr(err)
 	is.NoErr(i.Start(context.Background()))
@@ -160,10 +161,10 @@
 	status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
 	is.Equal(status, http.StatusServiceUnavailable)
 	d.nodes = append(d.nodes, node)
-	got := d.do(1, request{method: "GET", path: "/look/x"})
-	is.Equal(got.status, http.StatusServiceUnavailable)
-	is.True(got.header.Get("Retry-After") != "")
-	d.store.SetFaults(platformtest.Faults{})
+	got := d.do(1, request{Method: "GET", Path: "/look/x"})
+	is.Equal(got.Status, http.StatusServiceUnavailable)
+	is.True(got.Header.Get("Retry-After") != "")
+	d.Store.SetFaults(platformtest.Faults{})
 	d.eventually("the instance is ready", func() bool {
 		status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
 		return status == http.StatusOK
@@ -175,12 +176,12 @@
 func TestFailedRequestsAreTracedByID(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.apps, platformtest.Shed)
-	d.do(0, request{method: "POST", path: "/book/x", id: "trace-refused"})
-	faultAll(d.apps, platformtest.Lose)
-	d.do(0, request{method: "GET", path: "/look/x", id: "trace-repeated"})
-	faultAll(d.engines, platformtest.BreakOff)
-	d.do(0, request{method: "POST", path: "/once/x", id: "trace-broken", model: "m1"})
+	platformtest.FaultAll(d.Apps, platformtest.Shed)
+	d.do(0, request{Method: "POST", Path: "/book/x", ID: "trace-refused"})
+	platformtest.FaultAll(d.Apps, platformtest.Lose)
+	d.do(0, request{Method: "GET", Path: "/look/x", ID: "trace-repeated"})
+	platformtest.FaultAll(d.Engines, platformtest.BreakOff)
+	d.do(0, request{Method: "POST", Path: "/once/x", ID: "trace-broken", Model: "m1"})
 	for id, want := range map[string]string{
 		"trace-refused": "outcome=not-executed", "trace-repeated": "outcome=broken", "trace-broken": "broken-off",
 	} {
@@ -210,8 +211,8 @@
 	d := start(t, 1)
 	d.instances[0].ExportDropped(func() int64 { return 0 })
 	for range 6 { // two failures in a row put a replica aside
-		faultAll(d.apps, platformtest.Lose)
-		d.do(0, request{method: "GET", path: fmt.Sprintf("/look/%d", ids.Add(1))})
+		platformtest.FaultAll(d.Apps, platformtest.Lose)
+		d.do(0, request{Method: "GET", Path: fmt.Sprintf("/look/%d", requestNumbers.Add(1))})
 	}
 	listed := make(map[string]bool)
 	for _, line := range strings.Split(section, "\n") {
@@ -234,9 +235,12 @@
 	}
 }
 
+// requestNumbers make the contents of requests differ.
+var requestNumbers atomic.Int64
+
 // exported returns the names that the first instance exports.
 func (d *deployment) exported() map[string]bool {
-	d.do(0, request{method: "POST", path: "/chat/x", model: "m1/a1", body: fmt.Sprint(ids.Add(1))})
+	d.do(0, request{Method: "POST", Path: "/chat/x", Model: "m1/a1", Body: fmt.Sprint(requestNumbers.Add(1))})
 	_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + MetricsPath)
 	out := make(map[string]bool)
 	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -23,26 +23,26 @@
 	d := start(t, 1)
 	d.eventually("the instance gives orders", func() bool { return strings.Contains(d.logs.String(), "ordering=true") })
 	for _, r := range []request{
-		{method: "GET", path: "/look/a%2Fb?q=1&r=%20", id: "k1"},
-		{method: "POST", path: "/book/2f?x=y", id: "k2", body: "a booking"},
-		{method: "POST", path: "/chat/c", id: "k3", body: "a prompt", model: "m1"},
-		{method: "POST", path: "/chat/c", id: "k4", body: "a prompt", model: "m1/a2"},
-		{method: "POST", path: "/once/c", id: "k5", body: "a prompt", model: "m2"},
+		{Method: "GET", Path: "/look/a%2Fb?q=1&r=%20", ID: "k1"},
+		{Method: "POST", Path: "/book/2f?x=y", ID: "k2", Body: "a booking"},
+		{Method: "POST", Path: "/chat/c", ID: "k3", Body: "a prompt", Model: "m1"},
+		{Method: "POST", Path: "/chat/c", ID: "k4", Body: "a prompt", Model: "m1/a2"},
+		{Method: "POST", Path: "/once/c", ID: "k5", Body: "a prompt", Model: "m2"},
 	} {
 		got := d.do(0, r)
-		is.NoErr(got.err)
-		is.Equal(got.status, http.StatusOK)
-		runs := d.runs(r.id)
+		is.NoErr(got.Err)
+		is.Equal(got.Status, http.StatusOK)
+		runs := d.Runs(r.ID)
 		is.Equal(len(runs), 1)
-		is.Equal(runs[0].Target, r.path)
-		is.Equal(runs[0].Method, r.method)
-		is.Equal(runs[0].Body, r.body)
-		is.Equal(runs[0].Model, r.model)
-		is.Equal(got.header.Get("X-Hyssophaven-Server-Seal"), "seal-"+runs[0].Replica)
-		if r.model != "" {
-			is.Equal(got.body, platformtest.Events(r.id, 6))
+		is.Equal(runs[0].Target, r.Path)
+		is.Equal(runs[0].Method, r.Method)
+		is.Equal(runs[0].Body, r.Body)
+		is.Equal(runs[0].Model, r.Model)
+		is.Equal(got.Header.Get("X-Hyssophaven-Server-Seal"), "seal-"+runs[0].Replica)
+		if r.Model != "" {
+			is.Equal(got.Body, platformtest.Events(r.ID, 6))
 		} else {
-			is.Equal(got.body, "answer of "+runs[0].Replica)
+			is.Equal(got.Body, "answer of "+runs[0].Replica)
 		}
 	}
 }
@@ -54,12 +54,12 @@
 		t.Run(method, func(t *testing.T) {
 			is := is.New(t)
 			d := start(t, 1)
-			d.do(0, request{method: method, path: "/book/warm"}) // leaves a kept connection
-			faultAll(d.apps, platformtest.Lose)
-			got := d.do(0, request{method: method, path: "/book/x", id: "lost"})
-			is.NoErr(got.err)
-			is.Equal(got.status, http.StatusBadGateway)
-			is.Equal(len(d.runs("lost")), 1)
+			d.do(0, request{Method: method, Path: "/book/warm"}) // leaves a kept connection
+			platformtest.FaultAll(d.Apps, platformtest.Lose)
+			got := d.do(0, request{Method: method, Path: "/book/x", ID: "lost"})
+			is.NoErr(got.Err)
+			is.Equal(got.Status, http.StatusBadGateway)
+			is.Equal(len(d.Runs("lost")), 1)
 		})
 	}
 }
@@ -73,16 +73,16 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			d := start(t, 1)
-			before := len(d.apps[0].Runs()) + len(d.apps[1].Runs())
+			before := len(d.Apps[0].Runs()) + len(d.Apps[1].Runs())
 			is.True(before > 0)
 			// One replica has the fault; the other serves.
-			d.apps[0].Fault(fault)
+			d.Apps[0].Fault(fault)
 			for i := 0; i < 6; i++ {
 				id := fmt.Sprintf("again-%d", i)
-				got := d.do(0, request{method: "GET", path: "/look/x", id: id})
-				is.NoErr(got.err)
-				is.Equal(got.status, http.StatusOK)
-				is.True(len(d.runs(id)) <= 2)
+				got := d.do(0, request{Method: "GET", Path: "/look/x", ID: id})
+				is.NoErr(got.Err)
+				is.Equal(got.Status, http.StatusOK)
+				is.True(len(d.Runs(id)) <= 2)
 			}
 		})
 	}
@@ -93,12 +93,12 @@
 func TestFailureOfAllAttempts(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.apps, platformtest.Fail)
-	got := d.do(0, request{method: "GET", path: "/look/x", id: "both"})
-	is.NoErr(got.err)
-	is.Equal(got.status, http.StatusInternalServerError)
-	is.True(got.header.Get("X-Hyssophaven-Server-Seal") != "")
-	is.Equal(len(d.runs("both")), 2)
+	platformtest.FaultAll(d.Apps, platformtest.Fail)
+	got := d.do(0, request{Method: "GET", Path: "/look/x", ID: "both"})
+	is.NoErr(got.Err)
+	is.Equal(got.Status, http.StatusInternalServerError)
+	is.True(got.Header.Get("X-Hyssophaven-Server-Seal") != "")
+	is.Equal(len(d.Runs("both")), 2)
 }
 
 // Guards against a refused request that ran: when all replicas shed it, the
@@ -106,12 +106,12 @@
 func TestShedRequestIsRefused(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.apps, platformtest.Shed)
-	got := d.do(0, request{method: "POST", path: "/book/x", id: "shed"})
-	is.NoErr(got.err)
-	is.Equal(got.status, http.StatusServiceUnavailable)
-	is.True(got.header.Get("Retry-After") != "")
-	is.Equal(len(d.runs("shed")), 0)
+	platformtest.FaultAll(d.Apps, platformtest.Shed)
+	got := d.do(0, request{Method: "POST", Path: "/book/x", ID: "shed"})
+	is.NoErr(got.Err)
+	is.Equal(got.Status, http.StatusServiceUnavailable)
+	is.True(got.Header.Get("Retry-After") != "")
+	is.Equal(len(d.Runs("shed")), 0)
 }
 
 // Guards against pieces that are missing, doubled or cut when a stream goes on
@@ -119,17 +119,17 @@
 func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.engines, platformtest.BreakOff)
+	platformtest.FaultAll(d.Engines, platformtest.BreakOff)
 	// Both break off once: the first run is resumed, and the second breaks too.
-	got := d.do(0, request{method: "POST", path: "/chat/x", id: "first", model: "m1", body: "p"})
-	is.True(got.err != nil || got.body == platformtest.Events("first", 6))
-	d.engines[0].Fault(platformtest.BreakOff)
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "first", Model: "m1", Body: "p"})
+	is.True(got.Err != nil || got.Body == platformtest.Events("first", 6))
+	d.Engines[0].Fault(platformtest.BreakOff)
 	for i := range 4 {
 		id := fmt.Sprintf("resumed-%d", i)
-		got = d.do(0, request{method: "POST", path: "/chat/x", id: id, model: "m1", body: id})
-		is.NoErr(got.err)
-		is.Equal(got.body, platformtest.Events(id, 6))
-		if runs := d.runs(id); len(runs) == 2 {
+		got = d.do(0, request{Method: "POST", Path: "/chat/x", ID: id, Model: "m1", Body: id})
+		is.NoErr(got.Err)
+		is.Equal(got.Body, platformtest.Events(id, 6))
+		if runs := d.Runs(id); len(runs) == 2 {
 			is.True(runs[0].LastEvent == 3 || runs[1].LastEvent == 3)
 		}
 	}
@@ -140,14 +140,14 @@
 func TestFailureDoesNotFollowEvents(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	for _, e := range d.engines {
+	for _, e := range d.Engines {
 		e.FailResumed = true
 		e.Fault(platformtest.BreakOff)
 	}
-	got := d.do(0, request{method: "POST", path: "/chat/x", id: "one", model: "m1", body: "p"})
-	is.True(got.err != nil) // the answer breaks off
-	is.Equal(got.body, platformtest.Events("one", 3))
-	is.Equal(len(d.runs("one")), 2)
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "one", Model: "m1", Body: "p"})
+	is.True(got.Err != nil) // the answer breaks off
+	is.Equal(got.Body, platformtest.Events("one", 3))
+	is.Equal(len(d.Runs("one")), 2)
 }
 
 // Guards against a stream that may not be resumed and ends as complete after it
@@ -155,11 +155,11 @@
 func TestBrokenStreamBreaksOff(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.engines, platformtest.BreakOff)
-	got := d.do(0, request{method: "POST", path: "/once/x", id: "off", model: "m1", body: "p"})
-	is.True(got.err != nil)
-	is.Equal(got.body, platformtest.Events("off", 3))
-	is.Equal(len(d.runs("off")), 1)
+	platformtest.FaultAll(d.Engines, platformtest.BreakOff)
+	got := d.do(0, request{Method: "POST", Path: "/once/x", ID: "off", Model: "m1", Body: "p"})
+	is.True(got.Err != nil)
+	is.Equal(got.Body, platformtest.Events("off", 3))
+	is.Equal(len(d.Runs("off")), 1)
 }
 
 // Guards against an answer that reaches another request: a second answer waits
@@ -168,39 +168,39 @@
 	is := is.New(t)
 	d := start(t, 1)
 	for i := range 8 {
-		faultAll(d.apps, platformtest.Extra)
-		got := d.do(0, request{method: "POST", path: "/book/x", id: fmt.Sprintf("extra-%d", i), body: "b"})
-		is.NoErr(got.err)
-		is.Equal(got.status, http.StatusOK)
-		is.True(strings.HasPrefix(got.body, "answer of app-"))
-		is.Equal(len(d.runs(fmt.Sprintf("extra-%d", i))), 1)
+		platformtest.FaultAll(d.Apps, platformtest.Extra)
+		got := d.do(0, request{Method: "POST", Path: "/book/x", ID: fmt.Sprintf("extra-%d", i), Body: "b"})
+		is.NoErr(got.Err)
+		is.Equal(got.Status, http.StatusOK)
+		is.True(strings.HasPrefix(got.Body, "answer of app-"))
+		is.Equal(len(d.Runs(fmt.Sprintf("extra-%d", i))), 1)
 	}
 }
 
 // Guards against a replica that works on after its caller has left.
 func TestCallerThatLeavesCancelsTheRun(t *testing.T) {
 	d := start(t, 1)
-	for _, e := range d.engines {
+	for _, e := range d.Engines {
 		e.EventGap = 100 * time.Millisecond
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		d.eventually("the request runs", func() bool { return len(d.runs("leaver")) == 1 })
+		d.eventually("the request runs", func() bool { return len(d.Runs("leaver")) == 1 })
 		cancel()
 	}()
-	d.doContext(ctx, 0, request{method: "POST", path: "/chat/x", id: "leaver", model: "m1"})
-	d.eventually("the run is canceled", func() bool { return d.engines[0].Canceled()+d.engines[1].Canceled() > 0 })
+	d.doContext(ctx, 0, request{Method: "POST", Path: "/chat/x", ID: "leaver", Model: "m1"})
+	d.eventually("the run is canceled", func() bool { return d.Engines[0].Canceled()+d.Engines[1].Canceled() > 0 })
 }
 
 // Guards against a request that is held past its route's time or its caller's.
 func TestTimeEndsTheRequest(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	faultAll(d.apps, platformtest.Mute)
-	got := d.do(0, request{method: "POST", path: "/book/x", id: "slow", timeLeft: 300 * time.Millisecond})
-	is.NoErr(got.err)
-	is.Equal(got.status, http.StatusGatewayTimeout)
-	runs := d.runs("slow")
+	platformtest.FaultAll(d.Apps, platformtest.Mute)
+	got := d.do(0, request{Method: "POST", Path: "/book/x", ID: "slow", TimeLeft: 300 * time.Millisecond})
+	is.NoErr(got.Err)
+	is.Equal(got.Status, http.StatusGatewayTimeout)
+	runs := d.Runs("slow")
 	is.Equal(len(runs), 1)
 	is.True(runs[0].TimeLeft <= 300*time.Millisecond)
 }
@@ -209,26 +209,26 @@
 func TestSystemHeadersOfCallersAreDropped(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	got := d.do(0, request{method: "POST", path: "/chat/x", id: "forged", model: "m1", header: http.Header{
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "forged", Model: "m1", Header: http.Header{
 		"X-Hyssophaven-Urgency-Level": {"0"}, "X-Hyssophaven-Target-Instance": {"other"}, "X-Hyssophaven-Pin-Ms": {"4000"},
 	}})
-	is.Equal(got.status, http.StatusOK)
-	is.True(d.runs("forged")[0].Urgency != "0")
+	is.Equal(got.Status, http.StatusOK)
+	is.True(d.Runs("forged")[0].Urgency != "0")
 }
 
 // Guards against wrong statuses for what the config does not allow.
 func TestRefusedHeads(t *testing.T) {
 	is := is.New(t)
 	d := start(t, 1)
-	is.Equal(d.do(0, request{method: "GET", path: "/nowhere/x"}).status, http.StatusNotFound)
-	is.Equal(d.do(0, request{method: "POST", path: "/book/x", body: strings.Repeat("x", 200_000)}).status, http.StatusRequestEntityTooLarge)
+	is.Equal(d.do(0, request{Method: "GET", Path: "/nowhere/x"}).Status, http.StatusNotFound)
+	is.Equal(d.do(0, request{Method: "POST", Path: "/book/x", Body: strings.Repeat("x", 200_000)}).Status, http.StatusRequestEntityTooLarge)
 	long := http.Header{"X-Long": {strings.Repeat("x", 20_000)}} // the config allows heads of 16 KB
-	is.Equal(d.do(0, request{method: "GET", path: "/look/x", header: long}).status, http.StatusRequestHeaderFieldsTooLarge)
-	is.Equal(d.do(0, request{method: "GET", path: "/look/x", header: http.Header{"X-Long": {strings.Repeat("x", 12_000)}}}).status, http.StatusOK)
+	is.Equal(d.do(0, request{Method: "GET", Path: "/look/x", Header: long}).Status, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(d.do(0, request{Method: "GET", Path: "/look/x", Header: http.Header{"X-Long": {strings.Repeat("x", 12_000)}}}).Status, http.StatusOK)
 	req, err := http.NewRequest("GET", "http://"+d.nodes[0].Callers+"/look/x", nil)
 	is.NoErr(err)
 	req.Host = "h.example"
-	resp, err := d.client.Do(req)
+	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
 	is.Equal(resp.StatusCode, http.StatusBadRequest) // no request id
@@ -249,5 +249,5 @@
 	is.NoErr(err)
 	_, err = io.ReadAll(bufio.NewReader(conn)) // until the server closes
 	is.NoErr(err)
-	is.Equal(len(d.runs("inner")), 0)
+	is.Equal(len(d.Runs("inner")), 0)
 }
--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -23,42 +23,42 @@
 // edgeKinds are the kinds of request of a day.
 func edgeKinds(n int) []edgeRequest {
 	return []edgeRequest{
-		{method: "GET", path: fmt.Sprintf("/look/%d?q=a%%20b", n)},
-		{method: "POST", path: fmt.Sprintf("/book/%d", n), body: "a booking"},
-		{method: "GET", path: fmt.Sprintf("/book/%d", n)},
-		{method: "POST", path: "/chat/x", body: fmt.Sprint(n), model: "m1"},
-		{method: "POST", path: "/chat/x", body: fmt.Sprint(n), model: fmt.Sprintf("m1/a%d", 1+n%8)},
-		{method: "POST", path: "/once/x", body: fmt.Sprint(n), model: "m2"},
+		{Method: "GET", Path: fmt.Sprintf("/look/%d?q=a%%20b", n)},
+		{Method: "POST", Path: fmt.Sprintf("/book/%d", n), Body: "a booking"},
+		{Method: "GET", Path: fmt.Sprintf("/book/%d", n)},
+		{Method: "POST", Path: "/chat/x", Body: fmt.Sprint(n), Model: "m1"},
+		{Method: "POST", Path: "/chat/x", Body: fmt.Sprint(n), Model: fmt.Sprintf("m1/a%d", 1+n%8)},
+		{Method: "POST", Path: "/once/x", Body: fmt.Sprint(n), Model: "m2"},
 	}
 }
 
 // checkAnswer asserts what holds for each answer at any time: a success is the
 // whole answer of a replica that ran this request, a refusal did not run, and a
 // request that may not be repeated ran once at most.
-func (f *edgeFleet) checkAnswer(r edgeRequest, got edgeReply) {
+func (f *edgeFleet) checkAnswer(r edgeRequest, got platformtest.Reply) {
 	f.t.Helper()
-	runs := f.runs(r.id)
-	repeatable := strings.HasPrefix(r.path, "/look/") || strings.HasPrefix(r.path, "/chat/")
+	runs := f.Runs(r.ID)
+	repeatable := strings.HasPrefix(r.Path, "/look/") || strings.HasPrefix(r.Path, "/chat/")
 	if !repeatable && len(runs) > 1 {
-		f.t.Errorf("%s %s ran %d times", r.path, r.id, len(runs))
+		f.t.Errorf("%s %s ran %d times", r.Path, r.ID, len(runs))
 	}
 	for _, run := range runs {
-		if run.Target != r.path || run.Method != r.method || run.Body != r.body || run.Model != r.model {
-			f.t.Errorf("%s was changed on its way: %+v", r.id, run)
+		if run.Target != r.Path || run.Method != r.Method || run.Body != r.Body || run.Model != r.Model {
+			f.t.Errorf("%s was changed on its way: %+v", r.ID, run)
 		}
 	}
 	switch {
-	case got.err != nil:
-	case got.status == http.StatusOK:
-		want := platformtest.Events(r.id, 6)
-		if r.model == "" {
-			want = "answer of " + strings.TrimPrefix(got.seal, "seal-")
+	case got.Err != nil:
+	case got.Status == http.StatusOK:
+		want := platformtest.Events(r.ID, 6)
+		if r.Model == "" {
+			want = "answer of " + strings.TrimPrefix(got.Header.Get("X-Hyssophaven-Server-Seal"), "seal-")
 		}
-		if len(runs) == 0 || got.body != want {
-			f.t.Errorf("%s %s: %d runs, the answer %q, want %q", r.path, r.id, len(runs), got.body, want)
+		if len(runs) == 0 || got.Body != want {
+			f.t.Errorf("%s %s: %d runs, the answer %q, want %q", r.Path, r.ID, len(runs), got.Body, want)
 		}
-	case (got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests) && !repeatable && len(runs) > 0:
-		f.t.Errorf("%s %s ran and was refused with %d", r.path, r.id, got.status)
+	case (got.Status == http.StatusServiceUnavailable || got.Status == http.StatusTooManyRequests) && !repeatable && len(runs) > 0:
+		f.t.Errorf("%s %s ran and was refused with %d", r.Path, r.ID, got.Status)
 	}
 }
 
@@ -82,16 +82,16 @@
 				}
 				kinds := edgeKinds(n)
 				r := kinds[rng.IntN(len(kinds))]
-				r.id = fmt.Sprintf("p%d-%d-%d", seed, c, n)
+				r.ID = fmt.Sprintf("p%d-%d-%d", seed, c, n)
 				got := f.do(f.instances[rng.IntN(len(f.instances))], r)
 				f.checkAnswer(r, got)
-				route := strings.Split(r.path, "/")[1]
+				route := strings.Split(r.Path, "/")[1]
 				mu.Lock()
 				out.sent[route]++
-				if got.err == nil && got.status == http.StatusOK {
+				if got.Err == nil && got.Status == http.StatusOK {
 					out.served[route]++
 				} else {
-					f.t.Logf("%s %s %s: status %d, error %v", r.path, r.model, r.id, got.status, got.err)
+					f.t.Logf("%s %s %s: status %d, error %v", r.Path, r.Model, r.ID, got.Status, got.Err)
 				}
 				mu.Unlock()
 			}
@@ -144,20 +144,19 @@
 	f := startEdgeFleet(t, 3)
 	f.holder(nil)
 	f.during(101, calmShare, allRoutes, func() {
-		f.store.Put(platform.ConfigTable, platform.ConfigKey, platformtest.Config(2,
-			`,{"name":"new","host":"h.example","path-prefix":"/new/","kind":"idempotent","timeout-ms":1500,"goal-ms":150,"priority":2,"service":"app","attempts":2}`))
+		f.PutConfig(2, `,{"name":"new","host":"h.example","path-prefix":"/new/","kind":"idempotent","timeout-ms":1500,"goal-ms":150,"priority":2,"service":"app","attempts":2}`)
 		for _, i := range f.instances {
-			waitFor(t, "the new route at "+i.name, func() bool { return f.do(i, edgeRequest{method: "GET", path: "/new/x"}).status == http.StatusOK })
+			waitFor(t, "the new route at "+i.name, func() bool { return f.do(i, edgeRequest{Method: "GET", Path: "/new/x"}).Status == http.StatusOK })
 		}
 		f.instances[1].signal(syscall.SIGHUP)
-		f.store.Put(platform.ReplicaTable, f.apps[0].ID, f.apps[0].Entry("app", "z1", "draining"))
+		f.Store.Put(platform.ReplicaTable, f.Apps[0].ID, f.Apps[0].Entry("app", "z1", "draining"))
 		time.Sleep(2 * time.Second) // the time within which a leaving replica must be left alone
 	})
-	before := len(f.apps[0].Runs())
+	before := len(f.Apps[0].Runs())
 	for _, i := range f.instances {
-		is.Equal(f.do(i, edgeRequest{method: "GET", path: "/look/x"}).status, http.StatusOK)
+		is.Equal(f.do(i, edgeRequest{Method: "GET", Path: "/look/x"}).Status, http.StatusOK)
 	}
-	is.Equal(len(f.apps[0].Runs()), before)
+	is.Equal(len(f.Apps[0].Runs()), before)
 }
 
 // Guards against requests that fail because the store refuses calls, loses the
@@ -170,8 +169,8 @@
 		name       string
 		start, end func()
 	}{
-		{"refuses", func() { f.store.SetFaults(platformtest.Faults{Refuse: true}) }, func() { f.store.SetFaults(platformtest.Faults{}) }},
-		{"loses answers", func() { f.store.SetFaults(platformtest.Faults{LoseWrites: true}) }, func() { f.store.SetFaults(platformtest.Faults{}) }},
+		{"refuses", func() { f.Store.SetFaults(platformtest.Faults{Refuse: true}) }, func() { f.Store.SetFaults(platformtest.Faults{}) }},
+		{"loses answers", func() { f.Store.SetFaults(platformtest.Faults{LoseWrites: true}) }, func() { f.Store.SetFaults(platformtest.Faults{}) }},
 		{"is late", func() { f.eachLink(func(l *link) { l.delay(answers, 400*time.Millisecond) }) }, func() { f.eachLink((*link).heal) }},
 		{"is silent to one", func() { f.instances[0].store.swallow(answers) }, func() { f.eachLink((*link).heal) }},
 		{"is gone", func() { f.eachLink((*link).cut) }, func() { f.eachLink((*link).restore) }},
@@ -213,7 +212,7 @@
 		second.resume()
 	})
 	epochs := make(map[uint64]bool)
-	for _, e := range f.engines {
+	for _, e := range f.Engines {
 		for _, o := range e.Orders() {
 			epochs[o.Fence] = true
 		}
@@ -236,14 +235,14 @@
 	}
 	waitFor(t, "the holder to hand on the list", func() bool { return strings.Count(f.logs(), "source=holder") >= len(others) })
 	others[0].store.swallow(answers)
-	f.store.Put(platform.ReplicaTable, f.apps[0].ID, f.apps[0].Entry("app", "z1", "draining"))
-	f.leftAlone(f.apps[0], f.instances...)
+	f.Store.Put(platform.ReplicaTable, f.Apps[0].ID, f.Apps[0].Entry("app", "z1", "draining"))
+	f.leftAlone(f.Apps[0], f.instances...)
 	others[0].store.heal()
 
 	holder.pause()
-	f.store.Put(platform.ReplicaTable, f.apps[0].ID, f.apps[0].Entry("app", "z1", "in_service"))
-	f.store.Put(platform.ReplicaTable, f.apps[1].ID, f.apps[1].Entry("app", "z2", "draining"))
-	f.leftAlone(f.apps[1], others...)
+	f.Store.Put(platform.ReplicaTable, f.Apps[0].ID, f.Apps[0].Entry("app", "z1", "in_service"))
+	f.Store.Put(platform.ReplicaTable, f.Apps[1].ID, f.Apps[1].Entry("app", "z2", "draining"))
+	f.leftAlone(f.Apps[1], others...)
 	holder.resume()
 }
 
@@ -254,7 +253,7 @@
 		waitFor(f.t, i.name+" to leave "+r.ID+" alone", func() bool {
 			before := len(r.Runs())
 			for range 10 {
-				f.do(i, edgeRequest{method: "GET", path: "/look/x"})
+				f.do(i, edgeRequest{Method: "GET", Path: "/look/x"})
 			}
 			return len(r.Runs()) == before
 		})
@@ -266,7 +265,7 @@
 	f.t.Helper()
 	for n := range 4 {
 		waitFor(f.t, "an adapter to be loaded", func() bool {
-			return f.do(i, edgeRequest{method: "POST", path: "/chat/x", body: fmt.Sprint(n), model: fmt.Sprintf("m1/a%d", 1+n)}).status == http.StatusOK
+			return f.do(i, edgeRequest{Method: "POST", Path: "/chat/x", Body: fmt.Sprint(n), Model: fmt.Sprintf("m1/a%d", 1+n)}).Status == http.StatusOK
 		})
 	}
 }
@@ -278,9 +277,9 @@
 	f := startEdgeFleet(t, 2)
 	f.holder(nil)
 	f.during(600, afterShare, plainRoutes, func() {
-		f.engines[0].DelayOrders(900 * time.Millisecond)
+		f.Engines[0].DelayOrders(900 * time.Millisecond)
 		time.Sleep(3 * time.Second)
-		f.engines[0].DelayOrders(0)
+		f.Engines[0].DelayOrders(0)
 	})
 	f.during(601, afterShare, allRoutes, func() { time.Sleep(2 * time.Second) })
 }
@@ -298,8 +297,8 @@
 	} {
 		f.during(uint64(700+n), 0, nil, func() {
 			for range 20 {
-				f.faultAll(f.apps, fault)
-				f.faultAll(f.engines, fault)
+				platformtest.FaultAll(f.Apps, fault)
+				platformtest.FaultAll(f.Engines, fault)
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 			}
 		})
@@ -315,20 +314,20 @@
 	is := is.New(t)
 	f := startEdgeFleet(t, 3)
 	f.holder(nil)
-	for _, e := range f.engines {
+	for _, e := range f.Engines {
 		e.SetEventGap(150 * time.Millisecond)
 	}
 	for n, i := range f.instances {
 		var wg sync.WaitGroup
-		replies := make([]edgeReply, 5)
+		replies := make([]platformtest.Reply, 5)
 		for r := range replies {
 			wg.Go(func() {
-				replies[r] = f.do(i, edgeRequest{method: "POST", path: "/once/x", id: fmt.Sprintf("stop-%d-%d", n, r), body: fmt.Sprint(n, r), model: "m2"})
+				replies[r] = f.do(i, edgeRequest{Method: "POST", Path: "/once/x", ID: fmt.Sprintf("stop-%d-%d", n, r), Body: fmt.Sprint(n, r), Model: "m2"})
 			})
 		}
 		waitFor(t, "all streams to run", func() bool {
 			for r := range replies {
-				if len(f.runs(fmt.Sprintf("stop-%d-%d", n, r))) == 0 {
+				if len(f.Runs(fmt.Sprintf("stop-%d-%d", n, r))) == 0 {
 					return false
 				}
 			}
@@ -338,8 +337,8 @@
 		wg.Wait()
 		<-i.done
 		for r, got := range replies {
-			is.NoErr(got.err)
-			is.Equal(got.body, platformtest.Events(fmt.Sprintf("stop-%d-%d", n, r), 6))
+			is.NoErr(got.Err)
+			is.Equal(got.Body, platformtest.Events(fmt.Sprintf("stop-%d-%d", n, r), 6))
 		}
 		f.startInstance(i)
 	}
@@ -378,12 +377,12 @@
 	t.Parallel()
 	is := is.New(t)
 	f := startEdgeFleet(t, 2)
-	f.faultAll(f.apps, platformtest.Shed)
-	f.do(f.instances[0], edgeRequest{method: "POST", path: "/book/x", id: "trace-refused"})
-	f.faultAll(f.apps, platformtest.Lose)
-	f.do(f.instances[1], edgeRequest{method: "GET", path: "/look/x", id: "trace-repeated"})
-	f.faultAll(f.engines, platformtest.BreakOff)
-	f.do(f.instances[0], edgeRequest{method: "POST", path: "/once/x", id: "trace-broken", model: "m1"})
+	platformtest.FaultAll(f.Apps, platformtest.Shed)
+	f.do(f.instances[0], edgeRequest{Method: "POST", Path: "/book/x", ID: "trace-refused"})
+	platformtest.FaultAll(f.Apps, platformtest.Lose)
+	f.do(f.instances[1], edgeRequest{Method: "GET", Path: "/look/x", ID: "trace-repeated"})
+	platformtest.FaultAll(f.Engines, platformtest.BreakOff)
+	f.do(f.instances[0], edgeRequest{Method: "POST", Path: "/once/x", ID: "trace-broken", Model: "m1"})
 	for id, wants := range map[string][]string{
 		"trace-refused":  {"outcome=not-executed", "status=503"},
 		"trace-repeated": {"outcome=broken", "then replica=", `msg="request sent again"`, "after=broken"},
--- a/integration/edgedeployment_test.go
+++ b/integration/edgedeployment_test.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/hyssophaven/hyssophaven/internal/loopbacktest"
 	"github.com/hyssophaven/hyssophaven/platform"
 	"github.com/hyssophaven/hyssophaven/platform/platformtest"
 )
@@ -22,12 +21,11 @@
 // edgeFleet is a deployment of `hyssophaven edge` processes, each with its own
 // link to the stand-in of the platform's store, in front of stand-ins of replicas.
 type edgeFleet struct {
-	t             *testing.T
-	dir           string
-	store         *platformtest.Store
-	engines, apps []*platformtest.Replica
-	instances     []*edgeInstance
-	client        *http.Client
+	*platformtest.Backends
+	t         *testing.T
+	dir       string
+	instances []*edgeInstance
+	caller    *platformtest.Caller
 }
 
 type edgeInstance struct {
@@ -36,26 +34,10 @@
 	store    *link
 }
 
-// edgeHosts counts the loopback addresses that instances have had: the port of
-// the metrics is the same for all.
-var edgeHosts atomic.Int32
-
 func startEdgeFleet(t *testing.T, instances int) *edgeFleet {
 	t.Helper()
-	f := &edgeFleet{t: t, dir: t.TempDir(), store: platformtest.NewStore(), client: &http.Client{
-		Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true},
-	}}
-	t.Cleanup(f.store.Close)
-	f.store.Put(platform.ConfigTable, platform.ConfigKey, platformtest.Config(1, ""))
-	for i, zone := range []string{"z1", "z2"} {
-		engine := platformtest.NewReplica(fmt.Sprintf("engine-%d", i), "m1", "m2")
-		app := platformtest.NewReplica(fmt.Sprintf("app-%d", i))
-		t.Cleanup(engine.Close)
-		t.Cleanup(app.Close)
-		f.engines, f.apps = append(f.engines, engine), append(f.apps, app)
-		f.store.Put(platform.ReplicaTable, engine.ID, engine.Entry("llm", zone, "in_service"))
-		f.store.Put(platform.ReplicaTable, app.ID, app.Entry("app", zone, "in_service"))
-	}
+	f := &edgeFleet{Backends: platformtest.NewBackends(), t: t, dir: t.TempDir(), caller: platformtest.NewCaller(patience)}
+	t.Cleanup(f.Backends.Close)
 	for range instances {
 		f.add()
 	}
@@ -65,12 +47,11 @@
 // add starts one more instance and waits until it serves.
 func (f *edgeFleet) add() *edgeInstance {
 	f.t.Helper()
-	n := edgeHosts.Add(1)
-	host := fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, 100+n/200, 1+n%200)
+	host := loopbacktest.Host()
 	name := fmt.Sprintf("edge-%d", len(f.instances))
-	i := &edgeInstance{store: newLink(f.t, name+"-store", f.store.Address())}
+	i := &edgeInstance{store: newLink(f.t, name+"-store", f.Store.Address())}
 	i.settings = platformtest.Settings{
-		Name: name, Zone: "z1", Host: host, Callers: freeAddressOn(f.t, host), Readiness: freeAddressOn(f.t, host), Store: i.store.address(),
+		Name: name, Zone: "z1", Host: host, Callers: loopbacktest.Address(f.t, host), Readiness: loopbacktest.Address(f.t, host), Store: i.store.address(),
 	}
 	f.instances = append(f.instances, i)
 	f.startInstance(i)
@@ -86,85 +67,28 @@
 	}
 	i.process = startProcess(f.t, f.dir, i.settings.Name, "edge", "--node-file", file)
 	waitFor(f.t, i.name+" to be ready", func() bool {
-		resp, err := f.client.Get("http://" + i.settings.Readiness + platform.ReadinessPath)
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
+		status, _ := f.caller.Get("http://" + i.settings.Readiness + platform.ReadinessPath)
+		return status == http.StatusOK
 	})
 	waitFor(f.t, i.name+" to know the replicas", func() bool {
-		return f.do(i, edgeRequest{method: "GET", path: "/look/ready"}).status == http.StatusOK
+		return f.do(i, edgeRequest{Method: "GET", Path: "/look/ready"}).Status == http.StatusOK
 	})
 }
 
-func freeAddressOn(t *testing.T, host string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
-type edgeRequest struct{ method, path, id, body, model string }
-
-type edgeReply struct {
-	status int
-	body   string
-	seal   string
-	err    error // of the connection or of the body
-}
-
-var edgeIDs atomic.Int64
-
-func (f *edgeFleet) do(i *edgeInstance, r edgeRequest) edgeReply {
+func (f *edgeFleet) do(i *edgeInstance, r edgeRequest) platformtest.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+i.settings.Callers+r.path, strings.NewReader(r.body))
-	if err != nil {
-		return edgeReply{err: err}
-	}
-	if r.id == "" {
-		r.id = fmt.Sprintf("id-%d", edgeIDs.Add(1))
-	}
-	req.Host = "h.example"
-	req.Header.Set("X-Hyssophaven-Attempt-Id", r.id)
-	if r.model != "" {
-		req.Header.Set("X-Hyssophaven-Model", r.model)
-		req.Header.Set("X-Hyssophaven-Token-Count", "100,10")
-		req.Header.Set("X-Hyssophaven-Prompt-Prefix", "aa:40,"+fmt.Sprintf("%x", edgeIDs.Add(1))+":60")
-	}
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return edgeReply{err: err}
+	if r.Parts == "" {
+		r.Parts = fmt.Sprintf("aa:40,%x:60", edgeSessions.Add(1))
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return edgeReply{status: resp.StatusCode, body: string(body), seal: resp.Header.Get("X-Hyssophaven-Server-Seal"), err: err}
+	return f.caller.Do(ctx, i.settings.Callers, r)
 }
 
-// runs returns all runs of a request, over all replicas.
-func (f *edgeFleet) runs(id string) []platformtest.Run {
-	var out []platformtest.Run
-	for _, replicas := range [][]*platformtest.Replica{f.engines, f.apps} {
-		for _, r := range replicas {
-			for _, run := range r.Runs() {
-				if run.ID == id {
-					out = append(out, run)
-				}
-			}
-		}
-	}
-	return out
-}
+// edgeRequest is a caller's request.
+type edgeRequest = platformtest.Request
 
-func (f *edgeFleet) faultAll(replicas []*platformtest.Replica, faults ...platformtest.Fault) {
-	for _, r := range replicas {
-		r.Fault(faults...)
-	}
-}
+// edgeSessions counts the last parts of prompts, each of which is another.
+var edgeSessions atomic.Int64
 
 // logs returns the output of all instances.
 func (f *edgeFleet) logs() string {
@@ -181,7 +105,7 @@
 
 var orderingLine = regexp.MustCompile(`msg="order lease" ordering=(true|false) holder=(\S+)`)
 
-// ordering returns the name of the instance that may give orders, or "".
+// ordering reports whether an instance may give orders, by its log.
 func (f *edgeFleet) ordering(i *edgeInstance) bool {
 	data, err := os.ReadFile(i.log)
 	if err != nil {
@@ -212,7 +136,7 @@
 func (f *edgeFleet) checkOrders() {
 	f.t.Helper()
 	holders := make(map[uint64]string)
-	for _, e := range f.engines {
+	for _, e := range f.Engines {
 		last := uint64(0)
 		for _, o := range e.Orders() {
 			if o.Fence < last {
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -5,15 +5,17 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/hyssophaven/hyssophaven/internal/loopbacktest"
 )
 
 // patience only stops a hang; every awaited state is reached much earlier.
@@ -119,19 +121,13 @@
 	}
 }
 
-// freeAddress returns an unused loopback address. The ports lie below the
-// range that the kernel gives to outgoing connections.
+// processHost is the loopback address of the processes that need none of their own.
+var processHost = sync.OnceValue(loopbacktest.Host)
+
+// freeAddress returns an unused loopback address.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port was found")
-	return ""
+	return loopbacktest.Address(t, processHost())
 }
 
 // waitFor polls until done reports true.
--- a/integration/tls_test.go
+++ b/integration/tls_test.go
@@ -64,7 +64,7 @@
 	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: filepath.Base(base)}, NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.ParseIP(processHost())},
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
