--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -64,6 +64,7 @@
 	listAt     time.Time // when the holder's list was current
 	listSource ListSource
 
+	said     map[string]string // what the last line on a replica said, by id
 	demand   map[string]*modelDemand
 	peers    map[string]*peerState
 	fleet    fleetSum // of all instances, at the last tick
@@ -84,7 +85,7 @@
 				Burst:        b.RetrySlack / assumedInstances / 2,
 			},
 		}),
-		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), demand: make(map[string]*modelDemand),
+		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), said: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter),
 	}
 	return c
@@ -154,6 +155,9 @@
 
 // replicaChanged hands a replica's new description to the decisions.
 func (c *core) replicaChanged(now time.Time, id string, info *catalog.Replica) {
+	if info == nil {
+		delete(c.said, id)
+	}
 	c.dispatch.SetReplica(id, info)
 	c.plan.SetReplica(now, id, info)
 }
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -1,6 +1,9 @@
 package controlplane
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
@@ -115,13 +118,29 @@
 			c.log.Info("replica not usable", "replica", id, "version", e.Version)
 			continue
 		}
-		c.log.Debug("replica seen", "replica", id, "version", e.Version, "leaving", e.Replica.Leaving, "models", len(e.Replica.Models))
+		c.logReplica(e)
 	}
 	if len(changed) > 0 {
 		c.dropSuperseded(now)
 	}
 }
 
+// logReplica writes a line on an entry that says something new of its replica.
+// Most entries only repeat what is known.
+func (c *core) logReplica(e catalog.Entry) {
+	models := make([]string, len(e.Replica.Models))
+	for i, m := range e.Replica.Models {
+		models[i] = m.Name
+	}
+	slices.Sort(models)
+	said := fmt.Sprint(e.Replica.Address, e.Replica.Born, e.Replica.Leaving, models)
+	if c.said[e.ID] == said {
+		return
+	}
+	c.said[e.ID] = said
+	c.log.Info("replica taken over", "replica", e.ID, "version", e.Version, "service", e.Replica.Service, "leaving", e.Replica.Leaving, "models", strings.Join(models, ","))
+}
+
 // dropSuperseded drops replicas whose address belongs to a later one. Their
 // entries last until their leases run out.
 func (c *core) dropSuperseded(now time.Time) {
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -1,7 +1,9 @@
 package controlplane
 
 import (
+	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,13 +20,18 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newTestCore(t *testing.T) *core {
+	t.Helper()
+	return newLoggingCore(t, io.Discard)
+}
+
+func newLoggingCore(t *testing.T, w io.Writer) *core {
 	t.Helper()
 	k, err := kernel.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	node := nodeconfig.Node{ID: "self", DataCentre: "z", PeerHost: "127.0.0.1", FirstPeerPort: 7380, Bounds: nodeconfig.Bounds{RetryWindow: 10 * time.Second}}
-	return newCore(node, log.New(io.Discard), metrics.New(), k.Bus(), epoch)
+	return newCore(node, log.New(w), metrics.New(), k.Bus(), epoch)
 }
 
 func load(requests int) map[string]dispatch.Load {
@@ -76,3 +83,26 @@
 	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, StoreAge: listLifetime}}.apply(c, now.Add(time.Second))
 	is.Equal(c.listSource, FromStore)
 }
+
+// Guards against entries that change what the instance believes without a line,
+// and against a line for each heartbeat.
+func TestEntriesAreLogged(t *testing.T) {
+	is := is.New(t)
+	var logs bytes.Buffer
+	c := newLoggingCore(t, &logs)
+	lines := func(version uint64, leaving bool, models ...string) int {
+		logs.Reset()
+		r := &catalog.Replica{ID: "r", Service: "s", Address: "a:1", Leaving: leaving}
+		for _, m := range models {
+			r.Models = append(r.Models, catalog.Resident{Name: m})
+		}
+		ReplicasChanged{Entries: []catalog.Entry{{ID: "r", Version: version, Replica: r}}, Version: version}.apply(c, epoch)
+		return strings.Count(logs.String(), "replica taken over")
+	}
+	is.Equal(lines(1, false, "m1", "m2"), 1)
+	is.Equal(lines(2, false, "m2", "m1"), 0)
+	is.Equal(lines(3, false, "m1"), 1)
+	is.Equal(lines(4, true, "m1"), 1)
+	ReplicasChanged{Removed: []string{"r"}, Version: 5}.apply(c, epoch)
+	is.Equal(lines(6, true, "m1"), 1)
+}
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -15,6 +15,9 @@
 	"testing"
 	"time"
 
+	// The program under test is built when the tests run. This makes its sources
+	// part of what the test cache depends on.
+	_ "github.com/hyssophaven/hyssophaven/cli"
 	"github.com/hyssophaven/hyssophaven/internal/loopbacktest"
 )
 
