--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -69,6 +69,7 @@
 	peers    map[string]*peerState
 	fleet    fleetSum // of all instances, at the last tick
 	adapters map[adapterKey][]adapterWaiter
+	waiting  map[string][]modelWaiter // requests, by the model that they wait for
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -86,7 +87,7 @@
 			},
 		}),
 		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), said: make(map[string]string), demand: make(map[string]*modelDemand),
-		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter),
+		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter), waiting: make(map[string][]modelWaiter),
 	}
 	return c
 }
@@ -101,6 +102,7 @@
 	c.checkOrders(now, boot)
 	c.checkList(now)
 	c.expireAdapters(now)
+	c.expireWaiting(now)
 	c.exportState(now)
 }
 
@@ -126,7 +128,7 @@
 	c.metrics.Gauge("config_version").Set(version)
 	c.metrics.Gauge("ordering").Set(ordering)
 	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
-	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.Moving())))
+	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.Moving(now))))
 }
 
 // snapshotChanged publishes what traffic sees.
@@ -160,4 +162,5 @@
 	}
 	c.dispatch.SetReplica(id, info)
 	c.plan.SetReplica(now, id, info)
+	c.wakeWaiting(info)
 }
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"time"
+	"math"
 
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/residency"
@@ -11,16 +11,21 @@
 // whose model no replica holds.
 const notLoadedWait = 3.0
 
+// worthOf returns what a request of a rank counts: each rank twice as much as the
+// next one, 1 for the second.
+func worthOf(rank int) float64 { return math.Pow(2, float64(1-min(max(rank, 0), 3))) }
+
 // modelDemand is the demand for one model at this instance since the last report.
 type modelDemand struct {
 	requests  int
+	worth     float64        // sum over requests
 	reading   float64        // sum over requests
 	waitShare float64        // sum over requests
 	adapters  map[string]int // requests by adapter
 }
 
 // countDemand records the demand that a decision shows.
-func (c *core) countDemand(_ time.Time, req *dispatch.Request, d dispatch.Decision) {
+func (c *core) countDemand(req *dispatch.Request, d dispatch.Decision) {
 	if req.Model == "" {
 		return
 	}
@@ -30,6 +35,7 @@
 		c.demand[req.Model] = m
 	}
 	m.requests++
+	m.worth += worthOf(req.Route.Rank)
 	if req.Adapter != "" {
 		if m.adapters == nil {
 			m.adapters = make(map[string]int)
@@ -56,7 +62,7 @@
 		if m.requests == 0 {
 			continue
 		}
-		out[model] = residency.Demand{Requests: m.requests, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests), Adapters: m.adapters}
+		out[model] = residency.Demand{Requests: m.requests, Worth: m.worth, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests), Adapters: m.adapters}
 		*m = modelDemand{}
 	}
 	return out
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -60,9 +60,10 @@
 		}
 		if ok {
 			c.useAdapters(now, c.dispatch.OwnLoad())
+			c.countRunning(now)
 			c.findUnreachable(now)
 			c.act(now, c.plan.Plan(now))
-			c.dispatch.SetMoving(c.plan.Moving(), c.plan.Dropping())
+			c.dispatch.SetMoving(now, c.plan.Moving(now), c.plan.Dropping())
 			c.dispatch.SetComing(now, c.plan.Coming(now))
 			c.logModels(now)
 		}
@@ -101,9 +102,9 @@
 		if i == maxLoggedModels {
 			break
 		}
-		fmt.Fprintf(&b, "%s held=%d coming=%d use=%.2f wait=%.2f pace=%.2f; ", m.Model, m.Held, m.Coming, m.Use, m.Wait, c.dispatch.Pace(m.Model))
+		fmt.Fprintf(&b, "%s held=%d coming=%d work=%.2f use=%.2f wait=%.2f pace=%.2f; ", m.Model, m.Held, m.Coming, m.Work, m.Use, m.Wait, c.dispatch.Pace(m.Model).PerToken)
 	}
-	c.log.Info("models", "moving", len(c.plan.Moving()), "waiting", fmt.Sprint(c.plan.Waiting(now)), "most_used", b.String())
+	c.log.Info("models", "moving", len(c.plan.Moving(now)), "waiting", fmt.Sprint(c.plan.Waiting(now)), "most_used", b.String())
 }
 
 // act carries out the actions of the plan.
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -21,7 +21,7 @@
 	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
 	Demand   map[string]residency.Demand `json:"demand"` // by model
 	Versions map[string]uint64           `json:"versions"`
-	Paces    map[string]float64          `json:"paces"` // by the size of models
+	Paces    map[string]dispatch.Pace    `json:"paces"` // by the size of models
 	// Crashes are broken runs by the content of requests.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// ListVersion is the version of the list of replicas that the instance knows.
@@ -41,14 +41,15 @@
 	Released string                   `json:"released,omitempty"`
 	Loads    map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
 	// Versions are the newest rows that the holder has read, by table.
-	Versions map[string]uint64  `json:"versions"`
-	Paces    map[string]float64 `json:"paces"` // by the size of models
+	Versions map[string]uint64        `json:"versions"`
+	Paces    map[string]dispatch.Pace `json:"paces"` // by the size of models
 	// Crashes are broken runs at all other instances, by the content of requests.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
-	// Moving are the replicas that load or unload a model.
-	Moving []string `json:"moving"`
+	// Moving are the replicas that load or unload a model, with the time until they
+	// take orders again.
+	Moving map[string]time.Duration `json:"moving"`
 	// Dropping are the models that are being unloaded or will be, by replica.
-	Dropping map[string]string `json:"dropping"`
+	Dropping map[string][]string `json:"dropping"`
 	// Coming is the time until the first copy of a model arrives that is loaded.
 	Coming map[string]time.Duration `json:"coming"`
 	// List is what changed in the list of replicas after the peer's version.
@@ -113,7 +114,7 @@
 	if c.leader.Held() {
 		state.Holder, state.Epoch, state.LeaseVersion = c.node.ID, c.leader.Epoch(), row.Version
 		state.OrdersIn = c.leader.OrdersIn(bootclock.Now())
-		state.Moving, state.Dropping, state.Coming = c.plan.Moving(), c.plan.Dropping(), c.plan.Coming(now)
+		state.Moving, state.Dropping, state.Coming = c.plan.Moving(now), c.plan.Dropping(), c.plan.Coming(now)
 		state.List, state.ListVersion = c.roster.Since(peer.ListVersion), c.roster.Version()
 		state.StoreAge = now.Sub(c.storeSeen)
 	}
@@ -133,6 +134,28 @@
 	}
 }
 
+// countRunning tells the plan how many requests run on each replica, by model.
+func (c *core) countRunning(now time.Time) {
+	running := make(map[string]map[string]int)
+	add := func(loads map[string]dispatch.Load) {
+		for id, load := range loads {
+			if running[id] == nil {
+				running[id] = make(map[string]int, len(load.Models))
+			}
+			for model, n := range load.Models {
+				running[id][model] += n
+			}
+		}
+	}
+	add(c.dispatch.OwnLoad())
+	for _, p := range c.peers {
+		if now.Sub(p.at) <= peerLifetime {
+			add(p.loads)
+		}
+	}
+	c.plan.SetRunning(running)
+}
+
 // unreachableBy is the number of instances that must fail to connect to a
 // replica before its models are loaded elsewhere: one alone may be cut off.
 const unreachableBy = 2
@@ -249,7 +272,7 @@
 	c.takeList(now, e.State)
 	c.compareVersions(now, e.State.Versions)
 	c.setPeerLoads(now, e.State.Loads)
-	c.dispatch.SetMoving(e.State.Moving, e.State.Dropping)
+	c.dispatch.SetMoving(now, e.State.Moving, e.State.Dropping)
 	c.dispatch.SetComing(now, e.State.Coming)
 	c.dispatch.AdoptPaces(e.State.Paces)
 	c.dispatch.SetPeerCrashes(e.State.Crashes)
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -23,6 +23,8 @@
 	// reached a replica, and Ran replicas may have run it.
 	Tried         []string
 	Arrivals, Ran int
+	// Waited says that the request has been asked about before, and has waited since.
+	Waited bool
 }
 
 // Admission is the answer to a Query. Flight is nil if the request is refused.
@@ -45,15 +47,18 @@
 
 func (e admit) apply(c *core, now time.Time) {
 	req := e.query.Request
-	if len(e.query.Tried) == 0 {
+	first := len(e.query.Tried) == 0 && !e.query.Waited
+	if first {
 		c.dispatch.Arrived(now, req)
 	}
 	d := c.dispatch.Choose(now, req, dispatch.History{Tried: e.query.Tried, Arrivals: e.query.Arrivals, Ran: e.query.Ran})
-	c.countDemand(now, req, d)
+	if first {
+		c.countDemand(req, d)
+	}
 	if e.query.Arrivals > 0 {
 		c.countRetry(d)
 	}
-	if d.Verdict == dispatch.Refuse {
+	if d.Verdict != dispatch.Send {
 		e.answer <- Admission{Decision: d}
 		return
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -11,7 +11,8 @@
 	// readTokensPerMS is the assumed speed at which an engine reads prompts. It
 	// is only a scale: slowness corrects it by replica.
 	readTokensPerMS = 19.0
-	// firstStep is the time of an engine's step beside reading.
+	// firstStep is the time to the first event beside reading that is assumed
+	// until it is learned: a step of today's engines.
 	firstStep = 12 * time.Millisecond
 	// slotWait is the assumed time until a slot of a full engine is free.
 	slotWait = 60 * time.Millisecond
@@ -43,7 +44,14 @@
 	loadingRetryAfter = 1500 * time.Millisecond
 	// arrivalMargin is added to the time until a model arrives: instances hear of
 	// it from the list, which is some hundred milliseconds late.
-	arrivalMargin = 500 * time.Millisecond
+	arrivalMargin = 400 * time.Millisecond
+	// waitGoal is the part of the goal, in percent, for which a request may wait for
+	// its model; the rest is for its answer.
+	waitGoal = 60
+	// maxLateWait bounds the wait of a request that will miss its goal.
+	maxLateWait = 1600 * time.Millisecond
+	// minWait is the shortest wait, about the time between two states of the holder.
+	minWait = 250 * time.Millisecond
 )
 
 // History is what was done for a request before.
@@ -95,7 +103,7 @@
 	reading := s.reading(chosen, req)
 	return Decision{
 		Replica: chosen.info, NeedsAdapter: !chosen.hasAdapter(req.Model, req.Adapter), Urgency: at,
-		Expected: expected, Base: readingTime(chosen.unread(now, at, svc.reading) + reading), Reading: reading,
+		Expected: expected, Unread: chosen.unread(now, at, svc.reading), Reading: reading,
 		CachedTokens: chosen.prefixes.cached(req.Parts), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
 	}
 }
@@ -119,7 +127,7 @@
 			if cause == CauseNoReplica {
 				cause = CauseNotLoaded
 			}
-		case req.Model != "" && r.dropping == req.Model:
+		case req.Model != "" && slices.Contains(r.dropping, req.Model):
 			cause = CauseUnloading
 		case r.moving && !r.hasAdapter(req.Model, req.Adapter):
 			cause = CauseNoAdapter
@@ -157,21 +165,54 @@
 	return best
 }
 
-// refuse says when the caller should come back.
+// refuse says when the caller should come back. A request that can be served
+// soon waits instead.
 func (s *State) refuse(now time.Time, req *Request, cause Cause) Decision {
 	d := Decision{Verdict: Refuse, Cause: cause, RetryAfter: refusedRetryAfter}
+	in, known := time.Duration(0), false
 	switch cause {
 	case CauseNotLoaded, CauseUnloading:
 		d.RetryAfter = loadingRetryAfter
 		if at, ok := s.coming[req.Model]; ok {
-			d.RetryAfter = max(refusedRetryAfter, at.Sub(now)+arrivalMargin)
+			in, known = at.Sub(now)+arrivalMargin, true
 		}
 	case CauseNoOrders:
-		d.RetryAfter = max(refusedRetryAfter, s.ordersIn)
+		in, known = s.ordersIn, true
+	case CauseNoAdapter:
+		in, known = s.adapterIn(now, req)
+	}
+	if !known {
+		return d
+	}
+	d.RetryAfter = max(refusedRetryAfter, in)
+	if now.Add(in).Before(req.Arrived.Add(mayWait(req))) {
+		d.Verdict, d.RetryAfter = Wait, max(in, minWait)
 	}
 	return d
 }
 
+// mayWait returns how long a request may wait for its model or adapter before it
+// is sent: most of the time in which it has its full worth, or half of the time
+// after which the caller leaves.
+func mayWait(req *Request) time.Duration {
+	return max(req.Route.Goal*waitGoal/100, min(patience(req)/2, maxLateWait))
+}
+
+// adapterIn returns the time until a replica that holds the request's model takes
+// orders again.
+func (s *State) adapterIn(now time.Time, req *Request) (time.Duration, bool) {
+	in, known := time.Duration(0), false
+	for _, r := range s.service(req.Service).replicas {
+		if r.info.Leaving || !r.moving || !r.info.Holds(req.Model) || slices.Contains(r.dropping, req.Model) {
+			continue
+		}
+		if left := max(0, r.movingUntil.Sub(now)) + arrivalMargin; !known || left < in {
+			in, known = left, true
+		}
+	}
+	return in, known
+}
+
 // score is the estimate with preferences that do not change the time itself.
 func (s *State) score(now time.Time, svc *service, r *replica, req *Request, at int) time.Duration {
 	score := s.estimate(now, svc, r, req, at)
@@ -194,7 +235,7 @@
 	for _, p := range shared {
 		tokens += p.Tokens
 	}
-	work := float64(tokens) * s.Pace(req.Model)
+	work := float64(tokens) * s.Pace(req.Model).PerToken
 	return preferred(svc, req.Model, shared[len(shared)-1].Key), time.Duration(affinityShare * float64(readingTime(work)))
 }
 
@@ -221,7 +262,7 @@
 	if req.Model == "" {
 		return s.plainEstimate(svc, r, running)
 	}
-	estimate := firstStep + readingTime(r.unread(now, at, svc.reading)+s.reading(r, req))
+	estimate := s.Pace(req.Model).Base + readingTime(r.unread(now, at, svc.reading)+s.reading(r, req))
 	if over := running + 1 - s.concurrency(svc, r); over > 0 {
 		estimate += time.Duration(over) * slotWait
 	}
@@ -233,12 +274,12 @@
 
 // reading returns the reading work of a request on a replica.
 func (s *State) reading(r *replica, req *Request) float64 {
-	return float64(max(0, req.PromptTokens-r.prefixes.cached(req.Parts))) * s.Pace(req.Model)
+	return float64(max(0, req.PromptTokens-r.prefixes.cached(req.Parts))) * s.Pace(req.Model).PerToken
 }
 
 // Reading returns the reading work of a request of which nothing is cached.
 func (s *State) Reading(req *Request) float64 {
-	return float64(req.PromptTokens) * s.Pace(req.Model)
+	return float64(req.PromptTokens) * s.Pace(req.Model).PerToken
 }
 
 // readingTime returns the time that an engine takes for reading work.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,6 +44,9 @@
 const (
 	Send Verdict = iota
 	Refuse
+	// Wait means that the decision is to be asked for again after a time, or when
+	// the model arrives.
+	Wait
 )
 
 // Cause names the reason of a decision in logs and metrics.
@@ -70,7 +73,8 @@
 type Decision struct {
 	Verdict Verdict
 	Cause   Cause
-	// RetryAfter is when a refused caller should come back.
+	// RetryAfter is when a refused caller should come back, or how long the request
+	// waits.
 	RetryAfter time.Duration
 	Replica    *catalog.Replica
 	// NeedsAdapter says that the adapter is not known to be on the replica.
@@ -79,9 +83,9 @@
 	Expected time.Duration
 	// Urgency is the level for the engine.
 	Urgency int
-	// Base is the part of Expected that the model's reading explains, before the
-	// replica's slowness; Reading is the reading work of the request itself.
-	Base    time.Duration
+	// Unread is the reading work that the replica does before the request, and
+	// Reading that of the request itself.
+	Unread  float64
 	Reading float64
 	// CachedTokens are the tokens of the prompt that the replica has read before.
 	CachedTokens int
@@ -231,11 +235,13 @@
 	}
 }
 
-// SetMoving records which replicas load or unload a model, and which models are
-// being unloaded or will be, by replica.
-func (s *State) SetMoving(ids []string, dropping map[string]string) {
+// SetMoving records which replicas load or unload a model, with the time until
+// they take orders again, and which models are being unloaded or will be, by
+// replica.
+func (s *State) SetMoving(now time.Time, moving map[string]time.Duration, dropping map[string][]string) {
 	for id, r := range s.replicas {
-		r.moving, r.dropping = slices.Contains(ids, id), dropping[id]
+		left, ok := moving[id]
+		r.moving, r.movingUntil, r.dropping = ok, now.Add(left), dropping[id]
 	}
 }
 
@@ -262,6 +268,7 @@
 			load := r.own
 			load.Unreachable = down
 			load.Adapters = slices.Sorted(maps.Keys(r.inUse))
+			load.Models = maps.Clone(r.running)
 			out[id] = load
 		}
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -78,6 +78,9 @@
 	if r.asideFor > 0 {
 		r.trial = true
 	}
+	if req.Model != "" {
+		r.running[req.Model]++
+	}
 	if req.Adapter != "" {
 		r.inUse[adapterKey(req.Model, req.Adapter)]++
 	}
@@ -98,14 +101,18 @@
 	r.own.Unread[level] = max(0, r.own.Unread[level]-work)
 }
 
-// release ends the use of a request's adapter.
+// release ends the use of a request's model and adapter.
 func (r *replica) release(req *Request) {
-	if req.Adapter == "" {
-		return
+	end := func(uses map[string]int, key string) {
+		if uses[key]--; uses[key] <= 0 {
+			delete(uses, key)
+		}
 	}
-	key := adapterKey(req.Model, req.Adapter)
-	if r.inUse[key]--; r.inUse[key] <= 0 {
-		delete(r.inUse, key)
+	if req.Model != "" {
+		end(r.running, req.Model)
+	}
+	if req.Adapter != "" {
+		end(r.inUse, adapterKey(req.Model, req.Adapter))
 	}
 }
 
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -17,11 +17,13 @@
 	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
 	// filled in for other instances only.
 	Adapters []string `json:",omitempty"`
+	// Models are the requests by model. They are filled in for other instances only.
+	Models map[string]int `json:",omitempty"`
 	// Unreachable says that the last connection to the replica could not be made.
 	Unreachable bool `json:",omitempty"`
 }
 
-// Plus returns the work of both. Names of adapters are left out.
+// Plus returns the work of both. Models and adapters are left out.
 func (l Load) Plus(other Load) Load {
 	sum := Load{Requests: l.Requests + other.Requests}
 	for level := range sum.Unread {
@@ -73,6 +75,7 @@
 	hash     uint64          // of the id
 	adapters map[string]bool // MODEL/ADAPTER
 	inUse    map[string]int  // requests by adapter
+	running  map[string]int  // requests by model
 	own      Load
 	peers    Load
 	peersAt  time.Time
@@ -87,14 +90,15 @@
 	failing     float64
 	aside       time.Time // no work before this time
 	asideFor    time.Duration
-	trial       bool   // one request is out to try the replica again
-	moving      bool   // it loads or unloads a model, and takes no other order
-	dropping    string // model that is being unloaded, or will be
+	trial       bool // one request is out to try the replica again
+	moving      bool // it loads or unloads a model, and takes no other order
+	movingUntil time.Time
+	dropping    []string // models that are being unloaded, or will be
 	prefixes    prefixes
 }
 
 func newReplica(info *catalog.Replica) *replica {
-	r := &replica{hash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), inUse: make(map[string]int), slowness: 1, prefixes: newPrefixes()}
+	r := &replica{hash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), inUse: make(map[string]int), running: make(map[string]int), slowness: 1, prefixes: newPrefixes()}
 	r.update(info)
 	return r
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -29,6 +29,7 @@
 	body    []byte
 	arrived time.Time
 
+	waited   bool // for its model or adapter
 	tried    []string
 	arrivals int              // sends that reached a replica
 	ran      int              // replicas that may have run the request
@@ -66,6 +67,10 @@
 			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
 			return
 		}
+		if d.Verdict == dispatch.Wait {
+			x.await(ctx, d)
+			continue
+		}
 		if len(x.tried) > 0 {
 			x.logRepeat(d)
 		}
@@ -85,8 +90,17 @@
 	}
 }
 
+// await lets the request wait until its model arrives or can be ordered.
+func (x *exchange) await(ctx context.Context, d dispatch.Decision) {
+	if !x.waited {
+		x.logWait(d)
+	}
+	x.waited = true
+	x.gateway.control.AwaitModel(ctx, x.request.Model, d.RetryAfter)
+}
+
 func (x *exchange) query() controlplane.Query {
-	return controlplane.Query{Request: x.request, Tried: x.tried, Arrivals: x.arrivals, Ran: x.ran}
+	return controlplane.Query{Request: x.request, Tried: x.tried, Arrivals: x.arrivals, Ran: x.ran, Waited: x.waited}
 }
 
 // send passes the request to one replica and its answer to the caller. done
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -73,6 +73,13 @@
 		"running", d.Running, "load_age", min(d.LoadAge, time.Hour).Round(time.Millisecond), "urgency", d.Urgency, "elapsed", time.Since(x.arrived).Round(time.Millisecond))
 }
 
+// logWait writes a line on a request that waits for its model or adapter.
+func (x *exchange) logWait(d dispatch.Decision) {
+	x.gateway.metrics.Counter("waits", "kind", x.route.Kind.String(), "cause", string(d.Cause)).Add(1)
+	x.gateway.log.Info("request waits", "request", x.head.ID, "model", x.head.Model, "adapter", x.head.Adapter, "cause", string(d.Cause),
+		"wait", d.RetryAfter.Round(time.Millisecond), "elapsed", time.Since(x.arrived).Round(time.Millisecond))
+}
+
 // finish records the end of the request. An empty cause means that a replica's
 // answer is passed on whole; status 0 means that the connection is broken off.
 func (x *exchange) finish(status int, cause string) {
@@ -99,7 +106,7 @@
 	}
 	x.gateway.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "model", x.head.Model,
 		"adapter", x.head.Adapter, "status", status, "cause", outcome, "late", late, "first_byte", toFirst.Round(time.Millisecond),
-		"took", took.Round(time.Millisecond), "time_left", x.head.TimeLeft, "ran", x.ran, "last_event", x.lastEvent, "sends", x.story())
+		"took", took.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "ran", x.ran, "last_event", x.lastEvent, "sends", x.story())
 }
 
 func (x *exchange) story() string {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -159,7 +159,7 @@
 		return s.tickHolder(now)
 	case s.stopping:
 		return None
-	case s.known && now.Sub(s.contact) < contactTimeout, now < s.nextRead:
+	case s.holderLives(now), now < s.nextRead:
 		return None
 	case s.known && s.mayTake(now):
 		next := s.self
@@ -171,6 +171,13 @@
 	return s.start(now, ReadLease)
 }
 
+// holderLives reports whether the holder was heard of lately and has renewed the
+// lease: one that is cut off from the store may still reach its peers, and stops
+// ordering at the end of its term.
+func (s *State) holderLives(now bootclock.Time) bool {
+	return s.known && now.Sub(s.contact) < contactTimeout && now.Sub(s.rowAt) < Term
+}
+
 func (s *State) tickHolder(now bootclock.Time) Action {
 	if s.stopping {
 		next := s.row.Lease
--- /dev/null
+++ b/residency/bench_test.go
@@ -0,0 +1,63 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
+
+// fleetState is a State of many replicas with three models each, of which a fifth
+// are in demand.
+func fleetState(replicas, models int) (*State, time.Time) {
+	e := &catalog.Engine{Slots: 96, WeightsMB: 83, AdapterSlots: 5, LoadsPerSec: 14}
+	for n := range models {
+		m := catalog.Model{Name: fmt.Sprintf("m%03d", n), WeightsMB: 16, LoadTime: 2 * time.Second, DiskTime: time.Second}
+		if n%3 > 0 {
+			m.WeightsMB, m.LoadTime = 34, 4*time.Second
+		}
+		for a := range 4 {
+			m.Adapters = append(m.Adapters, fmt.Sprintf("a%d", a))
+		}
+		e.Models = append(e.Models, m)
+	}
+	e.Index()
+	now := epoch
+	s := New(testLimits)
+	s.SetConfig(catalog.NewConfig(1, catalog.Limits{}, []*catalog.Service{{Name: service, Engine: e}}, nil))
+	for n := range replicas {
+		id := fmt.Sprintf("r%04d", n)
+		info := &catalog.Replica{ID: id, Service: service, Address: id + ":1", DataCentre: fmt.Sprintf("z%d", n%3), Slots: 96, Born: 1}
+		for k := range 3 {
+			info.Models = append(info.Models, catalog.Resident{Name: e.Models[(n+37*k)%models].Name})
+			info.OnDisk = append(info.OnDisk, e.Models[(n+37*k)%models].Name, e.Models[(n+11*k+5)%models].Name)
+		}
+		s.SetReplica(now, id, info)
+	}
+	s.Hold(now)
+	for id, r := range s.replicas {
+		s.Reported(now, id, &Report{Born: 1, Models: r.info.Models})
+	}
+	for n := range models {
+		d := Demand{Requests: 1, Worth: 0.1, Reading: 300}
+		if n%5 == 0 {
+			d = Demand{Requests: 50, Worth: 30, Reading: 60_000}
+		}
+		s.AddDemand(now, e.Models[n].Name, d)
+	}
+	return s, now
+}
+
+// BenchmarkPlan measures a plan in a fleet whose orders are never answered.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ replicas, models int }{{12, 20}, {90, 107}, {300, 300}} {
+		b.Run(fmt.Sprintf("%dx%d", size.replicas, size.models), func(b *testing.B) {
+			s, now := fleetState(size.replicas, size.models)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s.Plan(now)
+			}
+		})
+	}
+}
--- a/residency/bucket.go
+++ b/residency/bucket.go
@@ -34,11 +34,16 @@
 
 func newBucket(now time.Time) bucket { return bucket{tokens: startLoads, at: now} }
 
-// take uses one load. A spare load leaves one for models that are missed.
-func (b *bucket) take(now time.Time, perSecond float64, limits Limits, spare bool) bool {
+// ready reports whether a load may begin now.
+func (b *bucket) ready(now time.Time, perSecond float64, limits Limits) bool {
 	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*perSecond, limits.burst(perSecond))
 	b.at = now
-	if b.tokens < 1 || (spare && b.tokens < 2) {
+	return b.tokens >= 1
+}
+
+// take uses one load, if one may begin now.
+func (b *bucket) take(now time.Time, perSecond float64, limits Limits) bool {
+	if !b.ready(now, perSecond, limits) {
 		return false
 	}
 	b.tokens--
--- a/residency/census.go
+++ b/residency/census.go
@@ -1,80 +1,123 @@
 package residency
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 )
 
-// census is where the models of a service are, for the duration of one plan.
+// census is where the models of a service are and how much each replica is
+// used, for the duration of one plan.
 type census struct {
-	pool map[string]*replica // that can be used, by id
-	// held and coming count the replicas that hold or load a model.
-	held, coming map[string]int
-	places       map[place]bool
+	state  *State
+	now    time.Time
+	engine *catalog.Engine
+	sites  []*site // that can be used, by id
+	// copies are the sites that hold a model or will hold it.
+	copies map[string][]*site
+	held   map[string]int
 	// adapters are those that some replica holds or is about to load, as
 	// MODEL/ADAPTER.
 	adapters map[string]bool
-	// requested are the replicas that should load requested adapters first, by id.
-	requested map[string]bool
 }
 
-// place is a model in a data centre.
-type place struct{ dataCentre, model string }
+// site is one replica in a census.
+type site struct {
+	id string
+	r  *replica
+	// models are those that it holds or will hold, without those that give way.
+	models []string
+	flow   map[string]float64 // utilization by model
+	load   float64            // sum of flow
+	free   float64            // MB that are left for another model
+	// victims are the models that may give way, those that are missed least first;
+	// nil until they are needed.
+	victims []victim
+}
 
 // count returns the census of a service.
 func (s *State) count(now time.Time, service *catalog.Service) *census {
-	c := &census{pool: make(map[string]*replica), held: make(map[string]int), coming: make(map[string]int), places: make(map[place]bool), adapters: make(map[string]bool), requested: make(map[string]bool)}
+	c := &census{
+		state: s, now: now, engine: service.Engine,
+		copies: make(map[string][]*site), held: make(map[string]int), adapters: make(map[string]bool),
+	}
 	for id, r := range s.replicas {
-		if r.info.Service != service.Name || r.info.Leaving || r.down {
-			continue
-		}
-		c.pool[id] = r
-		for _, m := range r.info.Models {
-			c.add(r, m.Name)
-		}
-		for _, m := range r.reported {
-			if !r.info.Holds(m.Name) {
-				c.add(r, m.Name)
-			}
-		}
-		for key := range r.adapters {
-			c.adapters[key] = true
+		if r.info.Service == service.Name && !r.info.Leaving && !r.down {
+			c.addSite(id, r)
 		}
-		for _, w := range r.wishes {
-			c.adapters[w.model+"/"+w.adapter] = true
-		}
-		if r.loading != "" {
-			c.loads(r, r.loading)
+	}
+	slices.SortFunc(c.sites, func(a, b *site) int { return cmp.Compare(a.id, b.id) })
+	c.balance()
+	return c
+}
+
+func (c *census) addSite(id string, r *replica) {
+	t := &site{id: id, r: r, flow: make(map[string]float64), free: c.engine.WeightsMB - c.state.usedMB(r, c.engine)}
+	c.sites = append(c.sites, t)
+	for _, name := range r.models() {
+		switch {
+		case r.givesWay(name):
+			t.free += c.weights(name)
+		case r.loading != name:
+			c.held[name]++
+			c.hold(t, name)
 		}
-		if o := r.sent; o != nil && o.Operation == Load && o.Adapter == "" && o.Model != r.loading {
-			c.loads(r, o.Model)
-		} else if r.reservedNow(now) && r.loading != r.reserved.model.Name {
-			c.loads(r, r.reserved.model.Name)
+	}
+	if coming := r.coming(c.now); coming != "" {
+		if r.loading != coming {
+			t.free -= c.weights(coming)
 		}
+		c.hold(t, coming)
 	}
-	for id, r := range c.pool {
-		c.requested[id] = len(s.requestedAdapters(service.Engine, c, r)) > 0
+	for key := range r.adapters {
+		c.adapters[key] = true
 	}
-	return c
+	for _, w := range r.wishes {
+		c.adapters[w.model+"/"+w.adapter] = true
+	}
+}
+
+// weights returns the size of a model in MB; 0 if it is not declared.
+func (c *census) weights(model string) float64 {
+	if declared := c.engine.Model(model); declared != nil {
+		return declared.WeightsMB
+	}
+	return 0
 }
 
-// add counts a model that a replica holds, unless it is counted as loading.
-func (c *census) add(r *replica, model string) {
-	c.places[place{r.info.DataCentre, model}] = true
-	if r.dropping != model && r.loading != model {
-		c.held[model]++
+// hold records that a site holds a model or will hold it.
+func (c *census) hold(t *site, model string) {
+	if !slices.Contains(t.models, model) {
+		t.models = append(t.models, model)
+		c.copies[model] = append(c.copies[model], t)
 	}
 }
 
-// loads counts a model that a replica loads or is ordered to load.
-func (c *census) loads(r *replica, model string) {
-	c.coming[model]++
-	c.places[place{r.info.DataCentre, model}] = true
+// drop records that a site will not hold a model any more.
+func (c *census) drop(t *site, model string) {
+	is := func(name string) bool { return name == model }
+	t.models = slices.DeleteFunc(t.models, is)
+	c.copies[model] = slices.DeleteFunc(c.copies[model], func(other *site) bool { return other == t })
+	c.held[model]--
 }
 
-// copies counts the replicas that hold or load a model.
-func (c *census) copies(model string) (held, coming int) { return c.held[model], c.coming[model] }
+// begun records a move that has been decided.
+func (c *census) begun(t *site, m *move) {
+	for _, v := range m.victims {
+		c.drop(t, v)
+		t.free += c.weights(v)
+	}
+	c.hold(t, m.model.Name)
+	t.free -= m.model.WeightsMB
+	c.balance()
+	for _, other := range c.sites {
+		other.victims = nil
+	}
+}
 
-// dropped takes a copy off that will be unloaded.
-func (c *census) dropped(model string) { c.held[model]-- }
+// count returns how many replicas hold a model, and how many will.
+func (c *census) count(model string) (held, coming int) {
+	return c.held[model], len(c.copies[model]) - c.held[model]
+}
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -26,23 +26,29 @@
 	return r.known && r.sent == nil && !r.asked && !now.Before(r.retryAt)
 }
 
-// Moving returns the replicas that load or unload a model. They take no other order.
-func (s *State) Moving() []string {
-	var out []string
+// Moving returns the replicas that load or unload a model, with the time until
+// that is probably done. They take no other order before.
+func (s *State) Moving(now time.Time) map[string]time.Duration {
+	out := make(map[string]time.Duration)
 	for id, r := range s.replicas {
-		if r.moving() {
-			out = append(out, id)
+		switch {
+		case r.loading != "" && r.loading != unknownModel:
+			out[id] = max(0, r.due.Sub(now))
+		case r.moving():
+			out[id] = unloadPatience
 		}
 	}
 	return out
 }
 
 // Dropping returns the models that are being unloaded or will be, by replica.
-func (s *State) Dropping() map[string]string {
-	out := make(map[string]string)
+func (s *State) Dropping() map[string][]string {
+	out := make(map[string][]string)
 	for id, r := range s.replicas {
-		if r.dropping != "" {
-			out[id] = r.dropping
+		for _, model := range r.models() {
+			if r.givesWay(model) {
+				out[id] = append(out[id], model)
+			}
 		}
 	}
 	return out
@@ -54,7 +60,7 @@
 // idle reports whether a replica can begin a move or load adapters ahead of use:
 // nothing is in progress there, and no adapter is asked for.
 func (r *replica) idle(now time.Time) bool {
-	return r.free(now) && !r.moving() && len(r.wishes) == 0
+	return r.free(now) && !r.moving() && r.move == nil && len(r.wishes) == 0
 }
 
 // advance sends the next adapter order of a replica, if there is one.
@@ -108,7 +114,7 @@
 		Expected: r.orders, Reason: "adapter wanted",
 	}
 	fits := s.usedMB(r, e)+s.adapterMB(r, w.model) <= e.WeightsMB
-	if len(r.adapters) < e.AdapterSlots && fits && r.coming(now) < maxComing {
+	if len(r.adapters) < e.AdapterSlots && fits && r.comingAdapters(now) < maxComing {
 		return order
 	}
 	victim := r.idleAdapter(now)
@@ -121,7 +127,7 @@
 	return order
 }
 
-func (r *replica) coming(now time.Time) int {
+func (r *replica) comingAdapters(now time.Time) int {
 	n := 0
 	for _, a := range r.adapters {
 		if now.Before(a.readyAt) {
@@ -146,11 +152,8 @@
 // usedMB returns the memory that models and adapters take, with what may still come.
 func (s *State) usedMB(r *replica, e *catalog.Engine) float64 {
 	used := 0.0
-	for i, m := range append(slices.Clone(r.info.Models), r.reported...) {
-		if i >= len(r.info.Models) && r.info.Holds(m.Name) {
-			continue
-		}
-		if declared := e.Model(m.Name); declared != nil {
+	for _, name := range r.models() {
+		if declared := e.Model(name); declared != nil {
 			used += declared.WeightsMB
 		} else {
 			return e.WeightsMB // an unknown model leaves no room that is certain
@@ -266,9 +269,12 @@
 		switch {
 		case r.loading != "" && r.loading != unknownModel:
 			model, in = r.loading, max(0, r.due.Sub(now))
-		case r.reservedNow(now):
-			model = r.reserved.model.Name
-			in = announceTime + s.loadTime(r, model)
+		case r.move != nil && !now.After(r.move.until):
+			model = r.move.model.Name
+			in = s.loadTime(r, model)
+			if len(r.move.victims) > 0 {
+				in += announceTime
+			}
 		default:
 			continue
 		}
--- a/residency/prefetch.go
+++ b/residency/prefetch.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/rendezvous"
 )
 
@@ -24,44 +23,31 @@
 	prefetchUse = 0.02
 )
 
-// AddAdapterDemand records requests for an adapter.
-func (s *State) AddAdapterDemand(model, name string, requests int) {
-	s.adapterDemand[model+"/"+name] += float64(requests)
-}
-
-// prefetch fills free places with adapters of the models in demand, because no
-// adapter can be loaded while the replica loads a model. Replicas differ in
-// what they take first, so that all adapters are somewhere.
-func (s *State) prefetch(now time.Time, e *catalog.Engine, c *census) []Action {
+// prefetch loads adapters ahead of use: those that were asked for before loads of
+// models, during which a replica takes no adapter, and others after them.
+func (s *State) prefetch(now time.Time, c *census, choose func(*census, *site) []adapterChoice) []Action {
 	var actions []Action
-	for id, r := range c.pool {
-		if !r.idle(now) {
+	for _, t := range c.sites {
+		if !t.r.idle(now) {
 			continue
 		}
-		next := s.requestedAdapters(e, c, r)
-		if len(next) > prefetchAtOnce {
-			next = next[:prefetchAtOnce]
-		}
-		if room := min(prefetchAtOnce, e.AdapterSlots-spareSlots-len(r.adapters)); len(next) == 0 && room > 0 {
-			next = s.missingAdapters(e, c, id, r, room)
-		}
-		for _, a := range next {
-			r.wishes = append(r.wishes, wish{model: a.model, adapter: a.name, until: now.Add(adapterGiveUp)})
+		next := choose(c, t)
+		for _, a := range next[:min(prefetchAtOnce, len(next))] {
+			t.r.wishes = append(t.r.wishes, wish{model: a.model, adapter: a.name, until: now.Add(adapterGiveUp)})
 			c.adapters[a.model+"/"+a.name] = true
 		}
-		actions = append(actions, s.advance(now, id, r)...)
+		actions = append(actions, s.advance(now, t.id, t.r)...)
 	}
 	return actions
 }
 
 // requestedAdapters returns the adapters of a replica's models that were asked for of
-// late and are on no replica. They come before loads of models, during which the
-// replica takes no adapter, and one that is not in use gives way to them.
-func (s *State) requestedAdapters(e *catalog.Engine, c *census, r *replica) []adapterChoice {
+// late and are on no replica. One that is not in use gives way to them.
+func (s *State) requestedAdapters(c *census, t *site) []adapterChoice {
 	var out []adapterChoice
-	for _, m := range r.info.Models {
-		declared := e.Model(m.Name)
-		if declared == nil || r.dropping == m.Name {
+	for _, m := range t.r.info.Models {
+		declared := c.engine.Model(m.Name)
+		if declared == nil || t.r.givesWay(m.Name) {
 			continue
 		}
 		for _, name := range declared.Adapters {
@@ -81,19 +67,24 @@
 	order       uint64
 }
 
-// missingAdapters returns the adapters that a replica should load next.
-func (s *State) missingAdapters(e *catalog.Engine, c *census, id string, r *replica, most int) []adapterChoice {
+// missingAdapters returns the adapters that a replica should load into places that
+// are free. Replicas differ in what they take first, so that all adapters are
+// somewhere.
+func (s *State) missingAdapters(c *census, t *site) []adapterChoice {
+	room := c.engine.AdapterSlots - spareSlots - len(t.r.adapters)
+	if room <= 0 {
+		return nil
+	}
 	var out []adapterChoice
-	hash := rendezvous.Hash(id)
-	for _, m := range r.info.Models {
-		declared := e.Model(m.Name)
-		held, _ := c.copies(m.Name)
-		if declared == nil || s.demand[m.Name].use(held) < prefetchUse {
+	hash := rendezvous.Hash(t.id)
+	for _, m := range t.r.info.Models {
+		declared := c.engine.Model(m.Name)
+		if declared == nil || t.r.givesWay(m.Name) || s.demand[m.Name].work()/float64(max(1, c.held[m.Name])) < prefetchUse {
 			continue
 		}
 		for _, name := range declared.Adapters {
 			key := m.Name + "/" + name
-			if r.adapters[key] == nil {
+			if t.r.adapters[key] == nil {
 				out = append(out, adapterChoice{m.Name, name, s.adapterDemand[key], rendezvous.Score(rendezvous.Hash(key), hash)})
 			}
 		}
@@ -101,5 +92,5 @@
 	slices.SortFunc(out, func(a, b adapterChoice) int {
 		return cmp.Or(cmp.Compare(min(b.demand, 1), min(a.demand, 1)), cmp.Compare(b.order, a.order))
 	})
-	return out[:min(most, len(out))]
+	return out[:min(room, len(out))]
 }
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -115,6 +115,7 @@
 	demand   map[string]*demand // by model
 	// adapterDemand are the requests by MODEL/ADAPTER, fading with time.
 	adapterDemand map[string]float64
+	missing       map[string]time.Time // since when a model has had no copy
 	limits        Limits
 	loads         bucket
 	last          time.Time // of the last plan
@@ -132,18 +133,13 @@
 	loading  string    // model that is being loaded
 	due      time.Time // when the load probably ends
 	readyAt  time.Time // when it is overdue
-	dropping string    // model that is being unloaded, or will be
+	dropping string    // model that is being unloaded
 	dropBy   time.Time
-	// unload is an order that waits until unloadAt, so that instances stop
-	// sending requests for the model first.
-	unload   *Order
-	unloadAt time.Time
-	// reserved is the need for which room is made, until reservedBy.
-	reserved   *need
-	reservedBy time.Time
-	adapters   map[string]*adapter // by MODEL/ADAPTER
-	wishes     []wish
-	down       bool // instances can't connect to it
+	move     *move               // that has not begun its load
+	adapters map[string]*adapter // by MODEL/ADAPTER
+	wishes   []wish
+	down     bool           // instances can't connect to it
+	running  map[string]int // requests of all instances, by model
 }
 
 type adapter struct {
@@ -159,7 +155,7 @@
 
 // New returns an empty state.
 func New(limits Limits) *State {
-	return &State{limits: limits, replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64)}
+	return &State{limits: limits, replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64), missing: make(map[string]time.Time)}
 }
 
 // SetConfig takes over a newer config.
@@ -181,7 +177,7 @@
 	s.loads = newBucket(now)
 	var actions []Action
 	for id, r := range s.replicas {
-		r.known, r.sent, r.loading, r.dropping, r.wishes, r.unload, r.reserved = false, nil, "", "", nil, nil, nil
+		r.known, r.sent, r.loading, r.dropping, r.wishes, r.move = false, nil, "", "", nil, nil
 		actions = append(actions, s.ask(now, id, r)...)
 	}
 	return actions
@@ -216,7 +212,7 @@
 		r.loading = ""
 	}
 	if r.dropping != "" && !r.info.Holds(r.dropping) {
-		r.dropping, r.unload = "", nil
+		r.dropping = ""
 	}
 }
 
@@ -246,6 +242,43 @@
 	return r.info.Holds(model) || slices.ContainsFunc(r.reported, func(m catalog.Resident) bool { return m.Name == model })
 }
 
+// models returns what the replica holds, by the list or by its report.
+func (r *replica) models() []string {
+	var out []string
+	for _, m := range r.info.Models {
+		out = append(out, m.Name)
+	}
+	for _, m := range r.reported {
+		if !r.info.Holds(m.Name) {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
+// atHand reports whether the replica can load a model without the weight store.
+func (r *replica) atHand(model string) bool {
+	return slices.Contains(r.info.InMemory, model) || slices.Contains(r.info.OnDisk, model)
+}
+
+// givesWay reports whether a model is being unloaded or will be.
+func (r *replica) givesWay(model string) bool {
+	return r.dropping == model || (r.move != nil && slices.Contains(r.move.victims, model))
+}
+
+// coming returns the model that the replica loads or will load, or "".
+func (r *replica) coming(now time.Time) string {
+	switch {
+	case r.loading != "" && r.loading != unknownModel:
+		return r.loading
+	case r.sent != nil && r.sent.Operation == Load && r.sent.Adapter == "":
+		return r.sent.Model
+	case r.move != nil && !now.After(r.move.until):
+		return r.move.model.Name
+	}
+	return ""
+}
+
 func (s *State) adapterMB(r *replica, model string) float64 {
 	if e := s.engine(r.info.Service); e != nil {
 		if m := e.Model(model); m != nil {
@@ -283,7 +316,7 @@
 		r.loading, r.readyAt = unknownModel, now.Add(unknownHold)
 	} else {
 		// The models of the report count until the list shows them.
-		r.loading, r.dropping, r.unload = "", "", nil
+		r.loading, r.dropping = "", ""
 		r.touched = now
 	}
 	return s.advance(now, id, r)
@@ -297,6 +330,14 @@
 	}
 }
 
+// SetRunning records the requests that run on replicas or wait there, by replica
+// and model.
+func (s *State) SetRunning(running map[string]map[string]int) {
+	for id, r := range s.replicas {
+		r.running = running[id]
+	}
+}
+
 // WantAdapter asks for an adapter on a replica that holds its model.
 func (s *State) WantAdapter(now time.Time, id, model, name string) []Action {
 	r, ok := s.replicas[id]
--- a/residency/status.go
+++ b/residency/status.go
@@ -10,7 +10,8 @@
 type ModelState struct {
 	Model        string
 	Held, Coming int     // copies
-	Use          float64 // of each copy
+	Work         float64 // utilization that one copy would have
+	Use          float64 // load of the replicas with its copies
 	Wait         float64 // expected waits as a share of the goal
 }
 
@@ -30,11 +31,11 @@
 			if d == nil || d.reading < 1 {
 				continue
 			}
-			held, coming := c.copies(m.Name)
-			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: d.use(held), Wait: d.wait})
+			held, coming := c.count(m.Name)
+			out = append(out, ModelState{Model: m.Name, Held: held, Coming: coming, Use: c.levelOf(m.Name, d.work()), Work: d.work(), Wait: d.wait})
 		}
 	}
-	slices.SortFunc(out, func(a, b ModelState) int { return cmp.Compare(b.Use, a.Use) })
+	slices.SortFunc(out, func(a, b ModelState) int { return cmp.Compare(b.Work, a.Work) })
 	return out
 }
 
