--- a/residency/balance.go
+++ b/residency/balance.go
@@ -95,8 +95,8 @@
 	// relaxed is the load of replicas up to which hardly a request misses its
 	// goal. At full load, fullMissed is the share of those that do: replicas read
 	// less than they could while they answer many requests.
-	relaxed    = 0.2
-	full       = 0.75
+	relaxed    = 0.3
+	full       = 0.9
 	fullMissed = 0.5
 )
 
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -13,7 +13,7 @@
 const (
 	// horizon is the time for which demand is thought to stay as it is. A load
 	// that takes longer is worth nothing.
-	horizon = 12 * time.Second
+	horizon = 8 * time.Second
 	// minValue is the value from which on a move is made.
 	minValue = 0.015
 	// askedValue is the value of a copy of a model that was asked for of late
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -236,6 +236,7 @@
 		delete(r.adapters, key)
 	case order.Operation == Load:
 		takes := s.loadTime(r, order.Model)
+		r.fromStore = order.FromStore
 		r.loading, r.due, r.readyAt = order.Model, now.Add(takes), now.Add(takes+loadMargin)
 	default:
 		r.dropping, r.dropBy = order.Model, now.Add(unloadPatience)
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// minLoading is the number of loads that may be in progress over all replicas
-	// however slow the weight store is: loads from a replica's disk need none of it.
+	// minLoading is the number of loads from the weight store that may be in
+	// progress over all replicas however slow it is.
 	minLoading = 6
 	// announceTime is the time from the decision to unload a model to its order.
 	// Instances hear of it four times a second.
@@ -78,14 +78,10 @@
 // new ones.
 func (s *State) planEngine(now time.Time, c *census) []Action {
 	var actions []Action
-	loading := 0
 	for _, t := range c.sites {
 		actions = append(actions, s.proceed(now, c.engine, t.id, t.r)...)
-		if t.r.loading != "" {
-			loading++
-		}
 	}
-	for most := atOnce(c.engine); loading < most; loading++ {
+	for range c.sites {
 		begun, placed := s.begin(now, c)
 		actions = append(actions, begun...)
 		if !placed {
@@ -95,11 +91,22 @@
 	return actions
 }
 
+// storeLoads counts the loads from the weight store that are in progress.
+func (c *census) storeLoads() int {
+	n := 0
+	for _, t := range c.sites {
+		if t.r.loading != "" && t.r.fromStore {
+			n++
+		}
+	}
+	return n
+}
+
 // begin starts the most valuable move. It returns false if there is none.
 func (s *State) begin(now time.Time, c *census) ([]Action, bool) {
 	for _, n := range s.needs(c) {
 		o := s.best(c, n)
-		if o == nil || (o.store && len(o.victims) == 0 && !s.loads.ready(now, c.engine.LoadsPerSec, s.limits)) {
+		if o == nil || (o.store && !s.storeReady(now, c)) {
 			continue
 		}
 		t := o.site
@@ -113,6 +120,11 @@
 	return nil, false
 }
 
+// storeReady reports whether one more load from the weight store may begin.
+func (s *State) storeReady(now time.Time, c *census) bool {
+	return c.storeLoads() < atOnce(c.engine) && s.loads.ready(now, c.engine.LoadsPerSec, s.limits)
+}
+
 // proceed gives the next order of a replica's move: an unload that makes room, or
 // the load.
 func (s *State) proceed(now time.Time, e *catalog.Engine, id string, r *replica) []Action {
@@ -145,8 +157,8 @@
 	return []Action{{Order: order}}
 }
 
-// atOnce returns the number of loads at a time: as many as the weight store
-// serves at its rate while one lasts.
+// atOnce returns the number of loads from the weight store at a time: as many as
+// it serves at its rate while one lasts.
 func atOnce(e *catalog.Engine) int {
 	var sum time.Duration
 	for i := range e.Models {
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -122,24 +122,25 @@
 }
 
 type replica struct {
-	info     *catalog.Replica   // as the list of replicas shows it
-	reported []catalog.Resident // models of the last report
-	touched  time.Time          // of the last order that may have been accepted
-	orders   int64              // accepted, as far as known
-	known    bool               // orders was read from the replica since this instance holds the lease
-	asked    bool               // a report is on its way
-	sent     *Order
-	retryAt  time.Time
-	loading  string    // model that is being loaded
-	due      time.Time // when the load probably ends
-	readyAt  time.Time // when it is overdue
-	dropping string    // model that is being unloaded
-	dropBy   time.Time
-	move     *move               // that has not begun its load
-	adapters map[string]*adapter // by MODEL/ADAPTER
-	wishes   []wish
-	down     bool           // instances can't connect to it
-	running  map[string]int // requests of all instances, by model
+	info      *catalog.Replica   // as the list of replicas shows it
+	reported  []catalog.Resident // models of the last report
+	touched   time.Time          // of the last order that may have been accepted
+	orders    int64              // accepted, as far as known
+	known     bool               // orders was read from the replica since this instance holds the lease
+	asked     bool               // a report is on its way
+	sent      *Order
+	retryAt   time.Time
+	loading   string    // model that is being loaded
+	fromStore bool      // by the weight store
+	due       time.Time // when the load probably ends
+	readyAt   time.Time // when it is overdue
+	dropping  string    // model that is being unloaded
+	dropBy    time.Time
+	move      *move               // that has not begun its load
+	adapters  map[string]*adapter // by MODEL/ADAPTER
+	wishes    []wish
+	down      bool           // instances can't connect to it
+	running   map[string]int // requests of all instances, by model
 }
 
 type adapter struct {
