--- a/residency/moves.go
+++ b/residency/moves.go
@@ -111,15 +111,16 @@
 }
 
 // best returns the most valuable move for a need, or nil. It is nil too if it
-// pays to wait for a replica that is busy now.
-func (s *State) best(c *census, n need) *choice {
+// pays to wait for a replica that is busy now. store says whether the weight store
+// serves one more load.
+func (s *State) best(c *census, n need, store bool) *choice {
 	var best *choice
 	least := minValue
 	for _, t := range c.sites {
 		if slices.Contains(t.models, n.model.Name) || t.r.holds(n.model.Name) || t.r.loading == unknownModel {
 			continue
 		}
-		if o := s.choice(c, t, n, least); o != nil {
+		if o := s.choice(c, t, n, least); o != nil && (store || !o.store) {
 			best, least = o, o.value
 		}
 	}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -105,8 +105,8 @@
 // begin starts the most valuable move. It returns false if there is none.
 func (s *State) begin(now time.Time, c *census) ([]Action, bool) {
 	for _, n := range s.needs(c) {
-		o := s.best(c, n)
-		if o == nil || (o.store && !s.storeReady(now, c)) {
+		o := s.best(c, n, s.storeReady(now, c))
+		if o == nil {
 			continue
 		}
 		t := o.site
