--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -17,11 +17,12 @@
 
 // modelDemand is the demand for one model at this instance since the last report.
 type modelDemand struct {
-	requests  int
-	worth     float64        // sum over requests
-	reading   float64        // sum over requests
-	waitShare float64        // sum over requests
-	adapters  map[string]int // requests by adapter
+	requests     int
+	worth        float64        // sum over requests
+	adapterWorth float64        // sum over requests that use an adapter
+	reading      float64        // sum over requests
+	waitShare    float64        // sum over requests
+	adapters     map[string]int // requests by adapter
 }
 
 // countDemand records the demand that a decision shows.
@@ -41,6 +42,7 @@
 			m.adapters = make(map[string]int)
 		}
 		m.adapters[req.Adapter]++
+		m.adapterWorth += worthOf(req.Route.Rank)
 	}
 	if d.Verdict == dispatch.Send {
 		m.reading += d.Reading
@@ -62,7 +64,7 @@
 		if m.requests == 0 {
 			continue
 		}
-		out[model] = residency.Demand{Requests: m.requests, Worth: m.worth, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests), Adapters: m.adapters}
+		out[model] = residency.Demand{Requests: m.requests, Worth: m.worth, AdapterWorth: m.adapterWorth, Reading: m.reading, WaitShare: m.waitShare / float64(m.requests), Adapters: m.adapters}
 		*m = modelDemand{}
 	}
 	return out
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -65,6 +65,7 @@
 			c.act(now, c.plan.Plan(now))
 			c.dispatch.SetMoving(now, c.plan.Moving(now), c.plan.Dropping())
 			c.dispatch.SetComing(now, c.plan.Coming(now))
+			c.dispatch.SetFull(c.plan.Full(now))
 			c.logModels(now)
 		}
 	}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -50,6 +50,9 @@
 	Moving map[string]time.Duration `json:"moving"`
 	// Dropping are the models that are being unloaded or will be, by replica.
 	Dropping map[string][]string `json:"dropping"`
+	// Full are the replicas whose places for adapters are all in use, with these
+	// adapters.
+	Full map[string][]string `json:"full,omitempty"`
 	// Coming is the time until the first copy of a model arrives that is loaded.
 	Coming map[string]time.Duration `json:"coming"`
 	// List is what changed in the list of replicas after the peer's version.
@@ -115,6 +118,7 @@
 		state.Holder, state.Epoch, state.LeaseVersion = c.node.ID, c.leader.Epoch(), row.Version
 		state.OrdersIn = c.leader.OrdersIn(bootclock.Now())
 		state.Moving, state.Dropping, state.Coming = c.plan.Moving(now), c.plan.Dropping(), c.plan.Coming(now)
+		state.Full = c.plan.Full(now)
 		state.List, state.ListVersion = c.roster.Since(peer.ListVersion), c.roster.Version()
 		state.StoreAge = now.Sub(c.storeSeen)
 	}
@@ -274,6 +278,7 @@
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetMoving(now, e.State.Moving, e.State.Dropping)
 	c.dispatch.SetComing(now, e.State.Coming)
+	c.dispatch.SetFull(e.State.Full)
 	c.dispatch.AdoptPaces(e.State.Paces)
 	c.dispatch.SetPeerCrashes(e.State.Crashes)
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -19,6 +19,8 @@
 	// adapterWait is the usual time to bring an adapter onto a replica, with the
 	// way to the instance that gives the order.
 	adapterWait = 25 * time.Millisecond
+	// adapterPlace is what the place is worth that one more adapter takes on a replica.
+	adapterPlace = 80 * time.Millisecond
 	// otherDataCentre is the extra time of a way between data centres and back, and the worth
 	// of the bytes that cross.
 	otherDataCentre = 6 * time.Millisecond
@@ -129,7 +131,7 @@
 			}
 		case req.Model != "" && slices.Contains(r.dropping, req.Model):
 			cause = CauseUnloading
-		case r.moving && !r.hasAdapter(req.Model, req.Adapter):
+		case (r.moving || r.full) && !r.hasAdapter(req.Model, req.Adapter):
 			cause = CauseNoAdapter
 		case s.noOrders && !r.hasAdapter(req.Model, req.Adapter):
 			cause = CauseNoOrders
@@ -219,6 +221,9 @@
 	if r.info.DataCentre != s.options.DataCentre {
 		score += otherDataCentre
 	}
+	if !r.hasAdapter(req.Model, req.Adapter) {
+		score += adapterPlace
+	}
 	// Equal replicas are chosen in turn, so that instances do not all choose the
 	// same one.
 	return score + time.Duration(s.random.Int64N(int64(time.Millisecond)))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -245,6 +245,18 @@
 	}
 }
 
+// SetFull records the replicas whose places for adapters are all in use, with
+// these adapters as MODEL/ADAPTER.
+func (s *State) SetFull(full map[string][]string) {
+	for id, r := range s.replicas {
+		adapters, ok := full[id]
+		r.full = ok
+		for _, key := range adapters {
+			r.adapters[key] = true
+		}
+	}
+}
+
 // SetOrders records whether adapters can be ordered now, and if not, after what
 // time they probably can.
 func (s *State) SetOrders(can bool, in time.Duration) { s.noOrders, s.ordersIn = !can, in }
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -93,6 +93,7 @@
 	trial       bool // one request is out to try the replica again
 	moving      bool // it loads or unloads a model, and takes no other order
 	movingUntil time.Time
+	full        bool     // all places for adapters are in use
 	dropping    []string // models that are being unloaded, or will be
 	prefixes    prefixes
 }
--- a/residency/census.go
+++ b/residency/census.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
@@ -21,6 +22,9 @@
 	// adapters are those that some replica holds or is about to load, as
 	// MODEL/ADAPTER.
 	adapters map[string]bool
+	// noPlace and inUse count the adapters of a model that find no place, and those
+	// that are in use.
+	noPlace, inUse map[string]int
 }
 
 // site is one replica in a census.
@@ -32,6 +36,8 @@
 	flow   map[string]float64 // utilization by model
 	load   float64            // sum of flow
 	free   float64            // MB that are left for another model
+	// places are those for adapters that are not in use.
+	places int
 	// victims are the models that may give way, those that are missed least first;
 	// nil until they are needed.
 	victims []victim
@@ -41,7 +47,7 @@
 func (s *State) count(now time.Time, service *catalog.Service) *census {
 	c := &census{
 		state: s, now: now, engine: service.Engine,
-		copies: make(map[string][]*site), held: make(map[string]int), adapters: make(map[string]bool),
+		copies: make(map[string][]*site), held: make(map[string]int), adapters: make(map[string]bool), noPlace: make(map[string]int), inUse: make(map[string]int),
 	}
 	for id, r := range s.replicas {
 		if r.info.Service == service.Name && !r.info.Leaving && !r.down {
@@ -49,6 +55,10 @@
 		}
 	}
 	slices.SortFunc(c.sites, func(a, b *site) int { return cmp.Compare(a.id, b.id) })
+	for key := range s.noPlace {
+		model, _, _ := strings.Cut(key, "/")
+		c.noPlace[model]++
+	}
 	c.balance()
 	return c
 }
@@ -71,8 +81,14 @@
 		}
 		c.hold(t, coming)
 	}
-	for key := range r.adapters {
+	t.places = c.engine.AdapterSlots
+	for key, a := range r.adapters {
 		c.adapters[key] = true
+		if c.now.Sub(a.used) < adapterRecent {
+			model, _, _ := strings.Cut(key, "/")
+			c.inUse[model]++
+			t.places--
+		}
 	}
 	for _, w := range r.wishes {
 		c.adapters[w.model+"/"+w.adapter] = true
@@ -117,6 +133,16 @@
 	}
 }
 
+// shortage returns the share of the requests with an adapter that find no place
+// for it, if there were more places.
+func (c *census) shortage(model string, more int) float64 {
+	wanted := c.noPlace[model]
+	if wanted <= more {
+		return 0
+	}
+	return float64(wanted-more) / float64(wanted+c.inUse[model])
+}
+
 // count returns how many replicas hold a model, and how many will.
 func (c *census) count(model string) (held, coming int) {
 	return c.held[model], len(c.copies[model]) - c.held[model]
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -9,6 +9,9 @@
 	// adapterDemandHalf is the same for adapters, each of which is asked for
 	// every few seconds only.
 	adapterDemandHalf = 15 * time.Second
+	// placeMemory is the time for which an adapter that found no place counts as
+	// one that needs another copy of its model.
+	placeMemory = 3 * time.Second
 	// recentDemand is the time for which a model counts as asked for.
 	recentDemand = 15 * time.Second
 	// engineReading is the reading work that a replica does in a second, the
@@ -28,16 +31,19 @@
 	Reading float64
 	// WaitShare is the average expected wait as a share of the goal.
 	WaitShare float64
+	// AdapterWorth is the part of Worth of requests that use an adapter.
+	AdapterWorth float64
 	// Adapters are the requests by adapter.
 	Adapters map[string]int `json:",omitempty"`
 }
 
 type demand struct {
-	reading  float64 // a second, moving average
-	worth    float64 // a second, moving average
-	adapters float64 // requests a second that use an adapter, moving average
-	wait     float64 // moving average of WaitShare
-	asked    time.Time
+	reading      float64 // a second, moving average
+	worth        float64 // a second, moving average
+	adapters     float64 // requests a second that use an adapter, moving average
+	adapterWorth float64 // a second, of requests that use an adapter, moving average
+	wait         float64 // moving average of WaitShare
+	asked        time.Time
 }
 
 // work returns the utilization that one copy would have.
@@ -56,6 +62,14 @@
 	return d.worth / engineWorth
 }
 
+// adapterValue returns the part of value of requests that use an adapter.
+func (d *demand) adapterValue() float64 {
+	if d == nil {
+		return 0
+	}
+	return d.adapterWorth / engineWorth
+}
+
 // adapterRate returns the requests a second that use an adapter.
 func (d *demand) adapterRate() float64 {
 	if d == nil {
@@ -86,6 +100,7 @@
 	}
 	m.reading += d.Reading / demandHalf.Seconds()
 	m.worth += d.Worth / demandHalf.Seconds()
+	m.adapterWorth += d.AdapterWorth / demandHalf.Seconds()
 	weight := min(1, 0.1*float64(d.Requests))
 	m.wait += weight * (d.WaitShare - m.wait)
 }
@@ -102,6 +117,11 @@
 	if dt <= 0 || dt > time.Minute {
 		return
 	}
+	for key, at := range s.noPlace {
+		if now.Sub(at) > placeMemory {
+			delete(s.noPlace, key)
+		}
+	}
 	for key, n := range s.adapterDemand {
 		if n *= 1 - dt.Seconds()/adapterDemandHalf.Seconds(); n < 0.01 {
 			delete(s.adapterDemand, key)
@@ -113,6 +133,7 @@
 	for _, d := range s.demand {
 		d.reading *= keep
 		d.worth *= keep
+		d.adapterWorth *= keep
 		d.adapters *= keep
 		if now.Sub(d.asked) > demandHalf {
 			d.wait *= keep
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -73,6 +73,8 @@
 	model *catalog.Model
 	work  float64
 	value float64 // of its requests
+	// adapters is the value of the requests that use an adapter.
+	adapters float64
 	// gain is the value of a copy that serves all its requests on time.
 	gain   float64
 	reason string
@@ -84,8 +86,8 @@
 	for i := range c.engine.Models {
 		m := &c.engine.Models[i]
 		d := s.demand[m.Name]
-		n := need{model: m, work: d.work(), value: d.value()}
-		n.gain = n.value * missed(c.levelOf(m.Name, n.work))
+		n := need{model: m, work: d.work(), value: d.value(), adapters: d.adapterValue()}
+		n.gain = n.value*missed(c.levelOf(m.Name, n.work)) + n.adapters*c.shortage(m.Name, 0)
 		n.reason = "requests wait too long"
 		switch len(c.copies[m.Name]) {
 		case 0:
@@ -150,7 +152,7 @@
 		}
 	}
 	at := levelWith(n.work, append(c.loads(n.model.Name, nil), load))
-	gain := n.gain - n.value*missed(at) - others*(missed(max(at, load))-missed(load))
+	gain := n.gain - n.value*missed(at) - n.adapters*c.shortage(n.model.Name, t.places) - others*(missed(max(at, load))-missed(load))
 	o.value = gain*remaining(takes) - loss - c.blocked(t, takes)
 	if !c.inDataCentre(n.model.Name, t.r.info.DataCentre) {
 		o.value += placeValue
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,19 @@
 	return out
 }
 
+// Full returns the adapters of the replicas whose places are all taken by adapters
+// in use, by replica, as MODEL/ADAPTER.
+func (s *State) Full(now time.Time) map[string][]string {
+	out := make(map[string][]string)
+	for id, r := range s.replicas {
+		e := s.engine(r.info.Service)
+		if e != nil && e.AdapterSlots > 0 && len(r.adapters) >= e.AdapterSlots && r.idleAdapter(now) == "" {
+			out[id] = slices.Sorted(maps.Keys(r.adapters))
+		}
+	}
+	return out
+}
+
 // moving reports whether a load or unload of a model is in progress.
 func (r *replica) moving() bool { return r.loading != "" || r.dropping != "" }
 
@@ -86,6 +100,7 @@
 		}
 		order := s.adapterOrder(now, id, r, w)
 		if order == nil {
+			s.noPlace[w.model+"/"+w.adapter] = now
 			return append(actions, r.answerWish(id, "no place for the adapter", 0))
 		}
 		r.sent = order
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -115,10 +115,13 @@
 	demand   map[string]*demand // by model
 	// adapterDemand are the requests by MODEL/ADAPTER, fading with time.
 	adapterDemand map[string]float64
-	missing       map[string]time.Time // since when a model has had no copy
-	limits        Limits
-	loads         bucket
-	last          time.Time // of the last plan
+	// noPlace are the adapters, as MODEL/ADAPTER, that found no place on a replica,
+	// with the last time.
+	noPlace map[string]time.Time
+	missing map[string]time.Time // since when a model has had no copy
+	limits  Limits
+	loads   bucket
+	last    time.Time // of the last plan
 }
 
 type replica struct {
@@ -156,7 +159,7 @@
 
 // New returns an empty state.
 func New(limits Limits) *State {
-	return &State{limits: limits, replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64), missing: make(map[string]time.Time)}
+	return &State{limits: limits, replicas: make(map[string]*replica), demand: make(map[string]*demand), adapterDemand: make(map[string]float64), missing: make(map[string]time.Time), noPlace: make(map[string]time.Time)}
 }
 
 // SetConfig takes over a newer config.
