--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 	adapterWait = 25 * time.Millisecond
 	// adapterPlace is what the place is worth that one more adapter takes on a replica.
 	adapterPlace = 80 * time.Millisecond
+	// scoreSpread is the difference of scores that makes a replica 2.7 times as
+	// probable as another: about the work that all instances send to one in the time
+	// until they hear of it.
+	scoreSpread = 50 * time.Millisecond
 	// otherDataCentre is the extra time of a way between data centres and back, and the worth
 	// of the bytes that cross.
 	otherDataCentre = 6 * time.Millisecond
@@ -92,11 +97,11 @@
 		return s.refuse(now, req, cause)
 	}
 	at := level(req, false)
-	chosen := s.lowest(now, svc, usable, req, at)
+	chosen := s.pick(now, svc, usable, req, at)
 	expected := s.estimate(now, svc, chosen, req, at)
 	if req.Model != "" && req.Route.Goal > 0 && now.Add(expected).After(req.Arrived.Add(req.Route.Goal)) {
 		at = level(req, true)
-		chosen = s.lowest(now, svc, usable, req, at)
+		chosen = s.pick(now, svc, usable, req, at)
 		expected = s.estimate(now, svc, chosen, req, at)
 		if expected > 3*patience(req) && len(tried) == 0 {
 			return Decision{Verdict: Refuse, Cause: CauseOverload, RetryAfter: overloadRetryAfter, Expected: expected}
@@ -150,21 +155,31 @@
 	return usable, cause
 }
 
-// lowest returns the replica with the lowest score.
-func (s *State) lowest(now time.Time, svc *service, usable []*replica, req *Request, at int) *replica {
-	var best *replica
-	var lowest time.Duration
+// pick returns a replica with a low score. Instances choose by the same reports,
+// which are some hundred milliseconds old; if all took the lowest one, it would get
+// the requests of all. The probability of a replica falls with its score.
+func (s *State) pick(now time.Time, svc *service, usable []*replica, req *Request, at int) *replica {
+	scores := make([]time.Duration, len(usable))
 	favourite, bonus := s.favourite(svc, req)
-	for _, r := range usable {
-		score := s.score(now, svc, r, req, at)
+	for i, r := range usable {
+		scores[i] = s.score(now, svc, r, req, at)
 		if r.info.ID == favourite {
-			score -= bonus
+			scores[i] -= bonus
 		}
-		if best == nil || score < lowest {
-			best, lowest = r, score
+	}
+	lowest := slices.Min(scores)
+	weights, sum := make([]float64, len(usable)), 0.0
+	for i, score := range scores {
+		weights[i] = math.Exp(-float64(score-lowest) / float64(scoreSpread))
+		sum += weights[i]
+	}
+	rest := s.random.Float64() * sum
+	for i, w := range weights {
+		if rest -= w; rest <= 0 {
+			return usable[i]
 		}
 	}
-	return best
+	return usable[slices.Index(scores, lowest)]
 }
 
 // refuse says when the caller should come back. A request that can be served
@@ -224,9 +239,7 @@
 	if !r.hasAdapter(req.Model, req.Adapter) {
 		score += adapterPlace
 	}
-	// Equal replicas are chosen in turn, so that instances do not all choose the
-	// same one.
-	return score + time.Duration(s.random.Int64N(int64(time.Millisecond)))
+	return score
 }
 
 // favourite returns the replica that all instances prefer for the shared parts
