--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -91,3 +91,18 @@
 	is.Equal(len(other.Replicas()), 1)
 	is.Equal(other.Version(), uint64(5))
 }
+
+// Guards against an instance that becomes the holder and does not learn which
+// models replicas have at hand, because their entries were handed on without.
+func TestCompleteEntryReplacesPartialOne(t *testing.T) {
+	is := is.New(t)
+	r := NewRoster()
+	partial := Entry{ID: "r", Version: 5, Replica: &Replica{ID: "r"}, Partial: true}
+	complete := Entry{ID: "r", Version: 5, Replica: &Replica{ID: "r", OnDisk: []string{"m"}}}
+	is.Equal(len(r.Apply([]Entry{partial}, 5)), 1)
+	is.Equal(len(r.Apply([]Entry{complete}, 5)), 1)
+	is.Equal(r.Replica("r").OnDisk, []string{"m"})
+	is.Equal(len(r.Apply([]Entry{partial}, 5)), 0)
+	is.Equal(len(r.Apply([]Entry{complete}, 5)), 0)
+	is.Equal(r.Replica("r").OnDisk, []string{"m"})
+}
--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -43,6 +43,9 @@
 	ID      string
 	Version uint64 // of the row
 	Replica *Replica
+	// Partial entries were handed on by another instance, without the models that
+	// the replica has at hand.
+	Partial bool
 }
 
 // Roster is the list of replicas as one instance knows it. It is not safe for
@@ -94,7 +97,7 @@
 func (r *Roster) Apply(rows []Entry, version uint64) []string {
 	var changed []string
 	for _, e := range rows {
-		if old, ok := r.entries[e.ID]; ok && old.Version >= e.Version {
+		if old, ok := r.entries[e.ID]; ok && (old.Version > e.Version || (old.Version == e.Version && (e.Partial || !old.Partial))) {
 			continue
 		}
 		r.entries[e.ID] = e
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -39,18 +39,19 @@
 	publish func(*Snapshot)
 	post    func(event)
 
-	config       *catalog.Config
-	roster       *catalog.Roster
-	dispatch     *dispatch.State
-	leader       *leader.State
-	plan         *residency.State
-	planned      time.Time
-	modelsLogged time.Time
-	ordering     bool      // this instance may give orders
-	holderSeen   time.Time // last answer of another instance that holds the lease
-	holderOrders time.Time // when that instance may order
-	noOrders     bool      // no instance can order an adapter now
-	stopping     bool
+	config        *catalog.Config
+	roster        *catalog.Roster
+	dispatch      *dispatch.State
+	leader        *leader.State
+	plan          *residency.State
+	planned       time.Time
+	modelsLogged  time.Time
+	ordering      bool          // this instance may give orders
+	holderSeen    time.Time     // last answer of another instance that holds the lease
+	holderOrders  time.Time     // when that instance may order
+	stateInterval time.Duration // between two of its answers
+	noOrders      bool          // no instance can order an adapter now
+	stopping      bool
 
 	storeAway map[string]bool      // by table
 	storeBack time.Time            // last return of the store
@@ -77,7 +78,7 @@
 	c := &core{
 		node: node, log: logger, metrics: registry, bus: bus, publish: func(*Snapshot) {}, post: func(event) {},
 		roster: catalog.NewRoster(), plan: residency.New(residency.Limits{Window: b.LoadWindow, Excess: b.LoadExcess}),
-		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), b.LeaseTurn),
+		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), leader.Options{Turn: b.LeaseTurn, Reluctant: node.Weak()}),
 		dispatch: dispatch.New(dispatch.Options{
 			DataCentre: node.DataCentre, Seed: uint64(now.UnixNano()),
 			Retries: retry.Limits{
@@ -86,7 +87,7 @@
 				Burst:        b.RetrySlack / assumedInstances / 2,
 			},
 		}),
-		storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), said: make(map[string]string), demand: make(map[string]*modelDemand),
+		stateInterval: stateInterval, storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), said: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter), waiting: make(map[string][]modelWaiter),
 	}
 	return c
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -2,11 +2,24 @@
 
 import "time"
 
-// listLifetime is the age up to which a list of replicas that came from the
-// holder counts as current. The store answers the holder every 650 ms, and the
-// holder answers peers every 250 ms. A leaving replica has to be left alone
-// within 2 s, so that time for an own read remains.
-const listLifetime = 1200 * time.Millisecond
+const (
+	// leaveShare is the part of the time within which a leaving replica has to be
+	// left alone for which a list of replicas that came from the holder counts as
+	// current; the rest is for an own read. The store answers the holder every
+	// 650 ms, and the holder answers peers several times a second.
+	leaveShare = 0.6
+	// defaultLeave is that time if the deployment does not say.
+	defaultLeave = 2 * time.Second
+)
+
+// listLifetime returns the age up to which the holder's list counts as current.
+func (c *core) listLifetime() time.Duration {
+	leave := c.node.Bounds.Leave
+	if leave <= 0 {
+		leave = defaultLeave
+	}
+	return time.Duration(leaveShare * float64(leave))
+}
 
 // ListSource says how this instance learns of changes of the list of replicas.
 type ListSource uint8
@@ -49,7 +62,7 @@
 	switch {
 	case c.leader.Held():
 		source = ForOthers
-	case now.Sub(c.listAt) < listLifetime:
+	case now.Sub(c.listAt) < c.listLifetime():
 		source = FromHolder
 	}
 	if source == c.listSource {
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -71,9 +71,12 @@
 	}
 }
 
-// holderSilence is the silence of the holder of the order lease after which no
+// holderSilence returns the silence of the holder of the order lease after which no
 // adapter is asked of it: two of its answers in a row.
-const holderSilence = 600 * time.Millisecond
+func (c *core) holderSilence() time.Duration { return 2*c.stateInterval + answerTime }
+
+// answerTime is the time that an answer of the holder may take.
+const answerTime = 100 * time.Millisecond
 
 // checkOrders tells dispatch whether adapters can be ordered, and if not, when
 // they probably can.
@@ -82,7 +85,7 @@
 	switch {
 	case c.ordering:
 		in = 0
-	case now.Sub(c.holderSeen) < holderSilence:
+	case now.Sub(c.holderSeen) < c.holderSilence():
 		in = max(0, c.holderOrders.Sub(now))
 	}
 	if (in > 0) != c.noOrders {
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -12,55 +12,75 @@
 	"github.com/hyssophaven/hyssophaven/residency"
 )
 
+const (
+	// stateInterval is the time between two states of an instance: a quarter of the
+	// time in which a request with a goal of about a second is served.
+	stateInterval = 250 * time.Millisecond
+	// manyPeers is the number of instances from which on states come half as often,
+	// so that the holder's part of them stays within a link of 10 Mbit/s.
+	manyPeers = 24
+)
+
+// StateInterval returns the time between two states that an instance tells the
+// holder, by the number of instances.
+func StateInterval(peers int) time.Duration {
+	if peers > manyPeers {
+		return 2 * stateInterval
+	}
+	return stateInterval
+}
+
 // peerLifetime is the age up to which a peer's state counts.
 const peerLifetime = 2 * time.Second
 
 // PeerState is what one instance tells the holder of the order lease.
 type PeerState struct {
-	Instance string                      `json:"instance"`
-	Loads    map[string]dispatch.Load    `json:"loads"`  // by replica
-	Demand   map[string]residency.Demand `json:"demand"` // by model
-	Versions map[string]uint64           `json:"versions"`
-	Paces    map[string]dispatch.Pace    `json:"paces"` // by the size of models
+	Instance string
+	Loads    map[string]dispatch.Load    // by replica
+	Demand   map[string]residency.Demand // by model
+	Versions map[string]uint64
+	Paces    map[string]dispatch.Pace // by the size of models
 	// Crashes are broken runs by the content of requests.
-	Crashes map[uint64]int `json:"crashes,omitempty"`
+	Crashes map[uint64]int
 	// ListVersion is the version of the list of replicas that the instance knows.
-	ListVersion uint64 `json:"list_version"`
+	ListVersion uint64
 }
 
 // FleetState is the holder's answer.
 type FleetState struct {
 	// Holder is empty if the instance does not hold the lease (any more).
-	Holder string `json:"holder"`
-	Epoch  uint64 `json:"epoch"`
+	Holder string
+	Epoch  uint64
 	// LeaseVersion is the version of the lease's row that the holder wrote last.
-	LeaseVersion uint64 `json:"lease_version"`
+	LeaseVersion uint64
 	// OrdersIn is the time until the holder may order.
-	OrdersIn time.Duration `json:"orders_in,omitempty"`
+	OrdersIn time.Duration
 	// Released names the instance if it has held the lease, and has released it.
-	Released string                   `json:"released,omitempty"`
-	Loads    map[string]dispatch.Load `json:"loads"` // of all other instances, by replica
+	Released string
+	Loads    map[string]dispatch.Load // of all other instances, by replica
+	// Peers is the number of the other instances.
+	Peers int
 	// Versions are the newest rows that the holder has read, by table.
-	Versions map[string]uint64        `json:"versions"`
-	Paces    map[string]dispatch.Pace `json:"paces"` // by the size of models
+	Versions map[string]uint64
+	Paces    map[string]dispatch.Pace // by the size of models
 	// Crashes are broken runs at all other instances, by the content of requests.
-	Crashes map[uint64]int `json:"crashes,omitempty"`
+	Crashes map[uint64]int
 	// Moving are the replicas that load or unload a model, with the time until they
 	// take orders again.
-	Moving map[string]time.Duration `json:"moving"`
+	Moving map[string]time.Duration
 	// Dropping are the models that are being unloaded or will be, by replica.
-	Dropping map[string][]string `json:"dropping"`
+	Dropping map[string][]string
 	// Full are the replicas whose places for adapters are all in use, with these
 	// adapters.
-	Full map[string][]string `json:"full,omitempty"`
+	Full map[string][]string
 	// Coming is the time until the first copy of a model arrives that is loaded.
-	Coming map[string]time.Duration `json:"coming"`
+	Coming map[string]time.Duration
 	// List is what changed in the list of replicas after the peer's version.
-	List []catalog.Entry `json:"list,omitempty"`
+	List []catalog.Entry
 	// ListVersion is the version of the holder's list, and StoreAge the time since
 	// the store last answered the holder.
-	ListVersion uint64        `json:"list_version"`
-	StoreAge    time.Duration `json:"store_age"`
+	ListVersion uint64
+	StoreAge    time.Duration
 }
 
 type peerState struct {
@@ -111,7 +131,7 @@
 func (c *core) fleetState(now time.Time, peer PeerState) FleetState {
 	state := FleetState{
 		Loads: c.fleet.loadsWithout(peer.Loads), Crashes: c.fleet.crashesWithout(peer.Crashes),
-		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(),
+		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Peers: len(c.peers),
 	}
 	row := c.leader.Row()
 	if c.leader.Held() {
@@ -207,7 +227,7 @@
 		}
 		others.add(p.loads, p.crashes)
 	}
-	if now.Sub(c.holderSeen) > holderSilence { // no other holder tells more
+	if now.Sub(c.holderSeen) > c.holderSilence() { // no other holder tells more
 		c.setPeerLoads(now, others.loads)
 		c.dispatch.SetPeerCrashes(maps.Clone(others.crashes))
 	}
@@ -272,6 +292,8 @@
 	}
 	if e.State.Holder != "" {
 		c.holderSeen, c.holderOrders = now, now.Add(e.State.OrdersIn)
+		c.stateInterval = StateInterval(e.State.Peers)
+		c.leader.SetContactInterval(c.stateInterval)
 	}
 	c.takeList(now, e.State)
 	c.compareVersions(now, e.State.Versions)
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -16,11 +16,11 @@
 	Unread [LevelCount]float64
 	// Adapters are the adapters that requests use, as MODEL/ADAPTER. They are
 	// filled in for other instances only.
-	Adapters []string `json:",omitempty"`
+	Adapters []string
 	// Models are the requests by model. They are filled in for other instances only.
-	Models map[string]int `json:",omitempty"`
+	Models map[string]int
 	// Unreachable says that the last connection to the replica could not be made.
-	Unreachable bool `json:",omitempty"`
+	Unreachable bool
 }
 
 // Plus returns the work of both. Models and adapters are left out.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -23,9 +23,13 @@
 	renewEvery = 650 * time.Millisecond
 	// turnMargin is added to the turn for orders that are on their way.
 	turnMargin = 200 * time.Millisecond
-	// contactTimeout is the silence of the holder after which the lease is read:
-	// several of its answers, which come every 250 ms.
+	// contactTimeout is the shortest silence of the holder after which the lease is
+	// read, and contactAnswers the number of its answers that must be missing.
 	contactTimeout = 900 * time.Millisecond
+	contactAnswers = 3
+	// reluctance is the time for which an instance leaves a free lease to others
+	// that are stronger.
+	reluctance = 600 * time.Millisecond
 	// readRetry is the time between reads while the store fails.
 	readRetry = 500 * time.Millisecond
 )
@@ -68,8 +72,10 @@
 
 // State is one instance's view of the lease. It is not safe for concurrent use.
 type State struct {
-	self Lease
-	turn time.Duration
+	self      Lease
+	options   Options
+	silence   time.Duration // of the holder after which the lease is read
+	freeSince bootclock.Time
 
 	row       Row
 	known     bool           // row was read
@@ -87,9 +93,23 @@
 	next      Write
 }
 
+// Options are the fixed inputs of a state.
+type Options struct {
+	// Turn is the shortest time between the orders of two holders.
+	Turn time.Duration
+	// Reluctant instances take a free lease a little later than others, because the
+	// holder has more to do.
+	Reluctant bool
+}
+
 // New returns the state of an instance that holds nothing.
-func New(id, address string, start int64, turn time.Duration) *State {
-	return &State{self: Lease{Holder: id, Address: address, Start: start}, turn: turn}
+func New(id, address string, start int64, options Options) *State {
+	return &State{self: Lease{Holder: id, Address: address, Start: start}, options: options, silence: contactTimeout}
+}
+
+// SetContactInterval records the time between two answers of the holder.
+func (s *State) SetContactInterval(d time.Duration) {
+	s.silence = max(contactTimeout, contactAnswers*d)
 }
 
 // Row returns the lease as last seen.
@@ -139,7 +159,7 @@
 		return renewEvery // the store has not confirmed a renewal for a term
 	case s.held:
 		return max(0, s.orderFrom.Sub(now))
-	case !s.known || s.row.Version == 0 || now.Sub(s.contact) < contactTimeout:
+	case !s.known || s.row.Version == 0 || now.Sub(s.contact) < s.silence:
 		return 0
 	}
 	return max(0, s.successorFrom().Sub(now))
@@ -162,6 +182,9 @@
 	case s.holderLives(now), now < s.nextRead:
 		return None
 	case s.known && s.mayTake(now):
+		if s.waits(now) {
+			return None
+		}
 		next := s.self
 		next.Epoch = s.row.Epoch + 1
 		next.Settled = s.ownBefore() && s.row.Settled
@@ -175,7 +198,7 @@
 // lease: one that is cut off from the store may still reach its peers, and stops
 // ordering at the end of its term.
 func (s *State) holderLives(now bootclock.Time) bool {
-	return s.known && now.Sub(s.contact) < contactTimeout && now.Sub(s.rowAt) < Term
+	return s.known && now.Sub(s.contact) < s.silence && now.Sub(s.rowAt) < Term
 }
 
 func (s *State) tickHolder(now bootclock.Time) Action {
@@ -213,6 +236,17 @@
 	return s.row.Version == 0 || s.row.Released || s.ownBefore() || now.Sub(s.rowAt) >= Term
 }
 
+// waits reports whether this instance leaves the free lease to others for now.
+func (s *State) waits(now bootclock.Time) bool {
+	if !s.options.Reluctant || s.ownBefore() {
+		return false
+	}
+	if s.freeSince == 0 || s.freeSince < s.rowAt {
+		s.freeSince = now
+	}
+	return now.Sub(s.freeSince) < reluctance
+}
+
 func (s *State) ownBefore() bool {
 	return s.row.Holder == s.self.Holder && s.row.Address == s.self.Address
 }
@@ -238,7 +272,7 @@
 	s.nextRead = now
 	if !s.mayTake(now) {
 		s.contact = now
-		s.nextRead = now.Add(contactTimeout)
+		s.nextRead = now.Add(s.silence)
 	}
 }
 
@@ -267,7 +301,7 @@
 	case s.ownBefore():
 		// An own lease that is not settled is a take-over of which the answer was
 		// lost, or after which this instance started again.
-		return s.rowAt.Add(s.turn + turnMargin)
+		return s.rowAt.Add(s.options.Turn + turnMargin)
 	}
 	return s.successorFrom()
 }
@@ -276,9 +310,9 @@
 // may order: a turn after it was released, or after its term.
 func (s *State) successorFrom() bootclock.Time {
 	if s.row.Released {
-		return s.rowAt.Add(s.turn + turnMargin)
+		return s.rowAt.Add(s.options.Turn + turnMargin)
 	}
-	return s.rowAt.Add(Term + s.turn + turnMargin)
+	return s.rowAt.Add(Term + s.options.Turn + turnMargin)
 }
 
 // Failed records that the last read or write had no effect, or an unknown one.
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -54,7 +54,7 @@
 	w := &world{epochs: make(map[uint64]int)}
 	for k := range n {
 		w.instances = append(w.instances, &instance{
-			state: New(string(rune('a'+k)), string(rune('a'+k)), int64(k), turn), offset: time.Duration(k) * time.Hour,
+			state: New(string(rune('a'+k)), string(rune('a'+k)), int64(k), Options{Turn: turn, Reluctant: k == 2}), offset: time.Duration(k) * time.Hour,
 		})
 	}
 	return w
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -23,7 +23,11 @@
 	Store string
 	// MemoryBytes is the memory that the process may use; 0 if unlimited.
 	MemoryBytes int64
-	Bounds      Bounds
+	// Cores is the share of a core that the instance may use, and LinkMbps the rate
+	// of its link in Mbit/s; 0 if unlimited.
+	Cores    float64
+	LinkMbps float64
+	Bounds   Bounds
 }
 
 // Bounds are the times and ratios within which the deployment expects reactions.
@@ -47,6 +51,18 @@
 	Leave, ConfigTime time.Duration
 }
 
+const (
+	// weakCores and weakLinkMbps are what the instance that gives orders needs in
+	// deployments of some hundred instances and replicas, with a margin.
+	weakCores    = 0.3
+	weakLinkMbps = 50
+)
+
+// Weak reports whether other instances are better suited to do what one does for all.
+func (n Node) Weak() bool {
+	return (n.Cores > 0 && n.Cores < weakCores) || (n.LinkMbps > 0 && n.LinkMbps < weakLinkMbps)
+}
+
 // PeerAddress is the address on which an instance listens for others.
 func (n Node) PeerAddress() string {
 	return net.JoinHostPort(n.PeerHost, strconv.Itoa(n.FirstPeerPort))
--- /dev/null
+++ b/peering/messages.go
@@ -0,0 +1,233 @@
+package peering
+
+import (
+	"math"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/residency"
+)
+
+// The messages are exchanged several times a second by all instances, so that
+// loads are lists of whole numbers, and replicas are told without what only the
+// holder of the order lease needs of them.
+
+// loadMessage is the work on a replica: the requests, then an urgency level and its
+// unread work for each level that has some.
+type loadMessage []int
+
+type ownLoadMessage struct {
+	Load        loadMessage    `json:"l"`
+	Adapters    []string       `json:"a,omitempty"`
+	Models      map[string]int `json:"m,omitempty"`
+	Unreachable bool           `json:"u,omitempty"`
+}
+
+type paceMessage struct {
+	PerToken float64       `json:"p"`
+	Base     time.Duration `json:"b"`
+	Samples  int           `json:"n"`
+}
+
+type demandMessage struct {
+	Requests     int            `json:"n"`
+	Worth        float64        `json:"w"`
+	AdapterWorth float64        `json:"x,omitempty"`
+	Reading      int            `json:"r"`
+	WaitShare    float64        `json:"s"`
+	Adapters     map[string]int `json:"a,omitempty"`
+}
+
+// stateMessage is what an instance tells the holder.
+type stateMessage struct {
+	Instance    string                    `json:"instance"`
+	Loads       map[string]ownLoadMessage `json:"loads,omitempty"`
+	Demand      map[string]demandMessage  `json:"demand,omitempty"`
+	Versions    map[string]uint64         `json:"versions"`
+	Paces       map[string]paceMessage    `json:"paces,omitempty"`
+	Crashes     map[uint64]int            `json:"crashes,omitempty"`
+	ListVersion uint64                    `json:"list_version"`
+}
+
+type residentMessage struct {
+	Name     string   `json:"n"`
+	Version  int      `json:"v,omitempty"`
+	Adapters []string `json:"a,omitempty"`
+}
+
+type replicaMessage struct {
+	Service    string            `json:"s"`
+	Address    string            `json:"a"`
+	DataCentre string            `json:"d"`
+	Slots      int               `json:"n"`
+	Leaving    bool              `json:"l,omitempty"`
+	Remaining  time.Duration     `json:"r,omitempty"`
+	Models     []residentMessage `json:"m,omitempty"`
+	Born       int64             `json:"b,omitempty"`
+}
+
+type entryMessage struct {
+	ID      string          `json:"i"`
+	Version uint64          `json:"v"`
+	Replica *replicaMessage `json:"r,omitempty"`
+}
+
+// fleetMessage is the holder's answer. Times are in milliseconds.
+type fleetMessage struct {
+	Holder       string                 `json:"holder,omitempty"`
+	Epoch        uint64                 `json:"epoch,omitempty"`
+	LeaseVersion uint64                 `json:"lease_version,omitempty"`
+	OrdersIn     int64                  `json:"orders_in,omitempty"`
+	Released     string                 `json:"released,omitempty"`
+	Peers        int                    `json:"peers"`
+	Loads        map[string]loadMessage `json:"loads,omitempty"`
+	Versions     map[string]uint64      `json:"versions"`
+	Paces        map[string]paceMessage `json:"paces,omitempty"`
+	Crashes      map[uint64]int         `json:"crashes,omitempty"`
+	Moving       map[string]int64       `json:"moving,omitempty"`
+	Dropping     map[string][]string    `json:"dropping,omitempty"`
+	Full         map[string][]string    `json:"full,omitempty"`
+	Coming       map[string]int64       `json:"coming,omitempty"`
+	List         []entryMessage         `json:"list,omitempty"`
+	ListVersion  uint64                 `json:"list_version"`
+	StoreAge     int64                  `json:"store_age"`
+}
+
+// convert returns a map with every value translated.
+func convert[A, B any](in map[string]A, translate func(A) B) map[string]B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make(map[string]B, len(in))
+	for key, value := range in {
+		out[key] = translate(value)
+	}
+	return out
+}
+
+// rounded keeps two decimals.
+func rounded(v float64) float64 { return math.Round(v*100) / 100 }
+
+func encodeLoad(l dispatch.Load) loadMessage {
+	m := loadMessage{l.Requests}
+	for level, work := range l.Unread {
+		if n := int(math.Round(work)); n > 0 {
+			m = append(m, level, n)
+		}
+	}
+	return m
+}
+
+func decodeLoad(m loadMessage) dispatch.Load {
+	var l dispatch.Load
+	if len(m) == 0 {
+		return l
+	}
+	l.Requests = m[0]
+	for i := 1; i+1 < len(m); i += 2 {
+		if level := m[i]; level >= 0 && level < dispatch.LevelCount {
+			l.Unread[level] = float64(m[i+1])
+		}
+	}
+	return l
+}
+
+func encodeOwnLoad(l dispatch.Load) ownLoadMessage {
+	return ownLoadMessage{Load: encodeLoad(l), Adapters: l.Adapters, Models: l.Models, Unreachable: l.Unreachable}
+}
+
+func decodeOwnLoad(m ownLoadMessage) dispatch.Load {
+	l := decodeLoad(m.Load)
+	l.Adapters, l.Models, l.Unreachable = m.Adapters, m.Models, m.Unreachable
+	return l
+}
+
+func encodePace(p dispatch.Pace) paceMessage {
+	return paceMessage{PerToken: math.Round(p.PerToken*1000) / 1000, Base: p.Base.Round(time.Millisecond), Samples: p.Samples}
+}
+
+func decodePace(m paceMessage) dispatch.Pace { return dispatch.Pace(m) }
+
+func encodeDemand(d residency.Demand) demandMessage {
+	return demandMessage{
+		Requests: d.Requests, Worth: rounded(d.Worth), AdapterWorth: rounded(d.AdapterWorth), Reading: int(d.Reading),
+		WaitShare: rounded(d.WaitShare), Adapters: d.Adapters,
+	}
+}
+
+func decodeDemand(m demandMessage) residency.Demand {
+	return residency.Demand{
+		Requests: m.Requests, Worth: m.Worth, AdapterWorth: m.AdapterWorth, Reading: float64(m.Reading),
+		WaitShare: m.WaitShare, Adapters: m.Adapters,
+	}
+}
+
+func encodeState(s controlplane.PeerState) stateMessage {
+	return stateMessage{
+		Instance: s.Instance, Loads: convert(s.Loads, encodeOwnLoad), Demand: convert(s.Demand, encodeDemand), Versions: s.Versions,
+		Paces: convert(s.Paces, encodePace), Crashes: s.Crashes, ListVersion: s.ListVersion,
+	}
+}
+
+func decodeState(m stateMessage) controlplane.PeerState {
+	return controlplane.PeerState{
+		Instance: m.Instance, Loads: convert(m.Loads, decodeOwnLoad), Demand: convert(m.Demand, decodeDemand), Versions: m.Versions,
+		Paces: convert(m.Paces, decodePace), Crashes: m.Crashes, ListVersion: m.ListVersion,
+	}
+}
+
+func encodeEntry(e catalog.Entry) entryMessage {
+	m := entryMessage{ID: e.ID, Version: e.Version}
+	if r := e.Replica; r != nil {
+		m.Replica = &replicaMessage{
+			Service: r.Service, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving, Remaining: r.Remaining, Born: r.Born,
+		}
+		for _, resident := range r.Models {
+			m.Replica.Models = append(m.Replica.Models, residentMessage(resident))
+		}
+	}
+	return m
+}
+
+func decodeEntry(m entryMessage) catalog.Entry {
+	e := catalog.Entry{ID: m.ID, Version: m.Version, Partial: true}
+	if r := m.Replica; r != nil {
+		e.Replica = &catalog.Replica{
+			ID: m.ID, Service: r.Service, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving, Remaining: r.Remaining, Born: r.Born,
+		}
+		for _, resident := range r.Models {
+			e.Replica.Models = append(e.Replica.Models, catalog.Resident(resident))
+		}
+	}
+	return e
+}
+
+func encodeFleet(s controlplane.FleetState) fleetMessage {
+	m := fleetMessage{
+		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, OrdersIn: s.OrdersIn.Milliseconds(), Released: s.Released, Peers: s.Peers,
+		Loads: convert(s.Loads, encodeLoad), Versions: s.Versions, Paces: convert(s.Paces, encodePace), Crashes: s.Crashes,
+		Moving: convert(s.Moving, time.Duration.Milliseconds), Dropping: s.Dropping, Full: s.Full,
+		Coming: convert(s.Coming, time.Duration.Milliseconds), ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
+	}
+	for _, e := range s.List {
+		m.List = append(m.List, encodeEntry(e))
+	}
+	return m
+}
+
+func decodeFleet(m fleetMessage) controlplane.FleetState {
+	s := controlplane.FleetState{
+		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, OrdersIn: fromMilliseconds(m.OrdersIn), Released: m.Released, Peers: m.Peers,
+		Loads: convert(m.Loads, decodeLoad), Versions: m.Versions, Paces: convert(m.Paces, decodePace), Crashes: m.Crashes,
+		Moving: convert(m.Moving, fromMilliseconds), Dropping: m.Dropping, Full: m.Full,
+		Coming: convert(m.Coming, fromMilliseconds), ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
+	}
+	for _, e := range m.List {
+		s.List = append(s.List, decodeEntry(e))
+	}
+	return s
+}
+
+func fromMilliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/peering/messages_test.go
@@ -0,0 +1,67 @@
+package peering
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/residency"
+)
+
+// through sends a message as JSON.
+func through[M any](t *testing.T, m M) M {
+	t.Helper()
+	data, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out M
+	if err := json.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against a part of a state that does not arrive at the other instance.
+func TestStatesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	load := dispatch.Load{Requests: 3, Adapters: []string{"m/a1"}, Models: map[string]int{"m": 3}, Unreachable: true}
+	load.Unread[1], load.Unread[9] = 20, 400
+	paces := map[string]dispatch.Pace{"s/10MB": {PerToken: 0.25, Base: 12 * time.Millisecond, Samples: 7}}
+	own := controlplane.PeerState{
+		Instance: "a", Loads: map[string]dispatch.Load{"r": load},
+		Demand:   map[string]residency.Demand{"m": {Requests: 2, Worth: 1.5, AdapterWorth: 0.5, Reading: 700, WaitShare: 0.25, Adapters: map[string]int{"a1": 1}}},
+		Versions: map[string]uint64{"t": 4}, Paces: paces, Crashes: map[uint64]int{1 << 60: 2}, ListVersion: 9,
+	}
+	is.Equal(decodeState(through(t, encodeState(own))), own)
+
+	sum := dispatch.Load{Requests: 5}
+	sum.Unread[4] = 12
+	replica := catalog.Replica{
+		ID: "r", Service: "s", Address: "a:1", DataCentre: "z", Slots: 4, Leaving: true, Remaining: time.Second, Born: 5,
+		Models: []catalog.Resident{{Name: "m", Version: 2, Adapters: []string{"a1"}}},
+	}
+	fleet := controlplane.FleetState{
+		Holder: "h", Epoch: 3, LeaseVersion: 8, OrdersIn: time.Second, Released: "h", Peers: 7, Loads: map[string]dispatch.Load{"r": sum},
+		Versions: map[string]uint64{"t": 4}, Paces: paces, Crashes: map[uint64]int{7: 1}, Moving: map[string]time.Duration{"r": time.Second},
+		Dropping: map[string][]string{"r": {"m"}}, Full: map[string][]string{"r": {"m/a1"}}, Coming: map[string]time.Duration{"m": 2 * time.Second},
+		List:        []catalog.Entry{{ID: "r", Version: 6, Replica: &replica, Partial: true}, {ID: "gone", Version: 7, Partial: true}},
+		ListVersion: 7, StoreAge: 300 * time.Millisecond,
+	}
+	is.Equal(decodeFleet(through(t, encodeFleet(fleet))), fleet)
+}
+
+// Guards against loads of another version, or of a broken message, that end the
+// instance.
+func TestForeignLoads(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []loadMessage{nil, {2}, {2, 3}, {2, -1, 5}, {2, dispatch.LevelCount, 5}} {
+		l := decodeLoad(m)
+		is.Equal(l.Unread, dispatch.Load{}.Unread)
+	}
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -33,13 +33,12 @@
 )
 
 const (
-	// stateInterval is the time between two states: a quarter of the time in
-	// which a request with a goal of about a second is served, at a few kilobytes
-	// a second for each instance.
-	stateInterval = 250 * time.Millisecond
-	dialTimeout   = 500 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
 	// stateTimeout is several round trips; a peer that is slower counts as gone.
 	stateTimeout = 600 * time.Millisecond
+	// tickSlack is the part of the time between two states by which the timer may
+	// fire early.
+	tickSlack = 20 * time.Millisecond
 	// adapterTimeout is longer than the holder waits for an adapter.
 	adapterTimeout = 900 * time.Millisecond
 )
@@ -65,13 +64,19 @@
 	holder string     // address of the holder; empty if it is this instance or none is known
 	link   *jsonrpc2.Conn
 	served map[*jsonrpc2.Conn]bool
+
+	// When the last state was sent, to which address, and the time between two;
+	// used by tellHolder only.
+	told   time.Time
+	toldTo string
+	every  time.Duration
 }
 
 // New returns a service that has not been started.
 func New(node nodeconfig.Node, logger *log.Logger) *Service {
 	return &Service{
 		node: node, log: logger, dial: netdial.Dialer(dialTimeout), group: worker.NewGroup(),
-		wake: make(chan struct{}, 1), served: make(map[*jsonrpc2.Conn]bool),
+		wake: make(chan struct{}, 1), served: make(map[*jsonrpc2.Conn]bool), every: controlplane.StateInterval(0),
 	}
 }
 
@@ -91,7 +96,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	s.group.Go(s.accept)
-	s.group.Every(stateInterval, s.wake, s.tellHolder)
+	s.group.Every(controlplane.StateInterval(0), s.wake, s.tellHolder)
 	return errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "peering.holder", s.holderChanged),
 		worker.Subscribe(s.group, k.Bus(), "peering.adapter", s.askAdapter),
@@ -194,20 +199,23 @@
 	s.mu.Lock()
 	address := s.holder
 	s.mu.Unlock()
-	if address == "" {
+	if address == "" || (address == s.toldTo && time.Since(s.told) < s.every-tickSlack) {
 		return
 	}
+	s.told, s.toldTo = time.Now(), address
 	own, err := s.control.OwnState(ctx)
 	if err != nil {
 		return // the instance stops
 	}
-	var fleet controlplane.FleetState
-	called, err := s.call(ctx, stateTimeout, methodState, own, &fleet)
+	var answer fleetMessage
+	called, err := s.call(ctx, stateTimeout, methodState, encodeState(own), &answer)
 	if err != nil {
 		s.log.Debug("holder does not answer", "address", address, "error", err)
 		return
 	}
 	if called {
+		fleet := decodeFleet(answer)
+		s.every = controlplane.StateInterval(fleet.Peers)
 		s.control.Post(controlplane.FleetSeen{State: fleet})
 	}
 }
@@ -262,11 +270,15 @@
 	}
 	switch r.Method {
 	case methodState:
-		var p controlplane.PeerState
-		if err := json.Unmarshal(*r.Params, &p); err != nil {
+		var m stateMessage
+		if err := json.Unmarshal(*r.Params, &m); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return s.control.ServePeer(ctx, p)
+		fleet, err := s.control.ServePeer(ctx, decodeState(m))
+		if err != nil {
+			return nil, err
+		}
+		return encodeFleet(fleet), nil
 	case methodAdapter:
 		var w adapterWish
 		if err := json.Unmarshal(*r.Params, &w); err != nil {
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -34,7 +34,7 @@
 	// AdapterWorth is the part of Worth of requests that use an adapter.
 	AdapterWorth float64
 	// Adapters are the requests by adapter.
-	Adapters map[string]int `json:",omitempty"`
+	Adapters map[string]int
 }
 
 type demand struct {
