--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -94,7 +94,7 @@
 
 func (e firstByte) apply(c *core, now time.Time) {
 	f := e.flight
-	c.dispatch.FirstByte(f.Request, f.Decision, f.Reading, e.took)
+	c.dispatch.FirstByte(now, f.Request, f.Decision, f.Reading, e.took)
 	f.Reading = 0
 	if e.report != nil {
 		c.dispatch.SetReport(now, f.Decision.Replica.ID, *e.report)
@@ -119,7 +119,7 @@
 	if e.report != nil {
 		c.dispatch.SetReport(now, id, *e.report)
 	}
-	if c.dispatch.Finished(now, f.Request, f.Decision, e.outcome, f.Reading) {
+	if c.dispatch.Finished(now, f.SentAt, f.Request, f.Decision, e.outcome, f.Reading) {
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
 		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -103,7 +103,7 @@
 		at = level(req, true)
 		chosen = s.pick(now, svc, usable, req, at)
 		expected = s.estimate(now, svc, chosen, req, at)
-		if expected > 3*patience(req) && len(tried) == 0 {
+		if expected > 3*Patience(req) && len(tried) == 0 {
 			return Decision{Verdict: Refuse, Cause: CauseOverload, RetryAfter: overloadRetryAfter, Expected: expected}
 		}
 	}
@@ -115,8 +115,8 @@
 	}
 }
 
-// patience returns the time for which a caller waits for the first event.
-func patience(req *Request) time.Duration {
+// Patience returns the time for which a caller waits for the first event of a stream.
+func Patience(req *Request) time.Duration {
 	return max(minPatience, patienceGoals*req.Route.Goal, patienceGaps*req.Route.EventGap)
 }
 
@@ -212,7 +212,7 @@
 // is sent: most of the time in which it has its full worth, or half of the time
 // after which the caller leaves.
 func mayWait(req *Request) time.Duration {
-	return max(req.Route.Goal*waitGoal/100, min(patience(req)/2, maxLateWait))
+	return max(req.Route.Goal*waitGoal/100, min(Patience(req)/2, maxLateWait))
 }
 
 // adapterIn returns the time until a replica that holds the request's model takes
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -107,7 +107,7 @@
 		req := plain("f")
 		d := Decision{Replica: app("a")}
 		s.Sent(now, req, d)
-		s.Finished(now, req, d, outcome, 0)
+		s.Finished(now, now, req, d, outcome, 0)
 	}
 	fail(epoch, Unreachable)
 	for range 5 {
@@ -132,10 +132,10 @@
 	is := is.New(t)
 	s := newState(app("a"))
 	for range 3 {
-		s.Finished(epoch, plain("f"), Decision{Replica: app("a")}, Failed, 0)
+		s.Finished(epoch, epoch, plain("f"), Decision{Replica: app("a")}, Failed, 0)
 	}
 	is.Equal(s.Choose(epoch, plain("1"), History{}).Verdict, Send)
-	s.Finished(epoch, plain("f"), Decision{Replica: app("a")}, Unreachable, 0)
+	s.Finished(epoch, epoch, plain("f"), Decision{Replica: app("a")}, Unreachable, 0)
 	is.Equal(s.Choose(epoch, plain("1"), History{}).Cause, CauseAside)
 }
 
@@ -160,15 +160,15 @@
 func TestCrashingContentIsRefused(t *testing.T) {
 	is := is.New(t)
 	s := newState(app("a"), app("b"))
-	s.Finished(epoch, plain("1"), Decision{Replica: app("a")}, Broken, 0)
+	s.Finished(epoch, epoch, plain("1"), Decision{Replica: app("a")}, Broken, 0)
 	is.Equal(s.Choose(epoch, plain("2"), History{}).Verdict, Send)
-	s.Finished(epoch, plain("2"), Decision{Replica: app("b")}, Broken, 0)
+	s.Finished(epoch, epoch, plain("2"), Decision{Replica: app("b")}, Broken, 0)
 	is.Equal(s.Choose(epoch, plain("3"), History{}).Cause, CauseCrashes)
 	// Two crashes elsewhere and one here are the third of the fleet.
 	fleet := newState(app("a"), app("b"))
 	fleet.SetPeerCrashes(map[uint64]int{7: 2})
 	is.Equal(fleet.Choose(epoch, plain("1"), History{}).Verdict, Send)
-	fleet.Finished(epoch, plain("1"), Decision{Replica: app("a")}, Broken, 0)
+	fleet.Finished(epoch, epoch, plain("1"), Decision{Replica: app("a")}, Broken, 0)
 	is.Equal(fleet.Choose(epoch, plain("2"), History{}).Cause, CauseCrashes)
 	is.Equal(fleet.OwnCrashes(epoch), map[uint64]int{7: 1})
 	later := epoch.Add(crashMemory + time.Second)
@@ -186,8 +186,8 @@
 	first.Parts = []Part{{1, 400}, {2, 400}, {3, 200}}
 	d := s.Choose(epoch, first, History{})
 	reading := s.Sent(epoch, first, d)
-	s.FirstByte(first, d, reading, 60*time.Millisecond)
-	s.Finished(epoch, first, d, Answered, 0)
+	s.FirstByte(epoch, first, d, reading, 60*time.Millisecond)
+	s.Finished(epoch, epoch, first, d, Answered, 0)
 	next := stream("2", 1)
 	next.Parts = []Part{{1, 400}, {2, 400}, {9, 200}}
 	again := s.Choose(epoch, next, History{})
@@ -205,7 +205,7 @@
 	reading := s.Sent(epoch, req, d)
 	is.Equal(s.OwnLoad()["a"].Requests, 1)
 	is.Equal(s.OwnLoad()["a"].Adapters, []string{"m/a1"})
-	s.Finished(epoch, req, d, Canceled, reading)
+	s.Finished(epoch, epoch, req, d, Canceled, reading)
 	is.Equal(len(s.OwnLoad()), 0)
 }
 
@@ -246,3 +246,20 @@
 	d = s.Choose(epoch.Add(4900*time.Millisecond), req, History{})
 	is.Equal(d.RetryAfter, refusedRetryAfter)
 }
+
+// Guards against replicas with much to do that get no work because they answer
+// late: their requests went to the others, which became late too (scale-1 of
+// tsn-bandbook-grown).
+func TestLateReplicaIsNotPutAside(t *testing.T) {
+	is := is.New(t)
+	s := newState(engine("a", "m"))
+	req := stream("r", 0)
+	d := s.Choose(epoch, req, History{})
+	for range 3 * failuresToAside {
+		reading := s.Sent(epoch, req, d)
+		s.FirstByte(epoch.Add(time.Second), req, d, reading, time.Second) // of another request
+		is.True(!s.Finished(epoch.Add(2*time.Second), epoch, req, d, Silent, 0))
+	}
+	is.True(!s.Finished(epoch.Add(9*time.Second), epoch.Add(3*time.Second), req, d, Silent, 0))
+	is.True(s.Finished(epoch.Add(9*time.Second), epoch.Add(3*time.Second), req, d, Silent, 0)) // it answers nothing
+}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -118,12 +118,13 @@
 
 // FirstByte records the beginning of an answer, took after the send. reading is
 // the work that Sent had counted; d is the decision on which it was sent.
-func (s *State) FirstByte(req *Request, d Decision, reading float64, took time.Duration) {
+func (s *State) FirstByte(now time.Time, req *Request, d Decision, reading float64, took time.Duration) {
 	r, ok := s.replicas[d.Replica.ID]
 	if !ok {
 		return
 	}
 	r.read(d.Urgency, reading)
+	r.heard = now
 	svc := s.service(req.Service)
 	if svc.typical == 0 {
 		svc.typical = took
@@ -144,9 +145,9 @@
 	}
 }
 
-// Finished records the end of a send. It reports whether the replica is put
+// Finished records the end of a send at sentAt. It reports whether the replica is put
 // aside because of it.
-func (s *State) Finished(now time.Time, req *Request, d Decision, outcome Outcome, reading float64) bool {
+func (s *State) Finished(now, sentAt time.Time, req *Request, d Decision, outcome Outcome, reading float64) bool {
 	if outcome == Answered {
 		delete(s.crashes, req.Fingerprint)
 	}
@@ -163,7 +164,12 @@
 	switch outcome {
 	case Answered:
 		r.succeeded()
-	case Failed, Broken, Silent:
+	case Silent:
+		if r.heard.After(sentAt) {
+			return false // it answers others: it has much to do, or hangs now and then
+		}
+		return r.failed(now, false)
+	case Failed, Broken:
 		return r.failed(now, false)
 	case Unreachable:
 		return r.failed(now, true)
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -25,8 +25,8 @@
 	d := s.Choose(epoch, req, History{})
 	reading := s.Sent(epoch, req, d)
 	took := firstStep + time.Duration(pace*float64(readingTime(float64(req.PromptTokens))))
-	s.FirstByte(req, d, reading, took)
-	s.Finished(epoch, req, d, Answered, 0)
+	s.FirstByte(epoch, req, d, reading, took)
+	s.Finished(epoch, epoch, req, d, Answered, 0)
 }
 
 // Guards against models that are asked for too seldom to learn their pace,
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -85,6 +85,7 @@
 	sentSince int
 	// slowness is the moving ratio of measured to estimated time to the first byte.
 	slowness    float64
+	heard       time.Time // when an answer to this instance began last
 	failures    int
 	unreachable bool // the last failure was that no connection could be made
 	failing     float64
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -155,12 +155,20 @@
 	if !x.route.Repeatable() || x.ran+1 >= x.route.Attempts {
 		return left
 	}
-	return min(left, max(silenceFactor*d.Expected, x.route.Goal, minSilence))
+	patience := max(silenceFactor*d.Expected, x.route.Goal, minSilence)
+	if x.route.Kind == catalog.Stream {
+		patience = max(patience, dispatch.Patience(x.request)*silentPatience/100)
+	}
+	return min(left, patience)
 }
 
 const (
 	// silenceFactor is how many times the expected time an answer may take.
 	silenceFactor = 5
+	// silentPatience is the part of the caller's patience, in percent, for which a
+	// stream may be silent: engines that have much to do answer late, and a request
+	// that is sent again adds to it.
+	silentPatience = 60
 	// minSilence is the shortest wait for the beginning of an answer.
 	minSilence = 400 * time.Millisecond
 	// eventSilence is the longest pause between two events of a stream that can
