residency: an adapter that is asked for does not give way to one held elsewhere

Change: an adapter with another copy gives way first, then the one that is asked for least. The only copy of an asked adapter gives way only to a request whose adapter is nowhere, or to one that is asked for twice as much.

--- a/residency/orders.go
+++ b/residency/orders.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -15,6 +16,9 @@
 	// adapterRecent is the time for which an adapter counts as in use after it
 	// was seen in use: instances tell what they use four times a second.
 	adapterRecent = 700 * time.Millisecond
+	// adapterPriority is how many times as much an adapter must be asked for as one
+	// that gives way to it ahead of a request.
+	adapterPriority = 2
 	// loadMargin is added to the declared time of a load: it takes longer while
 	// many loads run.
 	loadMargin = 3 * time.Second
@@ -132,7 +136,7 @@
 	if len(r.adapters) < e.AdapterSlots && fits && r.comingAdapters(now) < maxComing {
 		return order
 	}
-	victim := s.idleAdapter(now, r)
+	victim := s.idleAdapter(now, r, w)
 	if victim == "" {
 		return nil
 	}
@@ -164,22 +168,38 @@
 	return false
 }
 
-// idleAdapter returns the adapter that gives way first, or "" if all are in use.
-// One that other replicas hold comes before the only copy, of which the next
-// request would have to wait; then the one that was used least recently.
-func (s *State) idleAdapter(now time.Time, r *replica) string {
-	victim, copied, used := "", false, time.Time{}
+// idleAdapter returns the adapter that gives way to a wish, or "" if there is none:
+// one that is not in use, with another copy if there is such, and asked for
+// least. The only copy of an adapter that is asked for gives way to a request whose
+// adapter is nowhere, or to one that is asked for much more; otherwise replicas
+// would take each other's adapters for ever.
+func (s *State) idleAdapter(now time.Time, r *replica, w wish) string {
+	victim, copied := "", false
 	for _, key := range slices.Sorted(maps.Keys(r.adapters)) {
-		a := r.adapters[key]
-		if a.inUse(now) {
+		if r.adapters[key].inUse(now) {
 			continue
 		}
 		elsewhere := s.heldElsewhere(r, key)
-		if victim == "" || (elsewhere && !copied) || (elsewhere == copied && a.used.Before(used)) {
-			victim, copied, used = key, elsewhere, a.used
+		if victim == "" || (elsewhere && !copied) || (elsewhere == copied && s.missedLess(r, key, victim)) {
+			victim, copied = key, elsewhere
 		}
 	}
-	return victim
+	if victim == "" || copied || s.adapterDemand[victim] < requestedDemand {
+		return victim
+	}
+	wanted := w.model + "/" + w.adapter
+	urgent := w.requested && !s.heldElsewhere(r, wanted)
+	if urgent || s.adapterDemand[victim]*adapterPriority < s.adapterDemand[wanted] {
+		return victim
+	}
+	return ""
+}
+
+// missedLess reports whether one adapter of a replica is asked for less than another,
+// or as much but longer ago.
+func (s *State) missedLess(r *replica, key, other string) bool {
+	c := cmp.Compare(s.adapterDemand[key], s.adapterDemand[other])
+	return cmp.Or(c, r.adapters[key].used.Compare(r.adapters[other].used)) < 0
 }
 
 // heldElsewhere reports whether a replica that stays holds an adapter too.
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -152,11 +152,9 @@
 	is.Equal(coming, map[string]time.Duration{"m0": 1500 * time.Millisecond, "m3": announceTime + 8*time.Second})
 }
 
-// Guards against replicas that take each other's adapters: with as many places as
-// adapters, one that only this replica holds gave way, and one that others hold
-// too stayed (TestEdgeServesThroughStoreTrouble, seed 400).
-func TestOnlyCopyOfAdapterGivesWayLast(t *testing.T) {
-	is := is.New(t)
+// adapterPool is a pool of two replicas with the same model, whose adapters fill
+// the first.
+func adapterPool() *pool {
 	p := newPool(1, []string{"m0"}, []string{"m0"})
 	m := p.state.config.Services[service].Engine.Model("m0")
 	m.Adapters, m.AdapterMB = []string{"a1", "a2", "a3", "a4"}, 1
@@ -165,10 +163,47 @@
 			p.state.replicas[id].adapters["m0/"+name] = &adapter{size: 1}
 		}
 	}
+	return p
+}
+
+// unloads returns the adapters that give way by some actions.
+func unloads(actions []Action) (out []string) {
+	for _, a := range actions {
+		if a.Order != nil && a.Order.Operation == Unload {
+			out = append(out, a.Order.Adapter)
+		}
+	}
+	return out
+}
+
+// Guards against replicas that take each other's adapters: with as many places as
+// adapters, one that only this replica holds gave way, and one that others hold
+// too stayed (TestEdgeServesThroughStoreTrouble, seed 400).
+func TestOnlyCopyOfAdapterGivesWayLast(t *testing.T) {
+	is := is.New(t)
+	p := adapterPool()
 	p.state.UsedAdapter(p.now, "r0", "m0", "a3") // used last of all
 	p.now = p.now.Add(2 * adapterRecent)
+	is.Equal(unloads(p.state.WantAdapter(p.now, "r0", "m0", "a4")), []string{"a3"})
+}
+
+// Guards against an adapter that is asked for and gives way to one that another
+// replica holds, or, ahead of use, to one that is asked for as much.
+func TestAskedAdapterStays(t *testing.T) {
+	is := is.New(t)
+	p := adapterPool()
+	delete(p.state.replicas["r1"].adapters, "m0/a3")
+	p.state.replicas["r1"].adapters["m0/a4"] = &adapter{size: 1}
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		p.state.AddAdapterDemand("m0", name, 2)
+	}
 	actions := p.state.WantAdapter(p.now, "r0", "m0", "a4")
+	is.Equal(len(unloads(actions)), 0)
 	is.Equal(len(actions), 1)
-	is.Equal(actions[0].Order.Operation, Unload)
-	is.Equal(actions[0].Order.Adapter, "a3")
+	is.True(!actions[0].Ready.OK) // the request goes to the other replica
+
+	delete(p.state.replicas["r1"].adapters, "m0/a4")
+	p.state.replicas["r1"].info.Leaving = true // it takes no adapters
+	is.Equal(len(unloads(p.state.Plan(p.now))), 0)
+	is.Equal(len(unloads(p.state.WantAdapter(p.now, "r0", "m0", "a4"))), 1)
 }
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -155,6 +155,7 @@
 type wish struct {
 	model, adapter string
 	until          time.Time
+	requested      bool // by a request that waits, not ahead of use
 }
 
 // New returns an empty state.
@@ -352,12 +353,13 @@
 		a.used = now
 		return []Action{{Ready: &AdapterResult{Replica: id, Model: model, Adapter: name, OK: true}, Delay: max(0, a.readyAt.Sub(now))}}
 	}
-	for _, w := range r.wishes {
+	for i, w := range r.wishes {
 		if w.model == model && w.adapter == name {
+			r.wishes[i].requested = true
 			return nil // the first wish answers all
 		}
 	}
-	r.wishes = append(r.wishes, wish{model: model, adapter: name, until: now.Add(adapterGiveUp)})
+	r.wishes = append(r.wishes, wish{model: model, adapter: name, until: now.Add(adapterGiveUp), requested: true})
 	return s.advance(now, id, r)
 }
 
