--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,6 +69,9 @@
 	CauseNoTime    Cause = "no-time-left"
 )
 
+// WaitCauses are the causes for which a request may wait instead of being refused.
+var WaitCauses = []Cause{CauseNotLoaded, CauseUnloading, CauseNoAdapter, CauseNoOrders}
+
 // Decision is the outcome of Choose.
 type Decision struct {
 	Verdict Verdict
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -70,6 +70,7 @@
 
 // New returns a gateway that has not been started.
 func New(o Options) *Gateway {
+	exportWaits(o.Metrics)
 	return &Gateway{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
 		recorder: newRecorder(o.Log, o.Metrics),
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -73,9 +73,20 @@
 		"running", d.Running, "load_age", min(d.LoadAge, time.Hour).Round(time.Millisecond), "urgency", d.Urgency, "elapsed", time.Since(x.arrived).Round(time.Millisecond))
 }
 
+// waitsMetric counts the requests that waited, by cause.
+const waitsMetric = "waits"
+
+// exportWaits lets the counters of waits stand at zero until the first one, so that
+// a rate can be taken of them.
+func exportWaits(m *metrics.Registry) {
+	for _, cause := range dispatch.WaitCauses {
+		m.Counter(waitsMetric, "cause", string(cause))
+	}
+}
+
 // logWait writes a line on a request that waits for its model or adapter.
 func (x *exchange) logWait(d dispatch.Decision) {
-	x.gateway.metrics.Counter("waits", "kind", x.route.Kind.String(), "cause", string(d.Cause)).Add(1)
+	x.gateway.metrics.Counter(waitsMetric, "cause", string(d.Cause)).Add(1)
 	x.gateway.log.Info("request waits", "request", x.head.ID, "model", x.head.Model, "adapter", x.head.Adapter, "cause", string(d.Cause),
 		"wait", d.RetryAfter.Round(time.Millisecond), "elapsed", time.Since(x.arrived).Round(time.Millisecond))
 }
