--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -16,15 +16,18 @@
 	// stateInterval is the time between two states of an instance: a quarter of the
 	// time in which a request with a goal of about a second is served.
 	stateInterval = 250 * time.Millisecond
-	// manyPeers is the number of instances from which on states come half as often,
-	// so that the holder's part of them stays within a link of 10 Mbit/s.
-	manyPeers = 24
+	// manyPeers is the number of instances from which on states come half as often, so
+	// that the holder's part of them stays within half of a link of 200 Mbit/s;
+	// weakPeers is the same for a weak holder and half of 10 Mbit/s. A state and its
+	// answer take about 6 KB in a fleet of 90 replicas.
+	manyPeers, weakPeers = 500, 24
 )
 
 // StateInterval returns the time between two states that an instance tells the
-// holder, by the number of instances.
-func StateInterval(peers int) time.Duration {
-	if peers > manyPeers {
+// holder, by the number of instances and whether the holder is weak. The holder says
+// it with its answers.
+func StateInterval(peers int, weak bool) time.Duration {
+	if peers > manyPeers || (weak && peers > weakPeers) {
 		return 2 * stateInterval
 	}
 	return stateInterval
@@ -58,8 +61,8 @@
 	// Released names the instance if it has held the lease, and has released it.
 	Released string
 	Loads    map[string]dispatch.Load // of all other instances, by replica
-	// Peers is the number of the other instances.
-	Peers int
+	// Interval is the time between two states of an instance.
+	Interval time.Duration
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64
 	Paces    map[string]dispatch.Pace // by the size of models
@@ -131,7 +134,7 @@
 func (c *core) fleetState(now time.Time, peer PeerState) FleetState {
 	state := FleetState{
 		Loads: c.fleet.loadsWithout(peer.Loads), Crashes: c.fleet.crashesWithout(peer.Crashes),
-		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Peers: len(c.peers),
+		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Interval: StateInterval(len(c.peers), c.node.Weak()),
 	}
 	row := c.leader.Row()
 	if c.leader.Held() {
@@ -292,7 +295,7 @@
 	}
 	if e.State.Holder != "" {
 		c.holderSeen, c.holderOrders = now, now.Add(e.State.OrdersIn)
-		c.stateInterval = StateInterval(e.State.Peers)
+		c.stateInterval = e.State.Interval
 		c.leader.SetContactInterval(c.stateInterval)
 	}
 	c.takeList(now, e.State)
