--- a/residency/moves.go
+++ b/residency/moves.go
@@ -75,15 +75,12 @@
 	value float64 // of its requests
 	// adapters is the value of the requests that use an adapter.
 	adapters float64
-	// gain is the value of serving all its requests on time, and most that of one more
-	// copy on a replica that serves nothing else.
-	gain, most float64
-	reason     string
+	// gain is the value of a copy that serves all its requests on time.
+	gain   float64
+	reason string
 }
 
-// needs lists the models that should get one more copy, most valuable copy first. A
-// model that is used much loses more than others until all its copies are there, but
-// its next copy may bring less than the second one of another.
+// needs lists the models that should get one more copy, most valuable first.
 func (s *State) needs(c *census) []need {
 	var out []need
 	for i := range c.engine.Models {
@@ -91,7 +88,6 @@
 		d := s.demand[m.Name]
 		n := need{model: m, work: d.work(), value: d.value(), adapters: d.adapterValue()}
 		n.gain = n.value*missed(c.levelOf(m.Name, n.work)) + n.adapters*c.shortage(m.Name, 0)
-		left := n.value*missed(levelWith(n.work, append(c.loads(m.Name, nil), 0))) + n.adapters*c.shortage(m.Name, c.engine.AdapterSlots)
 		n.reason = "requests wait too long"
 		switch len(c.copies[m.Name]) {
 		case 0:
@@ -106,12 +102,12 @@
 			}
 			n.gain += spareValue + spareShare*n.value
 		}
-		if n.most = n.gain - left; n.most >= minValue {
+		if n.gain >= minValue {
 			out = append(out, n)
 		}
 	}
 	slices.SortFunc(out, func(a, b need) int {
-		return cmp.Or(cmp.Compare(b.most, a.most), cmp.Compare(a.model.Name, b.model.Name))
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.model.Name, b.model.Name))
 	})
 	return out
 }
@@ -141,7 +137,7 @@
 func (s *State) choice(c *census, t *site, n need, least float64) *choice {
 	o := &choice{site: t, store: !t.r.atHand(n.model.Name)}
 	takes := t.r.busyFor(c.now) + s.loadTime(t.r, n.model.Name)
-	if n.most*remaining(takes)+placeValue <= least {
+	if n.gain*remaining(takes)+placeValue <= least {
 		return nil
 	}
 	load, loss, drain, ok := c.makeRoom(o, n)
@@ -191,7 +187,7 @@
 		if missing -= v.mb; missing <= 0 {
 			return load, loss, drain, true
 		}
-		if loss >= n.most {
+		if loss >= n.gain {
 			break
 		}
 	}
