controlplane: divide the slack of the retry budget by the number of instances

Each instance took a tenth of the slack of 196 as rate and burst, and there were 78 of them. On the smaller sites six or seven took less than all.

Change: the holder tells the number of instances with its answers, and each takes its part; at least ten are assumed. TestSlackOfRetriesIsDivided fails without it.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -13,7 +13,6 @@
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/residency"
-	"github.com/hyssophaven/hyssophaven/retry"
 )
 
 const (
@@ -22,8 +21,8 @@
 	lapseGrace = 2 * time.Second
 	// planInterval is the time between plans of model loads.
 	planInterval = 200 * time.Millisecond
-	// assumedInstances divides the slack of the retry budget while the number
-	// of instances is not known; deployments of today have up to ten.
+	// assumedInstances is the number of instances among which the slack of the retry
+	// budget is divided at least, and while the number is not known.
 	assumedInstances = 10
 	// budgetShare is the part of the allowed retry ratio that is used, because
 	// requests are counted here a little later than by the deployment.
@@ -65,12 +64,14 @@
 	listAt     time.Time // when the holder's list was current
 	listSource ListSource
 
-	said     map[string]string // what the last line on a replica said, by id
-	demand   map[string]*modelDemand
-	peers    map[string]*peerState
-	fleet    fleetSum // of all instances, at the last tick
-	adapters map[adapterKey][]adapterWaiter
-	waiting  map[string][]modelWaiter // requests, by the model that they wait for
+	said   map[string]string // what the last line on a replica said, by id
+	demand map[string]*modelDemand
+	peers  map[string]*peerState
+	fleet  fleetSum // of all instances, at the last tick
+	// instances is the number of them that the holder knew last; 0 before that.
+	instances int
+	adapters  map[adapterKey][]adapterWaiter
+	waiting   map[string][]modelWaiter // requests, by the model that they wait for
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -81,11 +82,7 @@
 		leader: leader.New(node.ID, node.PeerAddress(), now.UnixNano(), leader.Options{Turn: b.LeaseTurn, Reluctant: node.Weak()}),
 		dispatch: dispatch.New(dispatch.Options{
 			DataCentre: node.DataCentre, Seed: uint64(now.UnixNano()),
-			Retries: retry.Limits{
-				Window: b.RetryWindow, Ratio: budgetShare * b.RetryRatio,
-				MinPerSecond: b.RetrySlack / b.RetryWindow.Seconds() / assumedInstances / 2,
-				Burst:        b.RetrySlack / assumedInstances / 2,
-			},
+			Retries: retryLimits(b, 0),
 		}),
 		stateInterval: stateInterval, storeAway: make(map[string]bool), versions: make(map[string]uint64), behind: make(map[string]time.Time), said: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapters: make(map[adapterKey][]adapterWaiter), waiting: make(map[string][]modelWaiter),
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -9,7 +9,9 @@
 	"github.com/hyssophaven/hyssophaven/bootclock"
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/residency"
+	"github.com/hyssophaven/hyssophaven/retry"
 )
 
 const (
@@ -63,6 +65,8 @@
 	Loads    map[string]dispatch.Load // of all other instances, by replica
 	// Interval is the time between two states of an instance.
 	Interval time.Duration
+	// Instances is the number of instances that report to the holder, with itself.
+	Instances int
 	// Versions are the newest rows that the holder has read, by table.
 	Versions map[string]uint64
 	Paces    map[string]dispatch.Pace // by the size of models
@@ -135,6 +139,7 @@
 	state := FleetState{
 		Loads: c.fleet.loadsWithout(peer.Loads), Crashes: c.fleet.crashesWithout(peer.Crashes),
 		Versions: maps.Clone(c.versions), Paces: c.dispatch.Paces(), Interval: StateInterval(len(c.peers), c.node.Weak()),
+		Instances: len(c.peers) + 1,
 	}
 	row := c.leader.Row()
 	if c.leader.Held() {
@@ -234,10 +239,32 @@
 		c.setPeerLoads(now, others.loads)
 		c.dispatch.SetPeerCrashes(maps.Clone(others.crashes))
 	}
+	if c.leader.Held() {
+		c.setInstances(len(c.peers) + 1)
+	}
 	others.add(c.dispatch.OwnLoad(), c.dispatch.OwnCrashes(now))
 	c.fleet = others
 }
 
+// setInstances divides the slack of the retry budget among the instances.
+func (c *core) setInstances(n int) {
+	if n != c.instances {
+		c.instances = n
+		c.dispatch.SetRetries(retryLimits(c.node.Bounds, n))
+	}
+}
+
+// retryLimits returns an instance's part of the retries that all may send: of the
+// allowed ratio, and of the slack half as a rate and half as a burst. Instances that
+// have just started do not know how many they are.
+func retryLimits(b nodeconfig.Bounds, instances int) retry.Limits {
+	part := b.RetrySlack / 2 / float64(max(instances, assumedInstances))
+	return retry.Limits{
+		Window: b.RetryWindow, Ratio: budgetShare * b.RetryRatio,
+		MinPerSecond: part / b.RetryWindow.Seconds(), Burst: part,
+	}
+}
+
 func (c *core) setPeerLoads(now time.Time, sum map[string]dispatch.Load) {
 	for _, r := range c.roster.Replicas() {
 		c.dispatch.SetPeerLoad(now, r.ID, sum[r.ID])
@@ -296,6 +323,7 @@
 	if e.State.Holder != "" {
 		c.holderSeen, c.holderOrders = now, now.Add(e.State.OrdersIn)
 		c.stateInterval = e.State.Interval
+		c.setInstances(e.State.Instances)
 		c.leader.SetContactInterval(c.stateInterval)
 	}
 	c.takeList(now, e.State)
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
+	"github.com/hyssophaven/hyssophaven/retry"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -106,3 +108,30 @@
 	ReplicasChanged{Removed: []string{"r"}, Version: 5}.apply(c, epoch)
 	is.Equal(lines(6, true, "m1"), 1)
 }
+
+// Guards against instances that together send more than the retry budget allows,
+// because each takes a tenth of its slack however many they are
+// (tsn-bandbook-grown, hunt-6be5-7: 78 instances).
+func TestSlackOfRetriesIsDivided(t *testing.T) {
+	is := is.New(t)
+	const instances = 78
+	bounds := nodeconfig.Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 196}
+	holder := newTestCore(t)
+	for n := range instances - 1 {
+		holder.tell(epoch, strconv.Itoa(n), 0)
+	}
+	told := holder.tell(epoch, "0", 0)
+	is.Equal(told.Instances, instances)
+	sends := 0
+	for range instances {
+		b := retry.New(epoch, retryLimits(bounds, 0))
+		b.SetLimits(retryLimits(bounds, told.Instances))
+		for ms := range 10_000 {
+			if b.Allow(epoch.Add(time.Duration(ms) * time.Millisecond)) {
+				sends++
+			}
+		}
+	}
+	is.True(sends > 0)
+	is.True(float64(sends) <= bounds.RetrySlack)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -224,6 +224,17 @@
 	return svc.retries
 }
 
+// SetRetries changes the limits of sends that reach a service once more. The window
+// stays as it is.
+func (s *State) SetRetries(limits retry.Limits) {
+	s.options.Retries = limits
+	for _, svc := range s.services {
+		if svc.retries != nil {
+			svc.retries.SetLimits(limits)
+		}
+	}
+}
+
 // SetAdapter records that an adapter is, or is no longer, on a replica.
 func (s *State) SetAdapter(replicaID, model, adapter string, present bool) {
 	if r, ok := s.replicas[replicaID]; ok {
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -82,6 +82,7 @@
 	OrdersIn     int64                  `json:"orders_in,omitempty"`
 	Released     string                 `json:"released,omitempty"`
 	Interval     int64                  `json:"interval"` // ms
+	Instances    int                    `json:"instances"`
 	Loads        map[string]loadMessage `json:"loads,omitempty"`
 	Versions     map[string]uint64      `json:"versions"`
 	Paces        map[string]paceMessage `json:"paces,omitempty"`
@@ -206,7 +207,7 @@
 
 func encodeFleet(s controlplane.FleetState) fleetMessage {
 	m := fleetMessage{
-		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, OrdersIn: s.OrdersIn.Milliseconds(), Released: s.Released, Interval: s.Interval.Milliseconds(),
+		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, OrdersIn: s.OrdersIn.Milliseconds(), Released: s.Released, Interval: s.Interval.Milliseconds(), Instances: s.Instances,
 		Loads: convert(s.Loads, encodeLoad), Versions: s.Versions, Paces: convert(s.Paces, encodePace), Crashes: s.Crashes,
 		Moving: convert(s.Moving, time.Duration.Milliseconds), Dropping: s.Dropping, Full: s.Full,
 		Coming: convert(s.Coming, time.Duration.Milliseconds), ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
@@ -219,7 +220,7 @@
 
 func decodeFleet(m fleetMessage) controlplane.FleetState {
 	s := controlplane.FleetState{
-		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, OrdersIn: fromMilliseconds(m.OrdersIn), Released: m.Released, Interval: fromMilliseconds(m.Interval),
+		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, OrdersIn: fromMilliseconds(m.OrdersIn), Released: m.Released, Interval: fromMilliseconds(m.Interval), Instances: m.Instances,
 		Loads: convert(m.Loads, decodeLoad), Versions: m.Versions, Paces: convert(m.Paces, decodePace), Crashes: m.Crashes,
 		Moving: convert(m.Moving, fromMilliseconds), Dropping: m.Dropping, Full: m.Full,
 		Coming: convert(m.Coming, fromMilliseconds), ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
--- a/peering/messages_test.go
+++ b/peering/messages_test.go
@@ -47,7 +47,7 @@
 		Models: []catalog.Resident{{Name: "m", Version: 2, Adapters: []string{"a1"}}},
 	}
 	fleet := controlplane.FleetState{
-		Holder: "h", Epoch: 3, LeaseVersion: 8, OrdersIn: time.Second, Released: "h", Interval: 500 * time.Millisecond, Loads: map[string]dispatch.Load{"r": sum},
+		Holder: "h", Epoch: 3, LeaseVersion: 8, OrdersIn: time.Second, Released: "h", Interval: 500 * time.Millisecond, Instances: 7, Loads: map[string]dispatch.Load{"r": sum},
 		Versions: map[string]uint64{"t": 4}, Paces: paces, Crashes: map[uint64]int{7: 1}, Moving: map[string]time.Duration{"r": time.Second},
 		Dropping: map[string][]string{"r": {"m"}}, Full: map[string][]string{"r": {"m/a1"}}, Coming: map[string]time.Duration{"m": 2 * time.Second},
 		List:        []catalog.Entry{{ID: "r", Version: 6, Replica: &replica, Partial: true}, {ID: "gone", Version: 7, Partial: true}},
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -65,6 +65,13 @@
 	return b
 }
 
+// SetLimits changes the limits. The window stays as it is.
+func (b *Budget) SetLimits(limits Limits) {
+	limits.Window = b.limits.Window
+	b.limits = limits
+	b.tokens = min(b.tokens, max(limits.Burst, 1))
+}
+
 // bucket returns the number of the bucket that holds t.
 func (b *Budget) bucket(t time.Time) int64 {
 	return t.UnixNano() / int64(b.limits.Window/bucketCount)
