--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	$(GO) tool staticcheck ./...
 
 # Results are not taken from the cache: integration builds the program itself, and
-# the cache does not see its sources. Fuzz targets run on their seed corpus as part of the tests.
+# the cache does not see its sources. Fuzz targets run on their seed corpus as part
+# of the tests.
 test: check
 	$(GO) build ./...
 	@if [ -f KNOWN-RED.txt ]; then echo "passed over, because they are known to fail:"; cat KNOWN-RED.txt; fi
