ingress: tell a request cut by the instance's stop from a caller that left

At the end of a drain the instance closes the connections of the requests that are still open. Such a request was logged as caller-left, as if its caller had gone, and nothing said which requests were open when the drain ended.

The last line of a request now has the cause instance-stopped and the phase that it was in (reading, deciding, waiting, sent, answering), the gauge requests_open counts open requests by phase, and the line on an incomplete drain has the counts.

Evidence, a request that its replica never answers, instance stopped with a grace time of 3.5 s: before, cause=caller-left; now

graceful stop incomplete, requests in flight are aborted error="context deadline exceeded" reading=0 deciding=0 waiting=0 sent=1 answering=0 request ended request=held status=0 cause=instance-stopped took=3.121s phase=sent ran=1

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -46,6 +46,9 @@
 	// failedAnswer is a replica's failure that is relayed if no retry succeeds.
 	failedAnswer *bufferedAnswer
 	attempts     []attempt
+
+	phase  phase
+	isOpen bool // the request is counted in Service.requests
 }
 
 // bufferedAnswer is an answer whose body, or the beginning of it, is in memory.
@@ -61,6 +64,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.request.Deadline)
 	defer cancel()
 	for {
+		x.enter(phaseDeciding)
 		admission, err := x.service.control.Admit(ctx, x.query())
 		if err != nil {
 			x.giveUp(ctx, "no-decision", 0)
@@ -101,6 +105,7 @@
 		x.logWait(d)
 	}
 	x.waited = true
+	x.enter(phaseWaiting)
 	x.service.control.AwaitModel(ctx, x.request.Model, d.RetryAfter)
 }
 
@@ -122,6 +127,7 @@
 	}
 	sent := time.Now()
 	x.timeToFirstByte = 0
+	x.enter(phaseSent)
 	answer, err := x.service.pool.Do(ctx, d.Replica.Address, x.newCall(d), x.answerTimeout(d))
 	if err == nil || !errors.Is(err, upstream.ErrNotSent) {
 		x.delivered++
@@ -203,7 +209,7 @@
 func (x *exchange) giveUp(ctx context.Context, cause string, retryAfter time.Duration) {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.finish(0, "caller-left")
+		x.finish(0, x.lostConnectionCause())
 		panic(http.ErrAbortHandler)
 	case x.headSent:
 		x.finish(0, "broken-off: "+cause)
@@ -221,6 +227,15 @@
 	}
 }
 
+// lostConnectionCause returns why the caller's connection ended: the caller closed it,
+// or the instance did at the end of its drain.
+func (x *exchange) lostConnectionCause() string {
+	if x.service.aborting.Load() {
+		return "instance-stopped"
+	}
+	return "caller-left"
+}
+
 // refuse ends the request with an answer by the instance itself, whose text is cause.
 func (x *exchange) refuse(status int, cause string, retryAfter time.Duration) {
 	x.finish(status, cause)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -60,6 +60,8 @@
 	callers       *servers
 	readiness     *http.Server
 	stopping      atomic.Bool
+	aborting      atomic.Bool // the remaining connections of callers are being closed
+	requests      openRequests
 	recorder      recorder
 }
 
@@ -76,10 +78,12 @@
 // New returns a Service that has not been started.
 func New(o Options) *Service {
 	initWaitCounters(o.Metrics)
-	return &Service{
+	s := &Service{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
 		recorder: newRecorder(o.Log, o.Metrics),
 	}
+	s.requests.export(o.Metrics)
+	return s
 }
 
 // Name implements kernel.Service.
@@ -144,13 +148,14 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
 	defer cancel()
 	if err := errors.Join(s.listener.Close(), s.callers.shutdown(ctx)); err != nil {
-		s.log.Warn("graceful stop incomplete, requests in flight are aborted", "error", err)
+		s.log.Warn("graceful stop incomplete, requests in flight are aborted", append([]any{"error", err}, s.requests.logFields()...)...)
 	}
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.stopping.Store(true)
+	s.aborting.Store(true)
 	s.pool.Close()
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Warn("closing the callers' listener failed", "error", err)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -57,6 +57,7 @@
 // goroutine.
 func (x *exchange) reportFirstByte(f *controlplane.Flight, head AnswerHead, sent time.Time) {
 	x.timeToFirstByte = time.Since(sent)
+	x.enter(phaseAnswering)
 	x.service.control.FirstByte(f, x.timeToFirstByte, head.Report)
 }
 
