ingress: answer open requests before the end of a drain

An instance that was stopped cut the connections of all requests that were still open 0.4 s before the end of its grace time. Callers got neither an answer nor a refusal, although the request had not run (it waited for its model or adapter, for up to 60 % of its latency target) or was queued on a replica that had not begun to answer it.

Cause: the drain only waited for http.Server.Shutdown and then closed the server. Nothing told the open requests that the time was up.

Requests whose answer has not begun now end 0.8 s before the end of the grace time with their final answer: 503 if no replica can have run them, 504 otherwise. An answer that has begun goes on to the end as before. Requests are decided with the end of the drain in mind: one that would wait for its model, or for its answer to begin, beyond it is refused at once, with a Retry-After of 0.1 s, because another instance can take it now. Waiting requests are decided again when the stop begins.

--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -178,12 +178,15 @@
 	return false
 }
 
-// Stopping reports that the instance has begun to shut down.
-type Stopping struct{}
+// Stopping reports that the instance has begun to shut down. Until is when requests
+// whose answer has not begun are given up.
+type Stopping struct{ Until time.Time }
 
-func (Stopping) apply(c *core, _ time.Time) {
+func (e Stopping) apply(c *core, _ time.Time) {
 	c.stopping = true
 	c.leader.Stop()
+	c.dispatch.SetStopTime(e.Until)
+	c.wakeAllModelWaiters()
 	c.publishSnapshot()
 }
 
--- a/controlplane/waiting.go
+++ b/controlplane/waiting.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// wakeAllModelWaiters wakes all waiting requests, so that they are decided again.
+func (c *core) wakeAllModelWaiters() {
+	for model, waiters := range c.modelWaiters {
+		for _, w := range waiters {
+			close(w.arrived)
+		}
+		delete(c.modelWaiters, model)
+	}
+}
+
 // expireModelWaiters removes requests whose deadline has passed.
 func (c *core) expireModelWaiters(now time.Time) {
 	for model, waiters := range c.modelWaiters {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -54,6 +54,9 @@
 	minPatience          = 1900 * time.Millisecond
 	patienceTargetFactor = 4
 	patienceGapFactor    = 8
+	// StoppingRetryAfter is the retry time of a request that another instance can
+	// take at once.
+	StoppingRetryAfter = 100 * time.Millisecond
 	// loadingRetryAfter is the retry time for a model that no replica has begun to
 	// load: about the time of a load from a replica's disk.
 	loadingRetryAfter = 1500 * time.Millisecond
@@ -92,6 +95,9 @@
 		return Decision{Verdict: Refuse, Cause: CauseMaxAttempts}
 	}
 	d := s.chooseReplica(now, svc, req, h.Tried)
+	if s.endsAfterStop(now, d) {
+		return Decision{Verdict: Refuse, Cause: CauseStopping, RetryAfter: StoppingRetryAfter, Expected: d.Expected}
+	}
 	if d.Verdict == Refuse {
 		return d
 	}
@@ -101,6 +107,19 @@
 	return d
 }
 
+// endsAfterStop reports whether a decision to wait or to send is expected to take
+// effect after this instance has stopped. Another instance can take the request now.
+func (s *State) endsAfterStop(now time.Time, d Decision) bool {
+	if s.stopTime.IsZero() {
+		return false
+	}
+	delay := d.Expected
+	if d.Verdict == Wait {
+		delay = d.RetryAfter
+	}
+	return d.Verdict != Refuse && now.Add(delay).After(s.stopTime)
+}
+
 // chooseReplica selects a replica by its score, and refuses or delays the request
 // if no replica is usable or the expected queueing time is too long. A request
 // that is expected to miss its target gets a less urgent level.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	CauseCrashes           Cause = "crashes-replicas"
 	CauseOverload          Cause = "overload"
 	CauseDeadline          Cause = "no-time-left"
+	CauseStopping          Cause = "instance-stopping" // the answer would begin after this instance has stopped
 )
 
 // WaitCauses are the causes for which a request can wait instead of being refused.
@@ -155,7 +156,10 @@
 	// modelArrivals holds, for each model that is being loaded or is about to be,
 	// the expected time at which the first of these loads ends.
 	modelArrivals map[string]time.Time
-	random        *rand.Rand
+	// stopTime is when this instance gives up requests whose answer has not begun;
+	// zero unless it is stopping.
+	stopTime time.Time
+	random   *rand.Rand
 }
 
 // service holds the replicas, the retry budget and the averages of one service.
@@ -299,6 +303,10 @@
 	}
 }
 
+// SetStopTime records that this instance is stopping and gives up requests whose
+// answer has not begun by then.
+func (s *State) SetStopTime(at time.Time) { s.stopTime = at }
+
 // OwnLoad returns the load that this instance has in flight on each replica, for
 // the other instances. Replicas without requests are left out unless they are
 // unreachable.
--- /dev/null
+++ b/ingress/drain.go
@@ -0,0 +1,75 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/controlplane"
+)
+
+const (
+	// balancerWait is how long a stopping instance keeps accepting connections. The
+	// load balancer checks readiness once a second and removes the instance after
+	// two failures.
+	balancerWait = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace time the remaining answers
+	// are broken off, so that they do not end with the process being killed.
+	stopMargin = 400 * time.Millisecond
+	// finalAnswerMargin is how long before the end of the grace time requests whose
+	// answer has not begun get their final answer. It leaves time to write it.
+	finalAnswerMargin = 2 * stopMargin
+)
+
+// errStopping means that the drain ended before the answer began.
+var errStopping = errors.New("instance stops")
+
+// Drain prepares a graceful stop. It fails readiness checks, keeps serving until the
+// load balancer has removed the instance, and then waits for the requests in flight.
+// Shortly before deadline it gives requests whose answer has not begun their final
+// answer, and returns.
+func (s *Service) Drain(ctx context.Context, deadline time.Time) {
+	answerBy := deadline.Add(-finalAnswerMargin)
+	s.stopping.Store(true)
+	s.control.Post(controlplane.Stopping{Until: answerBy})
+	finalAnswers := time.AfterFunc(time.Until(answerBy), func() {
+		s.log.Info("drain ends, requests whose answer has not begun get their final answer", s.requests.logFields()...)
+		s.endDrain()
+	})
+	defer finalAnswers.Stop()
+	select {
+	case <-time.After(balancerWait):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
+	defer cancel()
+	if err := errors.Join(s.listener.Close(), s.callers.shutdown(ctx)); err != nil {
+		s.log.Warn("graceful stop incomplete, requests in flight are aborted", append([]any{"error", err}, s.requests.logFields()...)...)
+	}
+}
+
+// endWithDrain returns a context that also ends with the drain, until beginAnswer is
+// called.
+func (x *exchange) endWithDrain(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	x.outliveDrain = context.AfterFunc(x.service.drained, cancel)
+	return ctx, func() {
+		x.outliveDrain()
+		cancel()
+	}
+}
+
+// beginAnswer must be called before the head of an answer is relayed that is not
+// complete yet. It fails if the drain has ended.
+func (x *exchange) beginAnswer() error {
+	if !x.outliveDrain() {
+		return errStopping
+	}
+	x.headSent, x.firstByte = true, time.Now()
+	return nil
+}
+
+// cutByDrain reports whether the end of the drain has canceled the request.
+func (x *exchange) cutByDrain() bool {
+	return !x.headSent && x.service.drained.Err() != nil
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -47,6 +47,10 @@
 	failedAnswer *bufferedAnswer
 	attempts     []attempt
 
+	// outliveDrain keeps the end of the drain from canceling the request. It returns
+	// false if the drain has ended.
+	outliveDrain func() bool
+
 	phase  phase
 	isOpen bool // the request is counted in Service.requests
 }
@@ -63,6 +67,8 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.request.Deadline)
 	defer cancel()
+	ctx, cancel = x.endWithDrain(ctx)
+	defer cancel()
 	for {
 		x.enter(phaseDeciding)
 		admission, err := x.service.control.Admit(ctx, x.query())
@@ -195,6 +201,10 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return dispatch.Canceled
+	case x.cutByDrain() && errors.Is(err, upstream.ErrNotSent):
+		return dispatch.NotExecuted
+	case x.cutByDrain():
+		return dispatch.Canceled
 	case errors.Is(err, upstream.ErrNotSent):
 		return dispatch.Unreachable
 	case errors.Is(err, upstream.ErrAnswerTimeout):
@@ -207,6 +217,9 @@
 // giveUp ends a request that is not sent again. It relays an earlier failure of a
 // replica, refuses the request, or aborts the connection if an answer has begun.
 func (x *exchange) giveUp(ctx context.Context, cause string, retryAfter time.Duration) {
+	if x.cutByDrain() {
+		cause, retryAfter = string(dispatch.CauseStopping), dispatch.StoppingRetryAfter
+	}
 	switch {
 	case x.r.Context().Err() != nil:
 		x.finish(0, x.lostConnectionCause())
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -37,13 +37,6 @@
 	// acceptRetryDelay is the pause after a failed accept, which occurs when the process
 	// runs out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
-	// balancerWait is how long a stopping instance keeps accepting connections. The
-	// load balancer checks readiness once a second and removes the instance after
-	// two failures.
-	balancerWait = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace time open requests are
-	// aborted, so that they do not end with the process being killed.
-	stopMargin = 400 * time.Millisecond
 )
 
 // Service is the service that handles callers' requests. It implements
@@ -60,9 +53,13 @@
 	callers       *servers
 	readiness     *http.Server
 	stopping      atomic.Bool
-	aborting      atomic.Bool // the remaining connections of callers are being closed
-	requests      openRequests
-	recorder      recorder
+	// drained ends shortly before the end of a drain, when requests whose answer has
+	// not begun get their final answer. endDrain ends it.
+	drained  context.Context
+	endDrain context.CancelFunc
+	aborting atomic.Bool // the remaining connections of callers are being closed
+	requests openRequests
+	recorder recorder
 }
 
 // Options holds the settings and dependencies of a Service.
@@ -82,6 +79,7 @@
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
 		recorder: newRecorder(o.Log, o.Metrics),
 	}
+	s.drained, s.endDrain = context.WithCancel(context.Background())
 	s.requests.export(o.Metrics)
 	return s
 }
@@ -135,27 +133,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Drain prepares a graceful stop. It fails readiness checks, keeps serving until the
-// load balancer has removed the instance, and then waits for the requests in flight
-// until shortly before deadline.
-func (s *Service) Drain(ctx context.Context, deadline time.Time) {
-	s.stopping.Store(true)
-	s.control.Post(controlplane.Stopping{})
-	select {
-	case <-time.After(balancerWait):
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
-	defer cancel()
-	if err := errors.Join(s.listener.Close(), s.callers.shutdown(ctx)); err != nil {
-		s.log.Warn("graceful stop incomplete, requests in flight are aborted", append([]any{"error", err}, s.requests.logFields()...)...)
-	}
-}
-
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.stopping.Store(true)
 	s.aborting.Store(true)
+	s.endDrain()
 	s.pool.Close()
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Warn("closing the callers' listener failed", "error", err)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -147,7 +147,9 @@
 // relayLarge relays an answer of maxBufferedBytes or more while it is being read.
 // prefix holds the bytes that were read already.
 func (x *exchange) relayLarge(a *upstream.Answer, prefix *bufferedAnswer) (dispatch.Outcome, bool, error) {
-	x.headSent, x.firstByte = true, time.Now()
+	if err := x.beginAnswer(); err != nil {
+		return dispatch.Canceled, false, err
+	}
 	x.service.protocol.CopyAnswer(x.w.Header(), prefix.header)
 	x.setConnectionClose()
 	if a.Length >= 0 {
@@ -175,7 +177,7 @@
 			x.reportFirstByte(f, head, sent)
 		}
 		if relayErr := s.forwardEvents(n); relayErr != nil {
-			if errors.Is(relayErr, errCallerWrite) {
+			if errors.Is(relayErr, errCallerWrite) || errors.Is(relayErr, errStopping) {
 				return dispatch.Canceled, false, relayErr
 			}
 			return dispatch.ConnectionBroken, false, relayErr
@@ -300,7 +302,9 @@
 // a stream, it writes the head of the answer.
 func (x *exchange) writeEvents(a *upstream.Answer, events []byte) error {
 	if !x.headSent {
-		x.headSent, x.firstByte = true, time.Now()
+		if err := x.beginAnswer(); err != nil {
+			return err
+		}
 		x.service.protocol.CopyAnswer(x.w.Header(), a.Header)
 		x.setConnectionClose()
 		x.w.WriteHeader(a.Status)
