ingress: add a failing test for requests that cross a shutdown

Callers see a kept connection closed without an answer to a request that the instance had received whole. http.Server.Shutdown closes connections in StateIdle, and a connection stays in StateIdle until the head of its next request is parsed. After that, net/http drops every request whose head is parsed once the shutdown has begun, so such a request never reaches the handler. The time between arrival and close is bounded only by the time until the connection's goroutine runs.

The test holds the goroutine at two points, when the request has arrived and when it was read, while the shutdown closes the idle connections.

--- /dev/null
+++ b/ingress/shutdown_test.go
@@ -0,0 +1,160 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+)
+
+// heldListener accepts connections whose reads can be held, as if the process got no
+// processor time.
+type heldListener struct {
+	*net.TCPListener
+	conns chan *heldConn // receives each accepted connection
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	raw, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	c := &heldConn{TCPConn: raw, arrived: make(chan struct{}, 16), read: make(chan struct{}, 16)}
+	l.conns <- c
+	return c, nil
+}
+
+// heldConn is a connection that can hold each read twice: when bytes have arrived, and
+// when they were read.
+type heldConn struct {
+	*net.TCPConn
+	// arrived receives a value before each read of bytes, and read after it.
+	arrived, read chan struct{}
+	// holdArrived and holdRead, if set, hold reads until the channel is closed.
+	holdArrived, holdRead atomic.Pointer[chan struct{}]
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	if err := c.awaitBytes(); err != nil {
+		return 0, err
+	}
+	signalAndWait(c.arrived, &c.holdArrived)
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		signalAndWait(c.read, &c.holdRead)
+	}
+	return n, err
+}
+
+// awaitBytes returns when there are bytes to read, and leaves them unread.
+func (c *heldConn) awaitBytes() error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN && err != syscall.EINTR
+	})
+}
+
+func signalAndWait(signal chan<- struct{}, hold *atomic.Pointer[chan struct{}]) {
+	gate := hold.Load()
+	signal <- struct{}{}
+	if gate != nil {
+		<-*gate
+	}
+}
+
+// startHeldServers starts servers whose connections can be held. They answer every
+// request with status 200.
+func startHeldServers(t *testing.T) (*servers, *heldListener) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &heldListener{TCPListener: raw.(*net.TCPListener), conns: make(chan *heldConn, 4)}
+	s := &servers{
+		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		log:     log.New(io.Discard), configLimits: func() connLimits { return connLimits{header: hangTimeout, idle: hangTimeout} },
+	}
+	go s.run(l)
+	t.Cleanup(func() { _ = l.Close(); _ = s.close() })
+	return s, l
+}
+
+// idleCloseTime is how long a test waits for a shutdown to close an idle connection.
+// It need not close it.
+const idleCloseTime = 300 * time.Millisecond
+
+// beginShutdown begins a shutdown and returns when it has closed an idle connection,
+// or has kept it for idleCloseTime.
+func beginShutdown(t *testing.T, s *servers, l *heldListener) {
+	t.Helper()
+	idle := dial(t, l.Addr().String())
+	idle.get(t)
+	ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdown(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	if err := idle.SetReadDeadline(time.Now().Add(idleCloseTime)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = idle.answers.ReadByte()
+}
+
+// send writes a part of a request.
+func (c *callerConn) send(t *testing.T, part string) {
+	t.Helper()
+	if _, err := io.WriteString(c, part); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readStatus returns the status of the next answer.
+func (c *callerConn) readStatus() (int, error) {
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against a kept connection that a shutdown closes without an answer although
+// the whole next request was read from it, or had arrived and was not yet read.
+func TestShutdownAnswersRequestOnKeptConnection(t *testing.T) {
+	for name, holdOf := range map[string]func(*heldConn) (*atomic.Pointer[chan struct{}], <-chan struct{}){
+		"arrived": func(c *heldConn) (*atomic.Pointer[chan struct{}], <-chan struct{}) { return &c.holdArrived, c.arrived },
+		"read":    func(c *heldConn) (*atomic.Pointer[chan struct{}], <-chan struct{}) { return &c.holdRead, c.read },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, l := startHeldServers(t)
+			caller := dial(t, l.Addr().String())
+			caller.get(t)
+			hold, held := holdOf(<-l.conns)
+			<-held // the first request
+			gate := make(chan struct{})
+			hold.Store(&gate)
+			caller.send(t, wholeRequest)
+			<-held
+			beginShutdown(t, s, l)
+			close(gate)
+			status, err := caller.readStatus()
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+		})
+	}
+}
