ingress: add a failing test for a request head that crosses a shutdown

Callers who send the head of a request in two parts get no answer if the shutdown begins between the parts. A kept connection is closed with the first part unread by the parser, because its state is StateIdle until the head is complete. On a new connection (StateNew), net/http reads the whole request and closes the connection without calling the handler.

--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -158,3 +158,29 @@
 		})
 	}
 }
+
+// Guards against a connection that a shutdown closes without an answer after the first
+// part of a request was read from it, and whose caller then sends the rest.
+func TestShutdownAnswersRequestWhoseHeadHasBegun(t *testing.T) {
+	for name, requestsBefore := range map[string]int{"kept": 1, "new": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, l := startHeldServers(t)
+			caller := dial(t, l.Addr().String())
+			for range requestsBefore {
+				caller.get(t)
+			}
+			conn := <-l.conns
+			for range requestsBefore {
+				<-conn.read
+			}
+			caller.send(t, wholeRequest[:10])
+			<-conn.read
+			beginShutdown(t, s, l)
+			_, _ = io.WriteString(caller, wholeRequest[10:]) // fails if the connection is closed
+			status, err := caller.readStatus()
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+		})
+	}
+}
