ingress: keep a connection whose next request has begun

At the end of a stopping instance's accept phase, a request that had just been read on a kept connection could be passed on to a replica while its connection was closed. The caller got no answer.

Cause: http.Server.Shutdown closes the connections in StateIdle, and a connection stays in that state until the whole head of its next request is parsed, also when its bytes have been read. On a weak instance the reading goroutine can lose the processor in between.

The instance now tracks its callers' connections itself. An idle connection is closed by a read deadline in the past. Only a read that has returned no byte can fail that way: the first byte of a request restores the deadline that the server has set, and a last read takes bytes that have arrived but were not read. New connections are kept for another 0.3 s.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -13,6 +13,9 @@
 	// load balancer checks readiness once a second and removes the instance after
 	// two failures.
 	balancerWait = 2500 * time.Millisecond
+	// newConnWait is how long after that a connection is kept on which no request has
+	// begun. Callers send one as soon as a connection is open.
+	newConnWait = 300 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the remaining answers
 	// are broken off, so that they do not end with the process being killed.
 	stopMargin = 400 * time.Millisecond
--- a/ingress/servers.go
+++ b/ingress/servers.go
@@ -36,6 +36,7 @@
 	handler      http.Handler
 	log          *log.Logger
 	configLimits func() connLimits // limits of the current config
+	conns        connTracker
 
 	mu            sync.Mutex // guards the fields below, which are not control state
 	currentQueue  *connQueue
@@ -56,7 +57,10 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.queue(l.Addr()).put(conn)
+		c := s.conns.add(conn)
+		if !s.queue(l.Addr()).put(c) {
+			s.conns.remove(c)
+		}
 	}
 }
 
@@ -75,6 +79,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.header, IdleTimeout: limits.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: s.log.StandardLog(),
+		ConnState: s.conns.observeState,
 	}
 	queue := &connQueue{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	s.currentQueue, s.currentLimits, s.all = queue, limits, append(s.all, server)
@@ -86,10 +91,26 @@
 	return queue
 }
 
-// shutdown closes idle connections and waits for the requests in flight until ctx
+// shutdown closes connections as they become idle, and returns when none is left or ctx
 // ends.
 func (s *servers) shutdown(ctx context.Context) error {
-	return s.endAll(func(server *http.Server) error { return server.Shutdown(ctx) })
+	s.stopAccepting()
+	select {
+	case <-s.conns.drain(newConnWait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// stopAccepting ends the queue of accepted connections.
+func (s *servers) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.currentQueue != nil {
+		_ = s.currentQueue.Close()
+	}
 }
 
 // close closes all connections.
@@ -121,12 +142,15 @@
 	closed  chan struct{}
 }
 
-// put passes a connection to the server, or closes it if the queue is closed.
-func (q *connQueue) put(conn net.Conn) {
+// put passes a connection to the server. If the queue is closed, it closes the
+// connection and returns false.
+func (q *connQueue) put(conn net.Conn) bool {
 	select {
 	case q.conns <- conn:
+		return true
 	case <-q.closed:
 		_ = conn.Close()
+		return false
 	}
 }
 
