--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -26,6 +26,7 @@
 	nodes     []nodeconfig.Node
 	logs      *lockedBuffer
 	caller    *platformtest.Caller
+	bounds    nodeconfig.Bounds // of the instances that are added from now on
 }
 
 // lockedBuffer is a log buffer that all instances of a deployment share.
@@ -50,25 +51,31 @@
 // the list of replicas.
 func startDeployment(t *testing.T, instances int) *deployment {
 	t.Helper()
-	d := &deployment{Backends: platformtest.NewBackends(), t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
-	t.Cleanup(d.Backends.Close)
+	d := newDeployment(t)
 	for range instances {
 		d.addInstance()
 	}
 	return d
 }
 
+// newDeployment starts a deployment without instances.
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{Backends: platformtest.NewBackends(), t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
+	d.bounds = nodeconfig.Bounds{
+		Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
+		RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
+	}
+	t.Cleanup(d.Backends.Close)
+	return d
+}
+
 // addInstance starts one more instance and waits until it serves requests.
 func (d *deployment) addInstance() *Instance {
 	d.t.Helper()
 	host := loopbacktest.Host()
 	node := nodeconfig.Node{
 		ID: "edge-" + host, DataCentre: "z1", Callers: loopbacktest.Address(d.t, host), Readiness: loopbacktest.Address(d.t, host), PeerHost: host,
-		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(),
-		Bounds: nodeconfig.Bounds{
-			Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
-			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
-		},
+		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds,
 	}
 	i, err := New(node, log.NewWithOptions(d.logs, log.Options{Formatter: log.LogfmtFormatter}))
 	if err != nil {
