ingress: leave a silent stream only when another replica takes it over

A resumable stream whose replica paused for more than 1.2 s was broken off for its caller although the replica would have gone on.

Cause: the replica's answer was closed first, and only then it was decided whether another replica could resume the stream. If the retry was refused (retry budget used up, the other replicas leaving or without the model), the caller's stream could only be broken off. Engines preempt streams under load, so pauses of this length are common where replicas are full.

The decision on the next send is now made while the silent answer is still open. If no replica can take over, the stream stays where it is, and the decision is repeated after each further 1.2 s without a byte. For this, upstream.Answer.Read can be called again after a timeout before which no byte has arrived: the wait is on the buffered reader of the connection, because the reader of a chunked body keeps its first error.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -51,6 +51,10 @@
 	// false if the drain has ended.
 	outliveDrain func() bool
 
+	// successor is the admission of the next send, if it was decided before the current
+	// one ended.
+	successor *controlplane.Admission
+
 	phase  phase
 	isOpen bool // the request is counted in Service.requests
 }
@@ -69,9 +73,10 @@
 	defer cancel()
 	ctx, cancel = x.endWithDrain(ctx)
 	defer cancel()
+	defer x.dropSuccessor()
 	for {
 		x.enter(phaseDeciding)
-		admission, err := x.service.control.Admit(ctx, x.query())
+		admission, err := x.admit(ctx)
 		if err != nil {
 			x.giveUp(ctx, "no-decision", 0)
 			return
@@ -145,7 +150,7 @@
 		return outcome, false
 	}
 	head := x.service.protocol.ReadAnswer(answer.Status, answer.Header)
-	outcome, done, err = x.relay(f, answer, head, sent)
+	outcome, done, err = x.relay(ctx, f, answer, head, sent)
 	answer.Close(err == nil && outcome != dispatch.Canceled)
 	x.recordAttempt(f, outcome, err)
 	x.service.control.Finish(f, outcome, head.Report)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,7 +33,7 @@
 // relay relays a replica's answer to the caller, or discards it if the request is to
 // be retried. It returns the outcome of the send and whether the caller has the whole
 // answer. A nil error means that the replica's answer was read to its end.
-func (x *exchange) relay(f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+func (x *exchange) relay(ctx context.Context, f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
 	if err := x.checkHead(a, head); err != nil {
 		return dispatch.ConnectionBroken, false, err
 	}
@@ -44,7 +45,7 @@
 		return outcome, false, x.discard(a)
 	}
 	if x.route.Kind == catalog.Stream && a.Status == http.StatusOK {
-		return x.relayStream(f, a, head, sent)
+		return x.relayStream(ctx, f, a, head, sent)
 	}
 	if x.headSent {
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
@@ -167,7 +168,10 @@
 }
 
 // relayStream relays events as they arrive, each as soon as it is complete.
-func (x *exchange) relayStream(f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+//
+// A begun stream whose replica is silent is resumed at another replica if one can take
+// it over.
+func (x *exchange) relayStream(ctx context.Context, f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
 	s := &eventStream{exchange: x, answer: a}
 	x.setEventTimeout(a, x.answerTimeout(f.Decision))
 	for {
@@ -185,6 +189,7 @@
 		switch {
 		case err == io.EOF:
 			return s.finish()
+		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.findSuccessor(ctx, f):
 		case err != nil:
 			return x.outcomeOf(err), false, err
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -105,6 +105,8 @@
 	stopWatch func() bool // cancels the callback that closes the connection when the context ends
 	written   chan error  // result of a write in another goroutine; nil if roundTrip wrote the request itself
 	bodyRead  bool        // the body was read to its end
+	remaining int64       // bytes of the body that are left to read, or -1 if unknown
+	silent    bool        // the last Read timed out before a byte arrived
 	noReuse   bool        // the connection can't be used for another request
 }
 
@@ -193,6 +195,10 @@
 			continue
 		}
 		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
+		a.remaining = response.ContentLength
+		if response.Body == http.NoBody {
+			a.remaining = 0
+		}
 		a.noReuse = response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
 		return nil
 	}
@@ -217,9 +223,19 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete, and
-// ErrAnswerTimeout if no byte arrives within the time set by SetReadTimeout.
+// ErrAnswerTimeout if no byte arrives within the time set by SetReadTimeout. After
+// ErrAnswerTimeout, IsSilent tells whether Read can be called again.
 func (a *Answer) Read(b []byte) (int, error) {
+	a.silent = false
+	if a.conn.reader.Buffered() == 0 && a.remaining != 0 {
+		if err := a.awaitByte(); err != nil {
+			return 0, err
+		}
+	}
 	n, err := a.body.Read(b)
+	if a.remaining > 0 {
+		a.remaining -= int64(n)
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -230,6 +246,24 @@
 	return n, a.readError(err)
 }
 
+// awaitByte waits for the next byte of the body. The reader of the body can't be used
+// again after a timeout, but the buffered reader of the connection can. The end of the
+// connection is left to the reader of the body, which knows whether the body is
+// complete; any other error must be returned here, because the connection reports it
+// only once.
+func (a *Answer) awaitByte() error {
+	_, err := a.conn.reader.Peek(1)
+	if err == nil || err == io.EOF {
+		return nil
+	}
+	a.silent = errors.Is(err, os.ErrDeadlineExceeded)
+	return a.readError(err)
+}
+
+// IsSilent reports whether the last Read returned ErrAnswerTimeout because no byte had
+// arrived. Read can then be called again after SetReadTimeout.
+func (a *Answer) IsSilent() bool { return a.silent }
+
 // SetReadTimeout limits the wait for the next part of the body to d from now.
 func (a *Answer) SetReadTimeout(d time.Duration) { _ = a.conn.SetReadDeadline(time.Now().Add(d)) }
 
