edge: add a failing test for paused streams and a full replica

Callers see a resumable stream broken off although its replica would have gone on. The connection to the replica that pauses is closed before the retry is accepted. If the other replica then turns the retry away, no replica is left to end the answer.

--- a/edge/pause_test.go
+++ b/edge/pause_test.go
@@ -47,3 +47,16 @@
 		})
 	}
 }
+
+// Guards against a resumable stream that is broken off because its replica pauses and
+// the other replica, to which it is sent again, turns it away.
+func TestPausedStreamGoesOnIfOtherReplicaIsFull(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	d.Engines[0].StreamPause = 1500 * time.Millisecond
+	d.Engines[0].QueueFaults(platformtest.PauseStream)
+	d.Engines[1].QueueFaults(platformtest.Shed)
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "paused", Model: "m1"})
+	is.NoErr(got.Err)
+	is.Equal(got.Body, platformtest.StreamBody("paused", 6))
+}
