cli: handle SIGHUP from the start to the end of an edge process

An instance that got SIGHUP while it was starting ended, and requests that it had begun to take were lost. The same could happen between the end of its drain and its exit.

Cause: the handler was installed after the listeners were open, and removed when the drain had ended. The default action of SIGHUP ends the process.

The handler is now the first thing that the command installs, and stays until the process exits.

--- a/cli/edge.go
+++ b/cli/edge.go
@@ -36,6 +36,10 @@
 }
 
 func runEdge(ctx context.Context, c *cli.Command) error {
+	// The default action of SIGHUP ends the process. The handler stays until the process
+	// exits, because the signal can also come while the instance starts or stops.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	path := c.String("node-file")
 	node, err := platform.ReadNode(path)
 	if err != nil {
@@ -58,9 +62,6 @@
 	if err := instance.Start(ctx); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	for {
 		select {
 		case <-reload:
