ingress: hand a silent stream over without leaving it first

A resumable stream whose replica paused was broken off when the replica that was to take it over turned the request away, or could not be reached.

Cause: the silent replica's answer was closed before the other replica had answered.

If it answers with the stream, that goes on there. If it turns the request away within that time, the stream stays where it is, and this replica is not tried again.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -51,9 +51,8 @@
 	// false if the drain has ended.
 	outliveDrain func() bool
 
-	// successor is the admission of the next send, if it was decided before the current
-	// one ended.
-	successor *controlplane.Admission
+	// successor is the send that takes over a stream from a silent replica.
+	successor *send
 
 	phase  phase
 	isOpen bool // the request is counted in Service.requests
@@ -75,33 +74,21 @@
 	defer cancel()
 	defer x.dropSuccessor()
 	for {
-		x.enter(phaseDeciding)
-		admission, err := x.admit(ctx)
-		if err != nil {
-			x.giveUp(ctx, "no-decision", 0)
-			return
-		}
-		d := admission.Decision
-		if d.Verdict == dispatch.Refuse {
-			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
-			return
-		}
-		if d.Verdict == dispatch.Wait {
-			x.awaitModel(ctx, d)
-			continue
-		}
-		if len(x.tried) > 0 {
-			x.logRetry(d)
+		next := x.successor
+		x.successor = nil
+		if next == nil {
+			f := x.decide(ctx)
+			if f == nil {
+				return
+			}
+			next = x.open(ctx, f)
 		}
-		outcome, done := x.send(ctx, admission.Flight)
+		outcome, done := x.relaySend(ctx, next)
 		if done {
 			x.finish(x.status, "")
 			return
 		}
-		x.tried, x.lastOutcome = append(x.tried, d.Replica.ID), outcome
-		if outcome.MayHaveRun() {
-			x.possibleRuns++
-		}
+		x.countSend(next.flight, outcome)
 		if ctx.Err() != nil || (x.possibleRuns > 0 && !x.route.Repeatable()) {
 			x.giveUp(ctx, outcome.String(), 0)
 			return
@@ -109,6 +96,39 @@
 	}
 }
 
+// decide returns the next send, or nil if the request has ended. It waits for the
+// request's model or adapter if these are about to arrive.
+func (x *exchange) decide(ctx context.Context) *controlplane.Flight {
+	for {
+		x.enter(phaseDeciding)
+		admission, err := x.service.control.Admit(ctx, x.query())
+		if err != nil {
+			x.giveUp(ctx, "no-decision", 0)
+			return nil
+		}
+		switch d := admission.Decision; d.Verdict {
+		case dispatch.Refuse:
+			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
+			return nil
+		case dispatch.Wait:
+			x.awaitModel(ctx, d)
+		default:
+			if len(x.tried) > 0 {
+				x.logRetry(d)
+			}
+			return admission.Flight
+		}
+	}
+}
+
+// countSend adds a send that has ended to the history of the request.
+func (x *exchange) countSend(f *controlplane.Flight, outcome dispatch.Outcome) {
+	x.tried, x.lastOutcome = append(x.tried, f.Decision.Replica.ID), outcome
+	if outcome.MayHaveRun() {
+		x.possibleRuns++
+	}
+}
+
 // awaitModel waits until a replica holds the request's model, or until the decision's
 // retry time has passed.
 func (x *exchange) awaitModel(ctx context.Context, d dispatch.Decision) {
@@ -125,38 +145,6 @@
 	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Waited: x.waited}
 }
 
-// send sends the request to one replica and relays the answer to the caller. done
-// reports whether the caller has the whole answer, so that no retry is needed.
-func (x *exchange) send(ctx context.Context, f *controlplane.Flight) (outcome dispatch.Outcome, done bool) {
-	d := f.Decision
-	if d.NeedsAdapter {
-		if err := x.service.control.EnsureAdapter(ctx, d.Replica.ID, x.request.Model, x.request.Adapter); err != nil {
-			x.recordAttempt(f, dispatch.NotExecuted, err)
-			x.service.control.Finish(f, dispatch.NotExecuted, nil)
-			return dispatch.NotExecuted, false
-		}
-	}
-	sent := time.Now()
-	x.timeToFirstByte = 0
-	x.enter(phaseSent)
-	answer, err := x.service.pool.Do(ctx, d.Replica.Address, x.newCall(d), x.answerTimeout(d))
-	if err == nil || !errors.Is(err, upstream.ErrNotSent) {
-		x.delivered++
-	}
-	if err != nil {
-		outcome = x.outcomeOf(err)
-		x.recordAttempt(f, outcome, err)
-		x.service.control.Finish(f, outcome, nil)
-		return outcome, false
-	}
-	head := x.service.protocol.ReadAnswer(answer.Status, answer.Header)
-	outcome, done, err = x.relay(ctx, f, answer, head, sent)
-	answer.Close(err == nil && outcome != dispatch.Canceled)
-	x.recordAttempt(f, outcome, err)
-	x.service.control.Finish(f, outcome, head.Report)
-	return outcome, done
-}
-
 // newCall returns the request for the chosen replica.
 func (x *exchange) newCall(d dispatch.Decision) *upstream.Call {
 	to := ForwardInfo{
--- a/ingress/phase.go
+++ b/ingress/phase.go
@@ -42,8 +42,8 @@
 	return fields
 }
 
-// open counts the request as open.
-func (x *exchange) open() {
+// countOpen counts the request as open.
+func (x *exchange) countOpen() {
 	x.isOpen = true
 	x.service.requests[x.phase].Add(1)
 }
@@ -57,8 +57,8 @@
 	x.phase = p
 }
 
-// close ends the count of the request.
-func (x *exchange) close() {
+// countClosed ends the count of the request.
+func (x *exchange) countClosed() {
 	if x.isOpen {
 		x.service.requests[x.phase].Add(-1)
 		x.isOpen = false
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
-	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
@@ -33,7 +32,8 @@
 // relay relays a replica's answer to the caller, or discards it if the request is to
 // be retried. It returns the outcome of the send and whether the caller has the whole
 // answer. A nil error means that the replica's answer was read to its end.
-func (x *exchange) relay(ctx context.Context, f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+func (x *exchange) relay(ctx context.Context, s *send) (dispatch.Outcome, bool, error) {
+	a, head := s.answer, s.head
 	if err := x.checkHead(a, head); err != nil {
 		return dispatch.ConnectionBroken, false, err
 	}
@@ -45,21 +45,21 @@
 		return outcome, false, x.discard(a)
 	}
 	if x.route.Kind == catalog.Stream && a.Status == http.StatusOK {
-		return x.relayStream(ctx, f, a, head, sent)
+		return x.relayStream(ctx, s)
 	}
 	if x.headSent {
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
 	}
-	x.reportFirstByte(f, head, sent)
+	x.reportFirstByte(s)
 	return x.relayPlain(a)
 }
 
 // reportFirstByte reports the time to the first byte of a send to the control
 // goroutine.
-func (x *exchange) reportFirstByte(f *controlplane.Flight, head AnswerHead, sent time.Time) {
-	x.timeToFirstByte = time.Since(sent)
+func (x *exchange) reportFirstByte(s *send) {
+	x.timeToFirstByte = time.Since(s.sentAt)
 	x.enter(phaseAnswering)
-	x.service.control.FirstByte(f, x.timeToFirstByte, head.Report)
+	x.service.control.FirstByte(s.flight, x.timeToFirstByte, s.head.Report)
 }
 
 // checkHead returns an error if the head of an answer shows that it can't be relayed.
@@ -171,14 +171,15 @@
 //
 // A begun stream whose replica is silent is resumed at another replica if one can take
 // it over.
-func (x *exchange) relayStream(ctx context.Context, f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+func (x *exchange) relayStream(ctx context.Context, from *send) (dispatch.Outcome, bool, error) {
+	a := from.answer
 	s := &eventStream{exchange: x, answer: a}
-	x.setEventTimeout(a, x.answerTimeout(f.Decision))
+	x.setEventTimeout(a, x.answerTimeout(from.flight.Decision))
 	for {
 		n, err := a.Read(s.freeSpace())
 		if n > 0 && !s.begun {
 			s.begun = true
-			x.reportFirstByte(f, head, sent)
+			x.reportFirstByte(from)
 		}
 		if relayErr := s.forwardEvents(n); relayErr != nil {
 			if errors.Is(relayErr, errCallerWrite) || errors.Is(relayErr, errStopping) {
@@ -189,7 +190,7 @@
 		switch {
 		case err == io.EOF:
 			return s.finish()
-		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.findSuccessor(ctx, f):
+		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.handOver(ctx, from):
 		case err != nil:
 			return x.outcomeOf(err), false, err
 		}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -42,8 +42,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{service: s, w: w, r: r, head: head, arrived: arrived}
-	x.open()
-	defer x.close()
+	x.countOpen()
+	defer x.countClosed()
 	switch {
 	case config == nil:
 		x.refuse(http.StatusServiceUnavailable, "no-config", noConfigRetry)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -267,6 +267,10 @@
 // SetReadTimeout limits the wait for the next part of the body to d from now.
 func (a *Answer) SetReadTimeout(d time.Duration) { _ = a.conn.SetReadDeadline(time.Now().Add(d)) }
 
+// Abort closes the connection of the answer, which cancels the request. Close must still
+// be called.
+func (a *Answer) Abort() { _ = a.conn.Close() }
+
 // Close releases the connection of the answer. The connection is kept for reuse if
 // the answer was complete and reuse is true. Otherwise it is closed, which cancels the
 // request.
