edge, ingress: test open requests across config changes

A config that removes a route, shortens its timeout or changes the limits of connections must not end open requests. TestShutdownAnswersRequestsUnderReplacedLimits stops servers with an open request under each of four sets of limits.

--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -25,22 +25,35 @@
  {"name":"slow-book","host":"h.example","path-prefix":"/slow-book/","kind":"non_idempotent","timeout-ms":18000,"goal-ms":15000,"priority":0,"service":"app","attempts":1},
  {"name":"slow-look","host":"h.example","path-prefix":"/slow-look/","kind":"idempotent","timeout-ms":18000,"goal-ms":15000,"priority":0,"service":"app","attempts":2}`
 
-// loadingModel is a model of the config that putSlowConfig writes. Orders to load it
+// loadingModel is a model of slowConfig. Orders to load it
 // are accepted, but the list of replicas never shows it.
 const loadingModel = "m3"
 
-// putSlowConfig writes a config with slowRoutes and loadingModel, and waits until all
-// instances have it.
+// slowConfig returns a config with slowRoutes and loadingModel. The pairs of old and
+// new texts in edits change it.
+func slowConfig(version int, edits ...string) json.RawMessage {
+	edits = append(edits, `"models":[`, `"models":[{"name":"`+loadingModel+`","weights-mb":50000,"load-s":4,"adapters":0},`)
+	return json.RawMessage(strings.NewReplacer(edits...).Replace(string(platformtest.Config(version, slowRoutes))))
+}
+
+// putSlowConfig writes slowConfig and waits until all instances have it.
 func (d *deployment) putSlowConfig() {
 	d.t.Helper()
-	models := strings.NewReplacer(`"models":[`, `"models":[{"name":"`+loadingModel+`","weights-mb":50000,"load-s":4,"adapters":0},`)
-	config := models.Replace(string(platformtest.Config(2, slowRoutes)))
-	d.Store.Put(platform.ConfigTable, platform.ConfigKey, json.RawMessage(config))
+	d.Store.Put(platform.ConfigTable, platform.ConfigKey, slowConfig(2))
 	for i := range d.instances {
 		d.eventually("the slow routes are known", func() bool { return d.do(i, request{Method: "GET", Path: "/slow-look/x"}).Status == http.StatusOK })
 	}
 }
 
+// loadModel has loadingModel loaded, and returns when requests wait for it.
+func (d *deployment) loadModel() {
+	d.t.Helper()
+	d.eventually("requests wait for the model", func() bool {
+		d.do(0, request{Method: "POST", Path: "/slow-chat/x", Model: loadingModel, TimeLeft: 200 * time.Millisecond})
+		return strings.Contains(d.logs.String(), `msg="request waits"`)
+	})
+}
+
 // stopDuring starts requests, waits until reached reports that they are at the desired
 // point, and stops the first instance with shortGrace. It returns the replies.
 func (d *deployment) stopDuring(reached func() bool, requests ...request) []reply {
@@ -65,10 +78,7 @@
 	is := is.New(t)
 	d := startDeployment(t, 1)
 	d.putSlowConfig()
-	d.eventually("requests wait for the model", func() bool {
-		d.do(0, request{Method: "POST", Path: "/slow-chat/x", Model: loadingModel, TimeLeft: 200 * time.Millisecond})
-		return strings.Contains(d.logs.String(), `msg="request waits"`)
-	})
+	d.loadModel()
 	waits := func() bool { return strings.Contains(d.logs.String(), `msg="request waits" request=waits`) }
 	got := d.stopDuring(waits, request{Method: "POST", Path: "/slow-chat/x", ID: "waits", Model: loadingModel, Body: "p"})[0]
 	is.NoErr(got.Err)
--- a/ingress/servers_test.go
+++ b/ingress/servers_test.go
@@ -89,3 +89,37 @@
 	is.True(err != nil)
 	is.NoErr(s.close())
 }
+
+// Guards against a shutdown that ends open requests on connections whose limits a later
+// config has replaced.
+func TestShutdownAnswersRequestsUnderReplacedLimits(t *testing.T) {
+	is := is.New(t)
+	var limits atomic.Int64
+	started, release := make(chan struct{}), make(chan struct{})
+	s := &servers{
+		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { started <- struct{}{}; <-release }),
+		log:     log.New(io.Discard), configLimits: func() connLimits {
+			return connLimits{header: hangTimeout, idle: hangTimeout + time.Duration(limits.Load())}
+		},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.run(l)
+	callers := make([]*callerConn, 4)
+	for n := range callers {
+		limits.Add(1)
+		callers[n] = dial(t, l.Addr().String())
+		callers[n].send(t, wholeRequest)
+		<-started
+	}
+	is.NoErr(l.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdown(t.Context()) }()
+	close(release)
+	for _, caller := range callers {
+		status, err := caller.readStatus()
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+	is.NoErr(<-ended)
+}
