--- a/ingress/exchange_test.go
+++ b/ingress/exchange_test.go
@@ -12,8 +12,11 @@
 	"github.com/matryer/is"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
 )
 
 // fakeProtocol only implements SetRefusalHeaders, which does nothing.
@@ -38,3 +41,25 @@
 		is.Equal(w.Code, want)
 	}
 }
+
+// Guards against a request without an answer if the control goroutine ends before it
+// decides on the request.
+func TestRequestIsRefusedAfterControlGoroutineEnded(t *testing.T) {
+	is := is.New(t)
+	k, err := kernel.New()
+	is.NoErr(err)
+	service := New(Options{Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: fakeProtocol{}})
+	service.control = controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
+	k.Register(service.control)
+	is.NoErr(k.Start(t.Context()))
+	is.NoErr(k.Stop(t.Context()))
+	for range 20 { // both steps of a call can find that the goroutine has ended
+		w, now := httptest.NewRecorder(), time.Now()
+		x := &exchange{
+			service: service, w: w, r: httptest.NewRequest("POST", "/", nil), route: &catalog.Route{}, arrived: now,
+			request: &dispatch.Request{Route: &catalog.Route{}, Arrived: now, Deadline: now.Add(hangTimeout)},
+		}
+		x.run()
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+	}
+}
