ingress: add a failing test for connections that wait to be accepted

Callers see a reset instead of an answer. The drain closes the listener balancerWait after its start, and the operating system then resets the connections that wait to be accepted, also those with a whole request. The platform still uses stopping instances at that time if fewer than half of a zone's instances are in rotation.

The test holds the accept loop, as if it got no processor time, until 400 ms after the listener is closed.

--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -12,6 +12,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
 )
 
 // heldListener accepts connections whose reads can be held, as if the process got no
@@ -19,9 +23,14 @@
 type heldListener struct {
 	*net.TCPListener
 	conns chan *heldConn // receives each accepted connection
+	// holdAccept, if not nil, holds each accept until it is closed.
+	holdAccept chan struct{}
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
+	if l.holdAccept != nil {
+		<-l.holdAccept
+	}
 	raw, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -76,12 +85,18 @@
 // startHeldServers starts servers whose connections can be held. They answer every
 // request with status 200.
 func startHeldServers(t *testing.T) (*servers, *heldListener) {
+	t.Helper()
+	return serveHeld(t, nil)
+}
+
+// serveHeld is startHeldServers for a listener whose accepts holdAccept holds.
+func serveHeld(t *testing.T, holdAccept chan struct{}) (*servers, *heldListener) {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &heldListener{TCPListener: raw.(*net.TCPListener), conns: make(chan *heldConn, 4)}
+	l := &heldListener{TCPListener: raw.(*net.TCPListener), conns: make(chan *heldConn, 4), holdAccept: holdAccept}
 	s := &servers{
 		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
 		log:     log.New(io.Discard), configLimits: func() connLimits { return connLimits{header: hangTimeout, idle: hangTimeout} },
@@ -184,3 +199,26 @@
 		})
 	}
 }
+
+// Guards against a drain that closes the listener while a connection with a whole
+// request waits to be accepted.
+func TestDrainAnswersRequestOnConnectionNotAccepted(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	s, l := serveHeld(t, hold)
+	caller := dial(t, l.Addr().String())
+	caller.send(t, wholeRequest)
+	service := New(Options{Log: log.New(io.Discard), Metrics: metrics.New()})
+	service.control, service.listener, service.callers = controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New()), l, s
+	const afterClose = 400 * time.Millisecond // from the end of balancerWait until accepts go on
+	drained := make(chan struct{})
+	go func() {
+		service.Drain(t.Context(), time.Now().Add(balancerWait+4*afterClose))
+		close(drained)
+	}()
+	time.AfterFunc(balancerWait+afterClose, func() { close(hold) })
+	status, err := caller.readStatus()
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	<-drained
+}
