ingress: accept waiting connections before closing the listener

A caller whose connection had been established but not accepted when a stopping instance closed its listener got a reset instead of an answer, also if it had sent its whole request.

Cause: the operating system resets the connections in the accept queue of a listener that is closed. An instance without processor time leaves them there, and the load balancer still uses stopping instances when fewer than half of a data centre's instances are in rotation.

The accept loop now ends by a deadline instead of by closing the listener. It takes what waits to be accepted, and then the listener is closed.

--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -114,8 +114,8 @@
 	readDeadline time.Time // as set by the server
 }
 
-// lastReadTime limits the last read of an idle connection, which only looks for bytes
-// that have arrived.
+// lastReadTime limits the last read of an idle connection, and the last accepts of a
+// listener, which only look for what has arrived.
 const lastReadTime = 10 * time.Millisecond
 
 // Read implements net.Conn.
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -13,8 +13,8 @@
 	// load balancer checks readiness once a second and removes the instance after
 	// two failures.
 	balancerWait = 2500 * time.Millisecond
-	// newConnWait is how long after that a connection is kept on which no request has
-	// begun. Callers send one as soon as a connection is open.
+	// newConnWait is how long a connection on which no request has begun is kept after
+	// the listener is closed. Callers send one as soon as a connection is open.
 	newConnWait = 300 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the remaining answers
 	// are broken off, so that they do not end with the process being killed.
@@ -46,7 +46,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
 	defer cancel()
-	if err := errors.Join(s.listener.Close(), s.callers.shutdown(ctx)); err != nil {
+	if err := errors.Join(s.callers.stopAccepting(ctx, s.listener), s.callers.shutdown(ctx)); err != nil {
 		s.log.Warn("graceful stop incomplete, requests in flight are aborted", append([]any{"error", err}, s.requests.logFields()...)...)
 	}
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,7 +49,7 @@
 	log           *log.Logger
 	metrics       *metrics.Registry
 	control       *controlplane.Service
-	listener      net.Listener // accepts callers' connections
+	listener      deadlineListener // accepts callers' connections
 	callers       *servers
 	readiness     *http.Server
 	stopping      atomic.Bool
@@ -106,10 +106,13 @@
 	}
 	router := chi.NewRouter()
 	router.Get(s.readinessPath, s.serveReadiness)
-	s.listener = callers
+	var ok bool
+	if s.listener, ok = callers.(deadlineListener); !ok {
+		return errors.Join(fmt.Errorf("listen for callers: listener %T has no deadline", callers), callers.Close(), ready.Close())
+	}
 	s.callers = &servers{handler: http.HandlerFunc(s.serve), log: s.log, configLimits: func() connLimits { return limitsOf(s.control.Snapshot().Config) }}
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
-	go s.callers.run(callers)
+	go s.callers.run(s.listener)
 	s.serveListener(s.readiness, ready)
 	return nil
 }
--- a/ingress/servers.go
+++ b/ingress/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -30,6 +31,13 @@
 	return l
 }
 
+// deadlineListener is a listener whose Accept can be ended without closing it, as of
+// *net.TCPListener.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
 // servers serves callers' connections. It starts one HTTP server for each set of
 // limits, because the limits of an http.Server can't change after its start.
 type servers struct {
@@ -43,25 +51,69 @@
 	currentLimits connLimits
 	all           []*http.Server
 	closed        bool
+	acceptEnded   chan struct{} // closed when run returns; use acceptEnd
 }
 
-// run accepts connections until the listener is closed.
-func (s *servers) run(l net.Listener) {
+// run accepts connections until the listener is closed or stopAccepting is called.
+func (s *servers) run(l deadlineListener) {
+	defer close(s.acceptEnd())
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.serve(l, conn)
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.acceptRemaining(l)
+			return
+		default:
 			s.log.Warn("accepting a caller's connection failed", "error", err)
 			time.Sleep(acceptRetryDelay)
-			continue
 		}
-		c := s.conns.add(conn)
-		if !s.queue(l.Addr()).put(c) {
-			s.conns.remove(c)
+	}
+}
+
+// serve passes an accepted connection to the server with the current limits.
+func (s *servers) serve(l net.Listener, conn net.Conn) {
+	c := s.conns.add(conn)
+	if !s.queue(l.Addr()).put(c) {
+		s.conns.remove(c)
+	}
+}
+
+// acceptRemaining accepts the connections that wait to be accepted: the operating system
+// resets them when the listener is closed.
+func (s *servers) acceptRemaining(l deadlineListener) {
+	for {
+		_ = l.SetDeadline(time.Now().Add(lastReadTime))
+		conn, err := l.Accept()
+		if err != nil {
+			return
 		}
+		s.serve(l, conn)
+	}
+}
+
+// acceptEnd returns the channel that is closed when run returns.
+func (s *servers) acceptEnd() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.acceptEnded == nil {
+		s.acceptEnded = make(chan struct{})
+	}
+	return s.acceptEnded
+}
+
+// stopAccepting closes the listener after the connections that wait to be accepted have
+// been accepted, or when ctx ends.
+func (s *servers) stopAccepting(ctx context.Context, l deadlineListener) error {
+	_ = l.SetDeadline(time.Unix(1, 0))
+	select {
+	case <-s.acceptEnd():
+	case <-ctx.Done():
 	}
+	return l.Close()
 }
 
 // queue returns the queue of the server with the current limits. It starts that server
@@ -94,7 +146,7 @@
 // shutdown closes connections as they become idle, and returns when none is left or ctx
 // ends.
 func (s *servers) shutdown(ctx context.Context) error {
-	s.stopAccepting()
+	s.closeQueue()
 	select {
 	case <-s.conns.drain(newConnWait):
 		return nil
@@ -103,8 +155,8 @@
 	}
 }
 
-// stopAccepting ends the queue of accepted connections.
-func (s *servers) stopAccepting() {
+// closeQueue ends the queue of accepted connections.
+func (s *servers) closeQueue() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
--- a/ingress/servers_test.go
+++ b/ingress/servers_test.go
@@ -66,7 +66,7 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	go s.run(l)
+	go s.run(l.(deadlineListener))
 	address := l.Addr().String()
 
 	long := dial(t, address)
@@ -104,7 +104,7 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	go s.run(l)
+	go s.run(l.(deadlineListener))
 	callers := make([]*callerConn, 4)
 	for n := range callers {
 		limits.Add(1)
