watch: remove a replica at the version of its removal

A replica that crashed and was back within seconds stayed unknown to an instance although its entry was in the list: requests were refused with no-replica while all replicas were up.

Cause: a page of the feed can hold the removal of a row and, later, the row written again. All removals of a page were applied after all its changes, and at the version of the page, which is newer than the row. This happens to an instance whose own feed is behind what the holder of the order lease has handed on.

The removal now carries its own row version, so that it can't replace a newer row.

--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -86,10 +86,11 @@
 	c.updateReplicas(now, c.replicaList.Replace(e.Entries, e.Version, dropAt), e.Entries)
 }
 
-// ReplicasChanged reports changed and removed rows of the list of replicas.
+// ReplicasChanged reports changed and removed rows of the list of replicas. A row can be
+// in both if it was removed and written again, or the other way round.
 type ReplicasChanged struct {
 	Entries []catalog.Entry
-	Removed []string
+	Removed []catalog.Entry // with the versions of the removals
 	Version uint64
 }
 
@@ -99,10 +100,10 @@
 	if c.anyTableUnavailable() || now.Sub(c.storeRecoveredAt) < recoveryGrace {
 		dropAt = now.Add(recoveryGrace)
 	}
-	for _, id := range e.Removed {
-		if c.replicaList.Remove(id, e.Version, dropAt) {
-			c.log.Info("replica dropped", "replica", id, "reason", "entry removed", "version", e.Version)
-			c.updateReplica(now, id, nil)
+	for _, r := range e.Removed {
+		if c.replicaList.Remove(r.ID, r.Version, dropAt) {
+			c.log.Info("replica dropped", "replica", r.ID, "reason", "entry removed", "version", r.Version)
+			c.updateReplica(now, r.ID, nil)
 		}
 	}
 }
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -110,10 +110,25 @@
 	is.Equal(lines(2, false, "m2", "m1"), 0)
 	is.Equal(lines(3, false, "m1"), 1)
 	is.Equal(lines(4, true, "m1"), 1)
-	ReplicasChanged{Removed: []string{"r"}, Version: 5}.apply(c, epoch)
+	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 5}}, Version: 5}.apply(c, epoch)
 	is.Equal(lines(6, true, "m1"), 1)
 }
 
+// Guards against dropping a replica that was removed from the list and written again
+// before this instance read either change.
+func TestReplicaWrittenAgainAfterRemovalIsKept(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	entry := func(version uint64) catalog.Entry {
+		return catalog.Entry{ID: "r", Version: version, Replica: &catalog.Replica{ID: "r", Service: "s", Address: "a:1"}}
+	}
+	ReplicasChanged{Entries: []catalog.Entry{entry(1)}, Version: 1}.apply(c, epoch)
+	ReplicasChanged{Entries: []catalog.Entry{entry(3)}, Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 4}.apply(c, epoch)
+	is.True(c.replicaList.Replica("r") != nil)
+	ReplicasChanged{Entries: []catalog.Entry{entry(5)}, Removed: []catalog.Entry{{ID: "r", Version: 6}}, Version: 6}.apply(c, epoch)
+	is.True(c.replicaList.Replica("r") == nil)
+}
+
 // Guards against a fleet that exceeds its retry budget because each instance takes a
 // tenth of the slack whatever their number. It occurred with 78 instances.
 func TestRetrySlackIsDividedAmongInstances(t *testing.T) {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -275,10 +275,10 @@
 
 func (s *Service) handleReplicaRows(page rowstore.Page, wholeTable bool) {
 	var entries []catalog.Entry
-	var removed []string
+	var removed []catalog.Entry
 	for _, row := range page.Rows {
 		if row.Removed {
-			removed = append(removed, row.Key)
+			removed = append(removed, catalog.Entry{ID: row.Key, Version: row.Version})
 			continue
 		}
 		replica, err := s.source.DecodeReplica(row.Key, row.Value)
