edge: reproduce a prompt part that crashes replica after replica

Callers see requests of one kind crash replicas one after the other, and sound requests beside them fail. The load sends requests with a crashing part to four instances before six engines, no two alike, beside sound requests that share the first part. The test asserts the users' figures: at most three requests with the part reach replicas later than 3 s after the fifth crash, and from 6 s after it sound requests with the same first part begin at the first attempt at least half as often as before.

--- /dev/null
+++ b/edge/crashingparts_test.go
@@ -0,0 +1,34 @@
+package edge
+
+import (
+	"testing"
+	"time"
+)
+
+// checkContained waits until the sound requests beside a crashing part have been
+// measured, and checks the users' bounds for the part and for sound requests with the
+// given first parts.
+func (l *crashLoad) checkContained(part string, disturbedFrom time.Time, firsts ...string) {
+	l.t.Helper()
+	l.untilAfterBlame(part, 2*contactTime+measuredTime)
+	blamed := l.blameTime(part)
+	l.checkFewArrivals(part, time.Now())
+	for _, first := range firsts {
+		l.checkSoundShare(first, disturbedFrom, blamed)
+	}
+	l.checkStatuses()
+}
+
+// Guards against replicas that crash one after the other on a prompt part that comes
+// in ever new requests at all instances, and against refusing the sound requests that
+// share the prompt's first part and its caller.
+func TestCrashingPartIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 4)
+	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,bad:30", "one:40,mid1:30,bad:20")
+	l.checkContained("bad", disturbed, "one", "two")
+}
--- /dev/null
+++ b/edge/crashload_test.go
@@ -0,0 +1,271 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/platform/platformtest"
+)
+
+const (
+	// contactTime is the users' bound within which instances agree on a part that
+	// crashes replicas.
+	contactTime = 3 * time.Second
+	// crashesBeforeBlame and maxRequestsAfterBlame are the users' figures: from
+	// contactTime after the crash with this number, at most so many requests with the
+	// part reach replicas.
+	crashesBeforeBlame, maxRequestsAfterBlame = 5, 3
+	// minSoundSamples is the number of requests from which the share of sound requests
+	// that begin is judged.
+	minSoundSamples = 20
+	// undisturbedTime is the duration of the traffic before the first crash.
+	undisturbedTime = 1500 * time.Millisecond
+	// measuredTime is the duration of the traffic in which sound requests are judged.
+	measuredTime = 2500 * time.Millisecond
+	// soundInterval and taintedInterval are the times between two requests without and
+	// with a deadly part at one instance.
+	soundInterval, taintedInterval = 60 * time.Millisecond, 300 * time.Millisecond
+	// crashDowntime is the time for which a crashed replica is down.
+	crashDowntime = 700 * time.Millisecond
+	// engineCount is the number of engines in a crashLoad.
+	engineCount = 6
+)
+
+// span is a time during which an instance is not in touch, by the users' rules.
+type span struct {
+	instance int
+	from, to time.Time
+}
+
+// sample is one request of a crashLoad.
+type sample struct {
+	instance         int
+	prompt, path, id string
+	sentAt           time.Time
+	status           int
+	notFromReplica   bool // the answer is the instance's own
+}
+
+// crashLoad is a deployment under load in which some prompt parts crash engines. No
+// two requests are alike.
+type crashLoad struct {
+	*deployment
+	parts *platformtest.CrashingParts
+
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	samples  []sample
+	outages  []span
+	stopping chan struct{}
+}
+
+// startCrashLoad starts instances and engineCount engines, without load.
+func startCrashLoad(t *testing.T, instances int) *crashLoad {
+	t.Helper()
+	backends := platformtest.NewBackends()
+	backends.AddEngines(engineCount - len(backends.Engines))
+	for _, e := range backends.Engines {
+		e.SetEventGap(15 * time.Millisecond)
+	}
+	l := &crashLoad{parts: platformtest.NewCrashingParts(crashDowntime), stopping: make(chan struct{})}
+	l.parts.EntryLapses = true
+	backends.SetCrashingParts(l.parts)
+	l.deployment = startDeploymentOn(t, backends, instances)
+	t.Cleanup(l.stop) // before the instances stop
+	l.eventually("the instances know the engines", func() bool {
+		for i := range instances {
+			l.send(i, "/chat/x", "ready:40")
+		}
+		for _, e := range l.Engines {
+			if len(e.Runs()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return l
+}
+
+// stop ends the load and waits for its last answers.
+func (l *crashLoad) stop() {
+	l.mu.Lock()
+	select {
+	case <-l.stopping:
+	default:
+		close(l.stopping)
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+// send sends a request whose prompt is the given parts and a last part of its own.
+func (l *crashLoad) send(instance int, path, prompt string) sample {
+	n := requestNumber.Add(1)
+	s := sample{instance: instance, prompt: prompt, path: path, id: fmt.Sprintf("load-%d-%d", instance, n), sentAt: time.Now()}
+	got := l.do(instance, request{
+		Method: "POST", Path: path, ID: s.id, Body: fmt.Sprintf("prompt %d", n), Model: "m1",
+		Parts: fmt.Sprintf("%s,own%d:40", prompt, n), TimeLeft: 5 * time.Second,
+	})
+	s.status = got.Status
+	s.notFromReplica = got.Header.Get("X-Hyssophaven-Server-Seal") == ""
+	l.mu.Lock()
+	l.samples = append(l.samples, s)
+	l.mu.Unlock()
+	return s
+}
+
+// load sends requests with the prompts in turn to the instance, one each interval,
+// until the load is stopped or ctx ends.
+func (l *crashLoad) load(ctx context.Context, instance int, interval time.Duration, prompts ...string) {
+	l.wg.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ticker.C:
+			case <-l.stopping:
+				return
+			case <-ctx.Done():
+				return
+			}
+			path := "/chat/x"
+			if i%2 == 1 {
+				path = "/once/x"
+			}
+			l.wg.Go(func() { l.send(instance, path, prompts[i/2%len(prompts)]) })
+		}
+	})
+}
+
+// loadAll is load at all instances.
+func (l *crashLoad) loadAll(interval time.Duration, prompts ...string) {
+	for i := range l.nodes {
+		l.load(context.Background(), i, interval, prompts...)
+	}
+}
+
+// soundPrompts returns prompts with the first part that differ in the second.
+func soundPrompts(first string) []string {
+	out := make([]string, 5)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s:40,mid%d:30", first, i)
+	}
+	return out
+}
+
+// blameTime returns the time from which the users' bounds for a part count: the fifth
+// crash, or the last one if there are fewer.
+func (l *crashLoad) blameTime(part string) time.Time {
+	crashes := l.parts.Crashes(part)
+	if len(crashes) == 0 {
+		return time.Time{}
+	}
+	return crashes[min(len(crashes), crashesBeforeBlame)-1].At
+}
+
+// untilAfterBlame waits until d has passed since the blameTime of a part.
+func (l *crashLoad) untilAfterBlame(part string, d time.Duration) {
+	l.t.Helper()
+	l.eventually("requests with part "+part+" have crashed replicas", func() bool {
+		at := l.blameTime(part)
+		return !at.IsZero() && time.Since(at) > d
+	})
+}
+
+func (l *crashLoad) inTouch(instance int, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.outages {
+		if o.instance == instance && at.After(o.from) && at.Before(o.to) {
+			return false
+		}
+	}
+	return true
+}
+
+// sampleOf returns the finished request with the given id.
+func (l *crashLoad) sampleOf(id string) (sample, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.samples {
+		if s.id == id {
+			return s, true
+		}
+	}
+	return sample{}, false
+}
+
+// checkFewArrivals fails the test if more than maxRequestsAfterBlame requests with a
+// part reached replicas later than contactTime after its blameTime and before until.
+func (l *crashLoad) checkFewArrivals(part string, until time.Time) {
+	l.t.Helper()
+	blamed := l.blameTime(part)
+	count := 0
+	for _, a := range l.parts.Arrivals(part) {
+		s, known := l.sampleOf(a.RequestID)
+		if a.At.After(blamed.Add(contactTime)) && a.At.Before(until) && (!known || l.inTouch(s.instance, a.At)) {
+			count++
+		}
+	}
+	crashes := len(l.parts.Crashes(part))
+	l.t.Logf("part %s: %d crashes, %d requests reached replicas later than %s after crash %d", part, crashes, count, contactTime, min(crashes, crashesBeforeBlame))
+	if crashes >= crashesBeforeBlame && count > maxRequestsAfterBlame {
+		l.t.Errorf("part %s: %d requests reached replicas after it had to be known, want at most %d", part, count, maxRequestsAfterBlame)
+	}
+}
+
+// share returns how many requests with prompts that begin with first were sent from
+// from to to at instances in touch, and the share of them whose answer began.
+func (l *crashLoad) share(first string, from, to time.Time) (n int, began float64) {
+	l.mu.Lock()
+	samples := append([]sample{}, l.samples...)
+	l.mu.Unlock()
+	for _, s := range samples {
+		if strings.HasPrefix(s.prompt, first+":40,mid") && s.sentAt.After(from) && s.sentAt.Before(to) && l.inTouch(s.instance, s.sentAt) {
+			n++
+			if s.status == http.StatusOK {
+				began++
+			}
+		}
+	}
+	return n, began / float64(max(n, 1))
+}
+
+// checkSoundShare fails the test if less than half of the undisturbed share of the
+// sound requests with a first part began, from 2 × contactTime after blamed.
+func (l *crashLoad) checkSoundShare(first string, disturbedFrom, blamed time.Time) {
+	l.t.Helper()
+	before, undisturbed := l.share(first, time.Time{}, disturbedFrom)
+	after, share := l.share(first, blamed.Add(2*contactTime), time.Now())
+	l.t.Logf("first part %s: %.2f of %d sound requests began before the crashes, %.2f of %d after", first, undisturbed, before, share, after)
+	if before < minSoundSamples || after < minSoundSamples {
+		l.t.Errorf("first part %s: %d and %d sound requests are too few to judge", first, before, after)
+	}
+	if share < undisturbed/2 {
+		l.t.Errorf("first part %s: %.2f of the sound requests began, want at least half of %.2f", first, share, undisturbed)
+	}
+}
+
+// checkStatuses fails the test if a request that ran was refused as not run, or if one
+// that is not resumable ran twice.
+func (l *crashLoad) checkStatuses() {
+	l.t.Helper()
+	l.stop()
+	runs := make(map[string]int)
+	for _, e := range l.Engines {
+		for _, r := range e.Runs() {
+			runs[r.ID]++
+		}
+	}
+	for _, s := range l.samples {
+		refused := s.notFromReplica && (s.status == http.StatusServiceUnavailable || s.status == http.StatusTooManyRequests)
+		if s.path == "/once/x" && (refused && runs[s.id] > 0 || runs[s.id] > 1) {
+			l.t.Errorf("request %s ran %d times and got status %d", s.id, runs[s.id], s.status)
+		}
+	}
+}
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -23,6 +23,7 @@
 	*platformtest.Backends
 	t         *testing.T
 	instances []*Instance
+	nodesMu   sync.RWMutex // guards nodes while requests are being sent
 	nodes     []nodeconfig.Node
 	logs      *lockedBuffer
 	caller    *platformtest.Caller
@@ -50,7 +51,13 @@
 // the list of replicas.
 func startDeployment(t *testing.T, instances int) *deployment {
 	t.Helper()
-	d := &deployment{Backends: platformtest.NewBackends(), t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
+	return startDeploymentOn(t, platformtest.NewBackends(), instances)
+}
+
+// startDeploymentOn is startDeployment with the given stand-ins.
+func startDeploymentOn(t *testing.T, backends *platformtest.Backends, instances int) *deployment {
+	t.Helper()
+	d := &deployment{Backends: backends, t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
 	t.Cleanup(d.Backends.Close)
 	for range instances {
 		d.addInstance()
@@ -70,6 +77,19 @@
 			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
 		},
 	}
+	d.nodesMu.Lock()
+	d.instances, d.nodes = append(d.instances, nil), append(d.nodes, node)
+	d.nodesMu.Unlock()
+	index := len(d.nodes) - 1
+	d.startInstance(index)
+	return d.instances[index]
+}
+
+// startInstance starts the instance with the given index, which may have been stopped
+// before, and waits until it serves requests.
+func (d *deployment) startInstance(index int) {
+	d.t.Helper()
+	node := d.nodes[index]
 	i, err := New(node, log.NewWithOptions(d.logs, log.Options{Formatter: log.LogfmtFormatter}))
 	if err != nil {
 		d.t.Fatal(err)
@@ -77,16 +97,15 @@
 	if err := i.Start(context.Background()); err != nil {
 		d.t.Fatal(err)
 	}
-	d.instances, d.nodes = append(d.instances, i), append(d.nodes, node)
+	d.instances[index] = i
 	d.t.Cleanup(func() { _ = i.kernel.Stop(context.Background()); _ = i.metrics.Close() })
 	d.eventually("the instance is ready", func() bool {
 		status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
 		return status == http.StatusOK
 	})
 	d.eventually("the instance knows the replicas", func() bool {
-		return d.do(len(d.instances)-1, request{Method: "GET", Path: "/look/ready"}).Status == http.StatusOK
+		return d.do(index, request{Method: "GET", Path: "/look/ready"}).Status == http.StatusOK
 	})
-	return i
 }
 
 // eventually waits until condition holds, and fails the test after hangTimeout.
@@ -116,5 +135,8 @@
 }
 
 func (d *deployment) doContext(ctx context.Context, instance int, r request) reply {
-	return d.caller.Do(ctx, d.nodes[instance].Callers, r)
+	d.nodesMu.RLock()
+	address := d.nodes[instance].Callers
+	d.nodesMu.RUnlock()
+	return d.caller.Do(ctx, address, r)
 }
