edge: reproduce a crashing part beside a restart of an instance

One of the instances restarts 1.5 s after the fifth crash. What it sends until 3 s after its restart is not counted, as by the users' rules.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -32,3 +32,21 @@
 	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,bad:30", "one:40,mid1:30,bad:20")
 	l.checkContained("bad", disturbed, "one", "two")
 }
+
+// Guards against an instance that forgets a crashing part when it restarts, or keeps
+// the others from agreeing on it.
+func TestCrashingPartIsContainedAcrossRestart(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 4)
+	l.loadAll(soundInterval, soundPrompts("one")...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,bad:30", "one:40,mid1:30,bad:20")
+	l.untilAfterBlame("bad", contactTime/2)
+	l.restart(1)
+	restarted := time.Now()
+	l.untilAfterBlame("bad", 2*contactTime)
+	time.Sleep(time.Until(restarted.Add(contactTime))) // until the instance is in touch again
+	l.checkContained("bad", disturbed, "one")
+}
--- a/edge/crashload_test.go
+++ b/edge/crashload_test.go
@@ -177,6 +177,25 @@
 	})
 }
 
+// restart stops an instance gracefully and starts it again.
+func (l *crashLoad) restart(instance int) {
+	l.t.Helper()
+	from := time.Now()
+	if err := l.instances[instance].Stop(context.Background()); err != nil {
+		l.t.Fatal(err)
+	}
+	l.startInstance(instance)
+	l.addOutage(instance, from)
+}
+
+// addOutage records that an instance was away from a time until now. It counts as in
+// touch again after contactTime.
+func (l *crashLoad) addOutage(instance int, from time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outages = append(l.outages, span{instance: instance, from: from, to: time.Now().Add(contactTime)})
+}
+
 func (l *crashLoad) inTouch(instance int, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
