edge: reproduce a crashing part sent by an instance that starts late

A fourth instance starts 3 s after the fifth crash and gets requests with the part. What it sends in its first 3 s is not counted, as by the users' rules.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -50,3 +51,24 @@
 	time.Sleep(time.Until(restarted.Add(contactTime))) // until the instance is in touch again
 	l.checkContained("bad", disturbed, "one")
 }
+
+// Guards against an instance that starts after a part has crashed replicas and sends
+// requests with it.
+func TestLateInstanceDoesNotSendCrashingPart(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, soundPrompts("one")...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,bad:30")
+	l.untilAfterBlame("bad", contactTime)
+	from := time.Now()
+	l.addInstance()
+	late := len(l.nodes) - 1
+	l.addOutage(late, from)
+	l.load(context.Background(), late, soundInterval, soundPrompts("one")...)
+	l.load(context.Background(), late, taintedInterval, "one:40,bad:30")
+	time.Sleep(contactTime)
+	l.checkContained("bad", disturbed, "one")
+}
