--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -72,3 +72,20 @@
 	time.Sleep(contactTime)
 	l.checkContained("bad", disturbed, "one")
 }
+
+// Guards against a second crashing part that is not found because the first one is
+// involved in the same crashes. One is a first part, the other a middle one.
+func TestTwoCrashingPartsAreContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.parts.SetDeadly("worse", true)
+	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,mid1:30,bad:30")
+	l.loadAll(taintedInterval, "worse:40,mid1:30", "worse:40,mid2:30")
+	l.untilAfterBlame("worse", contactTime)
+	l.checkContained("bad", disturbed, "one", "two")
+	l.checkFewArrivals("worse", time.Now())
+}
