edge: reproduce a second crashing part after the first one

The second part is in use as a sound part until the first one, which is a first part, no longer comes.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -89,3 +89,25 @@
 	l.checkContained("bad", disturbed, "one", "two")
 	l.checkFewArrivals("worse", time.Now())
 }
+
+// Guards against a second crashing part that is not found because another one is
+// blamed already, and which was sound until then.
+func TestCrashingPartAfterAnotherIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("worse", true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range l.nodes {
+		l.load(ctx, i, taintedInterval, "worse:40,mid1:30", "worse:40,mid2:30")
+	}
+	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,mid1:30,bad:30")
+	l.untilAfterBlame("worse", contactTime+time.Second)
+	l.checkFewArrivals("worse", time.Now())
+	cancel()
+	l.parts.SetDeadly("bad", true)
+	l.checkContained("bad", disturbed, "one", "two")
+}
