edge: reproduce a part that crashes replicas for some seconds

The part crashes replicas until 6 s after the fifth crash. At most three requests with it reach replicas after the first 3 s of these, and it is served again at each instance afterwards. The time until then has no bound by the users' rules; 30 s only stop the test.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -111,3 +112,46 @@
 	l.parts.SetDeadly("bad", true)
 	l.checkContained("bad", disturbed, "one", "two")
 }
+
+// Guards against a part that is refused for good although it crashes replicas only for
+// a while, and against trial requests with it that crash replica after replica.
+func TestPartThatNoLongerCrashesIsServedAgain(t *testing.T) {
+	t.Parallel()
+	const maxRecovery = 30 * time.Second // stops a test that would wait forever
+	l := startCrashLoad(t, 3)
+	l.loadAll(2*soundInterval, soundPrompts("one")...)
+	time.Sleep(undisturbedTime)
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,bad:30")
+	l.untilAfterBlame("bad", 2*contactTime)
+	sound := time.Now()
+	l.parts.SetDeadly("bad", false)
+	l.checkFewArrivals("bad", sound)
+	for time.Since(sound) < maxRecovery && !l.allServe("one:40,bad:30", sound) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("served again after %s", time.Since(sound).Round(100*time.Millisecond))
+	if !l.allServe("one:40,bad:30", sound) {
+		t.Errorf("the part is not served at all instances %s after its last crash", maxRecovery)
+	}
+	l.checkStatuses()
+}
+
+// allServe reports whether each instance has answered five requests with the prompt
+// that were sent after from.
+func (l *crashLoad) allServe(prompt string, from time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	served := make(map[int]int)
+	for _, s := range l.samples {
+		if s.prompt == prompt && s.sentAt.After(from) && s.status == http.StatusOK {
+			served[s.instance]++
+		}
+	}
+	for i := range l.nodes {
+		if served[i] < 5 {
+			return false
+		}
+	}
+	return true
+}
