edge: test that crashes without a cause blame no prompt part

Sound requests begin at least half as often as before, and all are served at the first attempt at each instance once the engines are back.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -155,3 +155,46 @@
 	}
 	return true
 }
+
+// crashEngines crashes one engine after the other, one each interval, until ctx ends.
+func (l *crashLoad) crashEngines(ctx context.Context, interval time.Duration) {
+	l.wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-time.After(interval):
+				l.Engines[i%len(l.Engines)].Crash(crashDowntime, i%2 == 0)
+			case <-l.stopping:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Guards against blaming sound parts for crashes of replicas that no request causes.
+func TestOtherCrashesDoNotBlameSoundParts(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	prompts := append(soundPrompts("one"), soundPrompts("two")...)
+	l.loadAll(soundInterval, prompts...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.crashEngines(ctx, crashDowntime)
+	time.Sleep(2*contactTime + measuredTime)
+	for _, first := range []string{"one", "two"} {
+		l.checkSoundShare(first, disturbed, disturbed)
+	}
+	cancel()
+	l.stop()
+	time.Sleep(2 * crashDowntime)
+	for i := range l.nodes {
+		for _, prompt := range prompts {
+			if s := l.send(i, "/chat/x", prompt); s.status != http.StatusOK {
+				t.Errorf("instance %d answers a sound request with prompt %s with status %d after the crashes", i, prompt, s.status)
+			}
+		}
+	}
+}
