--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -198,3 +198,17 @@
 		}
 	}
 }
+
+// Guards against a crashing part that is not found, or sound parts that are blamed,
+// when replicas also crash for other reasons.
+func TestCrashingPartBesideOtherCrashesIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.crashEngines(context.Background(), 2*crashDowntime)
+	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,mid1:30,bad:30")
+	l.checkContained("bad", disturbed, "one", "two")
+}
