edge: reproduce a crashing part in a prompt with many parts

The adapter reads at most 64; a prompt with more is served as if it had none, so that nothing can be blamed.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -212,3 +214,24 @@
 	l.loadAll(taintedInterval, "one:40,bad:30", "two:40,mid1:30,bad:30")
 	l.checkContained("bad", disturbed, "one", "two")
 }
+
+// Guards against a crashing part that is not seen in a prompt with many parts.
+func TestCrashingPartOfLongPromptIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	middle := make([]string, 78)
+	for i := range middle {
+		middle[i] = fmt.Sprintf("long%d:5", i)
+	}
+	long := strings.Join(middle, ",")
+	sound := soundPrompts("one")
+	for i := range sound {
+		sound[i] += "," + long
+	}
+	l.loadAll(soundInterval, sound...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,"+long+",bad:5", "one:40,mid1:30,bad:5,"+long)
+	l.checkContained("bad", disturbed, "one")
+}
