edge: send crashing parts with both models

A part crashes replicas whatever else the request holds, so counts that are kept by model must not pass the tests.

--- a/edge/crashload_test.go
+++ b/edge/crashload_test.go
@@ -52,7 +52,7 @@
 }
 
 // crashLoad is a deployment under load in which some prompt parts crash engines. No
-// two requests are alike.
+// two requests are alike, and each prompt comes with both models on two routes.
 type crashLoad struct {
 	*deployment
 	parts *platformtest.CrashingParts
@@ -108,7 +108,7 @@
 	n := requestNumber.Add(1)
 	s := sample{instance: instance, prompt: prompt, path: path, id: fmt.Sprintf("load-%d-%d", instance, n), sentAt: time.Now()}
 	got := l.do(instance, request{
-		Method: "POST", Path: path, ID: s.id, Body: fmt.Sprintf("prompt %d", n), Model: "m1",
+		Method: "POST", Path: path, ID: s.id, Body: fmt.Sprintf("prompt %d", n), Model: fmt.Sprintf("m%d", 1+n%2),
 		Parts: fmt.Sprintf("%s,own%d:40", prompt, n), TimeLeft: 5 * time.Second,
 	})
 	s.status = got.Status
