--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -23,6 +23,7 @@
 	*platformtest.Backends
 	t         *testing.T
 	instances []*Instance
+	nodesMu   sync.RWMutex // guards nodes while requests are being sent
 	nodes     []nodeconfig.Node
 	logs      *lockedBuffer
 	caller    *platformtest.Caller
@@ -51,7 +52,13 @@
 // the list of replicas.
 func startDeployment(t *testing.T, instances int) *deployment {
 	t.Helper()
-	d := newDeployment(t)
+	return startDeploymentOn(t, platformtest.NewBackends(), instances)
+}
+
+// startDeploymentOn is startDeployment with the given stand-ins.
+func startDeploymentOn(t *testing.T, backends *platformtest.Backends, instances int) *deployment {
+	t.Helper()
+	d := newDeploymentOn(t, backends)
 	for range instances {
 		d.addInstance()
 	}
@@ -60,7 +67,12 @@
 
 // newDeployment starts a deployment without instances.
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{Backends: platformtest.NewBackends(), t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
+	return newDeploymentOn(t, platformtest.NewBackends())
+}
+
+// newDeploymentOn is newDeployment with the given stand-ins.
+func newDeploymentOn(t *testing.T, backends *platformtest.Backends) *deployment {
+	d := &deployment{Backends: backends, t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
 	d.bounds = nodeconfig.Bounds{
 		Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
 		RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
@@ -77,6 +89,19 @@
 		ID: "edge-" + host, DataCentre: "z1", Callers: loopbacktest.Address(d.t, host), Readiness: loopbacktest.Address(d.t, host), PeerHost: host,
 		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds,
 	}
+	d.nodesMu.Lock()
+	d.instances, d.nodes = append(d.instances, nil), append(d.nodes, node)
+	d.nodesMu.Unlock()
+	index := len(d.nodes) - 1
+	d.startInstance(index)
+	return d.instances[index]
+}
+
+// startInstance starts the instance with the given index, which may have been stopped
+// before, and waits until it serves requests.
+func (d *deployment) startInstance(index int) {
+	d.t.Helper()
+	node := d.nodes[index]
 	i, err := New(node, log.NewWithOptions(d.logs, log.Options{Formatter: log.LogfmtFormatter}))
 	if err != nil {
 		d.t.Fatal(err)
@@ -84,16 +109,15 @@
 	if err := i.Start(context.Background()); err != nil {
 		d.t.Fatal(err)
 	}
-	d.instances, d.nodes = append(d.instances, i), append(d.nodes, node)
+	d.instances[index] = i
 	d.t.Cleanup(func() { _ = i.kernel.Stop(context.Background()); _ = i.metrics.Close() })
 	d.eventually("the instance is ready", func() bool {
 		status, _ := d.get("http://" + node.Readiness + "/hyssophaven/readiness")
 		return status == http.StatusOK
 	})
 	d.eventually("the instance knows the replicas", func() bool {
-		return d.do(len(d.instances)-1, request{Method: "GET", Path: "/look/ready"}).Status == http.StatusOK
+		return d.do(index, request{Method: "GET", Path: "/look/ready"}).Status == http.StatusOK
 	})
-	return i
 }
 
 // eventually waits until condition holds, and fails the test after hangTimeout.
@@ -123,5 +147,8 @@
 }
 
 func (d *deployment) doContext(ctx context.Context, instance int, r request) reply {
-	return d.caller.Do(ctx, d.nodes[instance].Callers, r)
+	d.nodesMu.RLock()
+	address := d.nodes[instance].Callers
+	d.nodesMu.RUnlock()
+	return d.caller.Do(ctx, address, r)
 }
