dispatch: block prompt parts that crash replicas

Requests of one kind crashed replica after replica: on the users' platform one part of a prompt can crash each replica that begins an answer to it. No two such requests are alike, they come at every instance, and sound requests share their caller and their other parts. Sound requests were lost with the replicas.

Cause: broken sends were counted by the fingerprint of the whole request, so no count passed 1 and nothing was refused.

Package suspect decides by prompt part. Instances report which parts were in sends that broke before their answer had settled; the holder of the order lease announces the suspected parts, collects the answers that clear them, and blocks a part that three crashes have in common. A blocked part comes back by one trial request at a time.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -98,6 +98,7 @@
 	}
 	c.updateFleetSum(now)
 	c.tickLeader(now, boot)
+	c.updateSuspects(now)
 	c.updateOrderAvailability(now, boot)
 	c.updateListSource(now)
 	c.expireAdapterWaiters(now)
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -12,6 +12,7 @@
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/residency"
 	"github.com/hyssophaven/hyssophaven/retry"
+	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
 const (
@@ -49,6 +50,8 @@
 	LatencyProfiles map[string]dispatch.LatencyProfile // by model size
 	// Crashes holds the instance's crash counts, by request fingerprint.
 	Crashes map[uint64]int
+	// Suspects holds the instance's records of prompt parts that may crash replicas.
+	Suspects suspect.Report
 	// ListVersion is the version of the instance's list of replicas.
 	ListVersion uint64
 }
@@ -79,6 +82,9 @@
 	// Crashes holds the crash counts of all other instances, by request fingerprint.
 	// Those below dispatch.MinPeerCrashes are left out.
 	Crashes map[uint64]int
+	// Suspects holds the suspected and blocked prompt parts. It comes from the holder
+	// only.
+	Suspects suspect.Verdicts
 	// ModelChanges holds the replicas that are loading or unloading a model, with the
 	// time until they accept orders again.
 	ModelChanges map[string]time.Duration
@@ -115,7 +121,7 @@
 }
 
 func (e ownState) apply(c *core, now time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), ListVersion: c.replicaList.Version()}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.Version()}
 }
 
 type servePeer struct {
@@ -138,6 +144,7 @@
 		c.plan.AddDemand(now, model, d)
 	}
 	c.recordAdapterUse(now, e.peer.Loads)
+	c.dispatch.Suspects().Merge(now, e.peer.Instance, e.peer.Suspects)
 	c.dispatch.AdoptLatencyProfiles(e.peer.LatencyProfiles)
 	c.checkFeedLag(now, e.peer.TableVersions)
 	e.answer <- c.fleetState(now, e.peer)
@@ -159,6 +166,7 @@
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListVersion = c.replicaList.ChangedSince(peer.ListVersion), c.replicaList.Version()
 		state.StoreAge = now.Sub(c.storeAnsweredAt)
+		state.Suspects = c.dispatch.Suspects().VerdictsFor(now, peer.Instance)
 	}
 	if row.Released && row.Holder == c.node.ID {
 		state.ReleasedBy, state.Epoch = row.Holder, row.Epoch
@@ -352,6 +360,7 @@
 		c.holderSeenAt, c.holderCanOrderAt = now, now.Add(e.State.TimeUntilOrders)
 		c.setStateInterval(e.State.Interval)
 		c.setInstances(e.State.Instances)
+		c.logPartChanges(c.dispatch.Suspects().Adopt(now, e.State.Suspects), e.State.Holder)
 	}
 	c.adoptHolderList(now, e.State)
 	c.checkFeedLag(now, e.State.TableVersions)
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -15,6 +15,10 @@
 	// replica. It is 0 after the first byte.
 	PrefillWork float64
 	SentAt      time.Time
+	// begunAt is when the answer began, and settled whether it has gone on for
+	// suspect.SettleTime. The control goroutine owns both.
+	begunAt time.Time
+	settled bool
 }
 
 // AdmissionRequest holds a request for Admit and the history of earlier attempts.
@@ -99,12 +103,28 @@
 func (e firstByte) apply(c *core, now time.Time) {
 	f := e.flight
 	c.dispatch.RecordFirstByte(now, f.Request, f.Decision, f.PrefillWork, e.elapsed)
-	f.PrefillWork = 0
+	f.PrefillWork, f.begunAt = 0, now
 	if e.report != nil {
 		c.dispatch.SetReport(now, f.Decision.Replica.ID, *e.report)
 	}
 }
 
+type settled struct{ flight *Flight }
+
+// Settled reports that the answer to a flight has gone on for suspect.SettleTime after
+// its first byte.
+func (s *Service) Settled(f *Flight) { s.post(settled{flight: f}) }
+
+func (e settled) apply(c *core, _ time.Time) { c.settle(e.flight) }
+
+// settle records that the answer to a flight shows that its prompt crashes no replica.
+func (c *core) settle(f *Flight) {
+	if !f.settled && !f.begunAt.IsZero() {
+		f.settled = true
+		c.dispatch.RecordSettled(f.begunAt, f.Request, f.Decision)
+	}
+}
+
 type finish struct {
 	flight  *Flight
 	outcome dispatch.Outcome
@@ -123,6 +143,12 @@
 	if e.report != nil {
 		c.dispatch.SetReport(now, id, *e.report)
 	}
+	switch {
+	case e.outcome == dispatch.Answered:
+		c.settle(f)
+	case e.outcome == dispatch.ConnectionBroken && !f.settled:
+		c.dispatch.RecordBreak(now, f.Request, f.Decision)
+	}
 	if c.dispatch.RecordEnd(now, f.SentAt, f.Request, f.Decision, e.outcome, f.PrefillWork) {
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
 		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -90,6 +90,9 @@
 	if s.crashes.limitReached(now, req.Fingerprint, s.peerCrashes[req.Fingerprint]) {
 		return Decision{Verdict: Refuse, Cause: CauseCrashes, RetryAfter: crashRetention}
 	}
+	if i, wait := s.suspects.Blocked(now, req.SharedParts); i >= 0 {
+		return Decision{Verdict: Refuse, Cause: CauseBlockedPart, RetryAfter: wait, BlockedPart: i}
+	}
 	svc := s.service(req.Service)
 	if h.PossibleRuns >= req.Route.MaxAttempts {
 		return Decision{Verdict: Refuse, Cause: CauseMaxAttempts}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/retry"
+	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
 // Request is a caller's request as dispatch needs it. If the caller retries it,
@@ -28,6 +29,9 @@
 	PromptTokens   int
 	OutputTokens   int
 	Parts          []Part
+	// SharedParts identifies the parts that other requests can have too: all but the
+	// last.
+	SharedParts []suspect.Part
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint uint64
 	Arrived     time.Time
@@ -70,6 +74,7 @@
 	CauseRetryBudget       Cause = "retry-budget"
 	CauseMaxAttempts       Cause = "attempts-used"
 	CauseCrashes           Cause = "crashes-replicas"
+	CauseBlockedPart       Cause = "part-crashes-replicas" // a part of the prompt is blocked
 	CauseOverload          Cause = "overload"
 	CauseDeadline          Cause = "no-time-left"
 	CauseStopping          Cause = "instance-stopping" // the answer would begin after this instance has stopped
@@ -103,6 +108,9 @@
 	// LoadAge is the age of the replica's last load report.
 	LoadAge time.Duration
 	Running int // estimated requests that run or wait on the replica
+	// BlockedPart is the index in SharedParts of the blocked part, for a refusal with
+	// CauseBlockedPart.
+	BlockedPart int
 }
 
 // Options configure a State.
@@ -110,7 +118,8 @@
 	DataCentre string
 	// RetryLimits limits the retries of this instance, separately for each service.
 	RetryLimits retry.Limits
-	Seed        uint64
+	// Seed must differ from one start of the instance to the next.
+	Seed uint64
 }
 
 // UrgencyLevels is the number of urgency levels of engines; 0 is the most urgent.
@@ -148,6 +157,7 @@
 	// peerCrashes holds the sums of the other instances' crash counts, by
 	// request fingerprint.
 	peerCrashes map[uint64]int
+	suspects    *suspect.State
 	profiles    latencyProfiles
 	// ordersUnavailable reports that no instance can order adapter loads now;
 	// ordersAvailableIn is the expected time until one can.
@@ -179,7 +189,7 @@
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
-		crashes: make(crashes), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
 // Outcome classifies the end of one send of a request.
@@ -89,6 +91,7 @@
 	if req.Adapter != "" {
 		r.adapterRequests[adapterKey(req.Model, req.Adapter)]++
 	}
+	s.suspects.RecordSend(req.SharedParts)
 	r.ownLoad.Requests++
 	r.sentSinceReport++
 	prefill = s.prefillWork(r, req)
@@ -144,6 +147,21 @@
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
+// RecordSettled records that an answer, which began at begun, has gone on long enough
+// to clear the parts of its prompt.
+func (s *State) RecordSettled(begun time.Time, req *Request, d Decision) {
+	s.suspects.RecordSettled(begun, d.Replica.ID, req.SharedParts)
+}
+
+// RecordBreak records that a send ended as ConnectionBroken before its answer had
+// settled.
+func (s *State) RecordBreak(now time.Time, req *Request, d Decision) {
+	s.suspects.RecordBreak(now, d.Replica.ID, req.SharedParts)
+}
+
+// Suspects returns the records of prompt parts that may crash replicas.
+func (s *State) Suspects() *suspect.State { return s.suspects }
+
 // SetReport records the load report that came with a replica's answer.
 func (s *State) SetReport(now time.Time, replicaID string, report Report) {
 	if r, ok := s.replicas[replicaID]; ok {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -46,6 +46,8 @@
 	// failedAnswer is a replica's failure that is relayed if no retry succeeds.
 	failedAnswer *bufferedAnswer
 	attempts     []attempt
+	// blockedPart is the prompt part for which the request is refused, or empty.
+	blockedPart string
 
 	// outliveDrain keeps the end of the drain from canceling the request. It returns
 	// false if the drain has ended.
@@ -108,6 +110,9 @@
 		}
 		switch d := admission.Decision; d.Verdict {
 		case dispatch.Refuse:
+			if d.Cause == dispatch.CauseBlockedPart {
+				x.blockedPart = x.head.Parts[d.BlockedPart].ID
+			}
 			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
 			return nil
 		case dispatch.Wait:
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/suspect"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -177,9 +178,8 @@
 	x.setEventTimeout(a, x.answerTimeout(from.flight.Decision))
 	for {
 		n, err := a.Read(s.freeSpace())
-		if n > 0 && !s.begun {
-			s.begun = true
-			x.reportFirstByte(from)
+		if n > 0 {
+			s.reportProgress(from)
 		}
 		if relayErr := s.forwardEvents(n); relayErr != nil {
 			if errors.Is(relayErr, errCallerWrite) || errors.Is(relayErr, errStopping) {
@@ -198,6 +198,19 @@
 	}
 }
 
+// reportProgress reports the first byte of a stream, and later that its answer has
+// settled.
+func (s *eventStream) reportProgress(from *send) {
+	switch {
+	case s.begunAt.IsZero():
+		s.begunAt = time.Now()
+		s.exchange.reportFirstByte(from)
+	case !s.settled && time.Since(s.begunAt) >= suspect.SettleTime:
+		s.settled = true
+		s.exchange.service.control.Settled(from.flight)
+	}
+}
+
 // setEventTimeout limits the wait for the next part of a stream to d if the stream can
 // be resumed at another replica, and otherwise to the request's deadline.
 func (x *exchange) setEventTimeout(a *upstream.Answer, d time.Duration) {
@@ -213,7 +226,8 @@
 	exchange *exchange
 	answer   *upstream.Answer
 	buffer   []byte // bytes of an event that is not complete yet
-	begun    bool
+	begunAt  time.Time
+	settled  bool // the answer has gone on for suspect.SettleTime
 }
 
 // eventBufferBytes is the initial size of a stream's buffer.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
 const (
@@ -140,15 +141,19 @@
 	}
 	return &dispatch.Request{
 		ID: x.head.ID, Route: x.route, Service: x.route.PickService(x.head.ID), Model: x.head.Model, Adapter: x.head.Adapter,
-		PromptTokens: x.head.PromptTokens, OutputTokens: x.head.OutputTokens, Parts: x.promptParts(),
+		PromptTokens: x.head.PromptTokens, OutputTokens: x.head.OutputTokens, Parts: x.promptParts(), SharedParts: x.sharedParts(),
 		Fingerprint: x.fingerprint(), Arrived: x.arrived, Deadline: x.arrived.Add(timeout),
 	}
 }
 
+// maxCachedParts limits the parts of a prompt that are matched with cached prefixes. They
+// are only a hint: a request with more of them is served as if it had none.
+const maxCachedParts = 64
+
 // promptParts returns the parts of the prompt for prefix matching. The key of a part
 // covers the model, the adapter and all parts before it.
 func (x *exchange) promptParts() []dispatch.Part {
-	if len(x.head.Parts) == 0 {
+	if len(x.head.Parts) == 0 || len(x.head.Parts) > maxCachedParts {
 		return nil
 	}
 	h := xxhash.New()
@@ -161,6 +166,19 @@
 	return out
 }
 
+// sharedParts returns all parts of the prompt but the last, which belongs to the request
+// itself or its session.
+func (x *exchange) sharedParts() []suspect.Part {
+	if len(x.head.Parts) < 2 {
+		return nil
+	}
+	out := make([]suspect.Part, len(x.head.Parts)-1)
+	for i := range out {
+		out[i] = suspect.Part(xxhash.Sum64String(x.head.Parts[i].ID))
+	}
+	return out
+}
+
 // fingerprint returns a hash of the request line, host, model, prompt parts and body.
 func (x *exchange) fingerprint() uint64 {
 	h := xxhash.New()
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -50,6 +50,7 @@
 	TableVersions   map[string]uint64                `json:"versions"`
 	LatencyProfiles map[string]latencyProfileMessage `json:"paces,omitempty"`
 	Crashes         map[uint64]int                   `json:"crashes,omitempty"`
+	Suspects        *suspectsMessage                 `json:"suspects,omitempty"`
 	ListVersion     uint64                           `json:"list_version"`
 }
 
@@ -90,6 +91,7 @@
 	TableVersions   map[string]uint64                `json:"versions"`
 	LatencyProfiles map[string]latencyProfileMessage `json:"paces,omitempty"`
 	Crashes         map[uint64]int                   `json:"crashes,omitempty"`
+	Suspects        *verdictsMessage                 `json:"suspects,omitempty"`
 	ModelChanges    map[string]int64                 `json:"moving,omitempty"`
 	UnloadingModels map[string][]string              `json:"dropping,omitempty"`
 	FullReplicas    map[string][]string              `json:"full,omitempty"`
@@ -175,14 +177,14 @@
 func encodeState(s controlplane.PeerState) stateMessage {
 	return stateMessage{
 		Instance: s.Instance, Loads: mapValues(s.Loads, encodeOwnLoad), Demand: mapValues(s.Demand, encodeDemand), TableVersions: s.TableVersions,
-		LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, ListVersion: s.ListVersion,
+		LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeSuspects(s.Suspects), ListVersion: s.ListVersion,
 	}
 }
 
 func decodeState(m stateMessage) controlplane.PeerState {
 	return controlplane.PeerState{
 		Instance: m.Instance, Loads: mapValues(m.Loads, decodeOwnLoad), Demand: mapValues(m.Demand, decodeDemand), TableVersions: m.TableVersions,
-		LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, ListVersion: m.ListVersion,
+		LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeSuspects(m.Suspects), ListVersion: m.ListVersion,
 	}
 }
 
@@ -215,7 +217,7 @@
 func encodeFleet(s controlplane.FleetState) fleetMessage {
 	m := fleetMessage{
 		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, TimeUntilOrders: s.TimeUntilOrders.Milliseconds(), ReleasedBy: s.ReleasedBy, Interval: s.Interval.Milliseconds(), Instances: s.Instances,
-		Loads: mapValues(s.Loads, encodeLoad), TableVersions: s.TableVersions, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes,
+		Loads: mapValues(s.Loads, encodeLoad), TableVersions: s.TableVersions, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeVerdicts(s.Suspects),
 		ModelChanges: mapValues(s.ModelChanges, time.Duration.Milliseconds), UnloadingModels: s.UnloadingModels, FullReplicas: s.FullReplicas,
 		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
 	}
@@ -228,7 +230,7 @@
 func decodeFleet(m fleetMessage) controlplane.FleetState {
 	s := controlplane.FleetState{
 		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, TimeUntilOrders: fromMilliseconds(m.TimeUntilOrders), ReleasedBy: m.ReleasedBy, Interval: fromMilliseconds(m.Interval), Instances: m.Instances,
-		Loads: mapValues(m.Loads, decodeLoad), TableVersions: m.TableVersions, LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes,
+		Loads: mapValues(m.Loads, decodeLoad), TableVersions: m.TableVersions, LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeVerdicts(m.Suspects),
 		ModelChanges: mapValues(m.ModelChanges, fromMilliseconds), UnloadingModels: m.UnloadingModels, FullReplicas: m.FullReplicas,
 		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
 	}
--- /dev/null
+++ b/suspect/suspect.go
@@ -0,0 +1,221 @@
+// Package suspect decides which prompt parts crash replicas. Each instance records
+// the parts of the requests whose replica broke off before their answer had settled,
+// and the parts of the answers that settled. The holder of the order lease collects
+// these records, blocks a part that several crashes have in common and that no answer
+// has cleared since, and later admits one request at a time as a trial. It does no I/O
+// and reads no clock; the control goroutine owns the state.
+package suspect
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Part identifies a part of a prompt, whatever the rest of the request holds.
+type Part uint64
+
+// String returns the part as a hexadecimal number.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+const (
+	// SettleTime is how long an answer must go on after its first byte to clear the
+	// parts of its prompt. A replica that crashes on a part does so when it begins the
+	// answer, and its first bytes may still arrive.
+	SettleTime = 250 * time.Millisecond
+	// crashSpan is the time within which the broken sends to one replica count as one
+	// crash. A crashed replica is back after some seconds.
+	crashSpan = time.Second
+	// minRestartTime is the time that a crashed replica takes at least to answer again.
+	minRestartTime = 500 * time.Millisecond
+	// processingDelay is the time by which a broken send may be recorded later than an
+	// answer of the same replica that began before the crash.
+	processingDelay = 100 * time.Millisecond
+	// retention is how long crashes, and answers that clear parts, are kept.
+	retention = time.Minute
+	// maxCrashes, maxCrashParts and maxOwnParts limit the crashes, the parts of a crash
+	// and all parts that an instance keeps, and maxReportedParts the parts that it sends
+	// to the holder at a time. A head of 16 KB has about 1,200 parts.
+	maxCrashes       = 64
+	maxCrashParts    = 1024
+	maxOwnParts      = 4 * maxCrashParts
+	maxReportedParts = maxCrashParts
+)
+
+// crash is a set of sends to one replica that broke at about the same time.
+type crash struct {
+	id      uint64 // number of the crash on its instance
+	version uint64 // changes with each change of the crash
+	replica string
+	at      time.Time
+	parts   []Part // sorted; empty if the replica turned out not to have crashed
+}
+
+// State holds what one instance knows of suspected and blocked parts. On the holder of
+// the order lease it also holds the records of the other instances. It is not safe
+// for concurrent use.
+type State struct {
+	incarnation uint64  // differs from one start of the instance to the next
+	crashes     []crash // own crashes, oldest first
+	lastVersion uint64
+	ackVersion  uint64 // the newest version that the holder has
+	// cleared holds, for each watched part, when the newest answer began that has
+	// settled; zero if none has. Only parts of crashes, suspected parts and blocked
+	// parts are watched.
+	cleared   map[Part]time.Time
+	history   history
+	suspected []Part // as the holder has announced them
+	blocked   map[Part]*block
+	fleet     fleet
+}
+
+// New returns a State without records. incarnation must differ from one start of the
+// instance to the next.
+func New(incarnation uint64) *State {
+	return &State{incarnation: incarnation, cleared: make(map[Part]time.Time), blocked: make(map[Part]*block), fleet: newFleet(),
+		history: history{parts: make(map[Part]*answerCount)}}
+}
+
+// RecordBreak records that a send broke before its answer had settled. parts are the
+// parts that can be suspected: all but the last, which belongs to the request itself.
+func (s *State) RecordBreak(now time.Time, replica string, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	s.lastVersion++
+	i := slices.IndexFunc(s.crashes, func(c crash) bool { return c.replica == replica && now.Sub(c.at) < crashSpan })
+	if i < 0 {
+		s.crashes = append(s.crashes, crash{id: s.lastVersion, replica: replica, at: now})
+		i = len(s.crashes) - 1
+	}
+	c := &s.crashes[i]
+	c.version = s.lastVersion
+	c.parts = union(c.parts, parts)
+	for _, p := range c.parts {
+		s.watch(p)
+	}
+	for len(s.crashes) > maxCrashes || len(s.crashes) > 1 && countParts(s.crashes) > maxOwnParts {
+		s.crashes = slices.Delete(s.crashes, 0, 1)
+	}
+}
+
+func countParts(crashes []crash) (n int) {
+	for _, c := range crashes {
+		n += len(c.parts)
+	}
+	return n
+}
+
+// union returns the sorted union of sorted parts and of more, limited to
+// maxCrashParts.
+func union(parts, more []Part) []Part {
+	all := slices.Concat(parts, more)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxCrashParts)]
+}
+
+func (s *State) watch(p Part) {
+	if _, ok := s.cleared[p]; !ok {
+		s.cleared[p] = time.Time{}
+	}
+}
+
+// RecordSettled records that an answer of a replica, which began at begun, has
+// settled. It clears the parts of the prompt.
+func (s *State) RecordSettled(begun time.Time, replica string, parts []Part) {
+	s.voidCrash(begun, replica)
+	s.history.add(begun, parts)
+	if len(s.cleared) == 0 {
+		return
+	}
+	for _, p := range parts {
+		if at, ok := s.cleared[p]; ok && begun.After(at) {
+			s.cleared[p] = begun
+		}
+	}
+}
+
+// voidCrash clears a crash whose replica began an answer within minRestartTime after it:
+// a connection broke, but the replica did not crash.
+func (s *State) voidCrash(begun time.Time, replica string) {
+	for i := range s.crashes {
+		c := &s.crashes[i]
+		after := begun.Sub(c.at)
+		if c.replica == replica && len(c.parts) > 0 && after > processingDelay && after < minRestartTime {
+			s.lastVersion++
+			c.parts, c.version = nil, s.lastVersion
+		}
+	}
+}
+
+// Blocked returns the index of the first blocked part and the time until it is tried
+// again. It returns -1 if no part is blocked, or if a request with the part is due as a
+// trial at this instance.
+func (s *State) Blocked(now time.Time, parts []Part) (index int, wait time.Duration) {
+	if len(s.blocked) == 0 {
+		return -1, 0
+	}
+	for i, p := range parts {
+		if b, ok := s.blocked[p]; ok && !b.mayTry() {
+			return i, max(b.until.Sub(now), minBlockedWait)
+		}
+	}
+	return -1, 0
+}
+
+// RecordSend records that a request is sent. It uses up the trials of its blocked
+// parts.
+func (s *State) RecordSend(parts []Part) {
+	if len(s.blocked) == 0 {
+		return
+	}
+	for _, p := range parts {
+		if b, ok := s.blocked[p]; ok {
+			b.usedTrial = b.trial
+		}
+	}
+}
+
+// expire drops old records, and stops watching parts that are in none.
+func (s *State) expire(now time.Time) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) > retention })
+	for p, b := range s.blocked {
+		if now.Sub(b.lastCrash) > maxBlockAge {
+			delete(s.blocked, p)
+		}
+	}
+	watched := make(map[Part]bool)
+	for _, c := range s.crashes {
+		for _, p := range c.parts {
+			watched[p] = true
+		}
+	}
+	for _, p := range s.suspected {
+		watched[p] = true
+	}
+	for p := range s.blocked {
+		watched[p] = true
+	}
+	s.history.expire(now)
+	maps.DeleteFunc(s.cleared, func(p Part, at time.Time) bool {
+		return !watched[p] && now.Sub(at) > retention
+	})
+}
+
+// DescribeCrashes returns the crashes of this instance's records in which a part is
+// suspected, for the log.
+func (s *State) DescribeCrashes(p Part) string {
+	var texts []string
+	for _, c := range s.crashes {
+		if s.suspects(c, p) {
+			texts = append(texts, c.replica+" "+c.at.UTC().Format("15:04:05.000"))
+		}
+	}
+	return strings.Join(texts, ", ")
+}
+
+// Counts returns the number of blocked parts and of parts that the holder suspects.
+func (s *State) Counts() (blocked, suspected int) { return len(s.blocked), len(s.suspected) }
