edge: add a failing test for streams handed over to a late replica

Callers see a resumable stream broken off 1.2 s after it was handed over, although the replica that takes it over would have answered. The answer timeout of the second send does not count the silent replica as a possible run, so it leaves time for a retry that the route does not allow. The silent replica has been left by then.

Both replicas of the test pause for 1.5 s.

--- a/edge/pause_test.go
+++ b/edge/pause_test.go
@@ -60,3 +60,17 @@
 	is.NoErr(got.Err)
 	is.Equal(got.Body, platformtest.StreamBody("paused", 6))
 }
+
+// Guards against a resumable stream that is broken off because its replica pauses and
+// the replica that takes it over, the last one possible, begins late.
+func TestPausedStreamGoesOnIfOtherReplicaBeginsLate(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	for _, e := range d.Engines {
+		e.StreamPause = 1500 * time.Millisecond
+	}
+	platformtest.QueueFaultsOnAll(d.Engines, platformtest.PauseStream)
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "paused", Model: "m1"})
+	is.NoErr(got.Err)
+	is.Equal(got.Body, platformtest.StreamBody("paused", 6))
+}
