ingress: count the silent replica when a stream is handed over

A resumable stream whose replica paused was broken off 1.2 s after it had been handed over, although the replica that took it over would have answered soon after.

Cause: the answer timeout of the second send did not count the silent replica as a possible run. It left time for a third send, which the route does not allow.

A send now carries the number of replicas that may have run the request before, including the one that it takes the stream over from.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -168,12 +168,12 @@
 // that can be retried waits for a multiple of the expected time, but at least for the
 // route's latency target and, for a stream, a part of dispatch.Patience. Any other
 // request waits until its deadline.
-func (x *exchange) answerTimeout(d dispatch.Decision) time.Duration {
+func (x *exchange) answerTimeout(s *send) time.Duration {
 	left := time.Until(x.request.Deadline)
-	if !x.route.Repeatable() || x.possibleRuns+1 >= x.route.MaxAttempts {
+	if !x.route.Repeatable() || s.earlierRuns+1 >= x.route.MaxAttempts {
 		return left
 	}
-	timeout := max(answerTimeoutFactor*d.Expected, x.route.LatencyTarget, minAnswerTimeout)
+	timeout := max(answerTimeoutFactor*s.flight.Decision.Expected, x.route.LatencyTarget, minAnswerTimeout)
 	if x.route.Kind == catalog.Stream {
 		timeout = max(timeout, dispatch.Patience(x.request)*streamTimeoutPercent/100)
 	}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -175,7 +175,7 @@
 func (x *exchange) relayStream(ctx context.Context, from *send) (dispatch.Outcome, bool, error) {
 	a := from.answer
 	s := &eventStream{exchange: x, answer: a}
-	x.setEventTimeout(a, x.answerTimeout(from.flight.Decision))
+	x.setEventTimeout(a, x.answerTimeout(from))
 	for {
 		n, err := a.Read(s.freeSpace())
 		if n > 0 {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -18,7 +18,11 @@
 // send is one send of the request to a replica. If it has no answer, outcome and err
 // tell why.
 type send struct {
-	flight  *controlplane.Flight
+	flight *controlplane.Flight
+	// earlierRuns is the number of replicas that may have run the request before,
+	// including one that this send takes the stream over from.
+	earlierRuns int
+
 	sentAt  time.Time
 	answer  *upstream.Answer
 	head    AnswerHead
@@ -37,7 +41,7 @@
 
 // prepare makes sure that the replica has the adapter of the request.
 func (x *exchange) prepare(ctx context.Context, f *controlplane.Flight) *send {
-	s := &send{flight: f}
+	s := &send{flight: f, earlierRuns: x.possibleRuns}
 	if d := f.Decision; d.NeedsAdapter {
 		s.err = x.service.control.EnsureAdapter(ctx, d.Replica.ID, x.request.Model, x.request.Adapter)
 		s.outcome = dispatch.NotExecuted
@@ -50,7 +54,7 @@
 	d := s.flight.Decision
 	s.sentAt = time.Now()
 	x.enter(phaseSent)
-	s.answer, s.err = x.service.pool.Do(ctx, d.Replica.Address, x.newCall(d), x.answerTimeout(d))
+	s.answer, s.err = x.service.pool.Do(ctx, d.Replica.Address, x.newCall(d), x.answerTimeout(s))
 	if s.err == nil || !errors.Is(s.err, upstream.ErrNotSent) {
 		x.delivered++
 	}
@@ -86,6 +90,7 @@
 	}
 	x.logRetry(next.Decision)
 	s := x.prepare(ctx, next.Flight)
+	s.earlierRuns++
 	if s.err == nil {
 		leave := time.AfterFunc(handoverTime, silent.answer.Abort)
 		x.transmit(ctx, s)
