dispatch: count crashes of new content when the table is full

A request whose content crashes each replica was not refused once 512 other requests had been counted: the others are those that happened to run on the crashed replicas.

Cause: a full table of crash counts took no new fingerprint until entries expired after 30 s.

The oldest of the entries with the fewest crashes now gives way.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -16,7 +16,9 @@
 	// crashRetention is the time for which a crash count is kept after its last
 	// crash. Callers repeat crashing content until their deadline.
 	crashRetention = 30 * time.Second
-	// maxCrashes limits the number of fingerprints kept.
+	// maxCrashes limits the number of fingerprints kept. Those with the fewest crashes,
+	// and of these the oldest, give way to new ones: every request that ran on a
+	// crashed replica is counted, and most of them are not sent again.
 	maxCrashes = 512
 )
 
@@ -35,13 +37,26 @@
 			delete(c, key)
 		}
 	}
-	if len(c) >= maxCrashes {
-		return
+	known, ok := c[fingerprint]
+	if !ok && len(c) >= maxCrashes {
+		c.evict()
 	}
-	known := c[fingerprint]
 	c[fingerprint] = crashCount{count: known.count + 1, lastCrash: now}
 }
 
+// evict drops the oldest of the counts with the fewest crashes.
+func (c crashes) evict() {
+	var least uint64
+	found := false
+	for key, count := range c {
+		known := c[least]
+		if !found || count.count < known.count || count.count == known.count && count.lastCrash.Before(known.lastCrash) {
+			least, found = key, true
+		}
+	}
+	delete(c, least)
+}
+
 // limitReached reports whether a fingerprint has reached crashLimit on this
 // instance or, with peerCount of the other instances, fleetCrashLimit.
 func (c crashes) limitReached(now time.Time, fingerprint uint64, peerCount int) bool {
