ingress: close idle connections to replicas when they expire

An instance kept connections to replicas that had left or had closed their side, and could run out of descriptors on large deployments: up to 24 for each replica that it ever used.

Cause: upstream.Pool.CloseExpired was called nowhere; an expired connection was closed only when the next request to its replica found it.

The ingress service closes expired connections every 2 s, and the gauge connections_idle counts the open ones.

Evidence: edge.TestExpiredConnectionsToReplicasAreClosed fails without the periodic call (not closed within 20 s) and passes with it.

--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -252,3 +252,17 @@
 	is.NoErr(err)
 	is.Equal(len(d.Runs("inner")), 0)
 }
+
+// Guards against idle connections to replicas that stay open for ever, and use up the
+// descriptors of the instance.
+func TestExpiredConnectionsToReplicasAreClosed(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	metric := func(line string) bool {
+		_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + MetricsPath)
+		return strings.Contains(text, line+"\n")
+	}
+	is.Equal(d.do(0, request{Method: "GET", Path: "/look/x"}).Status, http.StatusOK)
+	is.True(!metric("connections_idle 0"))
+	d.eventually("the idle connections are closed", func() bool { return metric("connections_idle 0") })
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/upstream"
+	"github.com/hyssophaven/hyssophaven/worker"
 )
 
 // ServiceName is the service's name in the kernel.
@@ -37,6 +38,9 @@
 	// acceptRetryDelay is the pause after a failed accept, which occurs when the process
 	// runs out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
+	// idleCheckInterval is the time between two searches for idle connections to replicas
+	// that have expired. They are kept for some seconds.
+	idleCheckInterval = 2 * time.Second
 )
 
 // Service is the service that handles callers' requests. It implements
@@ -60,6 +64,7 @@
 	aborting atomic.Bool // the remaining connections of callers are being closed
 	requests openRequests
 	recorder recorder
+	group    *worker.Group
 }
 
 // Options holds the settings and dependencies of a Service.
@@ -77,7 +82,7 @@
 	initWaitCounters(o.Metrics)
 	s := &Service{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
-		recorder: newRecorder(o.Log, o.Metrics),
+		recorder: newRecorder(o.Log, o.Metrics), group: worker.NewGroup(),
 	}
 	s.drained, s.endDrain = context.WithCancel(context.Background())
 	s.requests.export(o.Metrics)
@@ -114,6 +119,7 @@
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
 	go s.callers.run(s.listener)
 	s.serveListener(s.readiness, ready)
+	s.group.Every(idleCheckInterval, nil, func(context.Context) { s.pool.CloseExpired() })
 	return nil
 }
 
@@ -137,7 +143,7 @@
 }
 
 // Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error {
+func (s *Service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.aborting.Store(true)
 	s.endDrain()
@@ -145,5 +151,5 @@
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Warn("closing the callers' listener failed", "error", err)
 	}
-	return errors.Join(s.callers.close(), s.readiness.Close())
+	return errors.Join(s.callers.close(), s.readiness.Close(), s.group.Stop(ctx))
 }
--- a/upstream/idle.go
+++ b/upstream/idle.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// IdleConnections returns the number of idle connections.
+func (p *Pool) IdleConnections() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, conns := range p.idle {
+		n += len(conns)
+	}
+	return int64(n)
+}
+
 // Close closes all idle connections. Connections that are returned later are closed
 // as well.
 func (p *Pool) Close() {
