dispatch: stop using a replica whose answers say that it leaves

Replicas that leave now state it in all their answers (Server-Leaving: 1). The instance ignored the header and kept sending requests until the list of replicas showed the replica as draining, which it may never do, and which no instance learns while the store is unavailable.

The platform adapter decodes the header of every answer: to requests, whether relayed, discarded or broken off, and to orders and requests for a report. Traffic posts it to the control goroutine as soon as the head is read, before the answer is relayed. dispatch records it for the process of the replica (start time, or address if the start is unknown) and marks the replica's description as leaving, so every check of that mark applies: candidates, the last resort, probes, prefix affinity, and the load plan of the order lease's holder. Later entries for the same process don't clear it, a new start does. A request that waits for an adapter is not sent if the notice came meanwhile.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -16,7 +16,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/residency"
@@ -48,6 +50,8 @@
 	Order(o *residency.Order, holder string, epoch uint64) (*upstream.Call, error)
 	// Outcome returns the outcome of an order for the HTTP status of its answer.
 	Outcome(status int) residency.Outcome
+	// Notice returns what a replica asks for in the head of an answer.
+	Notice(h http.Header) dispatch.Notice
 	// Report returns the call that requests the report of a replica.
 	Report(replica string) *upstream.Call
 	// DecodeReport decodes the body of a report.
@@ -119,6 +123,7 @@
 	case err != nil:
 		return residency.Unknown, err
 	}
+	s.control.PostNotice(&catalog.Replica{ID: e.Order.Replica, Address: e.Order.Address}, s.codec.Notice(answer.Header))
 	_, err = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	return s.codec.Outcome(answer.Status), nil
@@ -141,6 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.control.PostNotice(&catalog.Replica{ID: e.Replica, Address: e.Address}, s.codec.Notice(answer.Header))
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	if err != nil {
--- a/controlplane/adapters.go
+++ b/controlplane/adapters.go
@@ -14,8 +14,9 @@
 type adapterKey struct{ replica, model, adapter string }
 
 type adapterWaiter struct {
-	answer   chan<- residency.AdapterResult
-	deadline time.Time
+	answer    chan<- residency.AdapterResult
+	deadline  time.Time
+	forwarded bool // the waiting request is at another instance
 }
 
 // RequestAdapter is published to ask the holder of the order lease to load an adapter
@@ -58,7 +59,7 @@
 
 func (e adapterRequest) apply(c *core, now time.Time) {
 	waiting := c.adapterWaiters[e.key]
-	c.adapterWaiters[e.key] = append(waiting, adapterWaiter{answer: e.answer, deadline: now.Add(adapterTimeout)})
+	c.adapterWaiters[e.key] = append(waiting, adapterWaiter{answer: e.answer, deadline: now.Add(adapterTimeout), forwarded: e.forwarded})
 	switch {
 	case c.canOrder:
 		c.executeActions(now, c.plan.RequestAdapter(now, e.key.replica, e.key.model, e.key.adapter))
@@ -89,11 +90,25 @@
 	}
 	key := adapterKey{result.Replica, result.Model, result.Adapter}
 	for _, w := range c.adapterWaiters[key] {
-		w.answer <- result
+		if w.forwarded {
+			w.answer <- result // the other instance goes by the notices that it has received itself
+		} else {
+			w.answer <- c.checkNotices(result)
+		}
 	}
 	delete(c.adapterWaiters, key)
 }
 
+// checkNotices returns a failure in place of a success on a replica that may no longer
+// get requests, because the waiting request would be sent to it next.
+func (c *core) checkNotices(result residency.AdapterResult) residency.AdapterResult {
+	info := c.dispatch.Replica(result.Replica)
+	if result.OK && info != nil && info.Leaving {
+		result.OK, result.Reason = false, "replica leaves"
+	}
+	return result
+}
+
 // expireAdapterWaiters removes the waiters of each adapter whose last waiter has
 // passed its deadline.
 func (c *core) expireAdapterWaiters(now time.Time) {
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -161,6 +161,7 @@
 		delete(c.loggedReplicas, id)
 	}
 	c.dispatch.SetReplica(id, info)
+	info = c.dispatch.Replica(id)
 	c.plan.SetReplica(now, id, info)
 	c.wakeModelWaiters(info)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -143,6 +143,7 @@
 	config   *catalog.Config
 	replicas map[string]*replica
 	services map[string]*service
+	notices  map[string]notices // by replica ID
 	crashes  crashes
 	// peerCrashes holds the sums of the other instances' crash counts, by
 	// request fingerprint.
@@ -174,7 +175,7 @@
 // New returns a State without replicas.
 func New(options Options) *State {
 	return &State{
-		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
+		options: options, replicas: make(map[string]*replica), services: make(map[string]*service), notices: make(map[string]notices),
 		crashes: make(crashes), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
@@ -205,9 +206,11 @@
 		s.replicas[id] = r
 		svc := s.service(info.Service)
 		svc.replicas = append(svc.replicas, r)
+		s.restoreNotices(r)
 		return
 	}
 	old.update(info)
+	s.restoreNotices(old)
 }
 
 func (s *State) removeFromService(r *replica) {
--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -100,6 +102,16 @@
 	d.t.Fatalf("condition not met in time: %s\n%s", description, d.logs.String())
 }
 
+// logged reports whether a log line contains all of the texts.
+func (d *deployment) logged(texts ...string) bool {
+	for line := range strings.Lines(d.logs.String()) {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *deployment) get(url string) (int, string) { return d.caller.Get(url) }
 
 // request and reply are a caller's request and its result.
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -58,6 +58,7 @@
 	Misdirected bool
 	Signed      bool // the answer carries the replica's signature
 	Report      *dispatch.Report
+	Notice      dispatch.Notice
 }
 
 // Protocol reads and writes the headers of requests and answers. Its methods are safe
