dispatch: send nothing to a replica for its Retry-After

A replica that turns a request away with 503 may state in Retry-After how long it wants nothing from that instance. The instance ignored it: it retried at another replica, but sent the next requests to the first one again, about every second request with two replicas. If all replicas had turned a request away, the caller got the fixed 0.4 s of "all-tried" and came back too early.

The adapter decodes Retry-After of a 503, to requests, orders and requests for a report, and logs and counts a malformed one. dispatch keeps the latest end for the process of the replica and excludes it until then from first sends, retries, probes, prefix affinity and the last resort. If every replica that could serve a request asks for a pause, the request is refused at once with the new cause replicas-paused and the shortest time left. A request that waited for an adapter, up to 0.8 s, is checked again before it is sent. The holder of the order lease sends the replica no orders, fails adapter requests for it at once, and counts the pause as time until the replica can begin a move, so that copies are placed elsewhere if it is long.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -50,8 +50,9 @@
 	Order(o *residency.Order, holder string, epoch uint64) (*upstream.Call, error)
 	// Outcome returns the outcome of an order for the HTTP status of its answer.
 	Outcome(status int) residency.Outcome
-	// Notice returns what a replica asks for in the head of an answer.
-	Notice(h http.Header) dispatch.Notice
+	// Notice returns what a replica asks for in the head of an answer. If a header is
+	// malformed, it returns the others and an error.
+	Notice(status int, h http.Header) (dispatch.Notice, error)
 	// Report returns the call that requests the report of a replica.
 	Report(replica string) *upstream.Call
 	// DecodeReport decodes the body of a report.
@@ -123,7 +124,7 @@
 	case err != nil:
 		return residency.Unknown, err
 	}
-	s.control.PostNotice(&catalog.Replica{ID: e.Order.Replica, Address: e.Order.Address}, s.codec.Notice(answer.Header))
+	s.postNotice(e.Order.Replica, e.Order.Address, answer)
 	_, err = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	return s.codec.Outcome(answer.Status), nil
@@ -146,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.control.PostNotice(&catalog.Replica{ID: e.Replica, Address: e.Address}, s.codec.Notice(answer.Header))
+	s.postNotice(e.Replica, e.Address, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	if err != nil {
@@ -158,6 +159,12 @@
 	return s.codec.DecodeReport(body)
 }
 
+// postNotice posts what a replica asks for in the head of its answer.
+func (s *Service) postNotice(replica, address string, answer *upstream.Answer) {
+	notice, err := s.codec.Notice(answer.Status, answer.Header)
+	s.control.PostNotice(&catalog.Replica{ID: replica, Address: address}, notice, err)
+}
+
 func (s *Service) accessLease(ctx context.Context, e controlplane.AccessLease) {
 	if e.Action == leader.ReadLease {
 		s.readLease(ctx)
--- a/controlplane/adapters.go
+++ b/controlplane/adapters.go
@@ -64,7 +64,7 @@
 	case c.canOrder:
 		c.executeActions(now, c.plan.RequestAdapter(now, e.key.replica, e.key.model, e.key.adapter))
 	case e.forwarded || c.leader.Row().Address == "" || c.leader.Held():
-		c.finishAdapterRequests(residency.AdapterResult{
+		c.finishAdapterRequests(now, residency.AdapterResult{
 			Replica: e.key.replica, Model: e.key.model, Adapter: e.key.adapter, Reason: "no instance gives orders",
 		}, 0)
 	case len(waiting) == 0:
@@ -75,11 +75,11 @@
 // AdapterAnswered reports the result of a request for an adapter.
 type AdapterAnswered struct{ Result residency.AdapterResult }
 
-func (e AdapterAnswered) apply(c *core, _ time.Time) { c.finishAdapterRequests(e.Result, 0) }
+func (e AdapterAnswered) apply(c *core, now time.Time) { c.finishAdapterRequests(now, e.Result, 0) }
 
 // finishAdapterRequests records the result for an adapter and sends it to every
 // waiter, after delay.
-func (c *core) finishAdapterRequests(result residency.AdapterResult, delay time.Duration) {
+func (c *core) finishAdapterRequests(now time.Time, result residency.AdapterResult, delay time.Duration) {
 	if delay > 0 {
 		time.AfterFunc(delay, func() { c.post(AdapterAnswered{Result: result}) })
 		return
@@ -93,7 +93,7 @@
 		if w.forwarded {
 			w.answer <- result // the other instance goes by the notices that it has received itself
 		} else {
-			w.answer <- c.checkNotices(result)
+			w.answer <- c.checkNotices(now, result)
 		}
 	}
 	delete(c.adapterWaiters, key)
@@ -101,10 +101,15 @@
 
 // checkNotices returns a failure in place of a success on a replica that may no longer
 // get requests, because the waiting request would be sent to it next.
-func (c *core) checkNotices(result residency.AdapterResult) residency.AdapterResult {
+func (c *core) checkNotices(now time.Time, result residency.AdapterResult) residency.AdapterResult {
 	info := c.dispatch.Replica(result.Replica)
-	if result.OK && info != nil && info.Leaving {
+	if !result.OK || info == nil {
+		return result
+	}
+	if info.Leaving {
 		result.OK, result.Reason = false, "replica leaves"
+	} else if now.Before(c.dispatch.BackoffUntil(result.Replica)) {
+		result.OK, result.Reason = false, "replica backs off"
 	}
 	return result
 }
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -88,6 +88,7 @@
 		stateInterval: StateInterval, storeUnavailable: make(map[string]bool), tableVersions: make(map[string]uint64), behindSince: make(map[string]time.Time), loggedReplicas: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapterWaiters: make(map[adapterKey][]adapterWaiter), modelWaiters: make(map[string][]modelWaiter),
 	}
+	c.initNoticeCounters()
 	return c
 }
 
@@ -163,5 +164,6 @@
 	c.dispatch.SetReplica(id, info)
 	info = c.dispatch.Replica(id)
 	c.plan.SetReplica(now, id, info)
+	c.plan.SetBackoff(id, c.dispatch.BackoffUntil(id))
 	c.wakeModelWaiters(info)
 }
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -127,7 +127,7 @@
 				c.executeActions(now, c.plan.HandleReport(now, a.ReportFrom, nil))
 			}
 		case a.AdapterResult != nil:
-			c.finishAdapterRequests(*a.AdapterResult, a.Delay)
+			c.finishAdapterRequests(now, *a.AdapterResult, a.Delay)
 		}
 	}
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -137,10 +137,12 @@
 // is none. Ejected replicas that are reachable are returned if there is no other.
 func (s *State) candidates(now time.Time, svc *service, req *Request, tried []string) ([]*replica, Cause) {
 	var usable, failing []*replica
-	cause := CauseNoReplica
+	cause, backoff := CauseNoReplica, false
 	for _, r := range svc.replicas {
 		switch {
 		case r.info.Leaving:
+		case r.backsOff(now) && r.serves(req):
+			backoff = true
 		case slices.Contains(tried, r.info.ID):
 			cause = CauseAllTried
 		case req.Model != "" && !r.info.Holds(req.Model):
@@ -165,6 +167,9 @@
 	if len(usable) == 0 {
 		usable = failing
 	}
+	if backoff && (cause == CauseNoReplica || cause == CauseNotLoaded) {
+		cause = CauseBackoff
+	}
 	return usable, cause
 }
 
@@ -174,7 +179,7 @@
 // each took the replica with the lowest score, that replica would get all requests.
 func (s *State) sampleReplica(now time.Time, svc *service, usable []*replica, req *Request, level int) *replica {
 	scores := make([]time.Duration, len(usable))
-	preferredID, bonus := s.prefixAffinity(svc, req)
+	preferredID, bonus := s.prefixAffinity(now, svc, req)
 	for i, r := range usable {
 		scores[i] = s.score(now, svc, r, req, level)
 		if r.info.ID == preferredID {
@@ -212,6 +217,8 @@
 		}
 	case CauseOrdersUnavailable:
 		wait, known = s.ordersAvailableIn, true
+	case CauseBackoff:
+		d.RetryAfter = s.shortestBackoff(now, req)
 	case CauseAdapterBlocked:
 		wait, known = s.timeUntilOrders(now, req)
 	}
@@ -241,7 +248,7 @@
 		if r.info.Leaving || !r.changingModel || !r.info.Holds(req.Model) || slices.Contains(r.unloading, req.Model) {
 			continue
 		}
-		if left := max(0, r.changingModelUntil.Sub(now)) + arrivalMargin; !known || left < wait {
+		if left := max(0, r.changingModelUntil.Sub(now), r.backoffUntil.Sub(now)) + arrivalMargin; !known || left < wait {
 			wait, known = left, true
 		}
 	}
@@ -264,7 +271,7 @@
 // prefixAffinity returns the ID of the replica that all instances prefer for the
 // shared parts of a request's prompt, or "", and the amount to subtract from its
 // score. All parts but the last count as shared.
-func (s *State) prefixAffinity(svc *service, req *Request) (id string, bonus time.Duration) {
+func (s *State) prefixAffinity(now time.Time, svc *service, req *Request) (id string, bonus time.Duration) {
 	if req.Model == "" || len(req.Parts) < 2 {
 		return "", 0
 	}
@@ -274,16 +281,16 @@
 		tokens += p.Tokens
 	}
 	work := float64(tokens) * s.LatencyProfile(req.Model).PerToken
-	return affinityReplica(svc, req.Model, shared[len(shared)-1].Key), time.Duration(affinityShare * float64(prefillTime(work)))
+	return affinityReplica(now, svc, req.Model, shared[len(shared)-1].Key), time.Duration(affinityShare * float64(prefillTime(work)))
 }
 
 // affinityReplica returns the ID of the replica that rendezvous hashing selects
 // for a shared prompt part, or "" if no replica holds the model.
-func affinityReplica(svc *service, model string, key uint64) string {
+func affinityReplica(now time.Time, svc *service, model string, key uint64) string {
 	var best string
 	var highest uint64
 	for _, r := range svc.replicas {
-		if r.info.Leaving || r.ejectionTime > 0 || !r.info.Holds(model) {
+		if r.info.Leaving || r.backsOff(now) || r.ejectionTime > 0 || !r.info.Holds(model) {
 			continue
 		}
 		if w := rendezvous.Score(key, r.idHash); best == "" || w > highest {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	CauseUnloading         Cause = "model-unloading" // the replicas that hold the model unload it
 	CauseAllTried          Cause = "all-tried"       // no untried replica is left
 	CauseEjected           Cause = "replicas-aside"  // all replicas are ejected after failures
+	CauseBackoff           Cause = "replicas-paused" // all replicas have asked for a pause
 	CauseRetryBudget       Cause = "retry-budget"
 	CauseMaxAttempts       Cause = "attempts-used"
 	CauseCrashes           Cause = "crashes-replicas"
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -99,8 +99,9 @@
 	probing             bool          // a probe request is in flight
 	changingModel       bool          // it loads or unloads a model, and accepts no other order
 	changingModelUntil  time.Time
-	adapterSlotsFull    bool     // all adapter slots are in use
-	unloading           []string // models that are being unloaded or are about to be
+	adapterSlotsFull    bool      // all adapter slots are in use
+	unloading           []string  // models that are being unloaded or are about to be
+	backoffUntil        time.Time // no requests before this time, as the replica asked
 	prefixes            prefixes
 }
 
@@ -194,6 +195,12 @@
 	return false
 }
 
+// serves reports whether the replica holds the request's model, if it has one, and is
+// not about to unload it.
+func (r *replica) serves(req *Request) bool {
+	return req.Model == "" || r.info.Holds(req.Model) && !slices.Contains(r.unloading, req.Model)
+}
+
 // usableAsLastResort reports whether an ejected replica can get a request if no
 // other replica can. A failing replica still succeeds sometimes, but an
 // unreachable one does not.
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -94,17 +96,78 @@
 	is.Equal(d.arrivalsDuring(d.Engines[0], 20, request{Method: "POST", Path: "/chat/x", Model: "m1"}), 0)
 
 	d = startDeployment(t, 1)
-	engine := d.Engines[1]
-	d.eventually("the instance gives orders", func() bool { return d.logged("order lease", "ordering=true") })
 	d.eventually("engines reported", func() bool {
 		return d.do(0, request{Method: "POST", Path: "/chat/x", Model: "m1/a1"}).Status == http.StatusOK
 	})
-	engine.SetLeaving(true)
-	before := engine.Arrivals()
-	for i := 2; !d.logged("replica leaves", "replica="+engine.ID); i++ {
-		is.True(i <= 8) // Config declares 8 adapters
-		d.do(0, request{Method: "POST", Path: "/chat/x", Model: fmt.Sprintf("m1/a%d", i)})
+	arrivals := 0
+	for _, e := range d.Engines {
+		e.SetLeaving(true)
+		arrivals += e.Arrivals()
+	}
+	d.eventually("both engines state it in answers to orders", func() bool {
+		d.do(0, request{Method: "POST", Path: "/chat/x", Model: "m1/a2"})
+		return d.logged("replica leaves", "replica=engine-0") && d.logged("replica leaves", "replica=engine-1")
+	})
+	is.Equal(d.Engines[0].Arrivals()+d.Engines[1].Arrivals(), arrivals)
+}
+
+// Guards against requests to a replica that has refused one with a Retry-After, before
+// that time is over, and against one that gets none afterwards.
+func TestReplicaThatBacksOffGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	app, look := d.Apps[0], request{Method: "GET", Path: "/look/x"}
+	const pause = 1500 * time.Millisecond
+	app.SetShedding("1.5")
+	started := time.Now()
+	d.sendUntilArrival(app, look)
+	app.SetShedding("")
+	before := app.Arrivals()
+	for time.Since(started) < pause-200*time.Millisecond {
+		is.Equal(d.do(0, look).Status, http.StatusOK)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if arrivals := app.Arrivals(); time.Since(started) < pause { // otherwise the machine stalled
+		is.Equal(arrivals, before)
+	}
+	d.sendUntilArrival(app, look)
+	is.True(time.Since(started) > pause)
+}
+
+// Guards against requests that wait, or are sent, while all replicas back off, and
+// against a refusal that does not state when the first of them accepts requests again.
+func TestAllReplicasBackOff(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	d.Apps[0].SetShedding("5")
+	d.Apps[1].SetShedding("30")
+	book := request{Method: "POST", Path: "/book/x", Body: "b"}
+	d.eventually("both replicas back off", func() bool {
+		d.do(0, book)
+		return d.logged("replica backs off", "replica=app-0") && d.logged("replica backs off", "replica=app-1")
+	})
+	arrivals := d.Apps[0].Arrivals() + d.Apps[1].Arrivals()
+	for range 10 {
+		got := d.do(0, book)
+		is.NoErr(got.Err)
+		is.Equal(got.Status, http.StatusServiceUnavailable)
+		is.Equal(got.Body, "replicas-paused\n")
+		seconds, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds > 0 && seconds <= 5)
+	}
+	is.Equal(d.Apps[0].Arrivals()+d.Apps[1].Arrivals(), arrivals)
+}
+
+// Guards against a malformed Retry-After that keeps requests away from a replica, or
+// that leaves no trace in the log.
+func TestMalformedRetryAfterIsIgnored(t *testing.T) {
+	d := startDeployment(t, 1)
+	app, look := d.Apps[0], request{Method: "GET", Path: "/look/x"}
+	for _, value := range []string{"-3", "soon", "NaN"} {
+		app.SetShedding(value)
+		d.sendUntilArrival(app, look)
+		d.sendUntilArrival(app, look)
+		d.eventually(value+" is logged", func() bool { return d.logged("answer header ignored", "replica="+app.ID, value) })
 	}
-	is.Equal(engine.Arrivals(), before)
-	is.Equal(d.arrivalsDuring(engine, 20, request{Method: "POST", Path: "/chat/x", Model: "m1"}), 0)
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -133,7 +133,7 @@
 		return outcome, false
 	}
 	head := x.service.protocol.ReadAnswer(answer.Status, answer.Header)
-	x.service.control.PostNotice(d.Replica, head.Notice)
+	x.service.control.PostNotice(d.Replica, head.Notice, head.NoticeErr)
 	outcome, done, err = x.relay(f, answer, head, sent)
 	answer.Close(err == nil && outcome != dispatch.Canceled)
 	x.recordAttempt(f, outcome, err)
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -58,7 +58,10 @@
 	Misdirected bool
 	Signed      bool // the answer carries the replica's signature
 	Report      *dispatch.Report
-	Notice      dispatch.Notice
+	// Notice is what the replica asks for. NoticeErr is set if a header of it is
+	// malformed.
+	Notice    dispatch.Notice
+	NoticeErr error
 }
 
 // Protocol reads and writes the headers of requests and answers. Its methods are safe
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -208,6 +208,8 @@
 // timeUntilIdle returns the expected time until the replica can begin a move.
 func (r *replica) timeUntilIdle(now time.Time) time.Duration {
 	switch {
+	case r.backsOff(now):
+		return r.backoffUntil.Sub(now)
 	case r.loading != "":
 		return max(r.loadDue.Sub(now), evictionNotice)
 	case r.move != nil || r.unloading != "":
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -31,9 +31,11 @@
 
 // canReceiveOrder reports whether an order can be sent to the replica now.
 func (r *replica) canReceiveOrder(now time.Time) bool {
-	return r.ordersKnown && r.pendingOrder == nil && !r.reportPending && !now.Before(r.retryAt)
+	return r.ordersKnown && r.pendingOrder == nil && !r.reportPending && !now.Before(r.retryAt) && !r.backsOff(now)
 }
 
+func (r *replica) backsOff(now time.Time) bool { return now.Before(r.backoffUntil) }
+
 // ModelChanges returns the replicas that load or unload a model, with the expected
 // time until they finish. They accept no other order until then.
 func (s *State) ModelChanges(now time.Time) map[string]time.Duration {
@@ -103,6 +105,9 @@
 		case r.isChangingModel():
 			actions = append(actions, r.finishAdapterRequest(id, "replica is loading a model", 0))
 			continue
+		case r.backsOff(now):
+			actions = append(actions, r.finishAdapterRequest(id, "replica backs off", 0))
+			continue
 		case !r.ordersKnown:
 			return append(actions, s.requestReport(now, id, r)...)
 		case !r.canReceiveOrder(now):
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	overdue := (r.loading != "" && now.After(r.loadOverdueAt)) || (r.unloading != "" && now.After(r.unloadOverdueAt))
-	if !r.ordersKnown || overdue {
+	if (!r.ordersKnown || overdue) && !r.backsOff(now) {
 		r.loadOverdueAt, r.unloadOverdueAt = now.Add(unloadCheckDelay), now.Add(unloadCheckDelay)
 		return s.requestReport(now, id, r)
 	}
@@ -134,6 +134,9 @@
 // nextMoveOrder returns the next order of the replica's move: an unload that
 // makes room, or the load. It returns nothing while the move has to wait.
 func (s *State) nextMoveOrder(now time.Time, e *catalog.Engine, id string, r *replica) []Action {
+	if r.backsOff(now) {
+		r.move = nil // another replica can be chosen for the copy
+	}
 	m := r.move
 	if m == nil || !r.canReceiveOrder(now) || r.isChangingModel() {
 		return nil
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -208,3 +208,30 @@
 	is.Equal(len(unloadedAdapters(p.state.Plan(p.now))), 0)
 	is.Equal(len(unloadedAdapters(p.state.RequestAdapter(p.now, "r0", "m0", "a4"))), 1)
 }
+
+// Guards against orders to a replica that wants none for a while, against a copy that
+// waits for that replica although another has room, and against a replica that gets no
+// orders afterwards.
+func TestNoOrdersDuringBackoff(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(3, nil, nil)
+	r := p.state.replicas["r0"]
+	until := p.now.Add(time.Minute)
+	r.move = &move{model: &p.state.config.Services[serviceName].Engine.Models[0], deadline: until}
+	p.state.SetBackoff("r0", until)
+	orders := func() map[string]int {
+		out := make(map[string]int)
+		for _, a := range p.state.Plan(p.now) {
+			if a.Order != nil {
+				out[a.Order.Replica]++
+			}
+		}
+		return out
+	}
+	got := orders()
+	is.Equal(got["r0"], 0)
+	is.Equal(got["r1"], 1)
+	is.True(r.move == nil)
+	p.now = until
+	is.Equal(orders()["r0"], 1)
+}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -145,6 +145,7 @@
 	reportPending   bool                  // a report was requested
 	pendingOrder    *Order
 	retryAt         time.Time
+	backoffUntil    time.Time // the replica wants no orders before this time
 	loading         string    // model that is being loaded
 	loadFromStore   bool      // the load uses the weight store
 	loadDue         time.Time // expected end of the load
@@ -356,6 +357,13 @@
 	}
 }
 
+// SetBackoff records that a replica wants no orders before a time.
+func (s *State) SetBackoff(id string, until time.Time) {
+	if r, ok := s.replicas[id]; ok {
+		r.backoffUntil = until
+	}
+}
+
 // SetRunning records the number of requests that run or wait on replicas, by
 // replica and model.
 func (s *State) SetRunning(running map[string]map[string]int) {
--- a/residency/status.go
+++ b/residency/status.go
@@ -54,6 +54,8 @@
 			out[id] = "not reported"
 		case now.Before(r.retryAt):
 			out[id] = "pause after an order"
+		case r.backsOff(now):
+			out[id] = "backs off"
 		case r.isChangingModel():
 			out[id] = "model " + r.loading + r.unloading
 		case len(r.adapterRequests) > 0:
