--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -16,7 +16,9 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/residency"
@@ -48,6 +50,9 @@
 	Order(o *residency.Order, holder string, epoch uint64) (*upstream.Call, error)
 	// Outcome returns the outcome of an order for the HTTP status of its answer.
 	Outcome(status int) residency.Outcome
+	// Notice returns what a replica asks for in the head of an answer. If a header is
+	// malformed, it returns the others and an error.
+	Notice(status int, h http.Header) (dispatch.Notice, error)
 	// Report returns the call that requests the report of a replica.
 	Report(replica string) *upstream.Call
 	// DecodeReport decodes the body of a report.
@@ -119,6 +124,7 @@
 	case err != nil:
 		return residency.Unknown, err
 	}
+	s.postNotice(e.Order.Replica, e.Order.Address, answer)
 	_, err = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	return s.codec.Outcome(answer.Status), nil
@@ -141,6 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.postNotice(e.Replica, e.Address, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
 	answer.Close(err == nil)
 	if err != nil {
@@ -152,6 +159,12 @@
 	return s.codec.DecodeReport(body)
 }
 
+// postNotice posts what a replica asks for in the head of its answer.
+func (s *Service) postNotice(replica, address string, answer *upstream.Answer) {
+	notice, err := s.codec.Notice(answer.Status, answer.Header)
+	s.control.PostNotice(&catalog.Replica{ID: replica, Address: address}, notice, err)
+}
+
 func (s *Service) accessLease(ctx context.Context, e controlplane.AccessLease) {
 	if e.Action == leader.ReadLease {
 		s.readLease(ctx)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	CauseUnloading         Cause = "model-unloading" // the replicas that hold the model unload it
 	CauseAllTried          Cause = "all-tried"       // no untried replica is left
 	CauseEjected           Cause = "replicas-aside"  // all replicas are ejected after failures
+	CauseBackoff           Cause = "replicas-paused" // all replicas have asked for a pause
 	CauseRetryBudget       Cause = "retry-budget"
 	CauseMaxAttempts       Cause = "attempts-used"
 	CauseCrashes           Cause = "crashes-replicas"
@@ -153,6 +154,7 @@
 	config   *catalog.Config
 	replicas map[string]*replica
 	services map[string]*service
+	notices  map[string]notices // by replica ID
 	crashes  crashes
 	// peerCrashes holds the sums of the other instances' crash counts, by
 	// request fingerprint.
@@ -188,7 +190,7 @@
 // New returns a State without replicas.
 func New(options Options) *State {
 	return &State{
-		options: options, replicas: make(map[string]*replica), services: make(map[string]*service),
+		options: options, replicas: make(map[string]*replica), services: make(map[string]*service), notices: make(map[string]notices),
 		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
@@ -219,9 +221,11 @@
 		s.replicas[id] = r
 		svc := s.service(info.Service)
 		svc.replicas = append(svc.replicas, r)
+		s.restoreNotices(r)
 		return
 	}
 	old.update(info)
+	s.restoreNotices(old)
 }
 
 func (s *State) removeFromService(r *replica) {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -63,6 +63,7 @@
 		return
 	}
 	s.head = x.service.protocol.ReadAnswer(s.answer.Status, s.answer.Header)
+	x.service.control.PostNotice(d.Replica, s.head.Notice, s.head.NoticeErr)
 }
 
 // relaySend relays the answer of a send to the caller and ends the send. done reports
