upstream: limit the head of an answer

A replica that sends the head of an answer without end made the instance take in everything until its answer timeout: http.ReadResponse has no limit, and 256 MB of one header line cost 1.2 GB from the operating system, where an instance has 184 to 536 MB. An endless series of interim answers was followed in the same way.

Cause: the buffer of a connection read from the socket directly. It now reads through a limiter that is on while heads are read: 64 KB for the head with its interim answers, at most 5 interim answers. The limit counts bytes taken from the socket, is off for the body, and starts again with the next answer on the connection. The error is an ErrConnectionBroken with a LimitError as its cause, so callers of the package handle it as any broken answer; it is counted in answers_cut_off and logged with request, replica and part.

The framing of a chunked body is limited by net/http already (trailer and size line 4 KB, overhead of chunks 16 KB); a test holds that.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -73,6 +73,7 @@
 	dial := netdial.NewDialFunc(dialTimeout)
 	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
 	registry.Func("connections_opened", pool.ConnectionsOpened)
+	registry.Func("answers_cut_off", pool.AnswersCutOff)
 	registry.Func("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 	registry.Func("memory_bytes", heapInUse)
 	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
 // sampleInterval is the number of ordinary requests per logged one. An ordinary request
@@ -63,6 +65,10 @@
 		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running, urgency: d.Urgency, timeToFirstByte: x.timeToFirstByte,
 		cachedTokens: d.CachedTokens, adapterLoaded: d.NeedsAdapter, endedAfter: time.Since(x.arrived), sentAfter: f.SentAt.Sub(x.arrived),
 	})
+	var limit *upstream.LimitError
+	if errors.As(err, &limit) {
+		x.service.log.Warn("answer of replica cut off", "request", x.head.ID, "replica", d.Replica.ID, "address", d.Replica.Address, "part", limit.Part, "limit", limit.Limit)
+	}
 	x.service.metrics.Counter("sends", "kind", x.route.Kind.String(), "outcome", outcome.String()).Add(1)
 }
 
--- /dev/null
+++ b/internal/rawservertest/rawservertest.go
@@ -0,0 +1,112 @@
+// Package rawservertest provides a server for tests that answers HTTP requests with
+// arbitrary bytes, also without end, and a dial function that counts the bytes that
+// a client takes from its connections.
+package rawservertest
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+)
+
+// EndlessBytes is the size at which WriteEndlessly gives up. It is far above every
+// limit of a client together with the buffers of the operating system.
+const EndlessBytes = 256 << 20
+
+// Server counts its connections and requests.
+type Server struct {
+	Address     string
+	Connections atomic.Int64
+	Requests    atomic.Int64
+}
+
+// Start starts a server that calls answer for each request. The second argument of
+// answer is the number of the request. The connection is closed if answer closes it
+// or the client does.
+func Start(t testing.TB, answer func(c net.Conn, n int64)) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &Server{Address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.Connections.Add(1)
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *Server) serve(c net.Conn, answer func(c net.Conn, n int64)) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		answer(c, s.Requests.Add(1))
+	}
+}
+
+// WriteEndlessly writes prefix and then chunk repeatedly until the client closes the
+// connection. It returns false if the client has let EndlessBytes pass.
+func WriteEndlessly(c net.Conn, prefix string, chunk []byte) bool {
+	if _, err := io.WriteString(c, prefix); err != nil {
+		return true
+	}
+	for written := 0; written < EndlessBytes; written += len(chunk) {
+		if _, err := c.Write(chunk); err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Reset closes a connection with a TCP reset.
+func Reset(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return errors.New("not a TCP connection")
+	}
+	return errors.Join(tcp.SetLinger(0), tcp.Close())
+}
+
+// CountingDial returns a dial function that adds the bytes read from its connections
+// to n.
+func CountingDial(n *atomic.Int64) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{Conn: c, n: n}, nil
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/upstream/idle.go
+++ b/upstream/idle.go
@@ -29,7 +29,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	limiter := &headLimiter{conn: raw}
+	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address}, nil
 }
 
 // popIdle removes and returns the idle connection that was used last, or nil if
--- /dev/null
+++ b/upstream/limit.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+)
+
+const (
+	// maxHeadBytes limits the head of an answer together with the interim answers
+	// before it. It is the limit for callers' requests in package ingress. Replicas'
+	// heads have some hundred bytes.
+	maxHeadBytes = 64 << 10
+	// maxInterimAnswers limits the interim answers (status 1xx) before an answer. It
+	// is the limit of http.Transport.
+	maxInterimAnswers = 5
+)
+
+// LimitError means that a part of an answer exceeded its limit. The rest of the
+// answer is not read and its connection is closed.
+type LimitError struct {
+	Part  string // what exceeded the limit, such as "head"
+	Limit int64  // in bytes, except for "interim answers"
+}
+
+// Error implements error.
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("answer exceeds a limit: %s, limit %d", e.Part, e.Limit)
+}
+
+// AnswersCutOff returns the number of answers that exceeded a limit since the pool was
+// created.
+func (p *Pool) AnswersCutOff() int64 { return p.cutOff.Load() }
+
+// LimitExceeded counts the answer as cut off and returns the error for it, which is an
+// ErrConnectionBroken and a LimitError. Readers of an answer call it if a part of the
+// answer is larger than they accept. The limit is in bytes.
+func (a *Answer) LimitExceeded(part string, limit int64) error {
+	a.pool.cutOff.Add(1)
+	return fmt.Errorf("%w: %w", ErrConnectionBroken, &LimitError{Part: part, Limit: limit})
+}
+
+// headLimiter reads from a connection and, while a head is being read, limits the
+// bytes that are taken from it. The bytes of a body need no limit here, because its
+// reader does not keep them; package net/http limits the framing of a chunked body.
+type headLimiter struct {
+	conn    net.Conn
+	limited bool
+	left    int // bytes left while limited; -1 after a read beyond the limit
+}
+
+func (l *headLimiter) limit(n int) { l.limited, l.left = true, n }
+
+// exceeded reports whether a read was refused since limit was called.
+func (l *headLimiter) exceeded() bool { return l.left < 0 }
+
+func (l *headLimiter) unlimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(b)
+	}
+	if l.left <= 0 {
+		l.left = -1
+		return 0, &LimitError{Part: "head", Limit: maxHeadBytes}
+	}
+	n, err := l.conn.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -77,6 +77,7 @@
 	idle   map[string][]*conn
 	closed bool
 	opened atomic.Int64
+	cutOff atomic.Int64 // answers that exceeded a limit
 }
 
 // NewPool returns an empty pool.
@@ -87,6 +88,7 @@
 
 type conn struct {
 	net.Conn
+	limiter *headLimiter // reads from Conn
 	reader  *bufio.Reader
 	address string
 	expires time.Time
@@ -180,12 +182,22 @@
 	return b.Bytes()
 }
 
-// readHead reads the head of the answer and skips interim answers (status 1xx).
+// readHead reads the head of the answer and skips up to maxInterimAnswers interim
+// answers (status 1xx). All heads together have at most maxHeadBytes.
 func (a *Answer) readHead(call *Call, answerTimeout time.Duration) error {
 	_ = a.conn.SetReadDeadline(time.Now().Add(answerTimeout))
+	a.conn.limiter.limit(maxHeadBytes)
+	defer a.conn.limiter.unlimit()
 	request := &http.Request{Method: call.Method}
-	for {
+	for interim := 0; ; interim++ {
+		if interim > maxInterimAnswers {
+			return a.LimitExceeded("interim answers", maxInterimAnswers)
+		}
 		response, err := http.ReadResponse(a.conn.reader, request)
+		if err != nil && a.conn.limiter.exceeded() {
+			// Package textproto can return another error for the incomplete line.
+			return a.LimitExceeded("head", maxHeadBytes)
+		}
 		if err != nil {
 			return a.readError(err)
 		}
