upstream: reject an answer with an invalid status

A replica's answer with status 000 to 099 left its caller without any answer: the connection was closed, no line recorded the end of the request, and the replica's count of running requests stayed one too high.

Cause: http.ReadResponse accepts every status of three digits that is not negative, and http.ResponseWriter.WriteHeader panics below 100. The panic skipped control.Finish. Such an answer is an ErrConnectionBroken now, as is 101, after which the connection no longer carries HTTP.

Found by FuzzAnswer ("HTTP/2.0 000"); the input is in its seed corpus.

--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -124,7 +124,7 @@
 func FuzzAnswer(f *testing.F) {
 	for _, s := range []string{
 		okAnswer, "HTTP/1.1 200 OK\r\n\r\nno length", "HTTP/1.1 100 Continue\r\n\r\n" + okAnswer, okAnswer + "extra",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: 1\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "\x00\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: 1\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/2.0 000\nContent-Length:0\n\n", "\x00\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -143,6 +143,9 @@
 			}
 			return
 		}
+		if a.Status < 200 || a.Status > 999 {
+			t.Fatalf("answer with status %d", a.Status)
+		}
 		body, err := io.ReadAll(a)
 		if err != nil && !errors.Is(err, ErrConnectionBroken) {
 			t.Fatalf("unknown error: %v", err)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -30,6 +30,11 @@
 	ErrConnectionBroken = errors.New("upstream: connection broken")
 	// ErrAnswerTimeout means that the answer, or its next part, did not arrive in time.
 	ErrAnswerTimeout = errors.New("upstream: no answer in time")
+
+	// errInvalidStatus means a status that HTTP does not have, which http.ReadResponse
+	// accepts and http.ResponseWriter does not, or a change of the protocol, which no
+	// request asks for.
+	errInvalidStatus = errors.New("answer has the invalid status")
 )
 
 const (
@@ -201,7 +206,10 @@
 		if err != nil {
 			return a.readError(err)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
+		}
+		if response.StatusCode < 200 {
 			continue
 		}
 		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
