--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -1,14 +1,17 @@
 package edge
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
 	"github.com/hyssophaven/hyssophaven/platform/platformtest"
 )
 
@@ -36,3 +39,29 @@
 		})
 	}
 }
+
+// streamHead ends the head of a stream that has neither a length nor chunks.
+const streamHead = "Content-Type: text/event-stream\r\n\r\n"
+
+// Guards against an instance that runs out of memory because a replica sends an event
+// without end, and against such a stream that is not resumed.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	var written atomic.Int64
+	setRawAnswer(d.Engines, func(c net.Conn, head string, lastEvent int) {
+		if lastEvent > 0 {
+			_, _ = io.WriteString(c, head+streamHead+"id: 2\ndata: whole\n\n")
+			return
+		}
+		event := "id: 1\ndata: first\n\nid: 2\ndata: "
+		written.Store(int64(rawservertest.WriteEndlessly(c, head+streamHead+event, bytes.Repeat([]byte("a"), 64<<10))))
+	})
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "long", Model: "m1", Body: "p"})
+	is.NoErr(got.Err)
+	is.Equal(got.Body, "id: 1\ndata: first\n\nid: 2\ndata: whole\n\n")
+	is.Equal(len(d.Runs("long")), 2)
+	d.eventually("the replica's connection is closed", func() bool { return written.Load() > 0 })
+	is.True(written.Load() < rawservertest.SocketBytes)
+	is.True(strings.Contains(d.logs.String(), "answer of replica cut off"))
+}
--- a/internal/rawservertest/rawservertest.go
+++ b/internal/rawservertest/rawservertest.go
@@ -18,6 +18,10 @@
 // limit of a client together with the buffers of the operating system.
 const EndlessBytes = 256 << 20
 
+// SocketBytes is an upper limit for the bytes that a server can write before the
+// client reads any, because the operating system buffers them.
+const SocketBytes = 32 << 20
+
 // Server counts its connections and requests.
 type Server struct {
 	Address     string
@@ -65,17 +69,15 @@
 }
 
 // WriteEndlessly writes prefix and then chunk repeatedly until the client closes the
-// connection. It returns false if the client has let EndlessBytes pass.
-func WriteEndlessly(c net.Conn, prefix string, chunk []byte) bool {
-	if _, err := io.WriteString(c, prefix); err != nil {
-		return true
-	}
-	for written := 0; written < EndlessBytes; written += len(chunk) {
-		if _, err := c.Write(chunk); err != nil {
-			return true
-		}
+// connection or EndlessBytes are written. It returns the number of bytes written.
+func WriteEndlessly(c net.Conn, prefix string, chunk []byte) int {
+	written, err := io.WriteString(c, prefix)
+	for err == nil && written < EndlessBytes {
+		var n int
+		n, err = c.Write(chunk)
+		written += n
 	}
-	return false
+	return written
 }
 
 // Reset closes a connection with a TCP reset.
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -24,7 +24,7 @@
 func endlessWriter(t *testing.T, prefix, chunk string) *rawservertest.Server {
 	repeated := []byte(strings.Repeat(chunk, 64<<10/len(chunk)+1))
 	return rawservertest.Start(t, func(c net.Conn, _ int64) {
-		rawservertest.WriteEndlessly(c, prefix, repeated)
+		_ = rawservertest.WriteEndlessly(c, prefix, repeated)
 		_ = c.Close()
 	})
 }
