ingress: recognize events that end with CR or CRLF

A stream whose lines end with CRLF (or CR) reached its caller only at its end, or not at all: the caller got "502 crashes-replicas" although the replica had sent whole events.

Cause: only "\n\n" ended an event, while server-sent events allow CR, LF and CRLF. The splitter now looks for a blank line of any of the three. Where a CR and its LF arrive apart, the LF goes on as one more blank line, so no byte waits for one that may not come.

TestStreamWithCarriageReturnsIsRelayed before the change: crashes-replicas != id: 1 data: a id: 2 data: b It passes afterwards, as do ingress and edge with -race.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -65,3 +66,22 @@
 	is.True(written.Load() < rawservertest.SocketBytes)
 	is.True(strings.Contains(d.logs.String(), "answer of replica cut off"))
 }
+
+// Guards against a stream with CRLF line ends that is kept back until its end and then
+// taken for a truncated one, and against its resumption after the wrong event.
+func TestStreamWithCarriageReturnsIsRelayed(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	setRawAnswer(d.Engines, func(c net.Conn, head string, lastEvent int) {
+		head += streamHead
+		if lastEvent == 0 {
+			_, _ = io.WriteString(c, head+"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda")
+			return
+		}
+		_, _ = fmt.Fprintf(c, "%sid: %d\r\ndata: b\r\n\r\n", head, lastEvent+1)
+	})
+	got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "crlf", Model: "m1", Body: "p"})
+	is.NoErr(got.Err)
+	is.Equal(got.Body, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n")
+	is.Equal(len(d.Runs("crlf")), 2)
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -25,8 +25,6 @@
 	maxEventBytes = 64 << 10
 )
 
-var eventEnd = []byte("\n\n")
-
 // freeSpace returns the unused part of the buffer, and grows the buffer if less than
 // half of its initial size is unused.
 func (s *eventStream) freeSpace() []byte {
@@ -42,54 +40,92 @@
 // the events that are complete.
 func (s *eventStream) forwardEvents(n int) error {
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	end := bytes.LastIndex(s.buffer, eventEnd)
-	if end < 0 {
-		if len(s.buffer) > maxEventBytes {
-			return s.answer.LimitExceeded("event", maxEventBytes)
-		}
-		return nil
-	}
-	end += len(eventEnd)
-	events := s.buffer[:end]
-	last, err := s.checkOrder(events)
+	end, last, err := scanEvents(s.buffer, s.exchange.lastEvent)
 	if err != nil {
 		return err
 	}
-	if err := s.exchange.writeEvents(s.answer, events); err != nil {
-		return err
+	if len(s.buffer)-end > maxEventBytes {
+		return s.answer.LimitExceeded("event", maxEventBytes)
 	}
-	if last != "" {
-		s.exchange.lastEvent = last
+	if end == 0 {
+		return nil
+	}
+	if err := s.exchange.writeEvents(s.answer, s.buffer[:end]); err != nil {
+		return err
 	}
+	s.exchange.lastEvent = last
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[end:])]
 	return nil
 }
 
-// checkOrder returns the id of the last event. It returns an error if the ids do not
+// scanEvents returns the end of the last complete event in b and the id of the last
+// event that has one; if there is none, last. It returns an error if the ids do not
 // increase, including from one replica of a resumed stream to the next.
-func (s *eventStream) checkOrder(events []byte) (string, error) {
-	last := s.exchange.lastEvent
-	for _, event := range bytes.Split(events, eventEnd) {
-		id := eventID(event)
-		if id == "" {
-			continue
+func scanEvents(b []byte, last string) (end int, lastID string, err error) {
+	for {
+		n := eventLength(b[end:])
+		if n == 0 {
+			return end, last, nil
 		}
-		if !followsEvent(id, last) {
-			return "", fmt.Errorf("%w: %q after %q", errEventOrder, id, last)
+		id := eventID(b[end : end+n])
+		if id != "" && !followsEvent(id, last) {
+			return 0, "", fmt.Errorf("%w: %q after %q", errEventOrder, id, last)
 		}
-		last = id
+		if id != "" {
+			last = id
+		}
+		end += n
 	}
-	return last, nil
+}
+
+// eventLength returns the length of the first event in b with the blank line at its
+// end, or 0 if that line has not arrived. A blank line alone counts as an event.
+func eventLength(b []byte) int {
+	for end := 0; ; {
+		line, n := cutLine(b[end:])
+		if n == 0 {
+			return 0
+		}
+		end += n
+		if len(line) == 0 {
+			return end
+		}
+	}
+}
+
+// cutLine returns the first line in b without its end, and its length with the end,
+// which is CR, LF or CRLF. The length is 0 if there is no whole line. A CR at the end
+// of b counts as the end of a line; if an LF follows it later, the LF counts as one
+// more blank line after the event, which is relayed like any other.
+func cutLine(b []byte) (line []byte, length int) {
+	lf := bytes.IndexByte(b, '\n')
+	before := b
+	if lf >= 0 {
+		before = b[:lf]
+	}
+	switch cr := bytes.IndexByte(before, '\r'); {
+	case cr >= 0 && cr+1 == lf:
+		return b[:cr], lf + 1
+	case cr >= 0:
+		return b[:cr], cr + 1
+	case lf >= 0:
+		return b[:lf], lf + 1
+	}
+	return nil, 0
 }
 
 // eventID returns the value of an event's id field, or "" if it has none.
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
+	for {
+		line, n := cutLine(event)
+		if n == 0 {
+			return ""
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value))
 		}
+		event = event[n:]
 	}
-	return ""
 }
 
 // followsEvent reports whether an event id is greater than the last one. If either is
