ingress: treat white space after the last event as a cut event

A stream that the replica ended after some white space of a next event looked complete to its caller, without these bytes: bytes left over were compared without their white space. Blank lines are relayed when they arrive, so whatever is left belongs to an event without an end.

TestStreamEndingWithinEventIsBrokenOff covers answers that end with their connection, with their length and with their last chunk. Before the change it failed for "\r \t" and " " (6 of 15 cases): not true: got.Err != nil It passes afterwards with -race; the other 9 cases passed before.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -85,3 +85,27 @@
 	is.Equal(got.Body, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n")
 	is.Equal(len(d.Runs("crlf")), 2)
 }
+
+// Guards against a stream that looks complete to its caller although the replica ended
+// it within an event, with each way in which the end of an answer can be marked.
+func TestStreamEndingWithinEventIsBrokenOff(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	for _, rest := range []string{"id: 2\nda", "data: b\n", "id: 2\n", "\r \t", " "} {
+		stream := whole + rest
+		for name, tail := range map[string]string{
+			"end of connection": "\r\n" + stream,
+			"length":            fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream),
+			"chunks":            fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(stream), stream),
+		} {
+			t.Run(fmt.Sprintf("%s %q", name, rest), func(t *testing.T) {
+				is := is.New(t)
+				d := startDeployment(t, 1)
+				setRawAnswer(d.Engines, func(c net.Conn, head string, _ int) { _, _ = io.WriteString(c, head+tail) })
+				got := d.do(0, request{Method: "POST", Path: "/once/x", ID: "cut", Model: "m1", Body: "p"})
+				is.True(got.Err != nil)
+				is.Equal(strings.TrimRight(got.Body, "\r\n"), strings.TrimRight(whole, "\n"))
+				is.Equal(len(d.Runs("cut")), 1)
+			})
+		}
+	}
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -139,7 +139,7 @@
 // finish returns the result of relayStream for an answer that was read to its end.
 func (s *eventStream) finish() (dispatch.Outcome, bool, error) {
 	x := s.exchange
-	if len(bytes.TrimSpace(s.buffer)) > 0 {
+	if len(s.buffer) > 0 {
 		return dispatch.ConnectionBroken, false, errTruncatedEvent
 	}
 	if !x.headSent {
