ingress: don't resume a stream after an event without an id

A caller got events twice: when a stream broke off after an event that has no id, the next replica resumed it after the last event with an id, or from its start, and so sent the relayed ones again. Such a stream is broken off now, and the caller decides. Events with an id resume as before, and an event with an id after one without makes the stream resumable again. Comments and blank lines don't count as events.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -109,3 +109,19 @@
 		}
 	}
 }
+
+// Guards against events that a caller gets twice because the last one before the
+// break has no id, so that a replica would resume the stream before it.
+func TestStreamIsNotResumedAfterEventWithoutID(t *testing.T) {
+	for _, relayed := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n", "id: 1\ndata: a\n\nid\ndata: b\n\n"} {
+		t.Run(fmt.Sprintf("%q", relayed), func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			setRawAnswer(d.Engines, func(c net.Conn, head string, _ int) { _, _ = io.WriteString(c, head+streamHead+relayed+"da") })
+			got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "bare", Model: "m1", Body: "p"})
+			is.True(got.Err != nil)
+			is.Equal(got.Body, relayed)
+			is.Equal(len(d.Runs("bare")), 1)
+		})
+	}
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -40,41 +40,71 @@
 // the events that are complete.
 func (s *eventStream) forwardEvents(n int) error {
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	end, last, err := scanEvents(s.buffer, s.exchange.lastEvent)
+	x := s.exchange
+	found, err := scanEvents(s.buffer, x.lastEvent)
 	if err != nil {
 		return err
 	}
-	if len(s.buffer)-end > maxEventBytes {
+	if len(s.buffer)-found.end > maxEventBytes {
 		return s.answer.LimitExceeded("event", maxEventBytes)
 	}
-	if end == 0 {
+	if found.end == 0 {
 		return nil
 	}
-	if err := s.exchange.writeEvents(s.answer, s.buffer[:end]); err != nil {
+	if err := x.writeEvents(s.answer, s.buffer[:found.end]); err != nil {
 		return err
 	}
-	s.exchange.lastEvent = last
-	s.buffer = s.buffer[:copy(s.buffer, s.buffer[end:])]
+	if found.any {
+		x.lastEvent, x.unresumable = found.lastID, !found.numbered
+	}
+	s.buffer = s.buffer[:copy(s.buffer, s.buffer[found.end:])]
 	return nil
 }
 
-// scanEvents returns the end of the last complete event in b and the id of the last
-// event that has one; if there is none, last. It returns an error if the ids do not
-// increase, including from one replica of a resumed stream to the next.
-func scanEvents(b []byte, last string) (end int, lastID string, err error) {
+// foundEvents describes the complete events at the beginning of a buffer.
+type foundEvents struct {
+	end      int    // end of the last one
+	any      bool   // there is one that is not only comments and blank lines
+	numbered bool   // the last such one has an id
+	lastID   string // id of the last one that has an id
+}
+
+// scanEvents finds the complete events in b, which follow an event with the id last.
+// It returns an error if the ids do not increase, including from one replica of a
+// resumed stream to the next.
+func scanEvents(b []byte, last string) (foundEvents, error) {
+	found := foundEvents{lastID: last}
 	for {
-		n := eventLength(b[end:])
+		n := eventLength(b[found.end:])
 		if n == 0 {
-			return end, last, nil
+			return found, nil
 		}
-		id := eventID(b[end : end+n])
-		if id != "" && !followsEvent(id, last) {
-			return 0, "", fmt.Errorf("%w: %q after %q", errEventOrder, id, last)
+		event := b[found.end : found.end+n]
+		id := eventID(event)
+		if id != "" && !followsEvent(id, found.lastID) {
+			return foundEvents{}, fmt.Errorf("%w: %q after %q", errEventOrder, id, found.lastID)
 		}
 		if id != "" {
-			last = id
+			found.lastID = id
 		}
-		end += n
+		if id != "" || hasField(event) {
+			found.any, found.numbered = true, id != ""
+		}
+		found.end += n
+	}
+}
+
+// hasField reports whether an event has a line that is neither a comment nor blank.
+func hasField(event []byte) bool {
+	for {
+		line, n := cutLine(event)
+		if n == 0 {
+			return false
+		}
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+		event = event[n:]
 	}
 }
 
--- a/ingress/events_test.go
+++ b/ingress/events_test.go
@@ -13,17 +13,16 @@
 	is := is.New(t)
 	for _, end := range []string{"\n", "\r", "\r\n"} {
 		first := "id: 1" + end + "data: a" + end + end
-		got, last, err := scanEvents([]byte(first+"id: 2"+end+"data: b"+end), "")
+		got, err := scanEvents([]byte(first+"id: 2"+end+"data: b"+end), "")
 		is.NoErr(err)
-		is.Equal(got, len(first))
-		is.Equal(last, "1")
-		_, _, err = scanEvents([]byte(first), "1")
+		is.Equal(got, foundEvents{end: len(first), any: true, numbered: true, lastID: "1"})
+		_, err = scanEvents([]byte(first), "1")
 		is.True(err != nil) // the id does not increase
 	}
 	for _, mixed := range []string{"data: a\r\n\n", "data: a\n\r\n", "data: a\r\r\n", "data: a\n\r"} {
-		got, _, err := scanEvents([]byte(mixed), "")
+		got, err := scanEvents([]byte(mixed), "")
 		is.NoErr(err)
-		is.Equal(got, len(mixed))
+		is.Equal(got, foundEvents{end: len(mixed), any: true})
 	}
 }
 
@@ -35,21 +34,26 @@
 	}
 	f.Fuzz(func(t *testing.T, stream []byte, cut int) {
 		cut = min(max(cut, 0), len(stream))
-		whole, wholeLast, wholeErr := scanEvents(stream, "")
-		first, last, err := scanEvents(stream[:cut], "")
-		end := 0
+		inOne, errInOne := scanEvents(stream, "")
+		first, err := scanEvents(stream[:cut], "")
+		inTwo := first
 		if err == nil {
-			end, last, err = scanEvents(stream[first:], last)
+			inTwo, err = scanEvents(stream[first.end:], first.lastID)
+			inTwo.end += first.end
+			if !inTwo.any {
+				inTwo.any, inTwo.numbered = first.any, first.numbered
+			}
 		}
-		if (wholeErr == nil) != (err == nil) {
-			t.Fatalf("error %v in one part, %v in two", wholeErr, err)
+		if (errInOne == nil) != (err == nil) {
+			t.Fatalf("error %v in one part, %v in two", errInOne, err)
 		}
 		if err != nil {
 			return
 		}
-		if whole != first+end || wholeLast != last {
-			t.Fatalf("events end at %d with id %q in one part, at %d with %q in two", whole, wholeLast, first+end, last)
+		if inOne != inTwo {
+			t.Fatalf("%+v in one part, %+v in two", inOne, inTwo)
 		}
+		whole := inOne.end
 		normalize := func(b []byte) []byte {
 			return bytes.ReplaceAll(bytes.ReplaceAll(b, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
 		}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -39,7 +39,10 @@
 	// headSent is set once the head of an answer is relayed to the caller.
 	headSent  bool
 	firstByte time.Time // time at which the answer to the caller began
-	lastEvent string    // id of the last relayed event
+	lastEvent string    // id of the last relayed event that has one
+	// unresumable is set while the last relayed event has no id. A replica would
+	// resume the stream before it.
+	unresumable bool
 	// timeToFirstByte is the time from the current send to the first byte of its
 	// answer; 0 if none has arrived.
 	timeToFirstByte time.Duration
@@ -87,7 +90,7 @@
 		if outcome.MayHaveRun() {
 			x.possibleRuns++
 		}
-		if ctx.Err() != nil || (x.possibleRuns > 0 && !x.route.Repeatable()) {
+		if ctx.Err() != nil || x.unresumable || (x.possibleRuns > 0 && !x.route.Repeatable()) {
 			x.giveUp(ctx, outcome.String(), 0)
 			return
 		}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -192,7 +192,7 @@
 // be resumed at another replica, and otherwise to the request's deadline.
 func (x *exchange) setEventTimeout(a *upstream.Answer, d time.Duration) {
 	left := time.Until(x.request.Deadline)
-	if x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts {
+	if x.route.Resumable && !x.unresumable && x.possibleRuns+1 < x.route.MaxAttempts {
 		left = min(left, d)
 	}
 	a.SetReadTimeout(left)
