ingress: treat a stream of comments alone as broken

A stream that ended after comments or blank lines looked complete to its caller, without one event: the check for an empty stream asked whether the head of the answer had been relayed, which comments do as well. It asks for a relayed event now; such a stream is broken off, or resumed where the route allows it.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -125,3 +125,20 @@
 		})
 	}
 }
+
+// Guards against a stream of comments and blank lines that looks like a complete
+// answer, and against a break that can't be resumed because comments were relayed.
+func TestStreamWithoutEventIsBroken(t *testing.T) {
+	for _, comments := range []string{": wait\n\n", "\n\n\n", "\r\n: wait\r\n\r\n"} {
+		t.Run(fmt.Sprintf("%q", comments), func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			setRawAnswer(d.Engines, func(c net.Conn, head string, _ int) { _, _ = io.WriteString(c, head+streamHead+comments) })
+			got := d.do(0, request{Method: "POST", Path: "/once/x", ID: "idle", Model: "m1", Body: "p"})
+			is.True(got.Err != nil || got.Status == http.StatusBadGateway)
+			got = d.do(0, request{Method: "POST", Path: "/chat/x", ID: "again", Model: "m1", Body: "q"})
+			is.True(got.Err != nil || got.Status >= 500)
+			is.Equal(len(d.Runs("again")), 2)
+		})
+	}
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	if found.any {
-		x.lastEvent, x.unresumable = found.lastID, !found.numbered
+		x.anyEvent, x.lastEvent, x.unresumable = true, found.lastID, !found.numbered
 	}
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[found.end:])]
 	return nil
@@ -172,7 +172,7 @@
 	if len(s.buffer) > 0 {
 		return dispatch.ConnectionBroken, false, errTruncatedEvent
 	}
-	if !x.headSent {
+	if !x.anyEvent {
 		return dispatch.ConnectionBroken, false, errNoEvent
 	}
 	x.status = s.answer.Status
