ingress: resume a stream that sends only fragments

A resumable stream whose replica went on sending comments, blank lines or an event without an end was held until the request's deadline, though its caller leaves after 2 s without an event and another replica could have gone on. Each read renewed the longest pause between events, whether an event was complete or not. Only a relayed event renews it now.

TestStreamOfFragmentsIsResumed before the change (3 of 3 cases failed, 6 s each, which is the deadline of the requests): err: unexpected EOF It passes afterwards in 1.2 s each, as do ingress and edge with -race.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -142,3 +143,30 @@
 		})
 	}
 }
+
+// Guards against a stream that is not resumed because its replica goes on sending
+// bytes that complete no event.
+func TestStreamOfFragmentsIsResumed(t *testing.T) {
+	for name, fragment := range map[string]string{"comments": ":\n\n", "blank lines": "\n", "a long event": "a"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			const timeout = 6 * time.Second
+			setRawAnswer(d.Engines, func(c net.Conn, head string, lastEvent int) {
+				if lastEvent > 0 {
+					_, _ = io.WriteString(c, head+streamHead+"id: 2\ndata: b\n\n")
+					return
+				}
+				_, err := io.WriteString(c, head+streamHead+"id: 1\ndata: a\n\n")
+				for ; err == nil; time.Sleep(100 * time.Millisecond) {
+					_, err = io.WriteString(c, fragment)
+				}
+			})
+			got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "slow", Model: "m1", Body: "p", TimeLeft: timeout})
+			is.NoErr(got.Err)
+			is.True(strings.HasPrefix(got.Body, "id: 1\ndata: a\n\n"))
+			is.True(strings.HasSuffix(got.Body, "id: 2\ndata: b\n\n"))
+			is.Equal(len(d.Runs("slow")), 2)
+		})
+	}
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -37,28 +37,29 @@
 }
 
 // forwardEvents adds n bytes, which were read into freeSpace, to the buffer and relays
-// the events that are complete.
-func (s *eventStream) forwardEvents(n int) error {
+// the events that are complete. It reports whether there was one that is not only
+// comments and blank lines.
+func (s *eventStream) forwardEvents(n int) (bool, error) {
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	x := s.exchange
 	found, err := scanEvents(s.buffer, x.lastEvent)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if len(s.buffer)-found.end > maxEventBytes {
-		return s.answer.LimitExceeded("event", maxEventBytes)
+		return false, s.answer.LimitExceeded("event", maxEventBytes)
 	}
 	if found.end == 0 {
-		return nil
+		return false, nil
 	}
 	if err := x.writeEvents(s.answer, s.buffer[:found.end]); err != nil {
-		return err
+		return false, err
 	}
 	if found.any {
 		x.anyEvent, x.lastEvent, x.unresumable = true, found.lastID, !found.numbered
 	}
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[found.end:])]
-	return nil
+	return found.any, nil
 }
 
 // foundEvents describes the complete events at the beginning of a buffer.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -172,7 +172,8 @@
 			s.begun = true
 			x.reportFirstByte(f, head, sent)
 		}
-		if relayErr := s.forwardEvents(n); relayErr != nil {
+		relayed, relayErr := s.forwardEvents(n)
+		if relayErr != nil {
 			if errors.Is(relayErr, errCallerWrite) {
 				return dispatch.Canceled, false, relayErr
 			}
@@ -184,12 +185,14 @@
 		case err != nil:
 			return x.outcomeOf(err), false, err
 		}
-		x.setEventTimeout(a, eventTimeout)
+		if relayed {
+			x.setEventTimeout(a, eventTimeout)
+		}
 	}
 }
 
-// setEventTimeout limits the wait for the next part of a stream to d if the stream can
-// be resumed at another replica, and otherwise to the request's deadline.
+// setEventTimeout limits the wait for the next whole event of a stream to d if the
+// stream can be resumed at another replica, and otherwise to the request's deadline.
 func (x *exchange) setEventTimeout(a *upstream.Answer, d time.Duration) {
 	left := time.Until(x.request.Deadline)
 	if x.route.Resumable && !x.unresumable && x.possibleRuns+1 < x.route.MaxAttempts {
