ingress: limit the body of an answer

A replica that sends a body without end, plain or as a stream of valid events or comments, had its bytes relayed until the request's deadline, at whatever rate the network allowed: memory stayed bounded, but not the bandwidth and processor time taken from other requests. On loopback 256 MB went through one instance in about half a second.

The body of an answer has at most 64 MB now, with a length, in chunks or neither; replicas' answers have a few KB. A larger declared length is refused before a byte is relayed. The send counts as a broken connection and the answer as cut off.

TestEndlessBodyIsCutOff before the change (5 of 5 cases failed): not true: len(got.Body) <= maxAnswerBytes not true: got.Err != nil || got.Status == http.StatusBadGateway It passes afterwards, as do ingress and edge with -race. TestEndlessAnswerEndsAtTheDeadline passed before as well: a replica that trickles events, comments or a body holds no request past its deadline.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -170,3 +171,86 @@
 		})
 	}
 }
+
+// Guards against a request that is held beyond its deadline by a replica that keeps
+// sending: valid events, fragments, or a plain body.
+func TestEndlessAnswerEndsAtTheDeadline(t *testing.T) {
+	events := func(c net.Conn, head string, _ int) {
+		_, err := io.WriteString(c, head+streamHead)
+		for id := 1; err == nil; id++ {
+			_, err = fmt.Fprintf(c, "id: %d\ndata: a\n\n", id)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	trickle := func(c net.Conn, head string, _ int) {
+		_, err := io.WriteString(c, head+"\r\n")
+		for ; err == nil; time.Sleep(5 * time.Millisecond) {
+			_, err = io.WriteString(c, ":\n\n")
+		}
+	}
+	for name, test := range map[string]struct {
+		path   string
+		answer platformtest.RawAnswer
+	}{
+		"events": {"/once/x", events}, "comments": {"/once/x", trickle}, "resumable events": {"/chat/x", events}, "resumable comments": {"/chat/x", trickle},
+		"plain body": {"/book/x", trickle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			setRawAnswer(append(d.Engines, d.Apps...), test.answer)
+			r := request{Method: "POST", Path: test.path, ID: "long", Body: "p", TimeLeft: 400 * time.Millisecond}
+			if test.path != "/book/x" {
+				r.Model = "m1"
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+			defer cancel()
+			got := d.doContext(ctx, 0, r)
+			is.NoErr(ctx.Err()) // the instance ended the request, not the test
+			is.True(got.Err != nil || got.Status >= 500)
+			d.eventually("the end of the request is recorded", func() bool { return strings.Contains(d.logs.String(), "request=long") })
+		})
+	}
+}
+
+// longRoutes are routes with a time limit that no test reaches.
+const longRoutes = `,{"name":"bulk","host":"h.example","path-prefix":"/bulk/","kind":"non_idempotent","timeout-ms":60000,"service":"app","attempts":1},
+ {"name":"flow","host":"h.example","path-prefix":"/flow/","kind":"stream","timeout-ms":60000,"service":"llm","attempts":1}`
+
+// Guards against bodies without end that take the bandwidth of an instance until the
+// deadline of their requests.
+func TestEndlessBodyIsCutOff(t *testing.T) {
+	const maxAnswerBytes = 64 << 20 // as in package ingress
+	filling := strings.Repeat("a", 32<<10)
+	for name, test := range map[string]struct{ path, model, head, format string }{
+		"no length":    {"/bulk/x", "", "\r\n", "%d" + filling},
+		"length":       {"/bulk/x", "", "Content-Length: 1000000000000\r\n\r\n", "%d" + filling},
+		"chunks":       {"/bulk/x", "", "Transfer-Encoding: chunked\r\n\r\n", "8008\r\n%08d" + filling + "\r\n"},
+		"valid events": {"/flow/x", "m1", streamHead, "id: %d\ndata: " + filling + "\n\n"},
+		"comments":     {"/flow/x", "m1", streamHead, ": %d" + filling + "\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			d.PutConfig(2, longRoutes)
+			r := request{Method: "POST", Path: test.path, Body: "p", Model: test.model}
+			d.eventually("the config is in force", func() bool { return d.do(0, r).Status == http.StatusOK })
+			var written atomic.Int64
+			setRawAnswer(append(d.Engines, d.Apps...), func(c net.Conn, head string, _ int) {
+				total, err := io.WriteString(c, head+test.head)
+				for id := 1; err == nil && total < rawservertest.EndlessBytes; id++ {
+					var n int
+					n, err = fmt.Fprintf(c, test.format, id)
+					total += n
+				}
+				written.Store(int64(total))
+			})
+			got := d.do(0, r)
+			is.True(got.Err != nil || got.Status == http.StatusBadGateway)
+			is.True(len(got.Body) <= maxAnswerBytes)
+			d.eventually("the replica's connection is closed", func() bool { return written.Load() > 0 })
+			is.True(written.Load() < maxAnswerBytes+rawservertest.SocketBytes)
+			is.True(strings.Contains(d.logs.String(), "answer of replica cut off"))
+		})
+	}
+}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -14,6 +14,7 @@
 	exchange *exchange
 	answer   *upstream.Answer
 	buffer   []byte // bytes of an event that is not complete yet
+	read     int64  // bytes read so far
 	begun    bool
 }
 
@@ -41,6 +42,9 @@
 // comments and blank lines.
 func (s *eventStream) forwardEvents(n int) (bool, error) {
 	s.buffer = s.buffer[:len(s.buffer)+n]
+	if s.read += int64(n); s.read > maxAnswerBytes {
+		return false, s.answer.LimitExceeded("body", maxAnswerBytes)
+	}
 	x := s.exchange
 	found, err := scanEvents(s.buffer, x.lastEvent)
 	if err != nil {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -16,6 +16,10 @@
 	// maxBufferedBytes is the size up to which a plain answer is read completely
 	// before it is relayed, so that the request can be retried if the answer breaks.
 	maxBufferedBytes = 256 << 10
+	// maxAnswerBytes limits the body of an answer, a stream's as well. Answers of
+	// replicas have a few KB; without a limit, a body without end takes the
+	// bandwidth and processor time of other requests until its deadline.
+	maxAnswerBytes = 64 << 20
 )
 
 // exchange is the state of one caller's request, from its head to the end of its
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -89,6 +89,9 @@
 
 // relayPlain relays an answer that is not a stream.
 func (x *exchange) relayPlain(a *upstream.Answer) (dispatch.Outcome, bool, error) {
+	if a.Length > maxAnswerBytes {
+		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
+	}
 	a.SetReadTimeout(time.Until(x.request.Deadline))
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
 	if err != nil {
@@ -155,7 +158,13 @@
 	if _, err := x.w.Write(prefix.body); err != nil {
 		return dispatch.Canceled, false, errCallerWrite
 	}
-	if _, err := io.Copy(x.w, a); err != nil {
+	if _, err := io.Copy(x.w, io.LimitReader(a, int64(maxAnswerBytes-len(prefix.body)))); err != nil {
+		return x.outcomeOf(err), false, err
+	}
+	switch n, err := io.ReadFull(a, make([]byte, 1)); {
+	case n > 0:
+		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
+	case err != io.EOF:
 		return x.outcomeOf(err), false, err
 	}
 	x.status = prefix.status
