edge: test answers that end with their connection

An answer without a length and without chunks is complete only at an orderly end of its connection. The tests hold that for plain answers, small and large, and for streams: a reset, an end within the declared length, within a chunk or before the last one never looks complete, and an orderly end does.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -254,3 +254,64 @@
 		})
 	}
 }
+
+// Guards against a broken answer that is relayed as a complete one: without a length
+// or chunks, only an orderly end of the connection completes an answer.
+func TestBrokenAnswerIsNotComplete(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	reset := func(c net.Conn) {
+		time.Sleep(50 * time.Millisecond) // until the instance has read what came before
+		_ = rawservertest.Reset(c)
+	}
+	closeOrderly := func(net.Conn) {}
+	large := strings.Repeat("a", 300<<10) // relayed while it is read
+	for name, test := range map[string]struct {
+		path, model, answer string
+		end                 func(net.Conn)
+	}{
+		"reset without a length":          {"/book/x", "", "\r\nbody", reset},
+		"reset of a large body":           {"/book/x", "", "\r\n" + large, reset},
+		"end within a length":             {"/book/x", "", "Content-Length: 10\r\n\r\nbody", closeOrderly},
+		"end within a large length":       {"/book/x", "", "Content-Length: 400000\r\n\r\n" + large, closeOrderly},
+		"end within a chunk":              {"/book/x", "", "Transfer-Encoding: chunked\r\n\r\na\r\nbody", closeOrderly},
+		"end before the last chunk":       {"/book/x", "", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", closeOrderly},
+		"reset of a stream":               {"/once/x", "m1", streamHead + event, reset},
+		"end of a stream before a length": {"/once/x", "m1", "Content-Length: 100\r\n\r\n" + event, closeOrderly},
+		"end of a stream within chunks":   {"/once/x", "m1", "Transfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n", closeOrderly},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			setRawAnswer(append(d.Engines, d.Apps...), func(c net.Conn, head string, _ int) {
+				_, _ = io.WriteString(c, head+test.answer)
+				test.end(c)
+			})
+			got := d.do(0, request{Method: "POST", Path: test.path, ID: "cut", Body: "p", Model: test.model})
+			is.True(got.Err != nil || got.Status == http.StatusBadGateway)
+			is.Equal(len(d.Runs("cut")), 1)
+		})
+	}
+}
+
+// Guards against a complete answer that is broken off because it has neither a length
+// nor chunks, and against the reuse of its connection.
+func TestAnswerMayEndWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	large := strings.Repeat("a", 300<<10)
+	for path, body := range map[string]string{"/book/x": "body", "/look/x": large, "/chat/x": "id: 1\ndata: a\n\n", "/once/x": "id: 1\r\ndata: a\r\n\r\n"} {
+		setRawAnswer(append(d.Engines, d.Apps...), func(c net.Conn, head string, _ int) {
+			_, _ = io.WriteString(c, head+"\r\n"+body)
+		})
+		r := request{Method: "POST", Path: path, Body: "p"}
+		if strings.HasPrefix(body, "id") {
+			r.Model = "m1"
+		}
+		for range 2 {
+			got := d.do(0, r)
+			is.NoErr(got.Err)
+			is.Equal(got.Status, http.StatusOK)
+			is.Equal(got.Body, body)
+		}
+	}
+}
