actuator: don't take a cut answer for a complete one

The answer to an order was taken for "accepted", and a report for complete, although its body went on beyond the 1 MB that were read: the limit of the reader looked like the end of the body, and an error of reading the body of an order's answer was dropped. Such an answer counts as cut off now; the outcome of the order is unknown, so that the replica's report decides, and the report is not used.

TestEndlessAnswerIsNoAnswer before the change: accepted != unknown It passes afterwards, as do actuator and edge with -race.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -36,7 +36,7 @@
 	// which takes one round trip. The outcome of an order without an answer within
 	// this time is unknown.
 	answerTimeout = 300 * time.Millisecond
-	// maxAnswerBytes limits the part of an answer that is read.
+	// maxAnswerBytes limits the body of an answer. Reports have a few KB.
 	maxAnswerBytes = 1 << 20
 )
 
@@ -119,11 +119,22 @@
 	case err != nil:
 		return residency.Unknown, err
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
-	answer.Close(err == nil)
+	if _, err := readBody(answer); err != nil {
+		return residency.Unknown, err
+	}
 	return s.codec.Outcome(answer.Status), nil
 }
 
+// readBody reads the body of an answer and closes the answer.
+func readBody(a *upstream.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = a.LimitExceeded("body", maxAnswerBytes)
+	}
+	a.Close(err == nil)
+	return body, err
+}
+
 func (s *Service) requestReport(ctx context.Context, e controlplane.ReadReplicaReport) {
 	select {
 	case <-time.After(e.Delay):
@@ -141,8 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
-	answer.Close(err == nil)
+	body, err := readBody(answer)
 	if err != nil {
 		return nil, err
 	}
