clients: limit the heads of answers to 64 KB

The clients of engines, of the backing stores and of operators, and that of the load generator, read up to 10 MB of a head without end, the default of http.Transport, and the transport does so per connection. They stop at 64 KB now, with the errors of a broken answer. Bodies and events had limits already; tests hold them: the state, report and error of an engine, an event, a comment, a stream of comments that ends with its context, and an answer of the stores.

--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -42,9 +42,10 @@
 		timeout: o.Timeout,
 		http: &http.Client{
 			Transport: &http.Transport{
-				MaxConnsPerHost:     o.MaxConcurrent,
-				MaxIdleConnsPerHost: o.MaxConcurrent,
-				IdleConnTimeout:     90 * time.Second,
+				MaxConnsPerHost:        o.MaxConcurrent,
+				MaxIdleConnsPerHost:    o.MaxConcurrent,
+				IdleConnTimeout:        90 * time.Second,
+				MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -34,8 +34,9 @@
 			DisableCompression:  true,
 			// One buffer of each kind is held per open stream. Events are
 			// about 100 bytes.
-			ReadBufferSize:  2 << 10,
-			WriteBufferSize: 2 << 10,
+			ReadBufferSize:         2 << 10,
+			WriteBufferSize:        2 << 10,
+			MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -23,6 +23,10 @@
 	Executed string `json:"executed,omitempty"` // "no", "yes" or empty for unknown
 }
 
+// MaxHeadBytes limits the head of an answer in the clients of the JSON protocols.
+// Servers send heads of some hundred bytes; http.Transport accepts 10 MB by default.
+const MaxHeadBytes = 64 << 10
+
 type envelope struct {
 	Error *Error `json:"error"`
 }
--- a/load/client.go
+++ b/load/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 )
 
 const (
@@ -75,11 +77,12 @@
 
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
 	}}
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 	"github.com/hyssophaven/hyssophaven/tablestore"
@@ -32,11 +34,23 @@
 // "http://10.0.0.5:8081". A nil httpClient selects one with a timeout of 30 s.
 func NewClient(base, token string, httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{Timeout: 30 * time.Second}
+		httpClient = &http.Client{Timeout: 30 * time.Second, Transport: defaultTransport()}
 	}
 	return &Client{base: strings.TrimSuffix(base, "/"), token: token, http: httpClient}
 }
 
+// defaultTransport returns the transport of all clients that are not given another
+// one: http.DefaultTransport with a limit for heads.
+var defaultTransport = sync.OnceValue(func() http.RoundTripper {
+	t, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport // replaced by the program
+	}
+	t = t.Clone()
+	t.MaxResponseHeaderBytes = jsonhttp.MaxHeadBytes
+	return t
+})
+
 // Table returns the current table from the store.
 func (c *Client) Table(ctx context.Context) (*table.Snapshot, error) {
 	data, err := c.call(ctx, http.MethodGet, pathTable, nil)
--- /dev/null
+++ b/operator/client_test.go
@@ -0,0 +1,32 @@
+package operator
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+)
+
+// Guards against a client that reads a head of any size.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	is := is.New(t)
+	filling := bytes.Repeat([]byte(" "), 64<<10)
+	server := rawservertest.Start(t, func(c net.Conn, _ int64) {
+		_ = rawservertest.WriteEndlessly(c, "HTTP/1.1 200 OK\r\nX-A: ", filling)
+		_ = c.Close()
+	})
+	var taken atomic.Int64
+	client := NewClient("http://"+server.Address, "token", nil)
+	transport := client.http.Transport.(*http.Transport).Clone()
+	transport.DialContext = rawservertest.CountingDial(&taken)
+	client.http.Transport = transport
+	_, err := client.Status(t.Context())
+	is.True(err != nil)
+	is.True(taken.Load() <= 2*jsonhttp.MaxHeadBytes)
+}
