operator, load: don't take a cut answer for a complete one

The operators' client and the load generator decoded, or counted as a whole answer, what they had read of a body beyond their limit (64 MB and 1 MB). It is an error now, a truncated answer for the load generator. The capacity tool, which read the text of a failed response without a limit and left its body open, reads 64 KB and closes it.

Before the change: TestEndlessAnswerIsCutOff/body (operator): not true: err != nil TestEndlessAnswerIsTruncated (load): "" != truncated They pass afterwards with -race, as does capacity.

--- a/capacity/requests.go
+++ b/capacity/requests.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hyssophaven/hyssophaven/dev"
+	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	standinengine "github.com/hyssophaven/hyssophaven/standin/engine"
 )
 
@@ -19,6 +20,9 @@
 // slots of the engines, so that no request waits.
 const requestsInFlight = 16
 
+// maxErrorBytes limits the text of a failed response.
+const maxErrorBytes = 64 << 10
+
 // measureRequests measures streamed requests through one whole instance. The
 // client and the stand-in engines run in the same process and their processor
 // time is included, so the results are upper bounds.
@@ -76,7 +80,8 @@
 		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(res.Body)
+		text, _ := jsonhttp.ReadBody(res.Body, maxErrorBytes)
+		_ = res.Body.Close()
 		return nil, fmt.Errorf("response status %d: %s", res.StatusCode, text)
 	}
 	return res, nil
--- a/load/client.go
+++ b/load/client.go
@@ -165,7 +165,7 @@
 
 // readUnary reads an answer that is not streamed.
 func readUnary(ctx context.Context, body io.Reader, stream *Stream, a *Answer, due time.Time) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes))
+	data, err := jsonhttp.ReadBody(body, maxBodyBytes)
 	if err != nil {
 		a.Code = failureCode(ctx, CodeTruncated)
 		return
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -230,6 +230,15 @@
 	})
 }
 
+// Guards against counting the beginning of an endless answer as a whole one.
+func TestEndlessAnswerIsTruncated(t *testing.T) {
+	is := is.New(t)
+	var a Answer
+	endless := io.MultiReader(strings.NewReader("{}"), strings.NewReader(strings.Repeat(" ", 2*maxBodyBytes)))
+	readUnary(t.Context(), endless, &Stream{Call: &Call{}}, &a, time.Now())
+	is.Equal(a.Code, CodeTruncated)
+}
+
 func checkReports(t *testing.T, r *Result) {
 	is := is.New(t)
 	var table, asJSON, svg bytes.Buffer
--- a/operator/client.go
+++ b/operator/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -156,9 +155,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := jsonhttp.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, err
 	}
 	if response.StatusCode/100 == 2 {
 		return data, nil
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -13,20 +13,32 @@
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
 )
 
-// Guards against a client that reads a head of any size.
-func TestEndlessHeadIsCutOff(t *testing.T) {
-	is := is.New(t)
-	filling := bytes.Repeat([]byte(" "), 64<<10)
-	server := rawservertest.Start(t, func(c net.Conn, _ int64) {
-		_ = rawservertest.WriteEndlessly(c, "HTTP/1.1 200 OK\r\nX-A: ", filling)
-		_ = c.Close()
-	})
-	var taken atomic.Int64
-	client := NewClient("http://"+server.Address, "token", nil)
-	transport := client.http.Transport.(*http.Transport).Clone()
-	transport.DialContext = rawservertest.CountingDial(&taken)
-	client.http.Transport = transport
-	_, err := client.Status(t.Context())
-	is.True(err != nil)
-	is.True(taken.Load() <= 2*jsonhttp.MaxHeadBytes)
+// Guards against a client that reads a head of any size, or takes the beginning of an
+// endless body for an answer.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	const readAhead = 64 << 10 // what the buffers of a connection hold beyond a limit
+	for name, test := range map[string]struct {
+		start string
+		limit int64
+	}{
+		"head": {"HTTP/1.1 200 OK\r\nX-A: ", jsonhttp.MaxHeadBytes},
+		"body": {"HTTP/1.1 200 OK\r\n\r\n{}", maxResponseBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			filling := bytes.Repeat([]byte(" "), 64<<10)
+			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
+				_ = rawservertest.WriteEndlessly(c, test.start, filling)
+				_ = c.Close()
+			})
+			var taken atomic.Int64
+			client := NewClient("http://"+server.Address, "token", nil)
+			transport := client.http.Transport.(*http.Transport).Clone()
+			transport.DialContext = rawservertest.CountingDial(&taken)
+			client.http.Transport = transport
+			_, err := client.Status(t.Context())
+			is.True(err != nil)
+			is.True(taken.Load() <= test.limit+readAhead)
+		})
+	}
 }
