gateway: end a stream of empty chunks

An engine that sends valid chunks without text, again and again, held its request and its grant without end: only the text of an answer counted against MaxAnswerBytes, and every chunk postpones the stall timeout. A chunk counts as one byte at least now, and the stream ends as a malformed answer, which is counted.

TestEndlessEmptyChunksAreCutOff before the change: err: context deadline exceeded (after 10 s) It passes afterwards, as does gateway with -race.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -106,6 +106,23 @@
 	return nil
 }
 
+// Guards against a stream of empty chunks without end, which never reaches the limit
+// for the text of an answer and holds its grant for ever.
+func TestEndlessEmptyChunksAreCutOff(t *testing.T) {
+	r := newTestGateway(t, func(c *Config) { c.Limits.MaxAnswerBytes = 1000 })
+	closed := make(chan struct{})
+	r.engines["e1"].generate = func(ctx context.Context, q engine.GenerateRequest) (engine.Stream, error) {
+		return &endlessStream{ctx: ctx, id: q.RequestID, closeCalled: closed, nextIndex: q.ResumeFrom}, nil
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, _, _, _ = streamText(r, ctx, "base")
+	r.is.NoErr(ctx.Err()) // the gateway ended the stream, not the test
+	<-closed
+	r.is.Equal(r.control.results()[0], admission.ResultFailed)
+	r.is.Equal(r.Vars().Get("answers_malformed").String(), "1")
+}
+
 // Guards against an engine that stalls in mid-answer and leaves its caller waiting.
 func TestStalledEngineIsReplaced(t *testing.T) {
 	r := newTestGateway(t, func(c *Config) { c.Limits.EngineStallTimeout = 30 * time.Millisecond })
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -106,7 +106,7 @@
 func (c *modelCall) countChunk(chunk *engine.Chunk, now time.Time) {
 	c.executed = engine.ExecutedYes
 	c.nextChunk++
-	c.relayedBytes += int64(len(chunk.Text))
+	c.relayedBytes += countedBytes(chunk)
 	if chunk.Tokens == 0 {
 		return
 	}
@@ -117,6 +117,10 @@
 	c.relayedTokens += chunk.Tokens
 }
 
+// countedBytes returns the bytes of a chunk that count against MaxAnswerBytes. A chunk
+// without text counts as one, so that a stream of them ends as well.
+func countedBytes(chunk *engine.Chunk) int64 { return int64(max(len(chunk.Text), 1)) }
+
 var (
 	errOtherRequest   = errors.New("the chunk belongs to another request")
 	errOutOfOrder     = errors.New("the chunk is out of order")
@@ -135,7 +139,7 @@
 	case chunk.Tokens < 0, chunk.PromptTokens < 0, chunk.CompletionTokens < 0,
 		chunk.Final && chunk.FinishReason != "stop" && chunk.FinishReason != "length":
 		return &engine.Error{Kind: engine.Malformed, Err: errInvalidChunk}
-	case c.relayedBytes+int64(len(chunk.Text)) > c.g.cfg.Limits.MaxAnswerBytes:
+	case c.relayedBytes+countedBytes(chunk) > c.g.cfg.Limits.MaxAnswerBytes:
 		return &engine.Error{Kind: engine.Malformed, Err: errAnswerTooLarge}
 	}
 	return nil
