gateway: reject a service's answer with an invalid status

A plain service's answer with status 000 to 099 left its caller without any answer, as in package upstream before: http.Transport accepts such a status and http.ResponseWriter.WriteHeader panics. It counts as a lost answer now, as does 101, whose body the transport does not end.

TestInvalidStatusOfServiceIsNotRelayed before the change: err: Post ".../services/booking/x": EOF It passes afterwards, as does gateway with -race. TestEndlessServiceAnswerIsCutOff passed before: heads and bodies of plain services had limits.

--- /dev/null
+++ b/gateway/rawanswer_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+)
+
+// newRawGateway returns a gateway with one plain service, which answers with raw bytes.
+// taken counts the bytes that the gateway reads from its connections.
+func newRawGateway(t *testing.T, answer func(c net.Conn, n int64)) (r *testGateway, taken *atomic.Int64) {
+	taken = new(atomic.Int64)
+	server := rawservertest.Start(t, answer)
+	r = newTestGateway(t, func(c *Config) { c.Limits.MaxAnswerBytes = 1 << 20 })
+	r.services.(*http.Transport).DialContext = rawservertest.CountingDial(taken)
+	r.control.endpoints = append(r.control.endpoints, fleet.Endpoint{ID: "raw", Pool: "desk", Address: server.Address})
+	return r, taken
+}
+
+// Guards against an instance that runs out of memory because a plain service sends a
+// head or a body without end.
+func TestEndlessServiceAnswerIsCutOff(t *testing.T) {
+	for name, start := range map[string]string{
+		"head":   "HTTP/1.1 200 OK\r\nX-A: ",
+		"body":   "HTTP/1.1 200 OK\r\n\r\n",
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, taken := newRawGateway(t, func(c net.Conn, _ int64) {
+				_ = rawservertest.WriteEndlessly(c, start, bytes.Repeat([]byte("a"), 64<<10))
+				_ = c.Close()
+			})
+			a := r.call("POST", "/services/booking/x", "", HeaderIdempotencyKey, "key")
+			r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
+			r.is.True(taken.Load() < 2<<20)
+		})
+	}
+}
+
+// Guards against a call without an answer after a service's answer with a status that
+// HTTP does not have.
+func TestInvalidStatusOfServiceIsNotRelayed(t *testing.T) {
+	r, _ := newRawGateway(t, func(c net.Conn, _ int64) {
+		_, _ = io.WriteString(c, "HTTP/1.1 042 Odd\r\nContent-Length: 2\r\n\r\nok")
+	})
+	a := r.call("POST", "/services/booking/x", "", HeaderIdempotencyKey, "key")
+	r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
+	r.is.Equal(a.executed, "unknown")
+}
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -99,6 +100,10 @@
 		return nil, c.lostFailure(grant, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK {
+		// http.Transport accepts a status below 100, and http.ResponseWriter panics.
+		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
+	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
 	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
 	if err != nil {
