ingress: count an endless refusal as cut off

A replica's answer that is not relayed, such as a refusal, is read up to 256 KB so that its connection can be reused. Beyond that it was given up without a counter and without a line that names the replica. It counts in answers_cut_off now and is logged as any other; the outcome that the head stated stays.

TestEndlessRefusalIsCutOff before the change: not true: strings.Contains(d.logs.String(), `part="discarded body"`) It passes afterwards, as do ingress and edge with -race. TestCallerThatDoesNotReadIsCutOff passed before: the user timeout of the caller's connection ends a request whose answer nobody reads, after 3 s.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -315,3 +315,44 @@
 		}
 	}
 }
+
+// Guards against a request that is held without end, with its place at the replica, by
+// a caller that does not read an endless answer.
+func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
+	for path, head := range map[string]string{"/book/x": "\r\n", "/once/x": streamHead} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			setRawAnswer(append(d.Engines, d.Apps...), func(c net.Conn, h string, _ int) {
+				_ = rawservertest.WriteEndlessly(c, h+head, []byte(strings.Repeat("data: a\n\n", 4<<10)))
+			})
+			c, err := net.Dial("tcp", d.nodes[0].Callers)
+			is.NoErr(err)
+			defer c.Close()
+			model := ""
+			if path == "/once/x" {
+				model = "X-Hyssophaven-Model: m1\r\nX-Hyssophaven-Token-Count: 100,10\r\nX-Hyssophaven-Prompt-Prefix: aa:40,bb:60\r\n"
+			}
+			_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hyssophaven-Attempt-Id: mute\r\nX-Hyssophaven-Deadline-Ms: 500\r\n%sContent-Length: 1\r\n\r\np", path, model)
+			is.NoErr(err)
+			d.eventually("the end of the request is recorded", func() bool { return strings.Contains(d.logs.String(), "request=mute") })
+		})
+	}
+}
+
+// Guards against the endless body of a refusal that is read until the deadline, or that
+// is not counted.
+func TestEndlessRefusalIsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	var written atomic.Int64
+	setRawAnswer(d.Apps, func(c net.Conn, head string, _ int) {
+		head = strings.Replace(head, " 200 OK", " 503 Full", 1) + "X-Hyssophaven-Not-Executed: 1\r\n\r\n"
+		written.Add(int64(rawservertest.WriteEndlessly(c, head, bytes.Repeat([]byte("a"), 64<<10))))
+	})
+	got := d.do(0, request{Method: "POST", Path: "/book/x", Body: "b"})
+	is.NoErr(got.Err)
+	is.Equal(got.Status, http.StatusServiceUnavailable)
+	is.True(written.Load() < 2*rawservertest.SocketBytes) // one answer of each replica
+	is.True(strings.Contains(d.logs.String(), `part="discarded body"`))
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -77,12 +77,12 @@
 // It fails if the answer has maxBufferedBytes or more.
 func (x *exchange) discard(a *upstream.Answer) error {
 	a.SetReadTimeout(minAnswerTimeout)
-	n, err := io.CopyN(io.Discard, a, maxBufferedBytes)
+	_, err := io.CopyN(io.Discard, a, maxBufferedBytes)
 	if err == io.EOF {
 		return nil
 	}
 	if err == nil {
-		err = fmt.Errorf("discarded answer has %d bytes or more", n)
+		err = a.LimitExceeded("discarded body", maxBufferedBytes)
 	}
 	return err
 }
