ingress: reset the connection of a broken answer to HTTP/1.0

An answer that was broken off looked complete to a caller of HTTP/1.0: it takes the end of the connection for the end of the answer, and http.Server closes the connection in an orderly way after http.ErrAbortHandler. The connection is reset now. Callers of HTTP/1.1 see an incomplete length or chunk as before.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -356,3 +358,23 @@
 	is.True(written.Load() < 2*rawservertest.SocketBytes) // one answer of each replica
 	is.True(strings.Contains(d.logs.String(), `part="discarded body"`))
 }
+
+// Guards against a broken answer that looks complete to a caller of HTTP/1.0, for whom
+// the end of the connection is the end of the answer.
+func TestBrokenAnswerIsNotCompleteForHTTP10(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	setRawAnswer(d.Engines, func(c net.Conn, head string, _ int) {
+		_, _ = io.WriteString(c, head+streamHead+"id: 1\ndata: a\n\nid: 2\nda")
+	})
+	c, err := net.Dial("tcp", d.nodes[0].Callers)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.0\r\nHost: h.example\r\nX-Hyssophaven-Attempt-Id: old\r\nX-Hyssophaven-Model: m1\r\n"+
+		"X-Hyssophaven-Token-Count: 100,10\r\nX-Hyssophaven-Prompt-Prefix: aa:40,bb:60\r\nContent-Length: 1\r\n\r\np")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(hangTimeout)))
+	answer, err := io.ReadAll(c)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.True(!strings.Contains(string(answer), "chunked"))
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -215,7 +215,7 @@
 		panic(http.ErrAbortHandler)
 	case x.headSent:
 		x.finish(0, "broken-off: "+cause)
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case x.failedAnswer != nil:
 		x.deliver(x.failedAnswer)
 		x.finish(x.status, "")
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -210,6 +211,21 @@
 	a.SetReadTimeout(left)
 }
 
+// abort ends an answer that has begun so that it does not look complete. A caller of
+// HTTP/1.0 takes the end of the connection for the end of the answer, except for a
+// reset.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // makes Close send a reset
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeEvents writes events to the caller and flushes them. Before the first events of
 // a stream, it writes the head of the answer.
 func (x *exchange) writeEvents(a *upstream.Answer, events []byte) error {
