--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,6 +74,7 @@
 	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
 	registry.Func("connections_opened", pool.ConnectionsOpened)
 	registry.Func("connections_idle", pool.IdleConnections)
+	registry.Func("answers_cut_off", pool.AnswersCutOff)
 	registry.Func("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 	registry.Func("memory_bytes", heapInUse)
 	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
@@ -87,7 +88,9 @@
 	k.Register(controlplane.New(node, logger, registry))
 	k.Register(watch.New(store, source, logger, registry))
 	k.Register(actuator.New(store, pool, platform.OrderCodec{}, logger))
-	k.Register(peering.New(node, logger))
+	peers := peering.New(node, logger)
+	registry.Func("peer_frames_malformed", peers.MalformedFrames)
+	k.Register(peers)
 	k.Register(i.ingress)
 	router := chi.NewRouter()
 	router.Get(MetricsPath, registry.ServeHTTP)
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -166,6 +166,14 @@
 	return nil
 }
 
+// resetOnClose makes Close send a reset, so that the caller doesn't take the end of the
+// connection for the end of an answer.
+func (c *trackedConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // becomeIdle records that the last request has been answered.
 func (c *trackedConn) becomeIdle() {
 	c.mu.Lock()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -16,6 +16,10 @@
 	// maxBufferedBytes is the size up to which a plain answer is read completely
 	// before it is relayed, so that the request can be retried if the answer breaks.
 	maxBufferedBytes = 256 << 10
+	// maxAnswerBytes limits the body of an answer, a stream's as well. Answers of
+	// replicas have a few KB; without a limit, a body without end takes the
+	// bandwidth and processor time of other requests until its deadline.
+	maxAnswerBytes = 64 << 20
 )
 
 // exchange is the state of one caller's request, from its head to the end of its
@@ -39,7 +43,11 @@
 	// headSent is set once the head of an answer is relayed to the caller.
 	headSent  bool
 	firstByte time.Time // time at which the answer to the caller began
-	lastEvent string    // id of the last relayed event
+	lastEvent string    // id of the last relayed event that has one
+	anyEvent  bool      // an event was relayed
+	// unresumable is set while the last relayed event has no id. A replica would
+	// resume the stream before it.
+	unresumable bool
 	// timeToFirstByte is the time from the current send to the first byte of its
 	// answer; 0 if none has arrived.
 	timeToFirstByte time.Duration
@@ -91,7 +99,7 @@
 			return
 		}
 		x.countSend(next.flight, outcome)
-		if ctx.Err() != nil || (x.possibleRuns > 0 && !x.route.Repeatable()) {
+		if ctx.Err() != nil || x.unresumable || (x.possibleRuns > 0 && !x.route.Repeatable()) {
 			x.giveUp(ctx, outcome.String(), 0)
 			return
 		}
@@ -224,7 +232,7 @@
 		panic(http.ErrAbortHandler)
 	case x.headSent:
 		x.finish(0, "broken-off: "+cause)
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case x.failedAnswer != nil:
 		x.deliver(x.failedAnswer)
 		x.finish(x.status, "")
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -81,18 +80,21 @@
 // It fails if the answer has maxBufferedBytes or more.
 func (x *exchange) discard(a *upstream.Answer) error {
 	a.SetReadTimeout(minAnswerTimeout)
-	n, err := io.CopyN(io.Discard, a, maxBufferedBytes)
+	_, err := io.CopyN(io.Discard, a, maxBufferedBytes)
 	if err == io.EOF {
 		return nil
 	}
 	if err == nil {
-		err = fmt.Errorf("discarded answer has %d bytes or more", n)
+		err = a.LimitExceeded("discarded body", maxBufferedBytes)
 	}
 	return err
 }
 
 // relayPlain relays an answer that is not a stream.
 func (x *exchange) relayPlain(a *upstream.Answer) (dispatch.Outcome, bool, error) {
+	if a.Length > maxAnswerBytes {
+		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
+	}
 	a.SetReadTimeout(time.Until(x.request.Deadline))
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
 	if err != nil {
@@ -161,7 +163,13 @@
 	if _, err := x.w.Write(prefix.body); err != nil {
 		return dispatch.Canceled, false, errCallerWrite
 	}
-	if _, err := io.Copy(x.w, a); err != nil {
+	if _, err := io.Copy(x.w, io.LimitReader(a, int64(maxAnswerBytes-len(prefix.body)))); err != nil {
+		return x.outcomeOf(err), false, err
+	}
+	switch n, err := io.ReadFull(a, make([]byte, 1)); {
+	case n > 0:
+		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
+	case err != io.EOF:
 		return x.outcomeOf(err), false, err
 	}
 	x.status = prefix.status
@@ -181,7 +189,8 @@
 		if n > 0 {
 			s.reportProgress(from)
 		}
-		if relayErr := s.forwardEvents(n); relayErr != nil {
+		relayed, relayErr := s.forwardEvents(n)
+		if relayErr != nil {
 			if errors.Is(relayErr, errCallerWrite) || errors.Is(relayErr, errStopping) {
 				return dispatch.Canceled, false, relayErr
 			}
@@ -191,10 +200,13 @@
 		case err == io.EOF:
 			return s.finish()
 		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.handOver(ctx, from):
+			x.setEventTimeout(a, eventTimeout)
 		case err != nil:
 			return x.outcomeOf(err), false, err
 		}
-		x.setEventTimeout(a, eventTimeout)
+		if relayed {
+			x.setEventTimeout(a, eventTimeout)
+		}
 	}
 }
 
@@ -211,111 +223,29 @@
 	}
 }
 
-// setEventTimeout limits the wait for the next part of a stream to d if the stream can
-// be resumed at another replica, and otherwise to the request's deadline.
+// setEventTimeout limits the wait for the next whole event of a stream to d if the
+// stream can be resumed at another replica, and otherwise to the request's deadline.
 func (x *exchange) setEventTimeout(a *upstream.Answer, d time.Duration) {
 	left := time.Until(x.request.Deadline)
-	if x.route.Resumable && x.possibleRuns+1 < x.route.MaxAttempts {
+	if x.route.Resumable && !x.unresumable && x.possibleRuns+1 < x.route.MaxAttempts {
 		left = min(left, d)
 	}
 	a.SetReadTimeout(left)
 }
 
-// eventStream splits a replica's answer into events and relays them.
-type eventStream struct {
-	exchange *exchange
-	answer   *upstream.Answer
-	buffer   []byte // bytes of an event that is not complete yet
-	begunAt  time.Time
-	settled  bool // the answer has gone on for suspect.SettleTime
-}
-
-// eventBufferBytes is the initial size of a stream's buffer.
-const eventBufferBytes = 2 << 10
-
-var eventEnd = []byte("\n\n")
-
-// freeSpace returns the unused part of the buffer, and grows the buffer if less than
-// half of its initial size is unused.
-func (s *eventStream) freeSpace() []byte {
-	if cap(s.buffer)-len(s.buffer) < eventBufferBytes/2 {
-		grown := make([]byte, len(s.buffer), max(eventBufferBytes, 2*cap(s.buffer)))
-		copy(grown, s.buffer)
-		s.buffer = grown
-	}
-	return s.buffer[len(s.buffer):cap(s.buffer)]
-}
-
-// forwardEvents adds n bytes, which were read into freeSpace, to the buffer and relays
-// the events that are complete.
-func (s *eventStream) forwardEvents(n int) error {
-	s.buffer = s.buffer[:len(s.buffer)+n]
-	end := bytes.LastIndex(s.buffer, eventEnd)
-	if end < 0 {
-		return nil
-	}
-	end += len(eventEnd)
-	events := s.buffer[:end]
-	last, err := s.checkOrder(events)
-	if err != nil {
-		return err
-	}
-	if err := s.exchange.writeEvents(s.answer, events); err != nil {
-		return err
-	}
-	if last != "" {
-		s.exchange.lastEvent = last
-	}
-	s.buffer = s.buffer[:copy(s.buffer, s.buffer[end:])]
-	return nil
-}
-
-// checkOrder returns the id of the last event. It returns an error if the ids do not
-// increase, including from one replica of a resumed stream to the next.
-func (s *eventStream) checkOrder(events []byte) (string, error) {
-	last := s.exchange.lastEvent
-	for _, event := range bytes.Split(events, eventEnd) {
-		id := eventID(event)
-		if id == "" {
-			continue
-		}
-		if !followsEvent(id, last) {
-			return "", fmt.Errorf("%w: %q after %q", errEventOrder, id, last)
-		}
-		last = id
-	}
-	return last, nil
-}
-
-// eventID returns the value of an event's id field, or "" if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+// abort ends an answer that has begun so that it does not look complete. A caller of
+// HTTP/1.0 takes the end of the connection for the end of the answer, except for a
+// reset.
+func (x *exchange) abort() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
+			if tracked, ok := conn.(*trackedConn); ok {
+				tracked.resetOnClose()
+			}
+			_ = conn.Close()
 		}
 	}
-	return ""
-}
-
-// followsEvent reports whether an event id is greater than the last one. If either is
-// not a number, it returns true.
-func followsEvent(id, last string) bool {
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	return errA != nil || errB != nil || a > b
-}
-
-// finish returns the result of relayStream for an answer that was read to its end.
-func (s *eventStream) finish() (dispatch.Outcome, bool, error) {
-	x := s.exchange
-	if len(bytes.TrimSpace(s.buffer)) > 0 {
-		return dispatch.ConnectionBroken, false, errTruncatedEvent
-	}
-	if !x.headSent {
-		return dispatch.ConnectionBroken, false, errNoEvent
-	}
-	x.status = s.answer.Status
-	return dispatch.Answered, true, nil
+	panic(http.ErrAbortHandler)
 }
 
 // writeEvents writes events to the caller and flushes them. Before the first events of
