--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -11,14 +11,14 @@
 
 // checkContained waits until the sound requests beside a crashing part have been
 // measured, and checks the users' bounds for the part and for sound requests with the
-// given first parts.
-func (l *crashLoad) checkContained(part string, disturbedFrom time.Time, firsts ...string) {
+// given beginnings of their prompts.
+func (l *crashLoad) checkContained(part string, disturbedFrom time.Time, beginnings ...string) {
 	l.t.Helper()
 	l.untilAfterBlame(part, 2*contactTime+measuredTime)
 	blamed := l.blameTime(part)
 	l.checkFewArrivals(part, time.Now())
-	for _, first := range firsts {
-		l.checkSoundShare(first, disturbedFrom, blamed)
+	for _, beginning := range beginnings {
+		l.checkSoundShare(beginning, disturbedFrom, blamed)
 	}
 	l.checkStatuses()
 }
@@ -29,7 +29,7 @@
 func TestCrashingPartIsContained(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 4)
-	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	l.loadAll(soundInterval, append(soundPrompts("one", 5), soundPrompts("two", 5)...)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("bad", true)
@@ -42,7 +42,7 @@
 func TestCrashingPartIsContainedAcrossRestart(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 4)
-	l.loadAll(soundInterval, soundPrompts("one")...)
+	l.loadAll(soundInterval, soundPrompts("one", 5)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("bad", true)
@@ -60,7 +60,7 @@
 func TestLateInstanceDoesNotSendCrashingPart(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 3)
-	l.loadAll(soundInterval, soundPrompts("one")...)
+	l.loadAll(soundInterval, soundPrompts("one", 5)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("bad", true)
@@ -70,7 +70,7 @@
 	l.addInstance()
 	late := len(l.nodes) - 1
 	l.addOutage(late, from)
-	l.load(context.Background(), late, soundInterval, soundPrompts("one")...)
+	l.load(context.Background(), late, soundInterval, soundPrompts("one", 5)...)
 	l.load(context.Background(), late, taintedInterval, "one:40,bad:30")
 	time.Sleep(contactTime)
 	l.checkContained("bad", disturbed, "one")
@@ -81,7 +81,7 @@
 func TestTwoCrashingPartsAreContained(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 3)
-	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	l.loadAll(soundInterval, append(soundPrompts("one", 5), soundPrompts("two", 5)...)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("bad", true)
@@ -98,7 +98,7 @@
 func TestCrashingPartAfterAnotherIsContained(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 3)
-	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	l.loadAll(soundInterval, append(soundPrompts("one", 5), soundPrompts("two", 5)...)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("worse", true)
@@ -121,7 +121,7 @@
 	t.Parallel()
 	const maxRecovery = 30 * time.Second // stops a test that would wait forever
 	l := startCrashLoad(t, 3)
-	l.loadAll(2*soundInterval, soundPrompts("one")...)
+	l.loadAll(2*soundInterval, soundPrompts("one", 5)...)
 	time.Sleep(undisturbedTime)
 	l.parts.SetDeadly("bad", true)
 	l.loadAll(taintedInterval, "one:40,bad:30")
@@ -178,7 +178,7 @@
 func TestOtherCrashesDoNotBlameSoundParts(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 3)
-	prompts := append(soundPrompts("one"), soundPrompts("two")...)
+	prompts := append(soundPrompts("one", 5), soundPrompts("two", 5)...)
 	l.loadAll(soundInterval, prompts...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
@@ -206,7 +206,7 @@
 func TestCrashingPartBesideOtherCrashesIsContained(t *testing.T) {
 	t.Parallel()
 	l := startCrashLoad(t, 3)
-	l.loadAll(soundInterval, append(soundPrompts("one"), soundPrompts("two")...)...)
+	l.loadAll(soundInterval, append(soundPrompts("one", 5), soundPrompts("two", 5)...)...)
 	time.Sleep(undisturbedTime)
 	disturbed := time.Now()
 	l.parts.SetDeadly("bad", true)
@@ -224,7 +224,7 @@
 		middle[i] = fmt.Sprintf("long%d:5", i)
 	}
 	long := strings.Join(middle, ",")
-	sound := soundPrompts("one")
+	sound := soundPrompts("one", 5)
 	for i := range sound {
 		sound[i] += "," + long
 	}
--- a/edge/crashload_test.go
+++ b/edge/crashload_test.go
@@ -73,7 +73,7 @@
 		e.SetEventGap(15 * time.Millisecond)
 	}
 	l := &crashLoad{parts: platformtest.NewCrashingParts(crashDowntime), stopping: make(chan struct{})}
-	l.parts.EntryLapses = true
+	l.parts.SendsHead, l.parts.EntryLapses = true, true
 	backends.SetCrashingParts(l.parts)
 	l.deployment = startDeploymentOn(t, backends, instances)
 	t.Cleanup(l.stop) // before the instances stop
@@ -149,9 +149,9 @@
 	}
 }
 
-// soundPrompts returns prompts with the first part that differ in the second.
-func soundPrompts(first string) []string {
-	out := make([]string, 5)
+// soundPrompts returns n prompts with the first part that differ in the second.
+func soundPrompts(first string, n int) []string {
+	out := make([]string, n)
 	for i := range out {
 		out[i] = fmt.Sprintf("%s:40,mid%d:30", first, i)
 	}
@@ -238,14 +238,16 @@
 	}
 }
 
-// share returns how many requests with prompts that begin with first were sent from
-// from to to at instances in touch, and the share of them whose answer began.
-func (l *crashLoad) share(first string, from, to time.Time) (n int, began float64) {
+// share returns how many sound requests with prompts that begin with beginning were
+// sent from from to to at instances in touch, and the share of them whose answer
+// began.
+func (l *crashLoad) share(beginning string, from, to time.Time) (n int, began float64) {
 	l.mu.Lock()
 	samples := append([]sample{}, l.samples...)
 	l.mu.Unlock()
 	for _, s := range samples {
-		if strings.HasPrefix(s.prompt, first+":40,mid") && s.sentAt.After(from) && s.sentAt.Before(to) && l.inTouch(s.instance, s.sentAt) {
+		sound := strings.HasPrefix(s.prompt, beginning+":") && !l.parts.Holds(s.prompt+",own")
+		if sound && s.sentAt.After(from) && s.sentAt.Before(to) && l.inTouch(s.instance, s.sentAt) {
 			n++
 			if s.status == http.StatusOK {
 				began++
@@ -256,17 +258,17 @@
 }
 
 // checkSoundShare fails the test if less than half of the undisturbed share of the
-// sound requests with a first part began, from 2 × contactTime after blamed.
-func (l *crashLoad) checkSoundShare(first string, disturbedFrom, blamed time.Time) {
+// sound requests with a beginning began, from 2 × contactTime after blamed.
+func (l *crashLoad) checkSoundShare(beginning string, disturbedFrom, blamed time.Time) {
 	l.t.Helper()
-	before, undisturbed := l.share(first, time.Time{}, disturbedFrom)
-	after, share := l.share(first, blamed.Add(2*contactTime), time.Now())
-	l.t.Logf("first part %s: %.2f of %d sound requests began before the crashes, %.2f of %d after", first, undisturbed, before, share, after)
+	before, undisturbed := l.share(beginning, time.Time{}, disturbedFrom)
+	after, share := l.share(beginning, blamed.Add(2*contactTime), time.Now())
+	l.t.Logf("prompts from %s: %.2f of %d sound requests began before the crashes, %.2f of %d after", beginning, undisturbed, before, share, after)
 	if before < minSoundSamples || after < minSoundSamples {
-		l.t.Errorf("first part %s: %d and %d sound requests are too few to judge", first, before, after)
+		l.t.Errorf("prompts from %s: %d and %d sound requests are too few to judge", beginning, before, after)
 	}
 	if share < undisturbed/2 {
-		l.t.Errorf("first part %s: %.2f of the sound requests began, want at least half of %.2f", first, share, undisturbed)
+		l.t.Errorf("prompts from %s: %.2f of the sound requests began, want at least half of %.2f", beginning, share, undisturbed)
 	}
 }
 
