edge: reproduce a part that crashes replicas before the answer head

The connection ends without a byte of the answer, as it does for requests in the queue of a replica that crashes.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -235,3 +235,17 @@
 	l.loadAll(taintedInterval, "one:40,"+long+",bad:5", "one:40,mid1:30,bad:5,"+long)
 	l.checkContained("bad", disturbed, "one")
 }
+
+// Guards against a design that finds the part only if the replica has sent the head of
+// its answer.
+func TestCrashingPartWithoutAnswerHeadIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.parts.SendsHead = false
+	l.loadAll(soundInterval, soundPrompts("one", 5)...)
+	time.Sleep(undisturbedTime)
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,mid1:30,bad:20")
+	l.checkContained("bad", disturbed, "one")
+}
