--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -249,3 +249,17 @@
 	l.loadAll(taintedInterval, "one:40,mid1:30,bad:20")
 	l.checkContained("bad", disturbed, "one")
 }
+
+// Guards against blaming, in place of the crashing part, a rare sound part that comes
+// with it in each of its requests.
+func TestCrashingPartBehindRarePartIsContained(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, soundPrompts("one", 8)...)
+	time.Sleep(4 * time.Second) // until minSoundSamples requests with the rare part were sent
+	disturbed := time.Now()
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "one:40,mid3:30,bad:20")
+	l.untilAfterBlame("bad", 2*contactTime+4*time.Second)
+	l.checkContained("bad", disturbed, "one", "one:40,mid3")
+}
