--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -27,6 +27,7 @@
 	nodes     []nodeconfig.Node
 	logs      *lockedBuffer
 	caller    *platformtest.Caller
+	bounds    nodeconfig.Bounds // of the instances that are added from now on
 }
 
 // lockedBuffer is a log buffer that all instances of a deployment share.
@@ -57,25 +58,36 @@
 // startDeploymentOn is startDeployment with the given stand-ins.
 func startDeploymentOn(t *testing.T, backends *platformtest.Backends, instances int) *deployment {
 	t.Helper()
-	d := &deployment{Backends: backends, t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
-	t.Cleanup(d.Backends.Close)
+	d := newDeploymentOn(t, backends)
 	for range instances {
 		d.addInstance()
 	}
 	return d
 }
 
+// newDeployment starts a deployment without instances.
+func newDeployment(t *testing.T) *deployment {
+	return newDeploymentOn(t, platformtest.NewBackends())
+}
+
+// newDeploymentOn is newDeployment with the given stand-ins.
+func newDeploymentOn(t *testing.T, backends *platformtest.Backends) *deployment {
+	d := &deployment{Backends: backends, t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
+	d.bounds = nodeconfig.Bounds{
+		Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
+		RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
+	}
+	t.Cleanup(d.Backends.Close)
+	return d
+}
+
 // addInstance starts one more instance and waits until it serves requests.
 func (d *deployment) addInstance() *Instance {
 	d.t.Helper()
 	host := loopbacktest.Host()
 	node := nodeconfig.Node{
 		ID: "edge-" + host, DataCentre: "z1", Callers: loopbacktest.Address(d.t, host), Readiness: loopbacktest.Address(d.t, host), PeerHost: host,
-		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(),
-		Bounds: nodeconfig.Bounds{
-			Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
-			RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadExcess: 1.1,
-		},
+		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds,
 	}
 	d.nodesMu.Lock()
 	d.instances, d.nodes = append(d.instances, nil), append(d.nodes, node)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -46,6 +46,18 @@
 	// failedAnswer is a replica's failure that is relayed if no retry succeeds.
 	failedAnswer *bufferedAnswer
 	attempts     []attempt
+	// blockedPart is the prompt part for which the request is refused, or empty.
+	blockedPart string
+
+	// outliveDrain keeps the end of the drain from canceling the request. It returns
+	// false if the drain has ended.
+	outliveDrain func() bool
+
+	// successor is the send that takes over a stream from a silent replica.
+	successor *send
+
+	phase  phase
+	isOpen bool // the request is counted in Service.requests
 }
 
 // bufferedAnswer is an answer whose body, or the beginning of it, is in memory.
@@ -60,33 +72,25 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.request.Deadline)
 	defer cancel()
+	ctx, cancel = x.endWithDrain(ctx)
+	defer cancel()
+	defer x.dropSuccessor()
 	for {
-		admission, err := x.service.control.Admit(ctx, x.query())
-		if err != nil {
-			x.giveUp(ctx, "no-decision", 0)
-			return
-		}
-		d := admission.Decision
-		if d.Verdict == dispatch.Refuse {
-			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
-			return
-		}
-		if d.Verdict == dispatch.Wait {
-			x.awaitModel(ctx, d)
-			continue
+		next := x.successor
+		x.successor = nil
+		if next == nil {
+			f := x.decide(ctx)
+			if f == nil {
+				return
+			}
+			next = x.open(ctx, f)
 		}
-		if len(x.tried) > 0 {
-			x.logRetry(d)
-		}
-		outcome, done := x.send(ctx, admission.Flight)
+		outcome, done := x.relaySend(ctx, next)
 		if done {
 			x.finish(x.status, "")
 			return
 		}
-		x.tried, x.lastOutcome = append(x.tried, d.Replica.ID), outcome
-		if outcome.MayHaveRun() {
-			x.possibleRuns++
-		}
+		x.countSend(next.flight, outcome)
 		if ctx.Err() != nil || (x.possibleRuns > 0 && !x.route.Repeatable()) {
 			x.giveUp(ctx, outcome.String(), 0)
 			return
@@ -94,6 +98,42 @@
 	}
 }
 
+// decide returns the next send, or nil if the request has ended. It waits for the
+// request's model or adapter if these are about to arrive.
+func (x *exchange) decide(ctx context.Context) *controlplane.Flight {
+	for {
+		x.enter(phaseDeciding)
+		admission, err := x.service.control.Admit(ctx, x.query())
+		if err != nil {
+			x.giveUp(ctx, "no-decision", 0)
+			return nil
+		}
+		switch d := admission.Decision; d.Verdict {
+		case dispatch.Refuse:
+			if d.Cause == dispatch.CauseBlockedPart {
+				x.blockedPart = x.head.Parts[d.BlockedPart].ID
+			}
+			x.giveUp(ctx, string(d.Cause), d.RetryAfter)
+			return nil
+		case dispatch.Wait:
+			x.awaitModel(ctx, d)
+		default:
+			if len(x.tried) > 0 {
+				x.logRetry(d)
+			}
+			return admission.Flight
+		}
+	}
+}
+
+// countSend adds a send that has ended to the history of the request.
+func (x *exchange) countSend(f *controlplane.Flight, outcome dispatch.Outcome) {
+	x.tried, x.lastOutcome = append(x.tried, f.Decision.Replica.ID), outcome
+	if outcome.MayHaveRun() {
+		x.possibleRuns++
+	}
+}
+
 // awaitModel waits until a replica holds the request's model, or until the decision's
 // retry time has passed.
 func (x *exchange) awaitModel(ctx context.Context, d dispatch.Decision) {
@@ -101,6 +141,7 @@
 		x.logWait(d)
 	}
 	x.waited = true
+	x.enter(phaseWaiting)
 	x.service.control.AwaitModel(ctx, x.request.Model, d.RetryAfter)
 }
 
@@ -109,37 +150,6 @@
 	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Waited: x.waited}
 }
 
-// send sends the request to one replica and relays the answer to the caller. done
-// reports whether the caller has the whole answer, so that no retry is needed.
-func (x *exchange) send(ctx context.Context, f *controlplane.Flight) (outcome dispatch.Outcome, done bool) {
-	d := f.Decision
-	if d.NeedsAdapter {
-		if err := x.service.control.EnsureAdapter(ctx, d.Replica.ID, x.request.Model, x.request.Adapter); err != nil {
-			x.recordAttempt(f, dispatch.NotExecuted, err)
-			x.service.control.Finish(f, dispatch.NotExecuted, nil)
-			return dispatch.NotExecuted, false
-		}
-	}
-	sent := time.Now()
-	x.timeToFirstByte = 0
-	answer, err := x.service.pool.Do(ctx, d.Replica.Address, x.newCall(d), x.answerTimeout(d))
-	if err == nil || !errors.Is(err, upstream.ErrNotSent) {
-		x.delivered++
-	}
-	if err != nil {
-		outcome = x.outcomeOf(err)
-		x.recordAttempt(f, outcome, err)
-		x.service.control.Finish(f, outcome, nil)
-		return outcome, false
-	}
-	head := x.service.protocol.ReadAnswer(answer.Status, answer.Header)
-	outcome, done, err = x.relay(f, answer, head, sent)
-	answer.Close(err == nil && outcome != dispatch.Canceled)
-	x.recordAttempt(f, outcome, err)
-	x.service.control.Finish(f, outcome, head.Report)
-	return outcome, done
-}
-
 // newCall returns the request for the chosen replica.
 func (x *exchange) newCall(d dispatch.Decision) *upstream.Call {
 	to := ForwardInfo{
@@ -158,12 +168,12 @@
 // that can be retried waits for a multiple of the expected time, but at least for the
 // route's latency target and, for a stream, a part of dispatch.Patience. Any other
 // request waits until its deadline.
-func (x *exchange) answerTimeout(d dispatch.Decision) time.Duration {
+func (x *exchange) answerTimeout(s *send) time.Duration {
 	left := time.Until(x.request.Deadline)
-	if !x.route.Repeatable() || x.possibleRuns+1 >= x.route.MaxAttempts {
+	if !x.route.Repeatable() || s.earlierRuns+1 >= x.route.MaxAttempts {
 		return left
 	}
-	timeout := max(answerTimeoutFactor*d.Expected, x.route.LatencyTarget, minAnswerTimeout)
+	timeout := max(answerTimeoutFactor*s.flight.Decision.Expected, x.route.LatencyTarget, minAnswerTimeout)
 	if x.route.Kind == catalog.Stream {
 		timeout = max(timeout, dispatch.Patience(x.request)*streamTimeoutPercent/100)
 	}
@@ -189,6 +199,10 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return dispatch.Canceled
+	case x.cutByDrain() && errors.Is(err, upstream.ErrNotSent):
+		return dispatch.NotExecuted
+	case x.cutByDrain():
+		return dispatch.Canceled
 	case errors.Is(err, upstream.ErrNotSent):
 		return dispatch.Unreachable
 	case errors.Is(err, upstream.ErrAnswerTimeout):
@@ -201,9 +215,12 @@
 // giveUp ends a request that is not sent again. It relays an earlier failure of a
 // replica, refuses the request, or aborts the connection if an answer has begun.
 func (x *exchange) giveUp(ctx context.Context, cause string, retryAfter time.Duration) {
+	if x.cutByDrain() {
+		cause, retryAfter = string(dispatch.CauseStopping), dispatch.StoppingRetryAfter
+	}
 	switch {
 	case x.r.Context().Err() != nil:
-		x.finish(0, "caller-left")
+		x.finish(0, x.lostConnectionCause())
 		panic(http.ErrAbortHandler)
 	case x.headSent:
 		x.finish(0, "broken-off: "+cause)
@@ -221,6 +238,15 @@
 	}
 }
 
+// lostConnectionCause returns why the caller's connection ended: the caller closed it,
+// or the instance did at the end of its drain.
+func (x *exchange) lostConnectionCause() string {
+	if x.service.aborting.Load() {
+		return "instance-stopped"
+	}
+	return "caller-left"
+}
+
 // refuse ends the request with an answer by the instance itself, whose text is cause.
 func (x *exchange) refuse(status int, cause string, retryAfter time.Duration) {
 	x.finish(status, cause)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/upstream"
+	"github.com/hyssophaven/hyssophaven/worker"
 )
 
 // ServiceName is the service's name in the kernel.
@@ -37,13 +38,9 @@
 	// acceptRetryDelay is the pause after a failed accept, which occurs when the process
 	// runs out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
-	// balancerWait is how long a stopping instance keeps accepting connections. The
-	// load balancer checks readiness once a second and removes the instance after
-	// two failures.
-	balancerWait = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace time open requests are
-	// aborted, so that they do not end with the process being killed.
-	stopMargin = 400 * time.Millisecond
+	// idleCheckInterval is the time between two searches for idle connections to replicas
+	// that have expired. They are kept for some seconds.
+	idleCheckInterval = 2 * time.Second
 )
 
 // Service is the service that handles callers' requests. It implements
@@ -56,11 +53,18 @@
 	log           *log.Logger
 	metrics       *metrics.Registry
 	control       *controlplane.Service
-	listener      net.Listener // accepts callers' connections
+	listener      deadlineListener // accepts callers' connections
 	callers       *servers
 	readiness     *http.Server
 	stopping      atomic.Bool
-	recorder      recorder
+	// drained ends shortly before the end of a drain, when requests whose answer has
+	// not begun get their final answer. endDrain ends it.
+	drained  context.Context
+	endDrain context.CancelFunc
+	aborting atomic.Bool // the remaining connections of callers are being closed
+	requests openRequests
+	recorder recorder
+	group    *worker.Group
 }
 
 // Options holds the settings and dependencies of a Service.
@@ -76,10 +80,13 @@
 // New returns a Service that has not been started.
 func New(o Options) *Service {
 	initWaitCounters(o.Metrics)
-	return &Service{
+	s := &Service{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
-		recorder: newRecorder(o.Log, o.Metrics),
+		recorder: newRecorder(o.Log, o.Metrics), group: worker.NewGroup(),
 	}
+	s.drained, s.endDrain = context.WithCancel(context.Background())
+	s.requests.export(o.Metrics)
+	return s
 }
 
 // Name implements kernel.Service.
@@ -104,11 +111,15 @@
 	}
 	router := chi.NewRouter()
 	router.Get(s.readinessPath, s.serveReadiness)
-	s.listener = callers
+	var ok bool
+	if s.listener, ok = callers.(deadlineListener); !ok {
+		return errors.Join(fmt.Errorf("listen for callers: listener %T has no deadline", callers), callers.Close(), ready.Close())
+	}
 	s.callers = &servers{handler: http.HandlerFunc(s.serve), log: s.log, configLimits: func() connLimits { return limitsOf(s.control.Snapshot().Config) }}
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
-	go s.callers.run(callers)
+	go s.callers.run(s.listener)
 	s.serveListener(s.readiness, ready)
+	s.group.Every(idleCheckInterval, nil, func(context.Context) { s.pool.CloseExpired() })
 	return nil
 }
 
@@ -131,29 +142,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Drain prepares a graceful stop. It fails readiness checks, keeps serving until the
-// load balancer has removed the instance, and then waits for the requests in flight
-// until shortly before deadline.
-func (s *Service) Drain(ctx context.Context, deadline time.Time) {
-	s.stopping.Store(true)
-	s.control.Post(controlplane.Stopping{})
-	select {
-	case <-time.After(balancerWait):
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
-	defer cancel()
-	if err := errors.Join(s.listener.Close(), s.callers.shutdown(ctx)); err != nil {
-		s.log.Warn("graceful stop incomplete, requests in flight are aborted", "error", err)
-	}
-}
-
 // Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error {
+func (s *Service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.aborting.Store(true)
+	s.endDrain()
 	s.pool.Close()
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Warn("closing the callers' listener failed", "error", err)
 	}
-	return errors.Join(s.callers.close(), s.readiness.Close())
+	return errors.Join(s.callers.close(), s.readiness.Close(), s.group.Stop(ctx))
 }
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,8 +11,8 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
-	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/suspect"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -32,7 +33,8 @@
 // relay relays a replica's answer to the caller, or discards it if the request is to
 // be retried. It returns the outcome of the send and whether the caller has the whole
 // answer. A nil error means that the replica's answer was read to its end.
-func (x *exchange) relay(f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+func (x *exchange) relay(ctx context.Context, s *send) (dispatch.Outcome, bool, error) {
+	a, head := s.answer, s.head
 	if err := x.checkHead(a, head); err != nil {
 		return dispatch.ConnectionBroken, false, err
 	}
@@ -44,20 +46,21 @@
 		return outcome, false, x.discard(a)
 	}
 	if x.route.Kind == catalog.Stream && a.Status == http.StatusOK {
-		return x.relayStream(f, a, head, sent)
+		return x.relayStream(ctx, s)
 	}
 	if x.headSent {
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
 	}
-	x.reportFirstByte(f, head, sent)
+	x.reportFirstByte(s)
 	return x.relayPlain(a)
 }
 
 // reportFirstByte reports the time to the first byte of a send to the control
 // goroutine.
-func (x *exchange) reportFirstByte(f *controlplane.Flight, head AnswerHead, sent time.Time) {
-	x.timeToFirstByte = time.Since(sent)
-	x.service.control.FirstByte(f, x.timeToFirstByte, head.Report)
+func (x *exchange) reportFirstByte(s *send) {
+	x.timeToFirstByte = time.Since(s.sentAt)
+	x.enter(phaseAnswering)
+	x.service.control.FirstByte(s.flight, x.timeToFirstByte, s.head.Report)
 }
 
 // checkHead returns an error if the head of an answer shows that it can't be relayed.
@@ -146,7 +149,9 @@
 // relayLarge relays an answer of maxBufferedBytes or more while it is being read.
 // prefix holds the bytes that were read already.
 func (x *exchange) relayLarge(a *upstream.Answer, prefix *bufferedAnswer) (dispatch.Outcome, bool, error) {
-	x.headSent, x.firstByte = true, time.Now()
+	if err := x.beginAnswer(); err != nil {
+		return dispatch.Canceled, false, err
+	}
 	x.service.protocol.CopyAnswer(x.w.Header(), prefix.header)
 	x.setConnectionClose()
 	if a.Length >= 0 {
@@ -164,17 +169,20 @@
 }
 
 // relayStream relays events as they arrive, each as soon as it is complete.
-func (x *exchange) relayStream(f *controlplane.Flight, a *upstream.Answer, head AnswerHead, sent time.Time) (dispatch.Outcome, bool, error) {
+//
+// A begun stream whose replica is silent is resumed at another replica if one can take
+// it over.
+func (x *exchange) relayStream(ctx context.Context, from *send) (dispatch.Outcome, bool, error) {
+	a := from.answer
 	s := &eventStream{exchange: x, answer: a}
-	x.setEventTimeout(a, x.answerTimeout(f.Decision))
+	x.setEventTimeout(a, x.answerTimeout(from))
 	for {
 		n, err := a.Read(s.freeSpace())
-		if n > 0 && !s.begun {
-			s.begun = true
-			x.reportFirstByte(f, head, sent)
+		if n > 0 {
+			s.reportProgress(from)
 		}
 		if relayErr := s.forwardEvents(n); relayErr != nil {
-			if errors.Is(relayErr, errCallerWrite) {
+			if errors.Is(relayErr, errCallerWrite) || errors.Is(relayErr, errStopping) {
 				return dispatch.Canceled, false, relayErr
 			}
 			return dispatch.ConnectionBroken, false, relayErr
@@ -182,6 +190,7 @@
 		switch {
 		case err == io.EOF:
 			return s.finish()
+		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.handOver(ctx, from):
 		case err != nil:
 			return x.outcomeOf(err), false, err
 		}
@@ -189,6 +198,19 @@
 	}
 }
 
+// reportProgress reports the first byte of a stream, and later that its answer has
+// settled.
+func (s *eventStream) reportProgress(from *send) {
+	switch {
+	case s.begunAt.IsZero():
+		s.begunAt = time.Now()
+		s.exchange.reportFirstByte(from)
+	case !s.settled && time.Since(s.begunAt) >= suspect.SettleTime:
+		s.settled = true
+		s.exchange.service.control.Settled(from.flight)
+	}
+}
+
 // setEventTimeout limits the wait for the next part of a stream to d if the stream can
 // be resumed at another replica, and otherwise to the request's deadline.
 func (x *exchange) setEventTimeout(a *upstream.Answer, d time.Duration) {
@@ -204,7 +226,8 @@
 	exchange *exchange
 	answer   *upstream.Answer
 	buffer   []byte // bytes of an event that is not complete yet
-	begun    bool
+	begunAt  time.Time
+	settled  bool // the answer has gone on for suspect.SettleTime
 }
 
 // eventBufferBytes is the initial size of a stream's buffer.
@@ -299,7 +322,9 @@
 // a stream, it writes the head of the answer.
 func (x *exchange) writeEvents(a *upstream.Answer, events []byte) error {
 	if !x.headSent {
-		x.headSent, x.firstByte = true, time.Now()
+		if err := x.beginAnswer(); err != nil {
+			return err
+		}
 		x.service.protocol.CopyAnswer(x.w.Header(), a.Header)
 		x.setConnectionClose()
 		x.w.WriteHeader(a.Status)
--- a/ingress/servers.go
+++ b/ingress/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -30,36 +31,91 @@
 	return l
 }
 
+// deadlineListener is a listener whose Accept can be ended without closing it, as of
+// *net.TCPListener.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
 // servers serves callers' connections. It starts one HTTP server for each set of
 // limits, because the limits of an http.Server can't change after its start.
 type servers struct {
 	handler      http.Handler
 	log          *log.Logger
 	configLimits func() connLimits // limits of the current config
+	conns        connTracker
 
 	mu            sync.Mutex // guards the fields below, which are not control state
 	currentQueue  *connQueue
 	currentLimits connLimits
 	all           []*http.Server
 	closed        bool
+	acceptEnded   chan struct{} // closed when run returns; use acceptEnd
 }
 
-// run accepts connections until the listener is closed.
-func (s *servers) run(l net.Listener) {
+// run accepts connections until the listener is closed or stopAccepting is called.
+func (s *servers) run(l deadlineListener) {
+	defer close(s.acceptEnd())
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.serve(l, conn)
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.acceptRemaining(l)
+			return
+		default:
 			s.log.Warn("accepting a caller's connection failed", "error", err)
 			time.Sleep(acceptRetryDelay)
-			continue
 		}
-		s.queue(l.Addr()).put(conn)
 	}
 }
 
+// serve passes an accepted connection to the server with the current limits.
+func (s *servers) serve(l net.Listener, conn net.Conn) {
+	c := s.conns.add(conn)
+	if !s.queue(l.Addr()).put(c) {
+		s.conns.remove(c)
+	}
+}
+
+// acceptRemaining accepts the connections that wait to be accepted: the operating system
+// resets them when the listener is closed.
+func (s *servers) acceptRemaining(l deadlineListener) {
+	for {
+		_ = l.SetDeadline(time.Now().Add(lastReadTime))
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.serve(l, conn)
+	}
+}
+
+// acceptEnd returns the channel that is closed when run returns.
+func (s *servers) acceptEnd() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.acceptEnded == nil {
+		s.acceptEnded = make(chan struct{})
+	}
+	return s.acceptEnded
+}
+
+// stopAccepting closes the listener after the connections that wait to be accepted have
+// been accepted, or when ctx ends.
+func (s *servers) stopAccepting(ctx context.Context, l deadlineListener) error {
+	_ = l.SetDeadline(time.Unix(1, 0))
+	select {
+	case <-s.acceptEnd():
+	case <-ctx.Done():
+	}
+	return l.Close()
+}
+
 // queue returns the queue of the server with the current limits. It starts that server
 // for the first connection and whenever the limits have changed.
 func (s *servers) queue(address net.Addr) *connQueue {
@@ -75,6 +131,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.header, IdleTimeout: limits.idle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: s.log.StandardLog(),
+		ConnState: s.conns.observeState,
 	}
 	queue := &connQueue{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	s.currentQueue, s.currentLimits, s.all = queue, limits, append(s.all, server)
@@ -86,10 +143,26 @@
 	return queue
 }
 
-// shutdown closes idle connections and waits for the requests in flight until ctx
+// shutdown closes connections as they become idle, and returns when none is left or ctx
 // ends.
 func (s *servers) shutdown(ctx context.Context) error {
-	return s.endAll(func(server *http.Server) error { return server.Shutdown(ctx) })
+	s.closeQueue()
+	select {
+	case <-s.conns.drain(newConnWait):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// closeQueue ends the queue of accepted connections.
+func (s *servers) closeQueue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.currentQueue != nil {
+		_ = s.currentQueue.Close()
+	}
 }
 
 // close closes all connections.
@@ -121,12 +194,15 @@
 	closed  chan struct{}
 }
 
-// put passes a connection to the server, or closes it if the queue is closed.
-func (q *connQueue) put(conn net.Conn) {
+// put passes a connection to the server. If the queue is closed, it closes the
+// connection and returns false.
+func (q *connQueue) put(conn net.Conn) bool {
 	select {
 	case q.conns <- conn:
+		return true
 	case <-q.closed:
 		_ = conn.Close()
+		return false
 	}
 }
 
