--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -263,3 +263,26 @@
 	l.untilAfterBlame("bad", 2*contactTime+4*time.Second)
 	l.checkContained("bad", disturbed, "one", "one:40,mid3")
 }
+
+// Guards against refusing sound requests for good because their first part has come
+// with the crashing part only until that was blocked.
+func TestFirstPartBlockedWithCrashingPartIsServed(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.loadAll(soundInterval, soundPrompts("one", 5)...)
+	l.parts.SetDeadly("bad", true)
+	l.loadAll(taintedInterval, "new:40,rare:30,bad:20")
+	l.untilAfterBlame("bad", time.Second)
+	l.loadAll(soundInterval, soundPrompts("new", 5)...)
+	l.untilAfterBlame("bad", 2*contactTime+measuredTime)
+	blamed := l.blameTime("bad")
+	l.checkFewArrivals("bad", time.Now())
+	from := blamed.Add(2 * contactTime)
+	others, want := l.share("one", from, time.Now())
+	n, began := l.share("new", from, time.Now())
+	t.Logf("%.2f of %d sound requests with the first part began, %.2f of %d with another one", began, n, want, others)
+	if n < minSoundSamples || began < want/2 {
+		t.Errorf("%.2f of %d sound requests with the first part began, want at least half of %.2f", began, n, want)
+	}
+	l.checkStatuses()
+}
