suspect: blame sends whose answer had begun before others

Sound prompt parts were blocked: those of requests that were queued on a replica when another request crashed it. An instance that heard of no holder blocked parts by its own broken sends although the request that crashed the replicas went through other instances.

Cause: all sends that broke before their answer had settled counted alike. A part crashes its replica when the answer begins, so the send to blame is one whose head had arrived.

A crash now keeps the parts of the sends whose answer had begun, and those of the others only while there is none. This also holds for the records of one crash that several instances report. Without a holder only crashes with begun answers count.

--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -15,6 +15,8 @@
 	// replica. It is 0 after the first byte.
 	PrefillWork float64
 	SentAt      time.Time
+	// HeadSeen is set by traffic, before Finish, if the head of an answer has arrived.
+	HeadSeen bool
 	// begunAt is when the answer began, and settled whether it has gone on for
 	// suspect.SettleTime. The control goroutine owns both.
 	begunAt time.Time
@@ -147,7 +149,7 @@
 	case e.outcome == dispatch.Answered:
 		c.settle(f)
 	case e.outcome == dispatch.ConnectionBroken && !f.settled:
-		c.dispatch.RecordBreak(now, f.Request, f.Decision)
+		c.dispatch.RecordBreak(now, f.Request, f.Decision, f.HeadSeen)
 	}
 	if c.dispatch.RecordEnd(now, f.SentAt, f.Request, f.Decision, e.outcome, f.PrefillWork) {
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -154,9 +154,9 @@
 }
 
 // RecordBreak records that a send ended as ConnectionBroken before its answer had
-// settled.
-func (s *State) RecordBreak(now time.Time, req *Request, d Decision) {
-	s.suspects.RecordBreak(now, d.Replica.ID, req.SharedParts)
+// settled. began tells whether the answer had begun.
+func (s *State) RecordBreak(now time.Time, req *Request, d Decision, began bool) {
+	s.suspects.RecordBreak(now, d.Replica.ID, req.SharedParts, began)
 }
 
 // Suspects returns the records of prompt parts that may crash replicas.
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -62,6 +62,7 @@
 		s.outcome = x.outcomeOf(s.err)
 		return
 	}
+	s.flight.HeadSeen = true
 	s.head = x.service.protocol.ReadAnswer(s.answer.Status, s.answer.Header)
 	x.service.control.PostNotice(d.Replica, s.head.Notice, s.head.NoticeErr)
 }
--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -14,6 +14,7 @@
 	Replica string         `json:"r"`
 	Age     int64          `json:"a"`
 	Parts   []suspect.Part `json:"p,omitempty"`
+	Began   bool           `json:"b,omitempty"`
 }
 
 type blockMessage struct {
@@ -48,7 +49,7 @@
 	}
 	m := &suspectsMessage{Incarnation: r.Incarnation, Blocked: encodeBlocks(r.Blocked), Proven: r.Proven, Answers: r.Answers}
 	for _, c := range r.Crashes {
-		m.Crashes = append(m.Crashes, crashMessage{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: c.Age.Milliseconds(), Parts: c.Parts})
+		m.Crashes = append(m.Crashes, crashMessage{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: c.Age.Milliseconds(), Parts: c.Parts, Began: c.Began})
 	}
 	if len(r.Cleared) > 0 {
 		m.Cleared = make(map[suspect.Part]int64, len(r.Cleared))
@@ -65,7 +66,7 @@
 	}
 	r := suspect.Report{Incarnation: m.Incarnation, Blocked: decodeBlocks(m.Blocked), Proven: m.Proven, Answers: m.Answers, Cleared: make(map[suspect.Part]time.Duration, len(m.Cleared))}
 	for _, c := range m.Crashes {
-		r.Crashes = append(r.Crashes, suspect.Crash{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: fromMilliseconds(c.Age), Parts: c.Parts})
+		r.Crashes = append(r.Crashes, suspect.Crash{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: fromMilliseconds(c.Age), Parts: c.Parts, Began: c.Began})
 	}
 	for p, age := range m.Cleared {
 		r.Cleared[p] = fromMilliseconds(age)
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -13,6 +13,7 @@
 	Replica     string
 	Age         time.Duration
 	Parts       []Part // empty if the replica turned out not to have crashed
+	Began       bool   // the answers of the requests with these parts had begun
 }
 
 // Block is a blocked part as instances exchange it.
@@ -65,7 +66,7 @@
 		if parts += len(c.parts); parts > maxReportedParts {
 			break
 		}
-		r.Crashes = append(r.Crashes, Crash{ID: c.id, Version: c.version, Replica: c.replica, Age: now.Sub(c.at), Parts: c.parts})
+		r.Crashes = append(r.Crashes, Crash{ID: c.id, Version: c.version, Replica: c.replica, Age: now.Sub(c.at), Parts: c.parts, Began: c.began})
 	}
 	for _, p := range s.suspected {
 		if n := s.history.count(now, p); n > 0 {
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -70,7 +70,7 @@
 	}
 	known.reportedAt, known.proven = now, r.Proven
 	for _, c := range r.Crashes {
-		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: now.Add(-c.Age), parts: union(nil, c.Parts)}
+		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: now.Add(-c.Age), parts: union(nil, c.Parts), began: c.Began}
 		known.version = max(known.version, c.Version)
 	}
 	if len(r.Crashes) > 0 {
@@ -163,6 +163,10 @@
 		return Changes{}
 	}
 	crashes := s.allCrashes()
+	if role.Holder == "" {
+		// The send that crashed the replica may have been that of another instance.
+		crashes = slices.DeleteFunc(crashes, func(c crash) bool { return !c.began })
+	}
 	changes := Changes{Unblocked: s.updateBlocked(now, crashes, role.Holder)}
 	crashes = s.unexplained(crashes)
 	for {
@@ -262,7 +266,7 @@
 			continue
 		}
 		if last := len(merged) - 1; last >= 0 && merged[last].replica == c.replica && c.at.Sub(merged[last].at) < crashSpan {
-			merged[last].parts = union(merged[last].parts, c.parts)
+			merged[last].add(c.parts, c.began)
 			continue
 		}
 		merged = append(merged, c)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -51,6 +51,20 @@
 	replica string
 	at      time.Time
 	parts   []Part // sorted; empty if the replica turned out not to have crashed
+	// began means that parts are those of the sends whose answer had begun. A part
+	// crashes its replica when the answer begins, so sends without any byte of an answer
+	// only count if there is none with one.
+	began bool
+}
+
+// add adds the parts of a send that broke in the crash.
+func (c *crash) add(parts []Part, began bool) {
+	switch {
+	case began && !c.began:
+		c.parts, c.began = union(nil, parts), true
+	case began == c.began:
+		c.parts = union(c.parts, parts)
+	}
 }
 
 // State holds what one instance knows of suspected and blocked parts. On the holder of
@@ -78,9 +92,10 @@
 		history: history{parts: make(map[Part]*answerCount)}}
 }
 
-// RecordBreak records that a send broke before its answer had settled. parts are the
-// parts that can be suspected: all but the last, which belongs to the request itself.
-func (s *State) RecordBreak(now time.Time, replica string, parts []Part) {
+// RecordBreak records that a send broke before its answer had settled; began tells
+// whether the answer had begun, with its head or more. parts are the parts that can be
+// suspected: all but the last, which belongs to the request itself.
+func (s *State) RecordBreak(now time.Time, replica string, parts []Part, began bool) {
 	if len(parts) == 0 {
 		return
 	}
@@ -92,7 +107,7 @@
 	}
 	c := &s.crashes[i]
 	c.version = s.lastVersion
-	c.parts = union(c.parts, parts)
+	c.add(parts, began)
 	for _, p := range c.parts {
 		s.watch(p)
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -58,7 +58,7 @@
 
 // crash breaks a request at an instance, with the given parts.
 func (f *instances) crash(instance int, replica string, parts ...Part) {
-	f.states[instance].RecordBreak(f.now, replica, parts)
+	f.states[instance].RecordBreak(f.now, replica, parts, true)
 }
 
 // answer records an answer at an instance that begins now.
@@ -149,6 +149,26 @@
 	is.True(!f.blocked(1, deadly))
 }
 
+// Guards against blaming the requests that were queued on a replica for the crash that
+// another one caused when its answer began, also if another instance sent that one.
+func TestRequestsWithoutAnswerAreNotBlamed(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(3)
+	for i := range 4 {
+		replica := fmt.Sprint("replica-", i)
+		f.crash(1, replica, deadly)
+		f.states[1].RecordBreak(f.now, replica, []Part{first}, false)
+		f.states[2].RecordBreak(f.now, replica, []Part{middle}, false)
+	}
+	alone := f.states[2]
+	alone.Decide(f.now, Role{}) // while it hears of no holder
+	is.True(!f.blocked(2, middle))
+	f.exchangeFor(2 * time.Second)
+	is.True(f.blocked(0, deadly))
+	is.True(!f.blocked(0, first))
+	is.True(!f.blocked(0, middle))
+}
+
 // blockDeadly crashes three replicas and waits until the part is blocked.
 func blockDeadly(t *testing.T, f *instances) {
 	t.Helper()
