suspect: block parts that come together only together

Cause: parts that were in the same crashes have the same count and were blocked one by one. Only an answer clears a part, and the requests that could have cleared the sound ones were refused.

A block is now the set of parts that crashes have in common, and a request is refused only if it holds all of them. Requests with some of them go on and clear the sound parts, and a crash that lacks a part takes it out of the set. At most two further replicas crash that way for a prompt of three shared parts, before the set is down to the part to blame.

--- a/controlplane/suspects.go
+++ b/controlplane/suspects.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/suspect"
@@ -32,13 +33,13 @@
 	c.metrics.Gauge("parts", "state", "suspected").Set(int64(suspected))
 }
 
-// logPartChanges logs the parts that decidedBy has blocked or unblocked. Parts are named
-// by their hash; refused requests name the part itself.
+// logPartChanges logs the sets of parts that decidedBy has blocked or unblocked. Parts are
+// named by their hash; refused requests name the part itself.
 func (c *core) logPartChanges(changes suspect.Changes, decidedBy string) {
-	for _, p := range changes.Blocked {
-		c.log.Warn("prompt part blocked", "part_hash", p.String(), "decided_by", decidedBy, "own_crashes", c.dispatch.Suspects().DescribeCrashes(p))
+	for _, parts := range changes.Blocked {
+		c.log.Warn("prompt parts blocked", "part_hashes", fmt.Sprint(parts), "decided_by", decidedBy, "own_crashes", c.dispatch.Suspects().DescribeCrashes(parts))
 	}
-	for _, p := range changes.Unblocked {
-		c.log.Info("prompt part unblocked", "part_hash", p.String(), "decided_by", decidedBy)
+	for _, parts := range changes.Unblocked {
+		c.log.Info("prompt parts unblocked", "part_hashes", fmt.Sprint(parts), "decided_by", decidedBy)
 	}
 }
--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -18,11 +18,11 @@
 }
 
 type blockMessage struct {
-	Part         suspect.Part `json:"p"`
-	Wait         int64        `json:"w,omitempty"`
-	LastCrashAge int64        `json:"a"`
-	Failures     int          `json:"f,omitempty"`
-	Trial        uint64       `json:"t,omitempty"`
+	Parts        []suspect.Part `json:"p"`
+	Wait         int64          `json:"w,omitempty"`
+	LastCrashAge int64          `json:"a"`
+	Failures     int            `json:"f,omitempty"`
+	Trial        uint64         `json:"t,omitempty"`
 }
 
 // suspectsMessage is an instance's report on prompt parts. It is left out while there is
@@ -91,7 +91,7 @@
 func encodeBlocks(blocks []suspect.Block) []blockMessage {
 	var out []blockMessage
 	for _, b := range blocks {
-		out = append(out, blockMessage{Part: b.Part, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Trial: b.Trial})
+		out = append(out, blockMessage{Parts: b.Parts, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Trial: b.Trial})
 	}
 	return out
 }
@@ -99,7 +99,7 @@
 func decodeBlocks(messages []blockMessage) []suspect.Block {
 	var out []suspect.Block
 	for _, m := range messages {
-		out = append(out, suspect.Block{Part: m.Part, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Trial: m.Trial})
+		out = append(out, suspect.Block{Parts: m.Parts, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Trial: m.Trial})
 	}
 	return out
 }
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,9 @@
 	// since the part is suspected, if it was in recent answers. Without it, the parts of
 	// most requests would be blocked when all replicas fail at once.
 	minOtherAnswers = 10
-	// A part is blocked for blockTime, doubled after each failed trial up to
+	// maxUsedTrials limits the trials that an instance remembers to have used.
+	maxUsedTrials = 64
+	// Parts are blocked for blockTime, doubled after each failed trial up to
 	// maxBlockTime. Each failed trial costs a replica.
 	blockTime    = 30 * time.Second
 	maxBlockTime = 5 * time.Minute
@@ -23,29 +26,72 @@
 	trialTime = 10 * time.Second
 	// minBlockedWait is the shortest time after which a refused caller should return.
 	minBlockedWait = time.Second
-	// maxBlocked limits the blocked parts, and maxSuspected the parts that the holder
+	// maxBlocked limits the blocks, and maxSuspected the parts that the holder
 	// announces.
 	maxBlocked   = 256
 	maxSuspected = 256
 )
 
-// block is the state of a blocked part.
+// block is a set of parts that crashes have in common. Requests that hold all of them are
+// refused. A part that several crashes share with a crashing one can't be told from it
+// until a request with only one of them is answered, or crashes a replica too.
 type block struct {
+	parts []Part // sorted
+	// suspects are the parts that can be to blame; those with the most crashes are in
+	// parts. Only the holder keeps the others.
+	suspects  map[Part]evidence
 	until     time.Time // when the next trial is due
 	lastCrash time.Time
 	failures  int // failed trials
-	// trial identifies the trial that this instance may use; 0 if none. usedTrial is
-	// the last one that it has used.
-	trial, usedTrial uint64
+	// trial identifies the trial that this instance may use; 0 if none.
+	trial uint64
 	// trialOwner is the instance that the holder has given the trial since trialAt.
 	trialOwner string
 	trialAt    time.Time
 }
 
-// mayTry reports whether this instance may send a request with the part.
-func (b *block) mayTry() bool { return b.trial != 0 && b.trial != b.usedTrial }
+// evidence is what speaks against a part: the number of crashes in which it is suspected,
+// and the last of them.
+type evidence struct {
+	crashes int
+	last    time.Time
+}
+
+// newBlock returns a block of parts that have the same crashes in common.
+func newBlock(now time.Time, parts []Part, e evidence) *block {
+	b := &block{parts: parts, suspects: make(map[Part]evidence, len(parts)), until: now.Add(holdTime(0)), lastCrash: e.last}
+	for _, p := range parts {
+		b.suspects[p] = e
+	}
+	return b
+}
+
+// matches reports whether a request with parts holds all parts of the block.
+func (b *block) matches(parts []Part) bool {
+	for _, p := range b.parts {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// update sets parts to the suspects with the most crashes.
+func (b *block) update() {
+	most := 0
+	for _, e := range b.suspects {
+		most = max(most, e.crashes)
+	}
+	b.parts = nil
+	for p, e := range b.suspects {
+		if e.crashes == most {
+			b.parts = append(b.parts, p)
+		}
+	}
+	slices.Sort(b.parts)
+}
 
-// holdTime returns how long a part is blocked after the given number of failed trials.
+// holdTime returns how long parts are blocked after the given number of failed trials.
 func holdTime(failures int) time.Duration {
 	hold := blockTime
 	for range failures {
@@ -56,8 +102,8 @@
 	return hold
 }
 
-// recordCrash records a crash in which the part was suspected. A crash after the trial
-// was due makes the part wait longer.
+// recordCrash records a crash of a request that the block matches. A crash after the
+// trial was due makes the parts wait longer.
 func (b *block) recordCrash(now, at time.Time) {
 	if !at.After(b.lastCrash) {
 		return
@@ -70,8 +116,8 @@
 	}
 }
 
-// grantTrial returns the trial that an instance may use now, or 0. A trial is
-// identified by the time of its grant, so that successive holders use different ones.
+// grantTrial returns the trial that an instance may use now, or 0. A trial is identified
+// by the time of its grant and the block, so that successive holders use different ones.
 func (b *block) grantTrial(now time.Time, instance string) uint64 {
 	if now.Before(b.until) {
 		return 0
@@ -84,5 +130,5 @@
 	if b.trialOwner != instance {
 		return 0
 	}
-	return uint64(b.trialAt.UnixNano())
+	return uint64(b.trialAt.UnixNano()) ^ uint64(b.parts[0])
 }
--- /dev/null
+++ b/suspect/decide.go
@@ -0,0 +1,233 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Role is the part that an instance has in decisions on parts.
+type Role struct {
+	// Holder is the instance's own name if it holds the order lease, and otherwise
+	// empty. Only the holder grants trials.
+	Holder string
+	// Settle is how long a part must have been announced as suspected before it is
+	// blocked, so that other instances can report answers that clear it.
+	Settle time.Duration
+}
+
+// Decide blocks and unblocks parts. The holder of the order lease calls it regularly,
+// and so does an instance that hears of no holder, which decides by its own records.
+func (s *State) Decide(now time.Time, role Role) Changes {
+	s.Expire(now)
+	if len(s.crashes) == 0 && len(s.blocks) == 0 && len(s.fleet.instances) == 0 && len(s.suspected) == 0 {
+		return Changes{}
+	}
+	crashes := s.allCrashes()
+	if role.Holder == "" {
+		// The send that crashed the replica may have been that of another instance.
+		crashes = slices.DeleteFunc(crashes, func(c crash) bool { return !c.began })
+	}
+	old := make([]*block, len(s.blocks))
+	for i, b := range s.blocks {
+		old[i] = &block{parts: b.parts}
+	}
+	s.updateBlocks(now, crashes, role.Holder)
+	crashes = s.unexplained(crashes)
+	for len(s.blocks) < maxBlocked {
+		parts, e := s.mostSuspected(now, crashes, role.Settle)
+		if len(parts) == 0 {
+			break
+		}
+		s.addBlock(newBlock(now, parts, e))
+		crashes = s.unexplained(crashes)
+	}
+	s.announce(now, crashes)
+	return compareBlocks(old, s.blocks)
+}
+
+// updateBlocks adds the crashes to the evidence of the blocks, drops the suspects that
+// answers have cleared and the blocks without suspects, and grants due trials to the
+// holder's own instance.
+func (s *State) updateBlocks(now time.Time, crashes []crash, holder string) {
+	for _, b := range s.blocks {
+		for _, c := range crashes {
+			if s.suspectsAll(c, b.parts) {
+				b.recordCrash(now, c.at)
+			}
+		}
+		counts := s.count(crashes)
+		for p, e := range b.suspects {
+			if n := counts[p]; n.crashes > e.crashes || n.last.After(e.last) {
+				b.suspects[p] = evidence{crashes: max(n.crashes, e.crashes), last: n.last}
+			}
+		}
+		s.dropCleared(b)
+	}
+	s.blocks = slices.DeleteFunc(s.blocks, func(b *block) bool { return len(b.suspects) == 0 })
+	if holder == "" {
+		return
+	}
+	for _, b := range s.blocks {
+		b.trial = b.grantTrial(now, holder)
+	}
+}
+
+// suspectsAll reports whether all the parts are suspected in a crash.
+func (s *State) suspectsAll(c crash, parts []Part) bool {
+	return len(parts) > 0 && !slices.ContainsFunc(parts, func(p Part) bool { return !s.suspects(c, p) })
+}
+
+// suspects reports whether a part was in a request that a crash broke, and no answer
+// has cleared the part since.
+func (s *State) suspects(c crash, p Part) bool {
+	_, found := slices.BinarySearch(c.parts, p)
+	return found && c.at.After(s.clearedAt(p))
+}
+
+// unexplained returns the crashes in which no suspect of a block is suspected. The others
+// are no evidence against further parts.
+func (s *State) unexplained(crashes []crash) []crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c crash) bool {
+		for _, b := range s.blocks {
+			for p := range b.suspects {
+				if s.suspects(c, p) {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// count returns the evidence of the crashes by part.
+func (s *State) count(crashes []crash) map[Part]evidence {
+	counts := make(map[Part]evidence)
+	for _, c := range crashes {
+		for _, p := range c.parts {
+			if !c.at.After(s.clearedAt(p)) {
+				continue
+			}
+			e := counts[p]
+			e.crashes++
+			if c.at.After(e.last) {
+				e.last = c.at
+			}
+			counts[p] = e
+		}
+	}
+	return counts
+}
+
+// mostSuspected returns the parts to block next, and the evidence against them. It takes
+// a part with the most crashes, at least blockCrashes, among those that have been
+// announced for settle, and the parts that were in all of its crashes. Parts that were in
+// no recent answer come first: a part that every request has is in every crash too.
+func (s *State) mostSuspected(now time.Time, crashes []crash, settle time.Duration) (parts []Part, e evidence) {
+	counts := s.count(crashes)
+	var worst Part
+	best := candidate{}
+	for p, n := range counts {
+		c := candidate{crashes: n.crashes, proven: s.isProven(now, p)}
+		if !s.isConclusive(now, p, c, settle) {
+			continue
+		}
+		if order := c.compare(best); best.crashes == 0 || order > 0 || order == 0 && p < worst {
+			worst, best = p, c
+		}
+	}
+	if best.crashes == 0 {
+		return nil, evidence{}
+	}
+	together := make(map[Part]int)
+	for _, c := range crashes {
+		if !s.suspects(c, worst) {
+			continue
+		}
+		for _, p := range c.parts {
+			if s.suspects(c, p) {
+				together[p]++
+			}
+		}
+	}
+	for p, n := range together {
+		if n == best.crashes && counts[p].crashes == n {
+			parts = append(parts, p)
+		}
+	}
+	slices.Sort(parts)
+	return parts, counts[worst]
+}
+
+// candidate is the evidence against a part.
+type candidate struct {
+	crashes int
+	proven  bool // the part was in recent answers
+}
+
+// compare returns a positive number if the evidence is stronger than that of other.
+func (c candidate) compare(other candidate) int {
+	if c.proven != other.proven {
+		if other.proven {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(c.crashes, other.crashes)
+}
+
+// isProven reports whether a part was in a recent settled answer of any instance.
+func (s *State) isProven(now time.Time, p Part) bool {
+	if s.history.count(now, p) > 0 {
+		return true
+	}
+	for _, known := range s.fleet.instances {
+		if known.proven[p] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isConclusive reports whether the evidence against a part suffices to block it.
+func (s *State) isConclusive(now time.Time, p Part, c candidate, settle time.Duration) bool {
+	if c.crashes < blockCrashes {
+		return false
+	}
+	known, announced := s.fleet.suspicions[p]
+	if settle > 0 && (!announced || now.Sub(known.since) < settle) {
+		return false
+	}
+	return !c.proven || announced && s.allAnswers()-known.answers >= minOtherAnswers
+}
+
+// allAnswers returns the number of settled answers of all instances.
+func (s *State) allAnswers() uint64 { return s.history.answers + s.fleet.answers }
+
+// announce sets the list of suspected parts to those with the most crashes, including
+// those of blocks.
+func (s *State) announce(now time.Time, crashes []crash) {
+	counts := s.count(crashes)
+	for _, b := range s.blocks {
+		maps.Copy(counts, b.suspects)
+	}
+	parts := make([]Part, 0, len(counts))
+	for p := range counts {
+		parts = append(parts, p)
+	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(counts[b].crashes, counts[a].crashes), cmp.Compare(a, b))
+	})
+	parts = parts[:min(len(parts), maxSuspected)]
+	suspicions := make(map[Part]suspicion, len(parts))
+	for _, p := range parts {
+		s.watch(p)
+		known, ok := s.fleet.suspicions[p]
+		if !ok {
+			known = suspicion{since: now, answers: s.allAnswers()}
+		}
+		suspicions[p] = known
+	}
+	s.suspected, s.fleet.suspicions = parts, suspicions
+}
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -16,9 +16,9 @@
 	Began       bool   // the answers of the requests with these parts had begun
 }
 
-// Block is a blocked part as instances exchange it.
+// Block is a set of blocked parts as instances exchange it.
 type Block struct {
-	Part         Part
+	Parts        []Part
 	Wait         time.Duration // time until the next trial is due
 	LastCrashAge time.Duration
 	Failures     int
@@ -79,10 +79,9 @@
 	if len(s.suspected)+len(s.crashes) > 0 {
 		r.Answers = s.history.answers
 	}
-	for p, b := range s.blocked {
-		r.Blocked = append(r.Blocked, b.message(now, p))
+	for _, b := range s.blocks {
+		r.Blocked = append(r.Blocked, b.message(now))
 	}
-	sortBlocks(r.Blocked)
 	return r
 }
 
@@ -98,45 +97,71 @@
 	for _, p := range s.suspected {
 		add(p)
 	}
-	for p := range s.blocked {
-		add(p)
+	for _, b := range s.blocks {
+		for _, p := range b.parts {
+			add(p)
+		}
 	}
 	return out
 }
 
-func (b *block) message(now time.Time, p Part) Block {
-	return Block{Part: p, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures}
+func (b *block) message(now time.Time) Block {
+	return Block{Parts: b.parts, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures}
 }
 
-func sortBlocks(blocks []Block) {
-	slices.SortFunc(blocks, func(a, b Block) int { return cmp.Compare(a.Part, b.Part) })
+// block returns the block of a message.
+func (m Block) block(now time.Time) *block {
+	b := newBlock(now, m.Parts, evidence{crashes: blockCrashes, last: now.Add(-m.LastCrashAge)})
+	b.until, b.failures, b.trial = now.Add(m.Wait), m.Failures, m.Trial
+	return b
 }
 
 // Adopt replaces the suspected and blocked parts by those of the holder. It returns the
-// parts that it has blocked or unblocked.
+// sets of parts that it has blocked or unblocked.
 func (s *State) Adopt(now time.Time, v Verdicts) Changes {
 	s.ackVersion = v.CrashVersion
 	s.suspected = v.Suspected
 	for _, p := range v.Suspected {
 		s.watch(p)
 	}
-	var changes Changes
-	blocked := make(map[Part]*block, len(v.Blocked))
+	old := s.blocks
+	s.blocks = nil
 	for _, m := range v.Blocked {
-		b, ok := s.blocked[m.Part]
-		if !ok {
-			b = &block{}
-			s.watch(m.Part)
-			changes.Blocked = append(changes.Blocked, m.Part)
+		if len(m.Parts) == 0 {
+			continue // would match every request
+		}
+		s.addBlock(m.block(now))
+	}
+	return compareBlocks(old, s.blocks)
+}
+
+// addBlock adds a block and watches its parts.
+func (s *State) addBlock(b *block) {
+	s.blocks = append(s.blocks, b)
+	for _, p := range b.parts {
+		s.watch(p)
+	}
+}
+
+// Changes lists the sets of parts that were blocked and unblocked.
+type Changes struct {
+	Blocked, Unblocked [][]Part
+}
+
+func compareBlocks(old, current []*block) Changes {
+	var changes Changes
+	contains := func(blocks []*block, parts []Part) bool {
+		return slices.ContainsFunc(blocks, func(b *block) bool { return slices.Equal(b.parts, parts) })
+	}
+	for _, b := range current {
+		if !contains(old, b.parts) {
+			changes.Blocked = append(changes.Blocked, b.parts)
 		}
-		b.until, b.lastCrash, b.failures, b.trial = now.Add(m.Wait), now.Add(-m.LastCrashAge), m.Failures, m.Trial
-		blocked[m.Part] = b
 	}
-	for p := range s.blocked {
-		if blocked[p] == nil {
-			changes.Unblocked = append(changes.Unblocked, p)
+	for _, b := range old {
+		if !contains(current, b.parts) {
+			changes.Unblocked = append(changes.Unblocked, b.parts)
 		}
 	}
-	s.blocked = blocked
 	return changes
 }
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -81,14 +81,15 @@
 	cleared   map[Part]time.Time
 	history   history
 	suspected []Part // as the holder has announced them
-	blocked   map[Part]*block
+	blocks    []*block
+	used      []uint64 // trials that this instance has used, oldest first
 	fleet     fleet
 }
 
 // New returns a State without records. incarnation must differ from one start of the
 // instance to the next.
 func New(incarnation uint64) *State {
-	return &State{incarnation: incarnation, cleared: make(map[Part]time.Time), blocked: make(map[Part]*block), fleet: newFleet(),
+	return &State{incarnation: incarnation, cleared: make(map[Part]time.Time), fleet: newFleet(),
 		history: history{parts: make(map[Part]*answerCount)}}
 }
 
@@ -166,30 +167,33 @@
 	}
 }
 
-// Blocked returns the index of the first blocked part and the time until it is tried
-// again. It returns -1 if no part is blocked, or if a request with the part is due as a
-// trial at this instance.
+// Blocked returns the index of a part for which a request is refused, and the time until
+// it is tried again. It returns -1 if the request is not refused, or is due as a trial at
+// this instance. Of several parts that are blocked together it returns the last one.
 func (s *State) Blocked(now time.Time, parts []Part) (index int, wait time.Duration) {
-	if len(s.blocked) == 0 {
-		return -1, 0
-	}
-	for i, p := range parts {
-		if b, ok := s.blocked[p]; ok && !b.mayTry() {
-			return i, max(b.until.Sub(now), minBlockedWait)
+	for _, b := range s.blocks {
+		if !b.matches(parts) || s.mayTry(b) {
+			continue
+		}
+		for i := range slices.Backward(parts) {
+			if slices.Contains(b.parts, parts[i]) {
+				return i, max(b.until.Sub(now), minBlockedWait)
+			}
 		}
 	}
 	return -1, 0
 }
 
-// RecordSend records that a request is sent. It uses up the trials of its blocked
-// parts.
+// mayTry reports whether this instance may send a request with the parts of a block.
+func (s *State) mayTry(b *block) bool { return b.trial != 0 && !slices.Contains(s.used, b.trial) }
+
+// RecordSend records that a request is sent. It uses up the trials of the blocks that
+// match it.
 func (s *State) RecordSend(parts []Part) {
-	if len(s.blocked) == 0 {
-		return
-	}
-	for _, p := range parts {
-		if b, ok := s.blocked[p]; ok {
-			b.usedTrial = b.trial
+	for _, b := range s.blocks {
+		if b.matches(parts) && s.mayTry(b) {
+			s.used = append(s.used, b.trial)
+			s.used = s.used[max(0, len(s.used)-maxUsedTrials):]
 		}
 	}
 }
@@ -197,11 +201,7 @@
 // expire drops old records, and stops watching parts that are in none.
 func (s *State) expire(now time.Time) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) > retention })
-	for p, b := range s.blocked {
-		if now.Sub(b.lastCrash) > maxBlockAge {
-			delete(s.blocked, p)
-		}
-	}
+	s.blocks = slices.DeleteFunc(s.blocks, func(b *block) bool { return now.Sub(b.lastCrash) > maxBlockAge })
 	watched := make(map[Part]bool)
 	for _, c := range s.crashes {
 		for _, p := range c.parts {
@@ -211,8 +211,10 @@
 	for _, p := range s.suspected {
 		watched[p] = true
 	}
-	for p := range s.blocked {
-		watched[p] = true
+	for _, b := range s.blocks {
+		for p := range b.suspects {
+			watched[p] = true
+		}
 	}
 	s.history.expire(now)
 	maps.DeleteFunc(s.cleared, func(p Part, at time.Time) bool {
@@ -220,17 +222,17 @@
 	})
 }
 
-// DescribeCrashes returns the crashes of this instance's records in which a part is
-// suspected, for the log.
-func (s *State) DescribeCrashes(p Part) string {
+// DescribeCrashes returns the crashes of this instance's records in which all the parts
+// are suspected, for the log.
+func (s *State) DescribeCrashes(parts []Part) string {
 	var texts []string
 	for _, c := range s.crashes {
-		if s.suspects(c, p) {
+		if s.suspectsAll(c, parts) {
 			texts = append(texts, c.replica+" "+c.at.UTC().Format("15:04:05.000"))
 		}
 	}
 	return strings.Join(texts, ", ")
 }
 
-// Counts returns the number of blocked parts and of parts that the holder suspects.
-func (s *State) Counts() (blocked, suspected int) { return len(s.blocked), len(s.suspected) }
+// Counts returns the number of blocks and of parts that the holder suspects.
+func (s *State) Counts() (blocks, suspected int) { return len(s.blocks), len(s.suspected) }
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -123,6 +123,46 @@
 	is.True(!f.blocked(2, middle))
 }
 
+// Guards against refusing the sound requests that share parts with a crashing one when
+// these parts have come with it only, and against letting it through with other parts for
+// ever.
+func TestPartsInCommonAreBlockedOnlyTogether(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(4)
+	for i := range 3 {
+		f.crash(1+i, fmt.Sprint("replica-", i), first, middle, deadly)
+	}
+	f.exchangeFor(2 * time.Second)
+	for i := range f.states {
+		is.True(f.blocked(i, first, middle, deadly))
+		is.True(!f.blocked(i, first, middle))
+	}
+	f.crash(2, "another", deadly, 33)
+	f.exchangeFor(time.Second)
+	for i := range f.states {
+		is.True(f.blocked(i, deadly))
+		is.True(!f.blocked(i, first, middle, 33))
+	}
+}
+
+// Guards against a part that stays blocked together with sound ones after answers have
+// cleared these.
+func TestAnswersLeaveOnlyTheCrashingPartBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(3)
+	for i := range 3 {
+		f.crash(1, fmt.Sprint("replica-", i), first, middle, deadly)
+	}
+	f.exchangeFor(2 * time.Second)
+	is.True(!f.blocked(2, middle, deadly))
+	f.answer(2, first, middle)
+	f.exchangeFor(time.Second)
+	for i := range f.states {
+		is.True(f.blocked(i, deadly))
+		is.True(!f.blocked(i, first, middle))
+	}
+}
+
 // Guards against counting several records of one crash as several crashes.
 func TestOneCrashSeenByAllInstancesIsCountedOnce(t *testing.T) {
 	is := is.New(t)
