ingress: add a failing test for a request that begins before an answer ends

A caller whose next request has begun gets no answer to it if the shutdown begins before the rest arrives. While a request is open, net/http reads one byte ahead to notice that the caller leaves. This byte can be the first of the next request. connTracker forgets it when the connection becomes idle, so the drain closes the connection.

This needs a first segment of one byte, or a shutdown between the end of an answer and the next read, so it is rare.

--- a/ingress/shutdown_test.go
+++ b/ingress/shutdown_test.go
@@ -222,3 +222,30 @@
 	is.Equal(status, http.StatusOK)
 	<-drained
 }
+
+// Guards against a kept connection that a shutdown closes after the first byte of its
+// next request was read while the last request was open.
+func TestShutdownAnswersRequestThatBeganBeforeLastAnswer(t *testing.T) {
+	is := is.New(t)
+	s, l := startHeldServers(t)
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	s.mu.Lock() // queue reads the handler
+	s.handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { started <- struct{}{}; <-release })
+	s.mu.Unlock()
+	caller := dial(t, l.Addr().String())
+	caller.send(t, wholeRequest)
+	conn := <-l.conns
+	<-conn.read
+	<-started
+	caller.send(t, wholeRequest[:1])
+	<-conn.read // by the server's watch for a caller that leaves
+	close(release)
+	status, err := caller.readStatus()
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	beginShutdown(t, s, l)
+	_, _ = io.WriteString(caller, wholeRequest[1:]) // fails if the connection is closed
+	status, err = caller.readStatus()
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
