ingress: keep a connection whose next request was read ahead

A caller that sent its next request in the moment in which the last answer ended could have its connection closed by a drain without an answer.

Cause: net/http reads one byte ahead while it handles a request, to notice a caller that leaves. The connection tracker took the connection for idle when the answer ended, although that byte belongs to the next request.

A read of a single byte now keeps the connection busy when it becomes idle. A request that is parsed from bytes read before restores the deadline as well.

--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -56,6 +56,8 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.becomeBusy()
 	case http.StateIdle:
 		c.becomeIdle()
 		if t.isDraining() {
@@ -110,6 +112,7 @@
 	mu           sync.Mutex
 	busy         bool      // a byte has been read since the connection became idle
 	used         bool      // a byte has been read
+	readAhead    bool      // the last read took one byte; see becomeIdle
 	closing      bool      // the read deadline is in the past until a byte is read
 	readDeadline time.Time // as set by the server
 }
@@ -128,16 +131,24 @@
 	}
 	if n > 0 {
 		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.busy, c.used = true, true
-		if c.closing {
-			c.closing = false
-			_ = c.Conn.SetReadDeadline(c.readDeadline)
-		}
+		c.readAhead = len(b) == 1
+		c.mu.Unlock()
+		c.becomeBusy()
 	}
 	return n, err
 }
 
+// becomeBusy records that a request has begun.
+func (c *trackedConn) becomeBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.used = true, true
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -174,11 +185,13 @@
 	}
 }
 
-// becomeIdle records that the last request has been answered.
+// becomeIdle records that the last request has been answered. The server reads one byte
+// ahead while it handles a request, to notice a caller that leaves. Such a byte belongs
+// to the next request.
 func (c *trackedConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy = c.readAhead
 }
 
 func (c *trackedConn) isClosing() bool {
