suspect: add a failing test for trials that no request uses

Callers are refused a sound part that is blocked by mistake, or that crashes replicas no longer, for up to maxBlockAge (15 min) while requests with it keep coming.

grantTrial gives a due trial to the instance that asks first. Each instance asks with each exchange, whether it has had a request with the part or not, and keeps an unused trial for trialTime. With n instances, the instance that a rare caller's kept connection leads to gets one trial in about n times 10 s.

Proposal: an instance says in Block of its Report when it has refused a request with the part since its last report (or when it last did), and the holder grants trials only to such instances, the holder itself included. The request that comes next then uses the trial, and trialTime matters only if that instance is lost.

On: suspect_test.go:316: not true: admitted --- FAIL: TestTrialReachesInstanceThatGetsThePart (0.66s)

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -294,3 +294,24 @@
 	is.Equal(len(f.states[0].cleared), 0)
 	is.Equal(len(f.states[0].fleet.instances[name(1)].crashes), 0)
 }
+
+// Guards against a sound part that stays blocked because its trials go to instances that
+// get no request with it: its caller keeps a connection to one instance.
+func TestTrialReachesInstanceThatGetsThePart(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(90)
+	blockDeadly(t, f)
+	f.exchangeFor(blockTime)
+	admitted := false
+	for i := range time.Minute / interval {
+		f.now = f.now.Add(interval)
+		f.states[0].Decide(f.now, Role{Holder: name(0), Settle: 2 * interval})
+		for j := range len(f.states) - 1 {
+			n := 1 + (j+37*int(i))%(len(f.states)-1) // another instance is the first each time
+			f.states[0].Merge(f.now, name(n), f.states[n].Report(f.now))
+			f.states[n].Adopt(f.now, f.states[0].VerdictsFor(f.now, name(n)))
+		}
+		admitted = admitted || !f.blocked(70, deadly)
+	}
+	is.True(admitted)
+}
