suspect: add a failing test for answers counted too late

While a part is blocked, a failure of all replicas (a rack, a release) blocks the parts that nearly all requests have, for 30 s, though no request is answered that clears anything. minOtherAnswers is there to prevent this.

Report sends Answers only while the instance has crashes or hears of suspected parts; otherwise it sends 0. Merge keeps the last number as the base as long as the message is not empty, which it is not while a part is blocked. The first report after a suspicion therefore adds all answers since the last incident, all of them older than the suspicion. (With nothing blocked, the message is left out, decodeSuspects returns Incarnation 0, and mergeCrashes drops the record: that the base is right then is an accident.)

Proposal: send Answers in every report that is sent, or take a report without answers, and the first one after it, as a new base. Either way a report with Incarnation 0 should be ignored rather than taken for a restart.

On: suspect_test.go:337: not true: !f.blocked(0, first) --- FAIL: TestAnswersBeforeSuspicionAreNoEvidence (0.00s)

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -315,3 +315,24 @@
 	}
 	is.True(admitted)
 }
+
+// Guards against blocking the parts of most requests when all replicas fail at once: of
+// the answers that an instance reports while a part is suspected, only those since the
+// suspicion count, not those since its last report while another part was blocked.
+func TestAnswersBeforeSuspicionAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(6)
+	f.answer(4, first)
+	blockDeadly(t, f)
+	for range 5 * time.Second / interval { // nothing is suspected
+		for range 10 {
+			f.answer(4, first, middle)
+		}
+		f.exchange()
+	}
+	for i := range 5 { // all replicas fail, and no request is answered
+		f.crash(1+i%3, fmt.Sprint("failed-", i), first)
+	}
+	f.exchangeFor(2 * time.Second)
+	is.True(!f.blocked(0, first))
+}
