suspect: add a failing test for crashes with many parts

A part that crashes replicas is never blocked if each crash breaks requests with over maxCrashParts parts in all, by one long prompt (a head of 16 KB has about 1,200) or by several requests at one replica, and its hash is high: every crash drops it. TestRecordsAreBounded has the same crashes, but its crashing part has the lowest hash.

union sorts by hash and cuts off the end, so the parts that are dropped are the same in every crash.

Proposal: keep a part that a further crash of this instance or the holder's suspected list already has; or choose the parts to drop by a hash that differs from crash to crash (for example of part and crash id), so that a part is kept in most crashes; or raise the limit of one crash to maxOwnParts and drop old crashes instead.

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -336,3 +336,22 @@
 	f.exchangeFor(2 * time.Second)
 	is.True(!f.blocked(0, first))
 }
+
+// Guards against a crashing part that is never blocked because the prompts of the
+// crashed replica had more parts than are kept of a crash.
+func TestCrashingPartOfLongPromptsIsBlocked(t *testing.T) {
+	is := is.New(t)
+	const last = ^Part(0) // of the parts of a crash, those with the lowest hashes are kept
+	f := newInstances(3)
+	for i := range 5 {
+		parts := []Part{last}
+		for j := range maxCrashParts + 100 {
+			parts = append(parts, Part(1000+i*2*maxCrashParts+j))
+		}
+		f.crash(1+i%2, fmt.Sprint("replica-", i), parts...)
+		f.exchange()
+		f.exchange()
+	}
+	f.exchangeFor(2 * time.Second)
+	is.True(f.blocked(1, last))
+}
