suspect: add a failing test for a lease that returns

A sound part is blocked, until two exchanges later, when the order lease returns to an instance that held it less than a minute ago.

An instance that loses the lease keeps fleet.suspicions and the crashes that others reported, but hears of no answers from then on. When it holds the lease again, the part counts as announced since the earlier term, so the wait of Role.Settle, which lets others report answers that clear it, is skipped. A holder that was frozen, or cut off, decides by the same old records.

Proposal: clear fleet.suspicions (and fleet.cleared need not be) whenever Decide is called without the lease, in Adopt, or when the last Decide is more than a few intervals old.

On: suspect_test.go:378: not true: !f.blocked(i, middle) --- FAIL: TestFormerHolderDoesNotBlockByOldSuspicion (0.00s)

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -355,3 +355,26 @@
 	f.exchangeFor(2 * time.Second)
 	is.True(f.blocked(1, last))
 }
+
+// Guards against a sound part that is blocked when an instance takes the order lease
+// again: it has the crashes of another instance from its last term, but not the answers
+// that have cleared the part since.
+func TestFormerHolderDoesNotBlockByOldSuspicion(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(4)
+	for i := range blockCrashes {
+		f.crash(1, fmt.Sprint("replica-", i), middle)
+	}
+	f.exchange()
+	f.exchange() // the part is announced, and not blocked yet
+	f.holder = 2
+	for range 10 * time.Second / interval {
+		f.exchange()
+		f.answer(3, middle)
+	}
+	f.holder = 0
+	f.exchange()
+	for i := range f.states {
+		is.True(!f.blocked(i, middle))
+	}
+}
