suspect: add a failing test for times that can't be

A message with a negative age, of another version or damaged, blocks a part for ever: its last crash lies in the future, so neither an answer nor maxBlockAge ends the block, and its wait can be any length. Holders pass such a block on to all instances. fromMilliseconds can also overflow.

Proposal: in Merge, mergeCrashes, mergeBlock and Adopt, take ages below zero as 0, and limit Wait to maxBlockTime and Failures to a small number; or refuse such values in peering's decode functions.

On: suspect_test.go:390: not true: !f.blocked(0, middle) --- FAIL: TestBlockWithInvalidTimesEnds (0.10s)

--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -378,3 +378,14 @@
 		is.True(!f.blocked(i, middle))
 	}
 }
+
+// Guards against a block that never ends because another instance has sent times that
+// can't be.
+func TestBlockWithInvalidTimesEnds(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(2)
+	f.states[0].Merge(f.now, name(1), Report{Incarnation: 1, Blocked: []Block{{Part: middle, Wait: 1000 * time.Hour, LastCrashAge: -1000 * time.Hour}}})
+	is.True(f.blocked(0, middle))
+	f.exchangeFor(maxBlockAge + time.Minute)
+	is.True(!f.blocked(0, middle))
+}
