controlplane: add a failing test for canceled admissions

Each caller that leaves, or each deadline or end of a drain that falls, between the post of an admission and its answer leaves a request that counts as in flight for ever: the replica looks busier to all instances, its model is never seen as unused, and if the replica was put aside, the request counts as its probe, so that this instance does not try the replica again. A trial of a blocked part is used up too.

ask returns when ctx ends, although the control goroutine has the event or the answer is ready (select chooses at random); nothing finishes the flight.

Proposal: in Admit, once the event is queued, wait for the answer or the end of the control goroutine in a callback: if ctx ends first, a goroutine (or context.AfterFunc's) receives the answer and calls Finish with dispatch.NotExecuted. Or admit.apply looks at ctx.Err() before it records the send and posts the answer on a channel that Admit checks after ctx has ended.

On: requests_test.go:40: 1 != 0 --- FAIL: TestCanceledAdmissionLeavesNoFlight (0.00s)

--- /dev/null
+++ b/controlplane/requests_test.go
@@ -0,0 +1,41 @@
+package controlplane
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/metrics"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
+)
+
+// Guards against a request that counts as in flight for ever because its caller left
+// while its admission was queued: a replica that is put aside is then never tried again.
+func TestCanceledAdmissionLeavesNoFlight(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	r := &catalog.Replica{ID: "r", Service: "s", Address: "a:1", StartMillis: 1}
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{{ID: "r", Version: 1, Replica: r}}, Version: 1}.apply(c, epoch)
+	s := New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
+	ctx, cancel := context.WithCancel(t.Context())
+	req := &dispatch.Request{ID: "q", Route: &catalog.Route{MaxAttempts: 2}, Service: "s", Arrived: epoch, Deadline: epoch.Add(time.Second)}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Admit(ctx, AdmissionRequest{Request: req})
+		failed <- err
+	}()
+	ev := <-s.events
+	cancel()
+	is.True(<-failed != nil)
+	ev.apply(c, epoch)
+	for len(s.events) > 0 {
+		(<-s.events).apply(c, epoch)
+	}
+	is.Equal(c.dispatch.OwnLoad()["r"].Requests, 0)
+}
