--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -354,3 +354,98 @@
 	is.Equal(len(f.states[0].cleared), 0)
 	is.Equal(len(f.states[0].fleet.instances[name(1)].crashes), 0)
 }
+
+// Guards against a sound part that stays blocked because its trials go to instances that
+// get no request with it: its caller keeps a connection to one instance.
+func TestTrialReachesInstanceThatGetsThePart(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(90)
+	blockDeadly(t, f)
+	f.exchangeFor(blockTime)
+	admitted := false
+	for i := range time.Minute / interval {
+		f.now = f.now.Add(interval)
+		f.states[0].Decide(f.now, Role{Holder: name(0), Settle: 2 * interval})
+		for j := range len(f.states) - 1 {
+			n := 1 + (j+37*int(i))%(len(f.states)-1) // another instance is the first each time
+			f.states[0].Merge(f.now, name(n), f.states[n].Report(f.now))
+			f.states[n].Adopt(f.now, f.states[0].VerdictsFor(f.now, name(n)))
+		}
+		admitted = admitted || !f.blocked(70, deadly)
+	}
+	is.True(admitted)
+}
+
+// Guards against blocking the parts of most requests when all replicas fail at once: of
+// the answers that an instance reports while a part is suspected, only those since the
+// suspicion count, not those since its last report while another part was blocked.
+func TestAnswersBeforeSuspicionAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(6)
+	f.answer(4, first)
+	blockDeadly(t, f)
+	for range 5 * time.Second / interval { // nothing is suspected
+		for range 10 {
+			f.answer(4, first, middle)
+		}
+		f.exchange()
+	}
+	for i := range 5 { // all replicas fail, and no request is answered
+		f.crash(1+i%3, fmt.Sprint("failed-", i), first)
+	}
+	f.exchangeFor(2 * time.Second)
+	is.True(!f.blocked(0, first))
+}
+
+// Guards against a crashing part that is never blocked because the prompts of the
+// crashed replica had more parts than are kept of a crash.
+func TestCrashingPartOfLongPromptsIsBlocked(t *testing.T) {
+	is := is.New(t)
+	const last = ^Part(0) // of the parts of a crash, those with the lowest hashes are kept
+	f := newInstances(3)
+	for i := range 5 {
+		parts := []Part{last}
+		for j := range maxCrashParts + 100 {
+			parts = append(parts, Part(1000+i*2*maxCrashParts+j))
+		}
+		f.crash(1+i%2, fmt.Sprint("replica-", i), parts...)
+		f.exchange()
+		f.exchange()
+	}
+	f.exchangeFor(2 * time.Second)
+	is.True(f.blocked(1, last))
+}
+
+// Guards against a sound part that is blocked when an instance takes the order lease
+// again: it has the crashes of another instance from its last term, but not the answers
+// that have cleared the part since.
+func TestFormerHolderDoesNotBlockByOldSuspicion(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(4)
+	for i := range blockCrashes {
+		f.crash(1, fmt.Sprint("replica-", i), middle)
+	}
+	f.exchange()
+	f.exchange() // the part is announced, and not blocked yet
+	f.holder = 2
+	for range 10 * time.Second / interval {
+		f.exchange()
+		f.answer(3, middle)
+	}
+	f.holder = 0
+	f.exchange()
+	for i := range f.states {
+		is.True(!f.blocked(i, middle))
+	}
+}
+
+// Guards against a block that never ends because another instance has sent times that
+// can't be.
+func TestBlockWithInvalidTimesEnds(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(2)
+	f.states[0].Merge(f.now, name(1), Report{Incarnation: 1, Blocked: []Block{{Parts: []Part{middle}, Wait: 1000 * time.Hour, LastCrashAge: -1000 * time.Hour}}})
+	is.True(f.blocked(0, middle))
+	f.exchangeFor(maxBlockAge + time.Minute)
+	is.True(!f.blocked(0, middle))
+}
