ingress: stop accepting while connections keep arriving

A stopping instance with more than 100 new connections a second accepted until the end of its grace time, and then cut all open requests at once.

Cause: the last accepts before the listener is closed ended only with a pause of 10 ms between two connections.

--- a/ingress/servers.go
+++ b/ingress/servers.go
@@ -83,9 +83,10 @@
 }
 
 // acceptRemaining accepts the connections that wait to be accepted: the operating system
-// resets them when the listener is closed.
+// resets them when the listener is closed. It ends when none is left, and also while
+// connections keep arriving.
 func (s *servers) acceptRemaining(l deadlineListener) {
-	for {
+	for end := time.Now().Add(newConnWait); time.Now().Before(end); {
 		_ = l.SetDeadline(time.Now().Add(lastReadTime))
 		conn, err := l.Accept()
 		if err != nil {
