ingress: refuse requests that come long after a stop began

A request that came on a kept connection 0.5 to 3 s after the drain had begun was taken by the stopping instance and cut at the end of the grace time.

Cause: a stream that began before the stop carries no Connection: close, so its caller sends the next request on the connection when the stream ends. The drain's last read of an idle connection takes it.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -14,7 +14,8 @@
 	// two failures.
 	balancerWait = 2500 * time.Millisecond
 	// newConnWait is how long a connection on which no request has begun is kept after
-	// the listener is closed. Callers send one as soon as a connection is open.
+	// the listener is closed, and how long new requests are served. Callers send one as
+	// soon as a connection is open. Later, an answer could not end in the grace time.
 	newConnWait = 300 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the remaining answers
 	// are broken off, so that they do not end with the process being killed.
@@ -46,7 +47,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-stopMargin))
 	defer cancel()
-	if err := errors.Join(s.callers.stopAccepting(ctx, s.listener), s.callers.shutdown(ctx)); err != nil {
+	err := s.callers.stopAccepting(ctx, s.listener)
+	refuse := time.AfterFunc(newConnWait, func() { s.refusing.Store(true) })
+	defer refuse.Stop()
+	if err := errors.Join(err, s.callers.shutdown(ctx)); err != nil {
 		s.log.Warn("graceful stop incomplete, requests in flight are aborted", append([]any{"error", err}, s.requests.logFields()...)...)
 	}
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -61,6 +61,7 @@
 	// not begun get their final answer. endDrain ends it.
 	drained  context.Context
 	endDrain context.CancelFunc
+	refusing atomic.Bool // new requests are refused
 	aborting atomic.Bool // the remaining connections of callers are being closed
 	requests openRequests
 	recorder recorder
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -46,6 +46,10 @@
 	x.countOpen()
 	defer x.countClosed()
 	switch {
+	case s.refusing.Load():
+		w.Header().Set("Connection", "close")
+		x.refuse(http.StatusServiceUnavailable, string(dispatch.CauseStopping), dispatch.StoppingRetryAfter)
+		return
 	case config == nil:
 		x.refuse(http.StatusServiceUnavailable, "no-config", noConfigRetry)
 		return
