dispatch: end the wait for a model whose load is overdue

Requests waited for their model far beyond the bound on such waits: 7 to 10 s instead of 6 s, and a digest 3.2 s instead of 1.6 s until its caller left.

Cause: the bound was checked against the time that the wait would end. For a load that is overdue that time lies in the past and stands still, so the wait was renewed until the request's deadline.

The check now uses the wait that is made, 0.25 s at least.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -248,8 +248,9 @@
 		return d
 	}
 	d.RetryAfter = max(refusedRetryAfter, wait)
-	if now.Add(wait).Before(req.Arrived.Add(maxWait(req))) {
-		d.Verdict, d.RetryAfter = Wait, max(wait, minWait)
+	// An arrival that is overdue has a wait below zero.
+	if wait = max(wait, minWait); now.Add(wait).Before(req.Arrived.Add(maxWait(req))) {
+		d.Verdict, d.RetryAfter = Wait, wait
 	}
 	return d
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -249,6 +249,21 @@
 	is.Equal(d.RetryAfter, refusedRetryAfter)
 }
 
+// Guards against a request that waits until its deadline for a model whose load is
+// overdue.
+func TestWaitForOverdueModelEnds(t *testing.T) {
+	is := is.New(t)
+	s := newState(engineReplica("a", "other"))
+	req := streamRequest("r", 0)
+	s.SetModelArrivals(epoch, map[string]time.Duration{"m": 200 * time.Millisecond})
+	d := s.Choose(epoch.Add(300*time.Millisecond), req, History{})
+	is.Equal(d.Verdict, Wait)
+	is.Equal(d.RetryAfter, 300*time.Millisecond)
+	for _, after := range []time.Duration{maxWait(req), maxWait(req) + time.Second, 4 * time.Second} {
+		is.Equal(s.Choose(epoch.Add(after), req, History{}).Verdict, Refuse)
+	}
+}
+
 // Guards against ejecting busy replicas because they answer late: their requests
 // went to the other replicas, which became late too (case scale-1 of
 // tsn-bandbook-grown).
