controlplane: hand on removals that the holder has not seen

An instance sent requests to replicas for 3.2 and 3.6 s after they had been removed from the list.

Cause: a holder of the order lease that started after a row was removed has no record of the removal, so the changes that it hands on lack it. The other instances took them for complete and raised the version of their own feed, which then skipped the removal as well.

A holder now sends the whole list to an instance whose list is older than the holder's first read of it; the instance drops what is not in it.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -65,6 +65,9 @@
 	// can have lapsed because the store was unavailable.
 	pendingRemovals map[string]time.Time
 	version         uint64
+	// firstVersion is the version of the first full read. Removals before it are not
+	// known.
+	firstVersion uint64
 }
 
 // NewReplicaList returns an empty list.
@@ -101,6 +104,10 @@
 	return out
 }
 
+// KnowsChangesSince reports whether ChangedSince returns all changes after version,
+// including removed entries.
+func (r *ReplicaList) KnowsChangesSince(version uint64) bool { return version >= r.firstVersion }
+
 // Apply applies changed rows, up to version of the list, and returns the ids of
 // the entries that changed. A row that doesn't supersede its entry is ignored.
 func (r *ReplicaList) Apply(rows []Entry, version uint64) []string {
@@ -147,6 +154,9 @@
 	if version < r.version {
 		return nil
 	}
+	if r.firstVersion == 0 {
+		r.firstVersion = version
+	}
 	changed := r.Apply(rows, version)
 	inRead := make(map[string]bool, len(rows))
 	for _, e := range rows {
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -1,6 +1,10 @@
 package controlplane
 
-import "time"
+import (
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
 
 const (
 	// listLifetimeShare is the fraction of the leave time for which a list of
@@ -45,6 +49,15 @@
 // ListSourceChanged is published when the source of the list of replicas changes.
 type ListSourceChanged struct{ Source ListSource }
 
+// listSince returns the changes to the list of replicas after a version, or the whole list
+// if this instance does not know all of them.
+func (c *core) listSince(version uint64) (entries []catalog.Entry, whole bool) {
+	if c.replicaList.KnowsChangesSince(version) {
+		return c.replicaList.ChangedSince(version), false
+	}
+	return c.replicaList.ChangedSince(0), true
+}
+
 // adoptHolderList applies the changes to the list of replicas in a holder's answer.
 // It ignores answers from an instance that does not hold the lease, and lists older
 // than the current one.
@@ -52,7 +65,13 @@
 	if state.Holder == "" || state.ListVersion < c.replicaList.Version() {
 		return
 	}
-	c.updateReplicas(now, c.replicaList.Apply(state.List, state.ListVersion), state.List)
+	var changed []string
+	if state.ListIsWhole {
+		changed = c.replicaList.Replace(state.List, state.ListVersion, time.Time{})
+	} else {
+		changed = c.replicaList.Apply(state.List, state.ListVersion)
+	}
+	c.updateReplicas(now, changed, state.List)
 	if c.listTable != "" {
 		c.tableVersions[c.listTable] = max(c.tableVersions[c.listTable], state.TableVersions[c.listTable])
 	}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -98,6 +98,9 @@
 	ModelArrivals map[string]time.Duration
 	// List holds the entries that changed after the peer's list version.
 	List []catalog.Entry
+	// ListIsWhole is set if List holds all entries, because the holder does not know
+	// which have been removed since the peer's list version.
+	ListIsWhole bool
 	// ListVersion is the version of the holder's list.
 	ListVersion uint64
 	// StoreAge is the time since the store last answered the holder.
@@ -164,7 +167,8 @@
 		state.TimeUntilOrders = c.leader.TimeUntilOrders(bootclock.Now())
 		state.ModelChanges, state.UnloadingModels, state.ModelArrivals = c.plan.ModelChanges(now), c.plan.UnloadingModels(), c.plan.ModelArrivals(now)
 		state.FullReplicas = c.plan.FullReplicas(now)
-		state.List, state.ListVersion = c.replicaList.ChangedSince(peer.ListVersion), c.replicaList.Version()
+		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
+		state.ListVersion = c.replicaList.Version()
 		state.StoreAge = now.Sub(c.storeAnsweredAt)
 		state.Suspects = c.dispatch.Suspects().VerdictsFor(now, peer.Instance)
 	}
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -129,6 +129,26 @@
 	is.True(c.replicaList.Replica("r") == nil)
 }
 
+// Guards against requests to a replica that was removed from the list before the current
+// holder of the order lease first read it: the holder does not know of the removal.
+func TestNewHolderHandsOnEarlierRemovals(t *testing.T) {
+	is := is.New(t)
+	entry := func(id string, version uint64) catalog.Entry {
+		return catalog.Entry{ID: id, Version: version, Replica: &catalog.Replica{ID: id, Service: "s", Address: id + ":1"}}
+	}
+	peer, holder := newTestCore(t), newTestCore(t)
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{entry("removed", 3), entry("kept", 4)}, Version: 5}.apply(peer, epoch)
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{entry("kept", 4)}, Version: 10}.apply(holder, epoch)
+	answer := func() FleetState {
+		list, whole := holder.listSince(peer.replicaList.Version())
+		return FleetState{Holder: "h", List: list, ListIsWhole: whole, ListVersion: holder.replicaList.Version()}
+	}
+	peer.adoptHolderList(epoch, answer())
+	is.True(peer.replicaList.Replica("removed") == nil)
+	is.True(peer.replicaList.Replica("kept") != nil)
+	is.True(!answer().ListIsWhole)
+}
+
 // Guards against a fleet that exceeds its retry budget because each instance takes a
 // tenth of the slack whatever their number. It occurred with 78 instances.
 func TestRetrySlackIsDividedAmongInstances(t *testing.T) {
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -97,6 +97,7 @@
 	FullReplicas    map[string][]string              `json:"full,omitempty"`
 	ModelArrivals   map[string]int64                 `json:"coming,omitempty"`
 	List            []entryMessage                   `json:"list,omitempty"`
+	ListIsWhole     bool                             `json:"list_whole,omitempty"`
 	ListVersion     uint64                           `json:"list_version"`
 	StoreAge        int64                            `json:"store_age"`
 }
@@ -219,7 +220,7 @@
 		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, TimeUntilOrders: s.TimeUntilOrders.Milliseconds(), ReleasedBy: s.ReleasedBy, Interval: s.Interval.Milliseconds(), Instances: s.Instances,
 		Loads: mapValues(s.Loads, encodeLoad), TableVersions: s.TableVersions, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeVerdicts(s.Suspects),
 		ModelChanges: mapValues(s.ModelChanges, time.Duration.Milliseconds), UnloadingModels: s.UnloadingModels, FullReplicas: s.FullReplicas,
-		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
+		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListIsWhole: s.ListIsWhole, ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
 	}
 	for _, e := range s.List {
 		m.List = append(m.List, encodeEntry(e))
@@ -232,7 +233,7 @@
 		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, TimeUntilOrders: fromMilliseconds(m.TimeUntilOrders), ReleasedBy: m.ReleasedBy, Interval: fromMilliseconds(m.Interval), Instances: m.Instances,
 		Loads: mapValues(m.Loads, decodeLoad), TableVersions: m.TableVersions, LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeVerdicts(m.Suspects),
 		ModelChanges: mapValues(m.ModelChanges, fromMilliseconds), UnloadingModels: m.UnloadingModels, FullReplicas: m.FullReplicas,
-		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
+		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListIsWhole: m.ListIsWhole, ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
 	}
 	for _, e := range m.List {
 		s.List = append(s.List, decodeEntry(e))
