controlplane: finish the flight of a canceled admission

A caller that left, a deadline or the end of a drain that fell between the post of an admission and its answer left a request that counted as in flight for ever: its replica looked busier to all instances, and one that was put aside was never tried again.

Cause: the wait for the answer ended with the context, although the control goroutine went on to record the send.

An admission whose context has ended is not decided any more, and if it ends during the decision, the flight is finished in the background.

--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -43,18 +43,52 @@
 }
 
 type admit struct {
+	ctx     context.Context // of the caller of Admit
 	request AdmissionRequest
 	answer  chan<- Admission
 }
 
 // Admit decides whether and where a request is sent, and counts a sent request as in
 // flight on its replica. The end of the flight must be reported with Finish.
+//
+// If ctx ends while the control goroutine decides, the request can count as in flight.
+// Its flight is then finished in the background.
 func (s *Service) Admit(ctx context.Context, r AdmissionRequest) (Admission, error) {
 	answer := make(chan Admission, 1)
-	return ask(ctx, s, admit{request: r, answer: answer}, answer)
+	select {
+	case s.events <- admit{ctx: ctx, request: r, answer: answer}:
+	case <-ctx.Done():
+		return Admission{}, ctx.Err()
+	case <-s.ended:
+		return Admission{}, context.Canceled
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		go s.finishUnused(answer)
+		return Admission{}, ctx.Err()
+	case <-s.ended:
+		return Admission{}, context.Canceled
+	}
+}
+
+// finishUnused finishes the flight of an admission that nobody waits for.
+func (s *Service) finishUnused(answer <-chan Admission) {
+	select {
+	case a := <-answer:
+		if a.Flight != nil {
+			s.Finish(a.Flight, dispatch.NotExecuted, nil)
+		}
+	case <-s.ended:
+	}
 }
 
 func (e admit) apply(c *core, now time.Time) {
+	if e.ctx.Err() != nil {
+		e.answer <- Admission{} // nobody waits for it
+		return
+	}
 	req := e.request.Request
 	first := len(e.request.Tried) == 0 && !e.request.Waited
 	if first {
