suspect: add a failing test for replicas that fail together

Callers whose prompts share a part are refused for 30 s after replicas failed together (a rack, a host, a release) with three requests of theirs in flight, although their requests were answered until then and other requests still are.

Crashes of several replicas at one moment count as independent evidence against the part. A proven part is only spared until ten answers without it have settled, which takes a fraction of a second; a caller with one request a second can't clear its part in that time.

Proposal: for a proven part, count crashes within crashSpan of each other, on whatever replicas, as one. A crashing part that was sound until then still collects three such moments soon; unproven parts are blocked as now.

On: limits_test.go:67: not true: !f.blocked(4, first, middle) --- FAIL: TestPartInOneFailureOfSeveralReplicasIsNotBlocked (0.00s)

--- a/suspect/limits_test.go
+++ b/suspect/limits_test.go
@@ -41,3 +41,28 @@
 		is.True(index >= 0)
 	})
 }
+
+// Guards against blocking a sound part that was answered until several replicas failed at
+// the same moment for another reason, such as a rack that lost power.
+func TestPartInOneFailureOfSeveralReplicasIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(6)
+	otherAnswers := func() {
+		for i := range 20 {
+			f.answer(i%len(f.states), first, Part(100+i))
+		}
+	}
+	for range 10 * time.Second / interval {
+		f.answer(4, first, middle)
+		otherAnswers()
+		f.exchange()
+	}
+	for i := range 4 {
+		f.crash(1+i, fmt.Sprint("rack-", i), first, middle)
+	}
+	for range time.Second / interval { // the next request with the part comes a second later
+		otherAnswers()
+		f.exchange()
+	}
+	is.True(!f.blocked(4, first, middle))
+}
