controlplane: add a failing test for holders of an older version

In a rolling release, a part crashes replica after replica as long as the lease is with an instance of the older version; blocks that exist are dropped as soon as such an instance takes it.

updateSuspects leaves the decision to any holder that answers, and FleetSeen adopts its Verdicts, which are empty if the field is missing. encodeVerdicts also leaves the field out if there is nothing to say, so that the two cases can't be told apart.

Proposal: always send the message (it may be {}), and decode a missing one as "no verdicts" (nil). Without verdicts, keep the own blocks and decide as an instance without a holder does.

On: suspects_test.go:31: -1 != 0 --- FAIL: TestPartIsBlockedBesideHolderOfOlderVersion (0.00s)

--- /dev/null
+++ b/controlplane/suspects_test.go
@@ -0,0 +1,32 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/bootclock"
+	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/suspect"
+)
+
+// Guards against an instance that blocks no part while the holder of the order lease is of
+// a version that does not report verdicts, and so never blocks one either.
+func TestPartIsBlockedBesideHolderOfOlderVersion(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	req := &dispatch.Request{ID: "q", Route: &catalog.Route{MaxAttempts: 2}, Service: "s", SharedParts: []suspect.Part{7}}
+	now := epoch
+	for i := range 10 {
+		now = now.Add(250 * time.Millisecond)
+		id := fmt.Sprint("r", i)
+		c.dispatch.RecordBreak(now, req, dispatch.Decision{Replica: &catalog.Replica{ID: id}})
+		FleetSeen{State: FleetState{Holder: "old", Epoch: 1, Interval: StateInterval}}.apply(c, now)
+		c.tick(now, bootclock.Now())
+	}
+	index, _ := c.dispatch.Suspects().Blocked(now, req.SharedParts)
+	is.Equal(index, 0)
+}
