suspect: replace invalid times in messages of other instances

A message with a negative age, damaged or of another version, blocked a part for ever: its last crash lay in the future, so neither an answer nor the maximum age ended the block.

Ages below zero are taken as zero; waits and numbers of failed trials are limited to what an instance itself can send.

--- a/controlplane/suspects_test.go
+++ b/controlplane/suspects_test.go
@@ -23,7 +23,7 @@
 	for i := range 10 {
 		now = now.Add(250 * time.Millisecond)
 		id := fmt.Sprint("r", i)
-		c.dispatch.RecordBreak(now, req, dispatch.Decision{Replica: &catalog.Replica{ID: id}})
+		c.dispatch.RecordBreak(now, req, dispatch.Decision{Replica: &catalog.Replica{ID: id}}, true)
 		FleetSeen{State: FleetState{Holder: "old", Epoch: 1, Interval: StateInterval}}.apply(c, now)
 		c.tick(now, bootclock.Now())
 	}
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -19,6 +19,8 @@
 	// maxBlockTime. Each failed trial costs a replica.
 	blockTime    = 30 * time.Second
 	maxBlockTime = 5 * time.Minute
+	// maxFailures is the number of failed trials beyond which more make no difference.
+	maxFailures = 8
 	// maxBlockAge is the time after the last crash at which a block ends without a
 	// trial, because no requests with the part come any more.
 	maxBlockAge = 15 * time.Minute
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -109,13 +109,17 @@
 	return Block{Parts: b.parts, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures}
 }
 
-// block returns the block of a message.
+// block returns the block of a message. Times that can't be are replaced by the nearest
+// possible ones, so that the block ends.
 func (m Block) block(now time.Time) *block {
-	b := newBlock(now, m.Parts, evidence{crashes: blockCrashes, last: now.Add(-m.LastCrashAge)})
-	b.until, b.failures, b.trial = now.Add(m.Wait), m.Failures, m.Trial
+	b := newBlock(now, m.Parts, evidence{crashes: blockCrashes, last: past(now, m.LastCrashAge)})
+	b.until, b.failures, b.trial = now.Add(min(max(m.Wait, 0), maxBlockTime)), min(max(m.Failures, 0), maxFailures), m.Trial
 	return b
 }
 
+// past returns the time of an event with an age that another instance has reported.
+func past(now time.Time, age time.Duration) time.Time { return now.Add(-max(age, 0)) }
+
 // Adopt replaces the suspected and blocked parts by those of the holder. It returns the
 // sets of parts that it has blocked or unblocked.
 func (s *State) Adopt(now time.Time, v Verdicts) Changes {
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -46,7 +46,7 @@
 func (s *State) Merge(now time.Time, instance string, r Report) {
 	s.mergeCrashes(now, instance, r)
 	for p, age := range r.Cleared {
-		if at := now.Add(-age); at.After(s.fleet.cleared[p]) {
+		if at := past(now, age); at.After(s.fleet.cleared[p]) {
 			s.fleet.cleared[p] = at
 		}
 	}
@@ -70,7 +70,7 @@
 	}
 	known.reportedAt, known.proven = now, r.Proven
 	for _, c := range r.Crashes {
-		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: now.Add(-c.Age), parts: union(nil, c.Parts), began: c.Began}
+		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: past(now, c.Age), parts: union(nil, c.Parts), began: c.Began}
 		known.version = max(known.version, c.Version)
 	}
 	if len(r.Crashes) > 0 {
