suspect: start suspicions anew with each term

A sound part was blocked, until two exchanges later, when the order lease returned to an instance that had held it less than a minute ago.

Cause: the holder waits until other instances have had time to report answers that clear a suspected part. An instance that had lost the lease, or was frozen, kept the time at which it had announced the part.

Suspicions now start anew if the instance has not decided in the same role for 1 s.

Evidence: suspect.TestFormerHolderDoesNotBlockByOldSuspicion failed and passes with the change.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -9,6 +9,8 @@
 	// blockCrashes is the number of crashes that a part must have in common, without
 	// an answer that clears it, to be blocked.
 	blockCrashes = 3
+	// maxDecisionGap is the time between two decisions after which suspicions start anew.
+	maxDecisionGap = time.Second
 	// minOtherAnswers is the number of answers without a part that must have settled
 	// since the part is suspected, if it was in recent answers. Without it, the parts of
 	// most requests would be blocked when all replicas fail at once.
--- a/suspect/decide.go
+++ b/suspect/decide.go
@@ -24,6 +24,11 @@
 	if len(s.crashes) == 0 && len(s.blocks) == 0 && len(s.fleet.instances) == 0 && len(s.suspected) == 0 {
 		return Changes{}
 	}
+	if role.Holder != s.decidedAs || now.Sub(s.decidedAt) > maxDecisionGap {
+		// Other instances have not reported to this one meanwhile.
+		s.fleet.suspicions = make(map[Part]suspicion)
+	}
+	s.decidedAs, s.decidedAt = role.Holder, now
 	crashes := s.allCrashes()
 	if role.Holder == "" {
 		// The send that crashed the replica may have been that of another instance.
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -81,6 +81,9 @@
 	cleared   map[Part]time.Time
 	history   history
 	suspected []Part // as the holder has announced them
+	// decidedAt is when Decide last ran, and decidedAs the name with which it did.
+	decidedAt time.Time
+	decidedAs string
 	blocks    []*block
 	used      []uint64 // trials that this instance has used, oldest first
 	fleet     fleet
