suspect: count only answers since a suspicion as evidence

While a part was blocked, a failure of all replicas blocked parts that nearly all requests have, although no request was answered meanwhile.

Cause: an instance reported the number of its settled answers only while it had records, and the holder took all answers since the last reported number as new.

--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -44,7 +44,7 @@
 }
 
 func encodeSuspects(r suspect.Report) *suspectsMessage {
-	if len(r.Crashes) == 0 && len(r.Cleared) == 0 && len(r.Blocked) == 0 && r.Answers == 0 {
+	if !r.IsNeeded() {
 		return nil
 	}
 	m := &suspectsMessage{Incarnation: r.Incarnation, Blocked: encodeBlocks(r.Blocked), Proven: r.Proven, Answers: r.Answers}
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -36,12 +36,18 @@
 	// settled.
 	Cleared map[Part]time.Duration
 	// Proven holds, by suspected part, the number of recent answers that have settled,
-	// and Answers the number of all settled answers since the start.
+	// and Answers the number of all settled answers since the start. A report without
+	// anything else is not sent.
 	Proven  map[Part]int
 	Answers uint64
 	Blocked []Block
+	needed  bool
 }
 
+// IsNeeded reports whether the holder needs the report: the instance has records, or hears
+// of suspected or blocked parts.
+func (r Report) IsNeeded() bool { return r.needed }
+
 // Verdicts is what the holder sends to an instance.
 type Verdicts struct {
 	// CrashVersion is the newest version of the instance's crashes that the holder has.
@@ -53,7 +59,7 @@
 // Report returns the report for the holder. Crashes are reported in the order of their
 // versions, so that the holder has all up to the newest that it has received.
 func (s *State) Report(now time.Time) Report {
-	r := Report{Incarnation: s.incarnation, Cleared: s.clearedAges(now)}
+	r := Report{Incarnation: s.incarnation, Cleared: s.clearedAges(now), needed: len(s.crashes)+len(s.suspected)+len(s.blocks) > 0}
 	unknown := make([]crash, 0, len(s.crashes))
 	for _, c := range s.crashes {
 		if c.version > s.ackVersion {
@@ -76,9 +82,7 @@
 			r.Proven[p] = n
 		}
 	}
-	if len(s.suspected)+len(s.crashes) > 0 {
-		r.Answers = s.history.answers
-	}
+	r.Answers = s.history.answers
 	for _, b := range s.blocks {
 		r.Blocked = append(r.Blocked, b.message(now))
 	}
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -56,19 +56,23 @@
 }
 
 func (s *State) mergeCrashes(now time.Time, instance string, r Report) {
+	if r.Incarnation == 0 {
+		return // no report
+	}
 	known, ok := s.fleet.instances[instance]
-	if !ok && (len(r.Crashes) == 0 && r.Answers == 0 || len(s.fleet.instances) >= maxInstances) {
+	if !ok && len(s.fleet.instances) >= maxInstances {
 		return
 	}
 	if !ok || known.incarnation != r.Incarnation {
-		known = &reported{incarnation: r.Incarnation, crashes: make(map[uint64]crash), answers: r.Answers}
+		known = &reported{incarnation: r.Incarnation, crashes: make(map[uint64]crash), answers: r.Answers, reportedAt: now}
 		s.fleet.instances[instance] = known
 	}
-	if r.Answers > known.answers {
+	// Answers since a report that is older than maxDecisionGap can be older than what is
+	// suspected now.
+	if r.Answers > known.answers && now.Sub(known.reportedAt) <= maxDecisionGap {
 		s.fleet.answers += r.Answers - known.answers
-		known.answers = r.Answers
 	}
-	known.reportedAt, known.proven = now, r.Proven
+	known.answers, known.reportedAt, known.proven = r.Answers, now, r.Proven
 	for _, c := range r.Crashes {
 		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: past(now, c.Age), parts: union(nil, c.Parts), began: c.Began}
 		known.version = max(known.version, c.Version)
