suspect: give trials only to instances that refuse requests

A sound part that was blocked by mistake, or that crashed replicas no longer, was refused for minutes although requests with it kept coming.

Cause: a due trial went to the instance that exchanged its state first, and stayed there for 10 s whether that instance had such requests or not. With 90 instances the one that a caller's connection leads to got none within a minute.

An instance reports for each block whether it has refused requests within the last 10 s, and only such instances get the trial.

--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -22,6 +22,7 @@
 	Wait         int64          `json:"w,omitempty"`
 	LastCrashAge int64          `json:"a"`
 	Failures     int            `json:"f,omitempty"`
+	Wanted       bool           `json:"r,omitempty"`
 	Trial        uint64         `json:"t,omitempty"`
 }
 
@@ -91,7 +92,7 @@
 func encodeBlocks(blocks []suspect.Block) []blockMessage {
 	var out []blockMessage
 	for _, b := range blocks {
-		out = append(out, blockMessage{Parts: b.Parts, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Trial: b.Trial})
+		out = append(out, blockMessage{Parts: b.Parts, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Wanted: b.Wanted, Trial: b.Trial})
 	}
 	return out
 }
@@ -99,7 +100,7 @@
 func decodeBlocks(messages []blockMessage) []suspect.Block {
 	var out []suspect.Block
 	for _, m := range messages {
-		out = append(out, suspect.Block{Parts: m.Parts, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Trial: m.Trial})
+		out = append(out, suspect.Block{Parts: m.Parts, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Wanted: m.Wanted, Trial: m.Trial})
 	}
 	return out
 }
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -49,6 +49,10 @@
 	failures  int // failed trials
 	// trial identifies the trial that this instance may use; 0 if none.
 	trial uint64
+	// refusedAt is when this instance last refused a request. On the holder, wantedAt
+	// is when an instance last reported that it did, by instance.
+	refusedAt time.Time
+	wantedAt  map[string]time.Time
 	// trialOwner is the instance that the holder has given the trial since trialAt.
 	trialOwner string
 	trialAt    time.Time
@@ -61,6 +65,16 @@
 	last    time.Time
 }
 
+// want records that an instance refuses requests for the block.
+func (b *block) want(now time.Time, instance string) {
+	if b.wantedAt == nil {
+		b.wantedAt = make(map[string]time.Time)
+	}
+	if _, ok := b.wantedAt[instance]; ok || len(b.wantedAt) < maxInstances {
+		b.wantedAt[instance] = now
+	}
+}
+
 // newBlock returns a block of parts that have the same crashes in common.
 func newBlock(now time.Time, parts []Part, e evidence) *block {
 	b := &block{parts: parts, suspects: make(map[Part]evidence, len(parts)), until: now.Add(holdTime(0)), lastCrash: e.last}
@@ -122,13 +136,15 @@
 
 // grantTrial returns the trial that an instance may use now, or 0. A trial is identified
 // by the time of its grant and the block, so that successive holders use different ones.
+// Only an instance that refuses requests for the block gets one.
 func (b *block) grantTrial(now time.Time, instance string) uint64 {
 	if now.Before(b.until) {
 		return 0
 	}
 	age := now.Sub(b.trialAt)
+	wanted := now.Sub(b.wantedAt[instance]) <= trialTime
 	// An instance that has not used its trial gets the next one only if no other asks.
-	if b.trialOwner == "" || age > 2*trialTime || age > trialTime && b.trialOwner != instance {
+	if wanted && (b.trialOwner == "" || age > 2*trialTime || age > trialTime && b.trialOwner != instance) {
 		b.trialOwner, b.trialAt = instance, now
 	}
 	if b.trialOwner != instance {
--- a/suspect/decide.go
+++ b/suspect/decide.go
@@ -75,6 +75,9 @@
 		return
 	}
 	for _, b := range s.blocks {
+		if now.Sub(b.refusedAt) <= trialTime {
+			b.want(now, holder)
+		}
 		b.trial = b.grantTrial(now, holder)
 	}
 }
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -22,6 +22,8 @@
 	Wait         time.Duration // time until the next trial is due
 	LastCrashAge time.Duration
 	Failures     int
+	// Wanted means that the reporting instance refuses requests with these parts.
+	Wanted bool
 	// Trial is the number of the trial that the addressed instance may use, or 0.
 	Trial uint64
 }
@@ -110,7 +112,10 @@
 }
 
 func (b *block) message(now time.Time) Block {
-	return Block{Parts: b.parts, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures}
+	return Block{
+		Parts: b.parts, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures,
+		Wanted: now.Sub(b.refusedAt) <= trialTime,
+	}
 }
 
 // block returns the block of a message. Times that can't be are replaced by the nearest
@@ -138,7 +143,11 @@
 		if len(m.Parts) == 0 {
 			continue // would match every request
 		}
-		s.addBlock(m.block(now))
+		b := m.block(now)
+		if i := slices.IndexFunc(old, func(o *block) bool { return slices.Equal(o.parts, b.parts) }); i >= 0 {
+			b.refusedAt = old[i].refusedAt
+		}
+		s.addBlock(b)
 	}
 	return compareBlocks(old, s.blocks)
 }
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -51,7 +51,7 @@
 		}
 	}
 	for _, m := range r.Blocked {
-		s.mergeBlock(now, m)
+		s.mergeBlock(now, instance, m)
 	}
 }
 
@@ -111,10 +111,16 @@
 
 // mergeBlock adopts a block that another instance knows, for example from an earlier
 // holder, unless answers have cleared its parts since its last crash.
-func (s *State) mergeBlock(now time.Time, m Block) {
+func (s *State) mergeBlock(now time.Time, instance string, m Block) {
 	if len(m.Parts) == 0 || len(s.blocks) >= maxBlocked {
 		return
 	}
+	if i := slices.IndexFunc(s.blocks, func(b *block) bool { return slices.Equal(b.parts, m.Parts) }); i >= 0 {
+		if m.Wanted {
+			s.blocks[i].want(now, instance)
+		}
+		return
+	}
 	known := func(b *block) bool {
 		return slices.ContainsFunc(m.Parts, func(p Part) bool { _, ok := b.suspects[p]; return ok })
 	}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -178,6 +178,7 @@
 		if !b.matches(parts) || s.mayTry(b) {
 			continue
 		}
+		b.refusedAt = now
 		for i := range slices.Backward(parts) {
 			if slices.Contains(b.parts, parts[i]) {
 				return i, max(b.until.Sub(now), minBlockedWait)
