suspect: keep the parts of long prompts that crashes have in common

Cause: a crash kept the parts with the lowest hashes, so the same parts were dropped each time.

Parts that are watched because of other crashes stay, and which of the others are dropped differs from crash to crash.

Evidence: suspect.TestCrashingPartOfLongPromptsIsBlocked failed and passes with the change. suspect.TestPromptWithTooManySuspectedPartsIsBlocked passes since parts that come together are one block.

--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -74,7 +74,7 @@
 	}
 	known.answers, known.reportedAt, known.proven = r.Answers, now, r.Proven
 	for _, c := range r.Crashes {
-		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: past(now, c.Age), parts: union(nil, c.Parts), began: c.Began}
+		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: past(now, c.Age), parts: union(nil, c.Parts[:min(len(c.Parts), maxCrashParts)]), began: c.Began}
 		known.version = max(known.version, c.Version)
 	}
 	if len(r.Crashes) > 0 {
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -7,11 +7,14 @@
 package suspect
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/hyssophaven/hyssophaven/rendezvous"
 )
 
 // Part identifies a part of a prompt, whatever the rest of the request holds.
@@ -112,6 +115,7 @@
 	c := &s.crashes[i]
 	c.version = s.lastVersion
 	c.add(parts, began)
+	s.limitParts(c)
 	for _, p := range c.parts {
 		s.watch(p)
 	}
@@ -127,13 +131,32 @@
 	return n
 }
 
-// union returns the sorted union of sorted parts and of more, limited to
-// maxCrashParts.
+// limitParts drops parts of a crash beyond maxCrashParts. Parts that are watched already,
+// as parts of other crashes or suspected ones, stay. Which of the others are dropped
+// differs from crash to crash, so that a part of all of them is kept in most.
+func (s *State) limitParts(c *crash) {
+	if len(c.parts) <= maxCrashParts {
+		return
+	}
+	order := func(p Part) uint64 { return rendezvous.Score(uint64(p), c.id) }
+	unwatched := func(p Part) int {
+		if _, ok := s.cleared[p]; ok {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(c.parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(unwatched(a), unwatched(b)), cmp.Compare(order(a), order(b)))
+	})
+	c.parts = slices.Clone(c.parts[:maxCrashParts])
+	slices.Sort(c.parts)
+}
+
+// union returns the sorted union of two sets of parts.
 func union(parts, more []Part) []Part {
 	all := slices.Concat(parts, more)
 	slices.Sort(all)
-	all = slices.Compact(all)
-	return all[:min(len(all), maxCrashParts)]
+	return slices.Compact(all)
 }
 
 func (s *State) watch(p Part) {
