suspect: block no answered part for crashes at one moment

Cause: crashes of several replicas at one moment counted as independent evidence against a part.

A part that was in recent answers is blocked only if its crashes fall into two moments at least 1 s apart. Others are blocked as before.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -9,6 +9,9 @@
 	// blockCrashes is the number of crashes that a part must have in common, without
 	// an answer that clears it, to be blocked.
 	blockCrashes = 3
+	// minMoments is the number of moments at which a part that was in recent answers must
+	// have crashed replicas to be blocked.
+	minMoments = 2
 	// maxDecisionGap is the time between two decisions after which suspicions start anew.
 	maxDecisionGap = time.Second
 	// minOtherAnswers is the number of answers without a part that must have settled
@@ -59,10 +62,22 @@
 }
 
 // evidence is what speaks against a part: the number of crashes in which it is suspected,
-// and the last of them.
+// the number of moments, at least crashSpan apart, at which there were any, and the last
+// crash.
 type evidence struct {
-	crashes int
-	last    time.Time
+	crashes, moments int
+	lastMoment       time.Time
+	last             time.Time
+}
+
+// add adds a crash that is not earlier than those before.
+func (e *evidence) add(at time.Time) {
+	e.crashes++
+	e.last = at
+	if e.moments == 0 || at.Sub(e.lastMoment) >= crashSpan {
+		e.moments++
+		e.lastMoment = at
+	}
 }
 
 // want records that an instance refuses requests for the block.
--- a/suspect/decide.go
+++ b/suspect/decide.go
@@ -118,10 +118,7 @@
 				continue
 			}
 			e := counts[p]
-			e.crashes++
-			if c.at.After(e.last) {
-				e.last = c.at
-			}
+			e.add(c.at)
 			counts[p] = e
 		}
 	}
@@ -137,8 +134,11 @@
 	var worst Part
 	best := candidate{}
 	for p, n := range counts {
+		if n.crashes < blockCrashes {
+			continue
+		}
 		c := candidate{crashes: n.crashes, proven: s.isProven(now, p)}
-		if !s.isConclusive(now, p, c, settle) {
+		if !s.isConclusive(now, p, c, n.moments, settle) {
 			continue
 		}
 		if order := c.compare(best); best.crashes == 0 || order > 0 || order == 0 && p < worst {
@@ -198,16 +198,15 @@
 	return false
 }
 
-// isConclusive reports whether the evidence against a part suffices to block it.
-func (s *State) isConclusive(now time.Time, p Part, c candidate, settle time.Duration) bool {
-	if c.crashes < blockCrashes {
-		return false
-	}
+// isConclusive reports whether the evidence against a part suffices to block it. For a
+// part that was in recent answers, crashes at one moment do not: replicas also fail
+// together, as those of a rack.
+func (s *State) isConclusive(now time.Time, p Part, c candidate, moments int, settle time.Duration) bool {
 	known, announced := s.fleet.suspicions[p]
 	if settle > 0 && (!announced || now.Sub(known.since) < settle) {
 		return false
 	}
-	return !c.proven || announced && s.allAnswers()-known.answers >= minOtherAnswers
+	return !c.proven || announced && moments >= minMoments && s.allAnswers()-known.answers >= minOtherAnswers
 }
 
 // allAnswers returns the number of settled answers of all instances.
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -190,7 +190,7 @@
 	}
 }
 
-// allCrashes returns the crashes of all instances. Records of several instances about
+// allCrashes returns the crashes of all instances in the order of time. Records of several instances about
 // one crash are merged.
 func (s *State) allCrashes() []crash {
 	all := slices.Clone(s.crashes)
@@ -211,5 +211,6 @@
 		}
 		merged = append(merged, c)
 	}
+	slices.SortFunc(merged, func(a, b crash) int { return a.at.Compare(b.at) })
 	return merged
 }
