ingress: don't limit the length stated in an answer to HEAD

An answer to HEAD, or a 304, that stated a length over 64 MB was turned into 502, and its replica counted as broken.

Cause: the limit was checked against Content-Length, which such an answer states for a body that it does not have.

Evidence: edge.TestAnswerToHeadStatesLengthOverLimit failed (502 instead of 200) and passes.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -92,7 +92,7 @@
 
 // relayPlain relays an answer that is not a stream.
 func (x *exchange) relayPlain(a *upstream.Answer) (dispatch.Outcome, bool, error) {
-	if a.Length > maxAnswerBytes {
+	if a.Length > maxAnswerBytes && bodyAllowed(x.r.Method, a.Status) {
 		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
 	}
 	a.SetReadTimeout(time.Until(x.request.Deadline))
