controlplane: decide on prompt parts beside an older holder

During a rolling release a part crashed replica after replica while the order lease was with an instance of a version that does not decide on prompt parts. Blocks that existed were dropped when such an instance took the lease.

Cause: an answer without decisions looked like one that blocks nothing.

The holder's answer always carries its decisions, and one without them is told from that. An instance keeps its blocks then and decides by its own records, as it does without a holder.

Evidence: controlplane.TestPartIsBlockedBesideHolderOfOlderVersion failed and passes; peering.TestSuspectsSurviveEncoding covers the messages.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -47,6 +47,7 @@
 	modelsLoggedAt   time.Time
 	canOrder         bool          // this instance may send orders
 	holderSeenAt     time.Time     // last answer from another instance that holds the lease
+	verdictsSeenAt   time.Time     // last decisions on prompt parts from the holder
 	holderCanOrderAt time.Time     // when the holder may send orders
 	stateInterval    time.Duration // time between two answers from the holder
 	ordersBlocked    bool          // no instance can send orders for adapters now
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -82,9 +82,9 @@
 	// Crashes holds the crash counts of all other instances, by request fingerprint.
 	// Those below dispatch.MinPeerCrashes are left out.
 	Crashes map[uint64]int
-	// Suspects holds the suspected and blocked prompt parts. It comes from the holder
-	// only.
-	Suspects suspect.Verdicts
+	// Suspects holds the suspected and blocked prompt parts. It comes from the holder only,
+	// and is nil if the holder's version does not decide on them.
+	Suspects *suspect.Verdicts
 	// ModelChanges holds the replicas that are loading or unloading a model, with the
 	// time until they accept orders again.
 	ModelChanges map[string]time.Duration
@@ -170,7 +170,8 @@
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
 		state.StoreAge = now.Sub(c.storeAnsweredAt)
-		state.Suspects = c.dispatch.Suspects().VerdictsFor(now, peer.Instance)
+		verdicts := c.dispatch.Suspects().VerdictsFor(now, peer.Instance)
+		state.Suspects = &verdicts
 	}
 	if row.Released && row.Holder == c.node.ID {
 		state.ReleasedBy, state.Epoch = row.Holder, row.Epoch
@@ -364,7 +365,10 @@
 		c.holderSeenAt, c.holderCanOrderAt = now, now.Add(e.State.TimeUntilOrders)
 		c.setStateInterval(e.State.Interval)
 		c.setInstances(e.State.Instances)
-		c.logPartChanges(c.dispatch.Suspects().Adopt(now, e.State.Suspects), e.State.Holder)
+		if e.State.Suspects != nil {
+			c.verdictsSeenAt = now
+			c.logPartChanges(c.dispatch.Suspects().Adopt(now, *e.State.Suspects), e.State.Holder)
+		}
 	}
 	c.adoptHolderList(now, e.State)
 	c.checkFeedLag(now, e.State.TableVersions)
--- a/controlplane/suspects.go
+++ b/controlplane/suspects.go
@@ -13,7 +13,7 @@
 const settleIntervals = 2
 
 // updateSuspects blocks and unblocks prompt parts if this instance holds the order lease
-// or hears of no holder. Otherwise the holder decides.
+// or hears no decisions of a holder. Otherwise the holder decides.
 func (c *core) updateSuspects(now time.Time) {
 	suspects := c.dispatch.Suspects()
 	switch {
@@ -23,7 +23,7 @@
 			role.Settle = settleIntervals * stateInterval(len(c.peers), c.node.AvoidLease())
 		}
 		c.logPartChanges(suspects.Decide(now, role), c.node.ID)
-	case now.Sub(c.holderSeenAt) > c.maxHolderSilence():
+	case now.Sub(c.verdictsSeenAt) > c.maxHolderSilence():
 		c.logPartChanges(suspects.Decide(now, suspect.Role{}), c.node.ID)
 	default:
 		suspects.Expire(now)
--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -48,6 +48,10 @@
 	if !r.IsNeeded() {
 		return nil
 	}
+	return newSuspectsMessage(r)
+}
+
+func newSuspectsMessage(r suspect.Report) *suspectsMessage {
 	m := &suspectsMessage{Incarnation: r.Incarnation, Blocked: encodeBlocks(r.Blocked), Proven: r.Proven, Answers: r.Answers}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, crashMessage{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: c.Age.Milliseconds(), Parts: c.Parts, Began: c.Began})
@@ -75,18 +79,20 @@
 	return r
 }
 
-func encodeVerdicts(v suspect.Verdicts) *verdictsMessage {
-	if v.CrashVersion == 0 && len(v.Suspected) == 0 && len(v.Blocked) == 0 {
+// encodeVerdicts returns a message also if there is nothing to say, so that it can be told
+// from a holder of a version without verdicts.
+func encodeVerdicts(v *suspect.Verdicts) *verdictsMessage {
+	if v == nil {
 		return nil
 	}
 	return &verdictsMessage{CrashVersion: v.CrashVersion, Suspected: v.Suspected, Blocked: encodeBlocks(v.Blocked)}
 }
 
-func decodeVerdicts(m *verdictsMessage) suspect.Verdicts {
+func decodeVerdicts(m *verdictsMessage) *suspect.Verdicts {
 	if m == nil {
-		return suspect.Verdicts{}
+		return nil
 	}
-	return suspect.Verdicts{CrashVersion: m.CrashVersion, Suspected: m.Suspected, Blocked: decodeBlocks(m.Blocked)}
+	return &suspect.Verdicts{CrashVersion: m.CrashVersion, Suspected: m.Suspected, Blocked: decodeBlocks(m.Blocked)}
 }
 
 func encodeBlocks(blocks []suspect.Block) []blockMessage {
