ingress: find the end of an event's line in one scan

A replica that sent an event with CR line ends could take almost a second of processor time for 64 KB.

Cause: for each line, the rest of the buffer was searched for LF before CR.

Evidence: 64 KB of lines that end in CR, read in pieces of 1 KB: 920 ms before, 20 ms with one scan for either.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -135,20 +135,14 @@
 // of b counts as the end of a line; if an LF follows it later, the LF counts as one
 // more blank line after the event, which is relayed like any other.
 func cutLine(b []byte) (line []byte, length int) {
-	lf := bytes.IndexByte(b, '\n')
-	before := b
-	if lf >= 0 {
-		before = b[:lf]
+	end := bytes.IndexAny(b, "\r\n")
+	switch {
+	case end < 0:
+		return nil, 0
+	case b[end] == '\r' && end+1 < len(b) && b[end+1] == '\n':
+		return b[:end], end + 2
 	}
-	switch cr := bytes.IndexByte(before, '\r'); {
-	case cr >= 0 && cr+1 == lf:
-		return b[:cr], lf + 1
-	case cr >= 0:
-		return b[:cr], cr + 1
-	case lf >= 0:
-		return b[:lf], lf + 1
-	}
-	return nil, 0
+	return b[:end], end + 1
 }
 
 // eventID returns the value of an event's id field, or "" if it has none.
