dispatch: don't take invalid answers for crashes of their replica

Prompt parts could be blocked because replicas sent invalid answers: one for another request, without a signature, with events out of order, or over a limit. Such a replica has not crashed.

Cause: all these ends of a send have the outcome ConnectionBroken.

Traffic marks a flight whose answer was broken off for what it held, and only others are recorded as crashes. A successor that broke keeps its outcome when the request ends meanwhile.

Evidence: controlplane.TestInvalidAnswersAreNoCrashes: blocked without the mark, not blocked with it.

--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -17,6 +17,9 @@
 	SentAt      time.Time
 	// HeadSeen is set by traffic, before Finish, if the head of an answer has arrived.
 	HeadSeen bool
+	// InvalidAnswer is set by traffic, before Finish, if the answer was broken off for
+	// what it held. Its replica has not crashed.
+	InvalidAnswer bool
 	// begunAt is when the answer began, and settled whether it has gone on for
 	// suspect.SettleTime. The control goroutine owns both.
 	begunAt time.Time
@@ -182,7 +185,7 @@
 	switch {
 	case e.outcome == dispatch.Answered:
 		c.settle(f)
-	case e.outcome == dispatch.ConnectionBroken && !f.settled:
+	case e.outcome == dispatch.ConnectionBroken && !f.settled && !f.InvalidAnswer:
 		c.dispatch.RecordBreak(now, f.Request, f.Decision, f.HeadSeen)
 	}
 	if c.dispatch.RecordEnd(now, f.SentAt, f.Request, f.Decision, e.outcome, f.PrefillWork) {
--- a/controlplane/requests_test.go
+++ b/controlplane/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -9,10 +10,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/hyssophaven/hyssophaven/bootclock"
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
+	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
 // Guards against a request that counts as in flight for ever because its caller left
@@ -39,3 +42,23 @@
 	}
 	is.Equal(c.dispatch.OwnLoad()["r"].Requests, 0)
 }
+
+// Guards against blocking the prompt parts of requests whose answers were broken off for
+// what they held: their replicas have not crashed.
+func TestInvalidAnswersAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	for _, invalid := range []bool{false, true} {
+		c := newTestCore(t)
+		now := epoch
+		req := &dispatch.Request{ID: "q", Route: &catalog.Route{MaxAttempts: 2}, Service: "s", SharedParts: []suspect.Part{7}}
+		for i := range 5 {
+			now = now.Add(time.Second)
+			d := dispatch.Decision{Replica: &catalog.Replica{ID: fmt.Sprint("r", i)}}
+			f := &Flight{Request: req, Decision: d, SentAt: now, HeadSeen: true, InvalidAnswer: invalid}
+			finish{flight: f, outcome: dispatch.ConnectionBroken}.apply(c, now)
+			c.tick(now, bootclock.Now())
+		}
+		index, _ := c.dispatch.Suspects().Blocked(now, req.SharedParts)
+		is.Equal(index, map[bool]int{false: 0, true: -1}[invalid])
+	}
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -29,6 +29,18 @@
 	errCallerWrite = errors.New("write to the caller failed")
 )
 
+// isInvalid reports whether an answer was broken off for what it held, while its
+// connection was still open.
+func isInvalid(err error) bool {
+	var limit *upstream.LimitError
+	for _, invalid := range []error{errWrongRequest, errEncoded, errUnsigned, errEventOrder} {
+		if errors.Is(err, invalid) {
+			return true
+		}
+	}
+	return errors.As(err, &limit)
+}
+
 // relay relays a replica's answer to the caller, or discards it if the request is to
 // be retried. It returns the outcome of the send and whether the caller has the whole
 // answer. A nil error means that the replica's answer was read to its end.
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -73,6 +73,7 @@
 	x.timeToFirstByte = 0
 	if s.answer != nil {
 		s.outcome, done, s.err = x.relay(ctx, s)
+		s.flight.InvalidAnswer = isInvalid(s.err)
 		s.answer.Close(s.err == nil && s.outcome != dispatch.Canceled)
 	}
 	x.recordAttempt(s.flight, s.outcome, s.err)
@@ -116,6 +117,10 @@
 		if s.answer != nil {
 			s.answer.Close(false)
 		}
-		x.service.control.Finish(s.flight, dispatch.Canceled, nil)
+		outcome := dispatch.Canceled
+		if s.err != nil {
+			outcome = s.outcome
+		}
+		x.service.control.Finish(s.flight, outcome, s.head.Report)
 	}
 }
