suspect: use the terms of the field

Decisions, recent answers and probes are the usual words for what was called verdicts, proven parts and trials; probe is also the word of package dispatch for a request to an ejected replica.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -38,20 +38,21 @@
 	publish func(*Snapshot)
 	post    func(event)
 
-	config           *catalog.Config
-	replicaList      *catalog.ReplicaList
-	dispatch         *dispatch.State
-	leader           *leader.State
-	plan             *residency.State
-	plannedAt        time.Time
-	modelsLoggedAt   time.Time
-	canOrder         bool          // this instance may send orders
-	holderSeenAt     time.Time     // last answer from another instance that holds the lease
-	verdictsSeenAt   time.Time     // last decisions on prompt parts from the holder
-	holderCanOrderAt time.Time     // when the holder may send orders
-	stateInterval    time.Duration // time between two answers from the holder
-	ordersBlocked    bool          // no instance can send orders for adapters now
-	stopping         bool
+	config            *catalog.Config
+	replicaList       *catalog.ReplicaList
+	dispatch          *dispatch.State
+	leader            *leader.State
+	plan              *residency.State
+	plannedAt         time.Time
+	modelsLoggedAt    time.Time
+	canOrder          bool          // this instance may send orders
+	holderSeenAt      time.Time     // last answer from another instance that holds the lease
+	suspectsDecidedAt time.Time     // last decision on prompt parts by this instance
+	decisionsSeenAt   time.Time     // last decisions on prompt parts from the holder
+	holderCanOrderAt  time.Time     // when the holder may send orders
+	stateInterval     time.Duration // time between two answers from the holder
+	ordersBlocked     bool          // no instance can send orders for adapters now
+	stopping          bool
 
 	storeUnavailable map[string]bool      // tables that can't be read
 	storeRecoveredAt time.Time            // when the store last became available again
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -84,7 +84,7 @@
 	Crashes map[uint64]int
 	// Suspects holds the suspected and blocked prompt parts. It comes from the holder only,
 	// and is nil if the holder's version does not decide on them.
-	Suspects *suspect.Verdicts
+	Suspects *suspect.Decisions
 	// ModelChanges holds the replicas that are loading or unloading a model, with the
 	// time until they accept orders again.
 	ModelChanges map[string]time.Duration
@@ -170,8 +170,8 @@
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
 		state.StoreAge = now.Sub(c.storeAnsweredAt)
-		verdicts := c.dispatch.Suspects().VerdictsFor(now, peer.Instance)
-		state.Suspects = &verdicts
+		decisions := c.dispatch.Suspects().DecisionsFor(now, peer.Instance)
+		state.Suspects = &decisions
 	}
 	if row.Released && row.Holder == c.node.ID {
 		state.ReleasedBy, state.Epoch = row.Holder, row.Epoch
@@ -366,7 +366,7 @@
 		c.setStateInterval(e.State.Interval)
 		c.setInstances(e.State.Instances)
 		if e.State.Suspects != nil {
-			c.verdictsSeenAt = now
+			c.decisionsSeenAt = now
 			c.logPartChanges(c.dispatch.Suspects().Adopt(now, *e.State.Suspects), e.State.Holder)
 		}
 	}
--- a/controlplane/suspects.go
+++ b/controlplane/suspects.go
@@ -15,6 +15,10 @@
 // updateSuspects blocks and unblocks prompt parts if this instance holds the order lease
 // or hears no decisions of a holder. Otherwise the holder decides.
 func (c *core) updateSuspects(now time.Time) {
+	if now.Sub(c.suspectsDecidedAt) < StateInterval {
+		return // there is hardly anything new
+	}
+	c.suspectsDecidedAt = now
 	suspects := c.dispatch.Suspects()
 	switch {
 	case c.leader.Held():
@@ -23,7 +27,7 @@
 			role.Settle = settleIntervals * stateInterval(len(c.peers), c.node.AvoidLease())
 		}
 		c.logPartChanges(suspects.Decide(now, role), c.node.ID)
-	case now.Sub(c.verdictsSeenAt) > c.maxHolderSilence():
+	case now.Sub(c.decisionsSeenAt) > c.maxHolderSilence():
 		c.logPartChanges(suspects.Decide(now, suspect.Role{}), c.node.ID)
 	default:
 		suspects.Expire(now)
--- a/controlplane/suspects_test.go
+++ b/controlplane/suspects_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against an instance that blocks no part while the holder of the order lease is of
-// a version that does not report verdicts, and so never blocks one either.
+// a version that does not report decisions, and so never blocks one either.
 func TestPartIsBlockedBesideHolderOfOlderVersion(t *testing.T) {
 	is := is.New(t)
 	c := newTestCore(t)
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -91,7 +91,7 @@
 	TableVersions   map[string]uint64                `json:"versions"`
 	LatencyProfiles map[string]latencyProfileMessage `json:"paces,omitempty"`
 	Crashes         map[uint64]int                   `json:"crashes,omitempty"`
-	Suspects        *verdictsMessage                 `json:"suspects,omitempty"`
+	Suspects        *decisionsMessage                `json:"suspects,omitempty"`
 	ModelChanges    map[string]int64                 `json:"moving,omitempty"`
 	UnloadingModels map[string][]string              `json:"dropping,omitempty"`
 	FullReplicas    map[string][]string              `json:"full,omitempty"`
@@ -218,7 +218,7 @@
 func encodeFleet(s controlplane.FleetState) fleetMessage {
 	m := fleetMessage{
 		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion, TimeUntilOrders: s.TimeUntilOrders.Milliseconds(), ReleasedBy: s.ReleasedBy, Interval: s.Interval.Milliseconds(), Instances: s.Instances,
-		Loads: mapValues(s.Loads, encodeLoad), TableVersions: s.TableVersions, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeVerdicts(s.Suspects),
+		Loads: mapValues(s.Loads, encodeLoad), TableVersions: s.TableVersions, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeDecisions(s.Suspects),
 		ModelChanges: mapValues(s.ModelChanges, time.Duration.Milliseconds), UnloadingModels: s.UnloadingModels, FullReplicas: s.FullReplicas,
 		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListIsWhole: s.ListIsWhole, ListVersion: s.ListVersion, StoreAge: s.StoreAge.Milliseconds(),
 	}
@@ -231,7 +231,7 @@
 func decodeFleet(m fleetMessage) controlplane.FleetState {
 	s := controlplane.FleetState{
 		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: m.LeaseVersion, TimeUntilOrders: fromMilliseconds(m.TimeUntilOrders), ReleasedBy: m.ReleasedBy, Interval: fromMilliseconds(m.Interval), Instances: m.Instances,
-		Loads: mapValues(m.Loads, decodeLoad), TableVersions: m.TableVersions, LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeVerdicts(m.Suspects),
+		Loads: mapValues(m.Loads, decodeLoad), TableVersions: m.TableVersions, LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeDecisions(m.Suspects),
 		ModelChanges: mapValues(m.ModelChanges, fromMilliseconds), UnloadingModels: m.UnloadingModels, FullReplicas: m.FullReplicas,
 		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListIsWhole: m.ListIsWhole, ListVersion: m.ListVersion, StoreAge: fromMilliseconds(m.StoreAge),
 	}
--- a/peering/suspects.go
+++ b/peering/suspects.go
@@ -23,22 +23,22 @@
 	LastCrashAge int64          `json:"a"`
 	Failures     int            `json:"f,omitempty"`
 	Wanted       bool           `json:"r,omitempty"`
-	Trial        uint64         `json:"t,omitempty"`
+	Probe        uint64         `json:"t,omitempty"`
 }
 
 // suspectsMessage is an instance's report on prompt parts. It is left out while there is
 // nothing to report.
 type suspectsMessage struct {
-	Incarnation uint64                 `json:"n"`
-	Crashes     []crashMessage         `json:"c,omitempty"`
-	Cleared     map[suspect.Part]int64 `json:"k,omitempty"`
-	Proven      map[suspect.Part]int   `json:"o,omitempty"`
-	Answers     uint64                 `json:"s,omitempty"`
-	Blocked     []blockMessage         `json:"b,omitempty"`
+	Incarnation   uint64                 `json:"n"`
+	Crashes       []crashMessage         `json:"c,omitempty"`
+	Cleared       map[suspect.Part]int64 `json:"k,omitempty"`
+	RecentAnswers map[suspect.Part]int   `json:"o,omitempty"`
+	Answers       uint64                 `json:"s,omitempty"`
+	Blocked       []blockMessage         `json:"b,omitempty"`
 }
 
-// verdictsMessage is the holder's answer to a suspectsMessage.
-type verdictsMessage struct {
+// decisionsMessage is the holder's answer to a suspectsMessage.
+type decisionsMessage struct {
 	CrashVersion uint64         `json:"v,omitempty"`
 	Suspected    []suspect.Part `json:"s,omitempty"`
 	Blocked      []blockMessage `json:"b,omitempty"`
@@ -52,7 +52,7 @@
 }
 
 func newSuspectsMessage(r suspect.Report) *suspectsMessage {
-	m := &suspectsMessage{Incarnation: r.Incarnation, Blocked: encodeBlocks(r.Blocked), Proven: r.Proven, Answers: r.Answers}
+	m := &suspectsMessage{Incarnation: r.Incarnation, Blocked: encodeBlocks(r.Blocked), RecentAnswers: r.RecentAnswers, Answers: r.Answers}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, crashMessage{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: c.Age.Milliseconds(), Parts: c.Parts, Began: c.Began})
 	}
@@ -69,7 +69,7 @@
 	if m == nil {
 		return suspect.Report{}
 	}
-	r := suspect.Report{Incarnation: m.Incarnation, Blocked: decodeBlocks(m.Blocked), Proven: m.Proven, Answers: m.Answers, Cleared: make(map[suspect.Part]time.Duration, len(m.Cleared))}
+	r := suspect.Report{Incarnation: m.Incarnation, Blocked: decodeBlocks(m.Blocked), RecentAnswers: m.RecentAnswers, Answers: m.Answers, Cleared: make(map[suspect.Part]time.Duration, len(m.Cleared))}
 	for _, c := range m.Crashes {
 		r.Crashes = append(r.Crashes, suspect.Crash{ID: c.ID, Version: c.Version, Replica: c.Replica, Age: fromMilliseconds(c.Age), Parts: c.Parts, Began: c.Began})
 	}
@@ -79,26 +79,26 @@
 	return r
 }
 
-// encodeVerdicts returns a message also if there is nothing to say, so that it can be told
-// from a holder of a version without verdicts.
-func encodeVerdicts(v *suspect.Verdicts) *verdictsMessage {
+// encodeDecisions returns a message also if there is nothing to say, so that it can be told
+// from a holder of a version without decisions.
+func encodeDecisions(v *suspect.Decisions) *decisionsMessage {
 	if v == nil {
 		return nil
 	}
-	return &verdictsMessage{CrashVersion: v.CrashVersion, Suspected: v.Suspected, Blocked: encodeBlocks(v.Blocked)}
+	return &decisionsMessage{CrashVersion: v.CrashVersion, Suspected: v.Suspected, Blocked: encodeBlocks(v.Blocked)}
 }
 
-func decodeVerdicts(m *verdictsMessage) *suspect.Verdicts {
+func decodeDecisions(m *decisionsMessage) *suspect.Decisions {
 	if m == nil {
 		return nil
 	}
-	return &suspect.Verdicts{CrashVersion: m.CrashVersion, Suspected: m.Suspected, Blocked: decodeBlocks(m.Blocked)}
+	return &suspect.Decisions{CrashVersion: m.CrashVersion, Suspected: m.Suspected, Blocked: decodeBlocks(m.Blocked)}
 }
 
 func encodeBlocks(blocks []suspect.Block) []blockMessage {
 	var out []blockMessage
 	for _, b := range blocks {
-		out = append(out, blockMessage{Parts: b.Parts, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Wanted: b.Wanted, Trial: b.Trial})
+		out = append(out, blockMessage{Parts: b.Parts, Wait: b.Wait.Milliseconds(), LastCrashAge: b.LastCrashAge.Milliseconds(), Failures: b.Failures, Wanted: b.Wanted, Probe: b.Probe})
 	}
 	return out
 }
@@ -106,7 +106,7 @@
 func decodeBlocks(messages []blockMessage) []suspect.Block {
 	var out []suspect.Block
 	for _, m := range messages {
-		out = append(out, suspect.Block{Parts: m.Parts, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Wanted: m.Wanted, Trial: m.Trial})
+		out = append(out, suspect.Block{Parts: m.Parts, Wait: fromMilliseconds(m.Wait), LastCrashAge: fromMilliseconds(m.LastCrashAge), Failures: m.Failures, Wanted: m.Wanted, Probe: m.Probe})
 	}
 	return out
 }
--- a/peering/suspects_test.go
+++ b/peering/suspects_test.go
@@ -16,18 +16,18 @@
 func TestSuspectsSurviveEncoding(t *testing.T) {
 	is := is.New(t)
 	report := suspect.Report{
-		Incarnation: 7, Answers: 12, Proven: map[suspect.Part]int{1: 3}, Cleared: map[suspect.Part]time.Duration{1: 20 * time.Millisecond},
+		Incarnation: 7, Answers: 12, RecentAnswers: map[suspect.Part]int{1: 3}, Cleared: map[suspect.Part]time.Duration{1: 20 * time.Millisecond},
 		Crashes: []suspect.Crash{{ID: 2, Version: 3, Replica: "r", Age: 5 * time.Millisecond, Parts: []suspect.Part{1, 1 << 63}, Began: true}},
 		Blocked: []suspect.Block{{Parts: []suspect.Part{9}, Wait: time.Second, LastCrashAge: time.Minute, Failures: 2, Wanted: true}},
 	}
-	verdicts := suspect.Verdicts{
+	decisions := suspect.Decisions{
 		CrashVersion: 3, Suspected: []suspect.Part{1, 2},
-		Blocked: []suspect.Block{{Parts: []suspect.Part{9, 10}, Wait: time.Second, LastCrashAge: time.Minute, Trial: 1 << 62}},
+		Blocked: []suspect.Block{{Parts: []suspect.Part{9, 10}, Wait: time.Second, LastCrashAge: time.Minute, Probe: 1 << 62}},
 	}
 	is.Equal(decodeSuspects(throughJSON(t, newSuspectsMessage(report))), report)
-	is.Equal(*decodeVerdicts(throughJSON(t, encodeVerdicts(&verdicts))), verdicts)
-	is.True(decodeVerdicts(throughJSON(t, encodeVerdicts(&suspect.Verdicts{}))) != nil)
-	is.True(decodeVerdicts(encodeVerdicts(nil)) == nil)
+	is.Equal(*decodeDecisions(throughJSON(t, encodeDecisions(&decisions))), decisions)
+	is.True(decodeDecisions(throughJSON(t, encodeDecisions(&suspect.Decisions{}))) != nil)
+	is.True(decodeDecisions(encodeDecisions(nil)) == nil)
 	is.True(encodeSuspects(suspect.New(1).Report(time.Unix(1, 0))) == nil) // nothing to report
 }
 
--- a/suspect/block.go
+++ b/suspect/block.go
@@ -18,19 +18,19 @@
 	// since the part is suspected, if it was in recent answers. Without it, the parts of
 	// most requests would be blocked when all replicas fail at once.
 	minOtherAnswers = 10
-	// maxUsedTrials limits the trials that an instance remembers to have used.
-	maxUsedTrials = 64
-	// Parts are blocked for blockTime, doubled after each failed trial up to
-	// maxBlockTime. Each failed trial costs a replica.
+	// maxUsedProbes limits the probes that an instance remembers to have used.
+	maxUsedProbes = 64
+	// Parts are blocked for blockTime, doubled after each failed probe up to
+	// maxBlockTime. Each failed probe costs a replica.
 	blockTime    = 30 * time.Second
 	maxBlockTime = 5 * time.Minute
-	// maxFailures is the number of failed trials beyond which more make no difference.
+	// maxFailures is the number of failed probes beyond which more make no difference.
 	maxFailures = 8
 	// maxBlockAge is the time after the last crash at which a block ends without a
-	// trial, because no requests with the part come any more.
+	// probe, because no requests with the part come any more.
 	maxBlockAge = 15 * time.Minute
-	// trialTime is how long an instance can use a trial before another one gets it.
-	trialTime = 10 * time.Second
+	// probeTime is how long an instance can use a probe before another one gets it.
+	probeTime = 10 * time.Second
 	// minBlockedWait is the shortest time after which a refused caller should return.
 	minBlockedWait = time.Second
 	// maxBlocked limits the blocks, and maxSuspected the parts that the holder
@@ -47,18 +47,18 @@
 	// suspects are the parts that can be to blame; those with the most crashes are in
 	// parts. Only the holder keeps the others.
 	suspects  map[Part]evidence
-	until     time.Time // when the next trial is due
+	until     time.Time // when the next probe is due
 	lastCrash time.Time
-	failures  int // failed trials
-	// trial identifies the trial that this instance may use; 0 if none.
-	trial uint64
+	failures  int // failed probes
+	// probe identifies the probe that this instance may use; 0 if none.
+	probe uint64
 	// refusedAt is when this instance last refused a request. On the holder, wantedAt
 	// is when an instance last reported that it did, by instance.
 	refusedAt time.Time
 	wantedAt  map[string]time.Time
-	// trialOwner is the instance that the holder has given the trial since trialAt.
-	trialOwner string
-	trialAt    time.Time
+	// probeOwner is the instance that the holder has given the probe since probeAt.
+	probeOwner string
+	probeAt    time.Time
 }
 
 // evidence is what speaks against a part: the number of crashes in which it is suspected,
@@ -124,7 +124,7 @@
 	slices.Sort(b.parts)
 }
 
-// holdTime returns how long parts are blocked after the given number of failed trials.
+// holdTime returns how long parts are blocked after the given number of failed probes.
 func holdTime(failures int) time.Duration {
 	hold := blockTime
 	for range failures {
@@ -136,7 +136,7 @@
 }
 
 // recordCrash records a crash of a request that the block matches. A crash after the
-// trial was due makes the parts wait longer.
+// probe was due makes the parts wait longer.
 func (b *block) recordCrash(now, at time.Time) {
 	if !at.After(b.lastCrash) {
 		return
@@ -145,25 +145,25 @@
 	if !at.Before(b.until) {
 		b.failures++
 		b.until = now.Add(holdTime(b.failures))
-		b.trialOwner = ""
+		b.probeOwner = ""
 	}
 }
 
-// grantTrial returns the trial that an instance may use now, or 0. A trial is identified
+// grantProbe returns the probe that an instance may use now, or 0. A probe is identified
 // by the time of its grant and the block, so that successive holders use different ones.
 // Only an instance that refuses requests for the block gets one.
-func (b *block) grantTrial(now time.Time, instance string) uint64 {
+func (b *block) grantProbe(now time.Time, instance string) uint64 {
 	if now.Before(b.until) {
 		return 0
 	}
-	age := now.Sub(b.trialAt)
-	wanted := now.Sub(b.wantedAt[instance]) <= trialTime
-	// An instance that has not used its trial gets the next one only if no other asks.
-	if wanted && (b.trialOwner == "" || age > 2*trialTime || age > trialTime && b.trialOwner != instance) {
-		b.trialOwner, b.trialAt = instance, now
+	age := now.Sub(b.probeAt)
+	wanted := now.Sub(b.wantedAt[instance]) <= probeTime
+	// An instance that has not used its probe gets the next one only if no other asks.
+	if wanted && (b.probeOwner == "" || age > 2*probeTime || age > probeTime && b.probeOwner != instance) {
+		b.probeOwner, b.probeAt = instance, now
 	}
-	if b.trialOwner != instance {
+	if b.probeOwner != instance {
 		return 0
 	}
-	return uint64(b.trialAt.UnixNano()) ^ uint64(b.parts[0])
+	return uint64(b.probeAt.UnixNano()) ^ uint64(b.parts[0])
 }
--- a/suspect/decide.go
+++ b/suspect/decide.go
@@ -10,7 +10,7 @@
 // Role is the part that an instance has in decisions on parts.
 type Role struct {
 	// Holder is the instance's own name if it holds the order lease, and otherwise
-	// empty. Only the holder grants trials.
+	// empty. Only the holder grants probes.
 	Holder string
 	// Settle is how long a part must have been announced as suspected before it is
 	// blocked, so that other instances can report answers that clear it.
@@ -53,7 +53,7 @@
 }
 
 // updateBlocks adds the crashes to the evidence of the blocks, drops the suspects that
-// answers have cleared and the blocks without suspects, and grants due trials to the
+// answers have cleared and the blocks without suspects, and grants due probes to the
 // holder's own instance.
 func (s *State) updateBlocks(now time.Time, crashes []crash, holder string) {
 	for _, b := range s.blocks {
@@ -75,10 +75,10 @@
 		return
 	}
 	for _, b := range s.blocks {
-		if now.Sub(b.refusedAt) <= trialTime {
+		if now.Sub(b.refusedAt) <= probeTime {
 			b.want(now, holder)
 		}
-		b.trial = b.grantTrial(now, holder)
+		b.probe = b.grantProbe(now, holder)
 	}
 }
 
@@ -137,7 +137,7 @@
 		if n.crashes < blockCrashes {
 			continue
 		}
-		c := candidate{crashes: n.crashes, proven: s.isProven(now, p)}
+		c := candidate{crashes: n.crashes, answered: s.hasRecentAnswers(now, p)}
 		if !s.isConclusive(now, p, c, n.moments, settle) {
 			continue
 		}
@@ -170,14 +170,14 @@
 
 // candidate is the evidence against a part.
 type candidate struct {
-	crashes int
-	proven  bool // the part was in recent answers
+	crashes  int
+	answered bool // the part was in recent answers
 }
 
 // compare returns a positive number if the evidence is stronger than that of other.
 func (c candidate) compare(other candidate) int {
-	if c.proven != other.proven {
-		if other.proven {
+	if c.answered != other.answered {
+		if other.answered {
 			return 1
 		}
 		return -1
@@ -185,13 +185,13 @@
 	return cmp.Compare(c.crashes, other.crashes)
 }
 
-// isProven reports whether a part was in a recent settled answer of any instance.
-func (s *State) isProven(now time.Time, p Part) bool {
+// hasRecentAnswers reports whether a part was in a recent settled answer of any instance.
+func (s *State) hasRecentAnswers(now time.Time, p Part) bool {
 	if s.history.count(now, p) > 0 {
 		return true
 	}
 	for _, known := range s.fleet.instances {
-		if known.proven[p] > 0 {
+		if known.answered[p] > 0 {
 			return true
 		}
 	}
@@ -206,7 +206,7 @@
 	if settle > 0 && (!announced || now.Sub(known.since) < settle) {
 		return false
 	}
-	return !c.proven || announced && moments >= minMoments && s.allAnswers()-known.answers >= minOtherAnswers
+	return !c.answered || announced && moments >= minMoments && s.allAnswers()-known.answers >= minOtherAnswers
 }
 
 // allAnswers returns the number of settled answers of all instances.
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -19,13 +19,13 @@
 // Block is a set of blocked parts as instances exchange it.
 type Block struct {
 	Parts        []Part
-	Wait         time.Duration // time until the next trial is due
+	Wait         time.Duration // time until the next probe is due
 	LastCrashAge time.Duration
 	Failures     int
 	// Wanted means that the reporting instance refuses requests with these parts.
 	Wanted bool
-	// Trial is the number of the trial that the addressed instance may use, or 0.
-	Trial uint64
+	// Probe is the number of the probe that the addressed instance may use, or 0.
+	Probe uint64
 }
 
 // Report is what an instance sends to the holder of the order lease.
@@ -37,21 +37,21 @@
 	// Cleared holds, by watched part, the age of the newest answer that began and has
 	// settled.
 	Cleared map[Part]time.Duration
-	// Proven holds, by suspected part, the number of recent answers that have settled,
+	// RecentAnswers holds, by suspected part, the number of recent answers that have settled,
 	// and Answers the number of all settled answers since the start. A report without
 	// anything else is not sent.
-	Proven  map[Part]int
-	Answers uint64
-	Blocked []Block
-	needed  bool
+	RecentAnswers map[Part]int
+	Answers       uint64
+	Blocked       []Block
+	needed        bool
 }
 
 // IsNeeded reports whether the holder needs the report: the instance has records, or hears
 // of suspected or blocked parts.
 func (r Report) IsNeeded() bool { return r.needed }
 
-// Verdicts is what the holder sends to an instance.
-type Verdicts struct {
+// Decisions is what the holder sends to an instance.
+type Decisions struct {
 	// CrashVersion is the newest version of the instance's crashes that the holder has.
 	CrashVersion uint64
 	Suspected    []Part
@@ -78,10 +78,10 @@
 	}
 	for _, p := range s.suspected {
 		if n := s.history.count(now, p); n > 0 {
-			if r.Proven == nil {
-				r.Proven = make(map[Part]int)
+			if r.RecentAnswers == nil {
+				r.RecentAnswers = make(map[Part]int)
 			}
-			r.Proven[p] = n
+			r.RecentAnswers[p] = n
 		}
 	}
 	r.Answers = s.history.answers
@@ -114,7 +114,7 @@
 func (b *block) message(now time.Time) Block {
 	return Block{
 		Parts: b.parts, Wait: max(0, b.until.Sub(now)), LastCrashAge: now.Sub(b.lastCrash), Failures: b.failures,
-		Wanted: now.Sub(b.refusedAt) <= trialTime,
+		Wanted: now.Sub(b.refusedAt) <= probeTime,
 	}
 }
 
@@ -122,7 +122,7 @@
 // possible ones, so that the block ends.
 func (m Block) block(now time.Time) *block {
 	b := newBlock(now, m.Parts, evidence{crashes: blockCrashes, last: past(now, m.LastCrashAge)})
-	b.until, b.failures, b.trial = now.Add(min(max(m.Wait, 0), maxBlockTime)), min(max(m.Failures, 0), maxFailures), m.Trial
+	b.until, b.failures, b.probe = now.Add(min(max(m.Wait, 0), maxBlockTime)), min(max(m.Failures, 0), maxFailures), m.Probe
 	return b
 }
 
@@ -131,7 +131,7 @@
 
 // Adopt replaces the suspected and blocked parts by those of the holder. It returns the
 // sets of parts that it has blocked or unblocked.
-func (s *State) Adopt(now time.Time, v Verdicts) Changes {
+func (s *State) Adopt(now time.Time, v Decisions) Changes {
 	s.ackVersion = v.CrashVersion
 	s.suspected = v.Suspected
 	for _, p := range v.Suspected {
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -35,7 +35,7 @@
 	version     uint64 // newest version
 	reportedAt  time.Time
 	answers     uint64
-	proven      map[Part]int
+	answered    map[Part]int
 }
 
 func newFleet() fleet {
@@ -72,7 +72,7 @@
 	if r.Answers > known.answers && now.Sub(known.reportedAt) <= maxDecisionGap {
 		s.fleet.answers += r.Answers - known.answers
 	}
-	known.answers, known.reportedAt, known.proven = r.Answers, now, r.Proven
+	known.answers, known.reportedAt, known.answered = r.Answers, now, r.RecentAnswers
 	for _, c := range r.Crashes {
 		known.crashes[c.ID] = crash{id: c.ID, version: c.Version, replica: c.Replica, at: past(now, c.Age), parts: union(nil, c.Parts[:min(len(c.Parts), maxCrashParts)]), began: c.Began}
 		known.version = max(known.version, c.Version)
@@ -152,15 +152,15 @@
 	return others
 }
 
-// VerdictsFor returns the verdicts for another instance. Only the holder calls it.
-func (s *State) VerdictsFor(now time.Time, instance string) Verdicts {
-	v := Verdicts{Suspected: s.suspected}
+// DecisionsFor returns the decisions for another instance. Only the holder calls it.
+func (s *State) DecisionsFor(now time.Time, instance string) Decisions {
+	v := Decisions{Suspected: s.suspected}
 	if known, ok := s.fleet.instances[instance]; ok {
 		v.CrashVersion = known.version
 	}
 	for _, b := range s.blocks {
 		m := b.message(now)
-		m.Trial = b.grantTrial(now, instance)
+		m.Probe = b.grantProbe(now, instance)
 		v.Blocked = append(v.Blocked, m)
 	}
 	return v
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -2,7 +2,7 @@
 // the parts of the requests whose replica broke off before their answer had settled,
 // and the parts of the answers that settled. The holder of the order lease collects
 // these records, blocks a part that several crashes have in common and that no answer
-// has cleared since, and later admits one request at a time as a trial. It does no I/O
+// has cleared since, and later admits one request at a time as a probe. It does no I/O
 // and reads no clock; the control goroutine owns the state.
 package suspect
 
@@ -88,7 +88,7 @@
 	decidedAt time.Time
 	decidedAs string
 	blocks    []*block
-	used      []uint64 // trials that this instance has used, oldest first
+	used      []uint64 // probes that this instance has used, oldest first
 	fleet     fleet
 }
 
@@ -194,11 +194,11 @@
 }
 
 // Blocked returns the index of a part for which a request is refused, and the time until
-// it is tried again. It returns -1 if the request is not refused, or is due as a trial at
+// it is tried again. It returns -1 if the request is not refused, or is due as a probe at
 // this instance. Of several parts that are blocked together it returns the last one.
 func (s *State) Blocked(now time.Time, parts []Part) (index int, wait time.Duration) {
 	for _, b := range s.blocks {
-		if !b.matches(parts) || s.mayTry(b) {
+		if !b.matches(parts) || s.mayProbe(b) {
 			continue
 		}
 		b.refusedAt = now
@@ -211,16 +211,16 @@
 	return -1, 0
 }
 
-// mayTry reports whether this instance may send a request with the parts of a block.
-func (s *State) mayTry(b *block) bool { return b.trial != 0 && !slices.Contains(s.used, b.trial) }
+// mayProbe reports whether this instance may send a request with the parts of a block.
+func (s *State) mayProbe(b *block) bool { return b.probe != 0 && !slices.Contains(s.used, b.probe) }
 
-// RecordSend records that a request is sent. It uses up the trials of the blocks that
+// RecordSend records that a request is sent. It uses up the probes of the blocks that
 // match it.
 func (s *State) RecordSend(parts []Part) {
 	for _, b := range s.blocks {
-		if b.matches(parts) && s.mayTry(b) {
-			s.used = append(s.used, b.trial)
-			s.used = s.used[max(0, len(s.used)-maxUsedTrials):]
+		if b.matches(parts) && s.mayProbe(b) {
+			s.used = append(s.used, b.probe)
+			s.used = s.used[max(0, len(s.used)-maxUsedProbes):]
 		}
 	}
 }
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -46,7 +46,7 @@
 		}
 		s.Expire(f.now)
 		holder.Merge(f.now, name(i), s.Report(f.now))
-		s.Adopt(f.now, holder.VerdictsFor(f.now, name(i)))
+		s.Adopt(f.now, holder.DecisionsFor(f.now, name(i)))
 	}
 }
 
@@ -221,9 +221,9 @@
 	}
 }
 
-// sendTrials sends a request with the part at each instance that admits one, and returns
+// sendProbes sends a request with the part at each instance that admits one, and returns
 // their number.
-func sendTrials(f *instances) (sent int) {
+func sendProbes(f *instances) (sent int) {
 	for i, s := range f.states {
 		if !f.blocked(i, deadly) {
 			s.RecordSend([]Part{deadly})
@@ -235,31 +235,31 @@
 
 // Guards against several requests that try a blocked part at once, and against a part
 // that is tried at the same rate for ever.
-func TestFailedTrialsBecomeRarer(t *testing.T) {
+func TestFailedProbesBecomeRarer(t *testing.T) {
 	is := is.New(t)
 	f := newInstances(5)
 	blockDeadly(t, f)
 	crashes := 0
 	for range 10 * time.Minute / interval {
 		f.exchange()
-		sent := sendTrials(f)
+		sent := sendProbes(f)
 		is.True(sent <= 1)
 		if sent > 0 {
 			crashes++
-			f.crash(2, fmt.Sprint("trial-", crashes), deadly)
+			f.crash(2, fmt.Sprint("probe-", crashes), deadly)
 		}
 	}
 	is.True(crashes >= 2 && crashes <= 5) // after about 30 s, 1.5, 3.5 and 7.5 min
 }
 
 // Guards against a part that stays blocked although it crashes replicas no longer.
-func TestSuccessfulTrialUnblocksPart(t *testing.T) {
+func TestSuccessfulProbeUnblocksPart(t *testing.T) {
 	is := is.New(t)
 	f := newInstances(5)
 	blockDeadly(t, f)
 	for range time.Minute / interval {
 		f.exchange()
-		if sendTrials(f) > 0 {
+		if sendProbes(f) > 0 {
 			f.answer(3, deadly)
 			break
 		}
@@ -270,15 +270,15 @@
 	}
 }
 
-// Guards against a trial that is lost because the instance that has it gets no request
+// Guards against a probe that is lost because the instance that has it gets no request
 // with the part.
-func TestUnusedTrialPassesToAnotherInstance(t *testing.T) {
+func TestUnusedProbePassesToAnotherInstance(t *testing.T) {
 	is := is.New(t)
 	f := newInstances(4)
 	blockDeadly(t, f)
 	f.exchangeFor(blockTime)
 	admitting := make(map[int]bool)
-	for range 4 * trialTime / interval {
+	for range 4 * probeTime / interval {
 		f.exchange()
 		for i := range f.states {
 			if !f.blocked(i, deadly) {
@@ -355,9 +355,9 @@
 	is.Equal(len(f.states[0].fleet.instances[name(1)].crashes), 0)
 }
 
-// Guards against a sound part that stays blocked because its trials go to instances that
+// Guards against a sound part that stays blocked because its probes go to instances that
 // get no request with it: its caller keeps a connection to one instance.
-func TestTrialReachesInstanceThatGetsThePart(t *testing.T) {
+func TestProbeReachesInstanceThatGetsThePart(t *testing.T) {
 	is := is.New(t)
 	f := newInstances(90)
 	blockDeadly(t, f)
@@ -369,7 +369,7 @@
 		for j := range len(f.states) - 1 {
 			n := 1 + (j+37*int(i))%(len(f.states)-1) // another instance is the first each time
 			f.states[0].Merge(f.now, name(n), f.states[n].Report(f.now))
-			f.states[n].Adopt(f.now, f.states[0].VerdictsFor(f.now, name(n)))
+			f.states[n].Adopt(f.now, f.states[0].DecisionsFor(f.now, name(n)))
 		}
 		admitted = admitted || !f.blocked(70, deadly)
 	}
