edge: reproduce a crashing part that is forgotten in a full restart

When all instances restart at the same time, the blocked parts are lost, and the part crashes replicas again until it is blocked anew.

--- a/edge/crashingparts_test.go
+++ b/edge/crashingparts_test.go
@@ -286,3 +286,26 @@
 	}
 	l.checkStatuses()
 }
+
+// Guards against a crashing part that is forgotten when all instances restart at the
+// same time.
+func TestCrashingPartIsContainedAcrossRestartOfAll(t *testing.T) {
+	t.Parallel()
+	l := startCrashLoad(t, 3)
+	l.parts.SetDeadly("bad", true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range l.nodes {
+		l.load(ctx, i, soundInterval, soundPrompts("one", 5)...)
+		l.load(ctx, i, taintedInterval, "one:40,mid1:30,bad:20")
+	}
+	l.untilAfterBlame("bad", contactTime)
+	cancel()
+	l.restartAll()
+	time.Sleep(contactTime) // until the instances are in touch
+	l.loadAll(soundInterval, soundPrompts("one", 5)...)
+	l.loadAll(taintedInterval, "one:40,mid1:30,bad:20")
+	time.Sleep(contactTime)
+	l.checkFewArrivals("bad", time.Now())
+	l.checkStatuses()
+}
--- a/edge/crashload_test.go
+++ b/edge/crashload_test.go
@@ -188,6 +188,25 @@
 	l.addOutage(instance, from)
 }
 
+// restartAll stops all instances at the same time and starts them again.
+func (l *crashLoad) restartAll() {
+	l.t.Helper()
+	from := time.Now()
+	var stopping sync.WaitGroup
+	for _, i := range l.instances {
+		stopping.Go(func() {
+			if err := i.Stop(context.Background()); err != nil {
+				l.t.Error(err)
+			}
+		})
+	}
+	stopping.Wait()
+	for i := range l.instances {
+		l.startInstance(i)
+		l.addOutage(i, from)
+	}
+}
+
 // addOutage records that an instance was away from a time until now. It counts as in
 // touch again after contactTime.
 func (l *crashLoad) addOutage(instance int, from time.Time) {
