controlplane: store the blocked prompt parts

Cause: blocked parts were only in the instances' memory.

The holder of the order lease writes them to a row of the store when a block begins, changes or ends, and every instance reads the row when it starts. The row holds ages, not times, since clocks of instances are not compared.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -87,10 +87,12 @@
 	if s.control, err = kernel.Lookup[*controlplane.Service](k, controlplane.ServiceName); err != nil {
 		return err
 	}
+	s.group.Go(s.restoreBlocks)
 	return errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "actuator.order", s.sendOrder),
 		worker.Subscribe(s.group, k.Bus(), "actuator.report", s.requestReport),
 		worker.Subscribe(s.group, k.Bus(), "actuator.lease", s.accessLease),
+		worker.Subscribe(s.group, k.Bus(), "actuator.blocks", s.saveBlocks),
 	)
 }
 
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -48,6 +48,7 @@
 	canOrder          bool          // this instance may send orders
 	holderSeenAt      time.Time     // last answer from another instance that holds the lease
 	suspectsDecidedAt time.Time     // last decision on prompt parts by this instance
+	storedBlocks      string        // parts and failures of the blocks in the store
 	decisionsSeenAt   time.Time     // last decisions on prompt parts from the holder
 	holderCanOrderAt  time.Time     // when the holder may send orders
 	stateInterval     time.Duration // time between two answers from the holder
--- a/controlplane/suspects.go
+++ b/controlplane/suspects.go
@@ -27,6 +27,7 @@
 			role.Settle = settleIntervals * stateInterval(len(c.peers), c.node.AvoidLease())
 		}
 		c.logPartChanges(suspects.Decide(now, role), c.node.ID)
+		c.saveBlocks(now)
 	case now.Sub(c.decisionsSeenAt) > c.maxHolderSilence():
 		c.logPartChanges(suspects.Decide(now, suspect.Role{}), c.node.ID)
 	default:
@@ -37,6 +38,33 @@
 	c.metrics.Gauge("parts", "state", "suspected").Set(int64(suspected))
 }
 
+// SaveBlocks is published to store the blocked prompt parts, so that they are known after
+// a restart of all instances.
+type SaveBlocks struct{ Blocks []suspect.Block }
+
+// saveBlocks publishes SaveBlocks if the blocks differ from the stored ones in more than
+// their times.
+func (c *core) saveBlocks(now time.Time) {
+	blocks := c.dispatch.Suspects().Blocks(now)
+	key := ""
+	for _, b := range blocks {
+		key += fmt.Sprint(b.Parts, b.Failures)
+	}
+	if key == c.storedBlocks {
+		return
+	}
+	c.storedBlocks = key
+	c.publishEvent(SaveBlocks{Blocks: blocks})
+}
+
+// BlocksRead reports the blocked prompt parts that were read from the store.
+type BlocksRead struct{ Blocks []suspect.Block }
+
+func (e BlocksRead) apply(c *core, now time.Time) {
+	c.dispatch.Suspects().Restore(now, e.Blocks)
+	c.log.Info("blocked prompt parts read", "sets", len(e.Blocks))
+}
+
 // logPartChanges logs the sets of parts that decidedBy has blocked or unblocked. Parts are
 // named by their hash; refused requests name the part itself.
 func (c *core) logPartChanges(changes suspect.Changes, decidedBy string) {
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -85,10 +85,17 @@
 		}
 	}
 	r.Answers = s.history.answers
+	r.Blocked = s.Blocks(now)
+	return r
+}
+
+// Blocks returns the blocked parts.
+func (s *State) Blocks(now time.Time) []Block {
+	var out []Block
 	for _, b := range s.blocks {
-		r.Blocked = append(r.Blocked, b.message(now))
+		out = append(out, b.message(now))
 	}
-	return r
+	return out
 }
 
 // clearedAges returns the ages of the newest settled answers, by part that the holder
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -109,6 +109,14 @@
 	}
 }
 
+// Restore adds blocks that were stored before all instances restarted.
+func (s *State) Restore(now time.Time, blocks []Block) {
+	for _, m := range blocks {
+		m.Wanted = false
+		s.mergeBlock(now, "", m)
+	}
+}
+
 // mergeBlock adopts a block that another instance knows, for example from an earlier
 // holder, unless answers have cleared its parts since its last crash.
 func (s *State) mergeBlock(now time.Time, instance string, m Block) {
