suspect: keep two crashing parts apart that crash together

Cause: a block kept all parts that its crashes had in common, and refused those with the most crashes of these.

A block now keeps only the parts that all of its crashes hold. A later crash with some of them takes the others out of it, a crash with none of them is evidence against other parts, and a block is limited to 16 parts, since all instances get it four times a second.

--- a/suspect/block.go
+++ b/suspect/block.go
@@ -33,20 +33,18 @@
 	probeTime = 10 * time.Second
 	// minBlockedWait is the shortest time after which a refused caller should return.
 	minBlockedWait = time.Second
-	// maxBlocked limits the blocks, and maxSuspected the parts that the holder
-	// announces.
-	maxBlocked   = 256
-	maxSuspected = 256
+	// maxBlocked limits the blocks, maxBlockParts the parts of one, and maxSuspected the
+	// parts that the holder announces. All instances get these lists four times a second.
+	maxBlocked    = 256
+	maxBlockParts = 16
+	maxSuspected  = 64
 )
 
 // block is a set of parts that crashes have in common. Requests that hold all of them are
 // refused. A part that several crashes share with a crashing one can't be told from it
 // until a request with only one of them is answered, or crashes a replica too.
 type block struct {
-	parts []Part // sorted
-	// suspects are the parts that can be to blame; those with the most crashes are in
-	// parts. Only the holder keeps the others.
-	suspects  map[Part]evidence
+	parts     []Part    // sorted, at most maxBlockParts
 	until     time.Time // when the next probe is due
 	lastCrash time.Time
 	failures  int // failed probes
@@ -90,13 +88,9 @@
 	}
 }
 
-// newBlock returns a block of parts that have the same crashes in common.
-func newBlock(now time.Time, parts []Part, e evidence) *block {
-	b := &block{parts: parts, suspects: make(map[Part]evidence, len(parts)), until: now.Add(holdTime(0)), lastCrash: e.last}
-	for _, p := range parts {
-		b.suspects[p] = e
-	}
-	return b
+// newBlock returns a block of sorted parts whose last crash was at lastCrash.
+func newBlock(now time.Time, parts []Part, lastCrash time.Time) *block {
+	return &block{parts: slices.Clone(parts[:min(len(parts), maxBlockParts)]), until: now.Add(holdTime(0)), lastCrash: lastCrash}
 }
 
 // matches reports whether a request with parts holds all parts of the block.
@@ -109,21 +103,6 @@
 	return true
 }
 
-// update sets parts to the suspects with the most crashes.
-func (b *block) update() {
-	most := 0
-	for _, e := range b.suspects {
-		most = max(most, e.crashes)
-	}
-	b.parts = nil
-	for p, e := range b.suspects {
-		if e.crashes == most {
-			b.parts = append(b.parts, p)
-		}
-	}
-	slices.Sort(b.parts)
-}
-
 // holdTime returns how long parts are blocked after the given number of failed probes.
 func holdTime(failures int) time.Duration {
 	hold := blockTime
--- a/suspect/decide.go
+++ b/suspect/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -45,32 +44,28 @@
 		if len(parts) == 0 {
 			break
 		}
-		s.addBlock(newBlock(now, parts, e))
+		s.addBlock(newBlock(now, parts, e.last))
 		crashes = s.unexplained(crashes)
 	}
 	s.announce(now, crashes)
 	return compareBlocks(old, s.blocks)
 }
 
-// updateBlocks adds the crashes to the evidence of the blocks, drops the suspects that
-// answers have cleared and the blocks without suspects, and grants due probes to the
-// holder's own instance.
+// updateBlocks records the crashes of blocked requests, drops the parts that are not to
+// blame and the blocks without parts, and grants due probes to the holder's own instance.
 func (s *State) updateBlocks(now time.Time, crashes []crash, holder string) {
 	for _, b := range s.blocks {
 		for _, c := range crashes {
 			if s.suspectsAll(c, b.parts) {
 				b.recordCrash(now, c.at)
-			}
-		}
-		counts := s.count(crashes)
-		for p, e := range b.suspects {
-			if n := counts[p]; n.crashes > e.crashes || n.last.After(e.last) {
-				b.suspects[p] = evidence{crashes: max(n.crashes, e.crashes), last: n.last}
+			} else if common := s.common(c, b.parts); c.began && c.at.After(b.lastCrash) && len(common) > 0 {
+				b.parts = common // the others are not needed for a crash
+				b.recordCrash(now, c.at)
 			}
 		}
 		s.dropCleared(b)
 	}
-	s.blocks = slices.DeleteFunc(s.blocks, func(b *block) bool { return len(b.suspects) == 0 })
+	s.blocks = slices.DeleteFunc(s.blocks, func(b *block) bool { return len(b.parts) == 0 })
 	if holder == "" {
 		return
 	}
@@ -87,6 +82,11 @@
 	return len(parts) > 0 && !slices.ContainsFunc(parts, func(p Part) bool { return !s.suspects(c, p) })
 }
 
+// common returns those of the parts that are suspected in a crash.
+func (s *State) common(c crash, parts []Part) []Part {
+	return slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return !s.suspects(c, p) })
+}
+
 // suspects reports whether a part was in a request that a crash broke, and no answer
 // has cleared the part since.
 func (s *State) suspects(c crash, p Part) bool {
@@ -94,18 +94,11 @@
 	return found && c.at.After(s.clearedAt(p))
 }
 
-// unexplained returns the crashes in which no suspect of a block is suspected. The others
-// are no evidence against further parts.
+// unexplained returns the crashes of requests that no block matches. The others are no
+// evidence against further parts.
 func (s *State) unexplained(crashes []crash) []crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c crash) bool {
-		for _, b := range s.blocks {
-			for p := range b.suspects {
-				if s.suspects(c, p) {
-					return true
-				}
-			}
-		}
-		return false
+		return slices.ContainsFunc(s.blocks, func(b *block) bool { return s.suspectsAll(c, b.parts) })
 	})
 }
 
@@ -217,7 +210,9 @@
 func (s *State) announce(now time.Time, crashes []crash) {
 	counts := s.count(crashes)
 	for _, b := range s.blocks {
-		maps.Copy(counts, b.suspects)
+		for _, p := range b.parts {
+			counts[p] = evidence{crashes: max(counts[p].crashes, blockCrashes)}
+		}
 	}
 	parts := make([]Part, 0, len(counts))
 	for p := range counts {
--- a/suspect/exchange.go
+++ b/suspect/exchange.go
@@ -128,7 +128,7 @@
 // block returns the block of a message. Times that can't be are replaced by the nearest
 // possible ones, so that the block ends.
 func (m Block) block(now time.Time) *block {
-	b := newBlock(now, m.Parts, evidence{crashes: blockCrashes, last: past(now, m.LastCrashAge)})
+	b := newBlock(now, slices.Sorted(slices.Values(m.Parts)), past(now, m.LastCrashAge))
 	b.until, b.failures, b.probe = now.Add(min(max(m.Wait, 0), maxBlockTime)), min(max(m.Failures, 0), maxFailures), m.Probe
 	return b
 }
--- a/suspect/fleet.go
+++ b/suspect/fleet.go
@@ -130,25 +130,20 @@
 		return
 	}
 	known := func(b *block) bool {
-		return slices.ContainsFunc(m.Parts, func(p Part) bool { _, ok := b.suspects[p]; return ok })
+		return slices.ContainsFunc(m.Parts, func(p Part) bool { return slices.Contains(b.parts, p) })
 	}
 	if slices.ContainsFunc(s.blocks, known) {
 		return
 	}
 	b := m.block(now)
-	if s.dropCleared(b); len(b.suspects) > 0 {
+	if s.dropCleared(b); len(b.parts) > 0 {
 		s.addBlock(b)
 	}
 }
 
-// dropCleared drops the suspects that an answer has cleared since their last crash.
+// dropCleared drops the parts that an answer has cleared since the block's last crash.
 func (s *State) dropCleared(b *block) {
-	for p, e := range b.suspects {
-		if s.clearedAt(p).After(e.last) {
-			delete(b.suspects, p)
-		}
-	}
-	b.update()
+	b.parts = slices.DeleteFunc(slices.Clone(b.parts), func(p Part) bool { return s.clearedAt(p).After(b.lastCrash) })
 }
 
 // clearedAt returns when the newest answer of any instance began that clears a part.
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -239,7 +239,7 @@
 		watched[p] = true
 	}
 	for _, b := range s.blocks {
-		for p := range b.suspects {
+		for _, p := range b.parts {
 			watched[p] = true
 		}
 	}
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -145,6 +145,35 @@
 	}
 }
 
+// Guards against two crashing parts that are taken for one because the same crashes broke
+// requests with either: each would be refused only until the other one crashes replicas.
+func TestTwoCrashingPartsInTheSameCrashesAreBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newInstances(3)
+	const other = 11
+	for i := range 4 {
+		f.crash(1, fmt.Sprint("both-", i), first, deadly)
+		f.crash(2, fmt.Sprint("both-", i), middle, other)
+	}
+	f.exchangeFor(2 * time.Second)
+	crashes := 0
+	for i := range 12 {
+		for _, p := range []Part{deadly, other} {
+			if !f.blocked(1, Part(50+i), p) {
+				crashes++
+				f.crash(1, fmt.Sprint("one-", i, p), Part(50+i), p)
+				f.exchangeFor(time.Second)
+			}
+		}
+		f.answer(2, first, middle)
+		f.exchangeFor(time.Second)
+	}
+	is.True(crashes <= 6)
+	is.True(f.blocked(0, deadly))
+	is.True(f.blocked(0, other))
+	is.True(!f.blocked(0, first, middle))
+}
+
 // Guards against a part that stays blocked together with sound ones after answers have
 // cleared these.
 func TestAnswersLeaveOnlyTheCrashingPartBlocked(t *testing.T) {
