ingress: search both line ends of an event in windows

Cause: the search for CR or LF in one scan uses a table for each byte, which is slow, and very slow under the race detector.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -135,7 +135,7 @@
 // of b counts as the end of a line; if an LF follows it later, the LF counts as one
 // more blank line after the event, which is relayed like any other.
 func cutLine(b []byte) (line []byte, length int) {
-	end := bytes.IndexAny(b, "\r\n")
+	end := lineEnd(b)
 	switch {
 	case end < 0:
 		return nil, 0
@@ -145,6 +145,24 @@
 	return b[:end], end + 1
 }
 
+// lineEnd returns the index of the first CR or LF in b, or -1. It searches both in windows:
+// a search for one of them through the whole of b would be repeated for each line that
+// ends with the other.
+func lineEnd(b []byte) int {
+	const window = 512
+	for start := 0; start < len(b); start += window {
+		part := b[start:min(start+window, len(b))]
+		end, cr := bytes.IndexByte(part, '\n'), bytes.IndexByte(part, '\r')
+		if end < 0 || cr >= 0 && cr < end {
+			end = cr
+		}
+		if end >= 0 {
+			return start + end
+		}
+	}
+	return -1
+}
+
 // eventID returns the value of an event's id field, or "" if it has none.
 func eventID(event []byte) string {
 	for {
