--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// beginAnswer must be called before the head of an answer is relayed that is not
-// complete yet. It fails if the drain has ended.
+// beginAnswer must be called before the head of an answer is relayed if its body has not
+// been read completely. It fails if the drain has ended.
 func (x *exchange) beginAnswer() error {
 	if !x.outliveDrain() {
 		return errStopping
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -208,20 +208,25 @@
 			}
 			return dispatch.ConnectionBroken, false, relayErr
 		}
-		switch {
-		case err == io.EOF:
+		if err == io.EOF {
 			return s.finish()
-		case x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0 && !x.handOver(ctx, from):
-			x.setEventTimeout(a, eventTimeout)
-		case err != nil:
+		}
+		stays := err != nil && x.canStay(a) && !x.handOver(ctx, from)
+		if err != nil && !stays {
 			return x.outcomeOf(err), false, err
 		}
-		if relayed {
+		if relayed || stays {
 			x.setEventTimeout(a, eventTimeout)
 		}
 	}
 }
 
+// canStay reports whether a stream whose read has failed can go on: its replica is only
+// silent, and the request has time left.
+func (x *exchange) canStay(a *upstream.Answer) bool {
+	return x.headSent && a.IsSilent() && time.Until(x.request.Deadline) > 0
+}
+
 // reportProgress reports the first byte of a stream, and later that its answer has
 // settled.
 func (s *eventStream) reportProgress(from *send) {
