controlplane, watch: call the store less often with many instances

Change: the time between two checks grows with the number of instances, up to 15 s, below the 20 s of changes that the store keeps. A feed waits 28 s. The pauses after a change are shares of the leave time (200 ms and 400 ms with 2 s, as before), longer where the deployment allows more. The control plane decides the pause and publishes it.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -72,6 +72,7 @@
 	listReadAt   time.Time // last answer from the feed of listTable
 	holderListAt time.Time // time at which the list from the holder was current
 	listSource   ListSource
+	listPause    time.Duration // between two calls for the list
 
 	loggedReplicas map[string]string // description in the last log line, by replica
 	demand         map[string]*modelDemand
@@ -98,7 +99,7 @@
 		}),
 		stateInterval: StateInterval, storeUnavailable: make(map[string]bool), tableVersions: make(map[string]rowstore.Version), behindSince: make(map[string]time.Time), loggedReplicas: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapterWaiters: make(map[adapterKey][]adapterWaiter), modelWaiters: make(map[string][]modelWaiter),
-		undirected: make(map[adapterKey]bool),
+		undirected: make(map[adapterKey]bool), listPause: listPause(FromStore, leaveTime(b), 0),
 	}
 	c.initNoticeCounters()
 	registry.Counter(metricStoreRestores)
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
+	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/rowstore"
 )
 
@@ -13,6 +14,16 @@
 	// this instance's own read. The store answers the holder every 650 ms, and the
 	// holder answers peers several times a second.
 	listLifetimeShare = 0.6
+	// The pause between two calls for the list batches changes, which come several times
+	// a second. It is a share of the leave time: holderPauseShare on the holder, whose
+	// reads serve all instances, and storePauseShare on an instance without a holder.
+	holderPauseShare, storePauseShare = 0.1, 0.2
+	// An instance that gets the list from the holder reads it only to check that the
+	// holder follows it. The time between two checks grows with the number of instances,
+	// so that their calls don't. It stays below the 20 s of changes that the store
+	// keeps, after which a check would read the whole table.
+	minCheckPause, maxCheckPause = 6 * time.Second, 15 * time.Second
+	checkPausePerInstance        = 250 * time.Millisecond
 	// defaultLeaveTime is used if the deployment sets no leave time, the time within
 	// which instances must stop sending requests to a leaving replica.
 	defaultLeaveTime = 2 * time.Second
@@ -20,11 +31,29 @@
 
 // listLifetime returns the age up to which a list from the holder counts as current.
 func (c *core) listLifetime() time.Duration {
-	leave := c.node.Bounds.Leave
-	if leave <= 0 {
-		leave = defaultLeaveTime
+	return time.Duration(listLifetimeShare * float64(leaveTime(c.node.Bounds)))
+}
+
+// leaveTime returns the time within which instances must stop sending requests to a
+// leaving replica.
+func leaveTime(b nodeconfig.Bounds) time.Duration {
+	if b.Leave <= 0 {
+		return defaultLeaveTime
+	}
+	return b.Leave
+}
+
+// listPause returns the pause between two calls for the list of replicas on one of a
+// number of instances.
+func listPause(source ListSource, leave time.Duration, instances int) time.Duration {
+	switch source {
+	case FromHolder:
+		return min(max(minCheckPause, time.Duration(instances)*checkPausePerInstance), maxCheckPause)
+	case FromStoreForPeers:
+		return time.Duration(holderPauseShare * float64(leave))
+	default:
+		return time.Duration(storePauseShare * float64(leave))
 	}
-	return time.Duration(listLifetimeShare * float64(leave))
 }
 
 // ListSource is where this instance learns of changes to the list of replicas.
@@ -47,8 +76,12 @@
 // String returns the source's name for logs.
 func (s ListSource) String() string { return listSourceNames[s] }
 
-// ListSourceChanged is published when the source of the list of replicas changes.
-type ListSourceChanged struct{ Source ListSource }
+// ListSourceChanged is published when the source of the list of replicas changes, or the
+// pause between two calls for it.
+type ListSourceChanged struct {
+	Source ListSource
+	Pause  time.Duration
+}
 
 // listSince returns the changes to the list of replicas after a version, or the whole list
 // if this instance does not know all of them.
@@ -102,8 +135,8 @@
 	c.updateReplicas(now, ids, entries)
 }
 
-// updateListSource determines the source of the list of replicas, and publishes and
-// logs a change.
+// updateListSource determines the source of the list of replicas and the pause between
+// two calls for it, publishes a change of either, and logs a change of the source.
 func (c *core) updateListSource(now time.Time) {
 	source := FromStore
 	switch {
@@ -112,10 +145,15 @@
 	case now.Sub(c.holderListAt) < c.listLifetime():
 		source = FromHolder
 	}
-	if source == c.listSource {
+	pause := listPause(source, leaveTime(c.node.Bounds), c.instanceCount)
+	if source == c.listSource && pause == c.listPause {
+		return
+	}
+	changed := source != c.listSource
+	c.listSource, c.listPause = source, pause
+	c.publishEvent(ListSourceChanged{Source: source, Pause: pause})
+	if !changed {
 		return
 	}
-	c.listSource = source
 	c.log.Info("list of replicas", "source", source.String(), "age", now.Sub(c.holderListAt), "version", c.replicaList.Version())
-	c.publishEvent(ListSourceChanged{Source: source})
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -23,24 +23,17 @@
 const ServiceName = "watch"
 
 const (
-	// longPollTimeout is how long one call of a feed waits for changes. It is long
-	// because every call has a cost. TCP keepalive probes detect connections
-	// that no longer respond.
-	longPollTimeout = 12 * time.Second
+	// longPollTimeout is how long one call of a feed waits for changes. It is near the
+	// 30 s that the store allows because every call has a cost. TCP keepalive probes
+	// detect connections that no longer respond, and the lease holder tells instances
+	// whose feed is behind.
+	longPollTimeout = 28 * time.Second
 	// recheckTimeout limits a call that does not wait for changes, which the store
 	// answers immediately.
 	recheckTimeout = 800 * time.Millisecond
-	// defaultListPause is the pause between two calls for the list of replicas. It
-	// batches changes, which come several times a second, and is far below the 2 s
-	// within which a leaving replica must stop getting work.
-	defaultListPause = 400 * time.Millisecond
-	// holderListPause is the pause on the holder of the order lease, which relays the
-	// list to the other instances. One instance with a shorter pause adds few calls
-	// to the total.
-	holderListPause = 200 * time.Millisecond
-	// relayedListPause is the pause on an instance that gets the list from the holder.
-	// Its own calls only serve to notice that the holder no longer follows the list.
-	relayedListPause = 6 * time.Second
+	// initialListPause is the pause between two calls for the list of replicas until the
+	// control plane sets another one.
+	initialListPause = 400 * time.Millisecond
 	// minRetryBackoff and maxRetryBackoff limit the pause after a failed call. Changes
 	// must take effect within 2 s, but a store that is down must not be flooded.
 	minRetryBackoff = 100 * time.Millisecond
@@ -75,7 +68,7 @@
 // New returns a service that is not started yet.
 func New(store rowstore.Store, source Source, logger *log.Logger, registry *metrics.Registry) *Service {
 	s := &Service{store: store, source: source, log: logger, metrics: registry, group: worker.NewGroup(), recheckRequests: make(map[string]chan struct{})}
-	s.listPause.Store(int64(defaultListPause))
+	s.listPause.Store(int64(initialListPause))
 	return s
 }
 
@@ -127,23 +120,12 @@
 // Unless the holder relays the list, it also replaces the waiting call, whose
 // connection can have failed unnoticed.
 func (s *Service) handleListSourceChanged(_ context.Context, e controlplane.ListSourceChanged) {
-	s.listPause.Store(int64(listPauseFor(e.Source)))
+	s.listPause.Store(int64(e.Pause))
 	if e.Source != controlplane.FromHolder {
 		s.requestRecheck(s.source.ReplicaTable)
 	}
 }
 
-func listPauseFor(source controlplane.ListSource) time.Duration {
-	switch source {
-	case controlplane.FromHolder:
-		return relayedListPause
-	case controlplane.FromStoreForPeers:
-		return holderListPause
-	default:
-		return defaultListPause
-	}
-}
-
 // follow reads a table and then its feed until ctx ends. It passes each page to
 // handlePage; wholeTable is true if the page contains all rows of the table.
 func (s *Service) follow(ctx context.Context, table string, handlePage func(page rowstore.Page, wholeTable bool)) {
