--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -16,8 +16,10 @@
 	listLifetimeShare = 0.6
 	// The pause between two calls for the list batches changes, which come several times
 	// a second. It is a share of the leave time: holderPauseShare on the holder, whose
-	// reads serve all instances, and storePauseShare on an instance without a holder.
+	// reads serve all instances, and storePauseShare on an instance without a holder. The
+	// holder's pause stays below maxFeedLag, so that its feed does not count as behind.
 	holderPauseShare, storePauseShare = 0.1, 0.2
+	maxHolderPause                    = maxFeedLag - 50*time.Millisecond
 	// An instance that gets the list from the holder reads it only to check that the
 	// holder follows it. The time between two checks grows with the number of instances,
 	// so that their calls don't. It stays below the 20 s of changes that the store
@@ -50,7 +52,7 @@
 	case FromHolder:
 		return min(max(minCheckPause, time.Duration(instances)*checkPausePerInstance), maxCheckPause)
 	case FromStoreForPeers:
-		return time.Duration(holderPauseShare * float64(leave))
+		return min(time.Duration(holderPauseShare*float64(leave)), maxHolderPause)
 	default:
 		return time.Duration(storePauseShare * float64(leave))
 	}
--- a/controlplane/list_test.go
+++ b/controlplane/list_test.go
@@ -27,5 +27,6 @@
 	for _, leave := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
 		is.True(listPause(FromStore, leave, 95) <= leave/4)
 		is.True(listPause(FromStoreForPeers, leave, 95) <= leave/8)
+		is.True(listPause(FromStoreForPeers, leave, 95) < maxFeedLag)
 	}
 }
--- a/dispatch/prefixsource.go
+++ b/dispatch/prefixsource.go
@@ -29,8 +29,8 @@
 // prefixSource returns the replica whose KV cache most probably holds the shared parts
 // of a request's prompt, apart from the chosen one: the one to which this instance sent
 // them last, or the one that all instances prefer for them. It returns nil if there is
-// none or if a transfer is not worth it. What the chosen replica has
-// cached is not known for sure, so it does not count; nothing is transferred twice.
+// none or if a transfer is not worth it. What the chosen replica has cached is not known
+// for sure, so it does not count; nothing is transferred twice.
 func (s *State) prefixSource(now time.Time, svc *service, chosen *replica, req *Request) *catalog.Replica {
 	if req.Model == "" || len(req.Parts) < 2 {
 		return nil
