review: orders of two holders within lease-ms

Cause: on SIGTERM, the holder releases the order lease at once, while an order without an answer can still be on its way; the successor allows 0.2 s for orders in transit, less than one resend of TCP.

Nothing is fixed.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,7 @@
 	"one":    playOne,
 	"silent": playSilent,
 	"extra":  playExtra,
+	"drain":  playDrain,
 }
 
 func main() { os.Exit(playCase()) }
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -42,6 +42,7 @@
 	from     net.Conn
 	owner    atomic.Int32 // whether delayed selects the channel: 0 unknown, 1 no, 2 yes
 	lastByte atomic.Int64 // time of the last byte in either direction, in Unix nanoseconds
+	waiting  atomic.Bool  // the last bytes went to the target: a call waits for its answer
 }
 
 func newProxy(host, target string) (*proxy, error) {
@@ -125,6 +126,7 @@
 				return
 			}
 			c.lastByte.Store(time.Now().UnixNano())
+			c.waiting.Store(p != nil)
 			if p != nil && n > 0 {
 				p.see(b[:n])
 			}
@@ -164,13 +166,21 @@
 	}
 }
 
-// silence makes the open channels silent on which no byte has passed for idle. New
-// channels work. It returns the number of channels that fell silent and of the others.
-func (p *proxy) silence(idle time.Duration) (silenced, others int) {
+// isIdle reports whether no byte has passed for d.
+func (c *channel) isIdle(d time.Duration) bool {
+	return time.Since(time.Unix(0, c.lastByte.Load())) >= d
+}
+
+// silence makes the open channels silent that selects returns true for. New channels
+// work. It returns the number of channels that fell silent now and of those that go on.
+func (p *proxy) silence(selects func(*channel) bool) (silenced, others int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.channels {
-		if time.Since(time.Unix(0, c.lastByte.Load())) < idle {
+		if c.silent.Load() {
+			continue
+		}
+		if !selects(c) {
 			others++
 			continue
 		}
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -50,6 +50,7 @@
 	extraOrders bool
 	// down is set while the process doesn't run, and quiet while it writes no entry.
 	down, quiet bool
+	left        bool // the entry is removed
 	channels    map[net.Conn]bool
 }
 
@@ -126,12 +127,34 @@
 	})
 }
 
+// leave removes the entry of a replica that never reports that it drains.
+func (r *replica) leave(s *store) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+	s.remove("servers", r.id)
+}
+
+// end ends the process for good.
+func (r *replica) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	for c := range r.channels {
+		reset(c)
+	}
+}
+
 // register writes the replica's entry now and every heartbeat interval. address is the one
 // that the entry names.
 func (r *replica) register(s *store, address string) {
 	go func() {
 		for {
 			r.mu.Lock()
+			if r.left {
+				r.mu.Unlock()
+				return
+			}
 			if r.quiet {
 				r.mu.Unlock()
 				time.Sleep(10 * time.Millisecond)
--- a/review/harness/silent.go
+++ b/review/harness/silent.go
@@ -33,7 +33,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	if p.trouble {
-		silenced, others := link.silence(5 * time.Second)
+		silenced, others := link.silence(func(c *channel) bool { return c.isIdle(5 * time.Second) })
 		p.say("%d channels to the store fall silent, %d go on", silenced, others)
 	}
 	time.Sleep(4 * time.Second) // contact-ms is 3 s
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -61,6 +61,14 @@
 	s.apply(row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data), Ver: s.version})
 }
 
+// remove removes a row. The return is the ack.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.apply(row{Table: table, Key: key, Ver: s.version, Removed: true})
+}
+
 // apply stores a row and wakes the waiting feed calls. s.mu must be held.
 func (s *store) apply(r row) {
 	s.rows[rowKey(r.Table, r.Part, r.Key)] = r
