review: requests reach a replica that has left

Cause: the holder of the order lease tells its peers how current its list of replicas is by the last answer to any call of the store, also to a write of the lease, while its call for the list waits up to 28 s without an answer.

Nothing is fixed.

--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -5,6 +5,9 @@
 // adapterCounts are the adapters of the models m1, m2 and m3: 64 as in petik-booking.
 var adapterCounts = []int{24, 20, 20}
 
+// adapterSlots are the places for adapters of a replica.
+var adapterSlots = 8
+
 // config is the operator's config. service is that of the routes /look/ and /book/; with
 // more, there is a further route /more/.
 func config(version int, service string, more bool) map[string]any {
@@ -28,7 +31,7 @@
 	}
 	engine := map[string]any{"slot-count": 64, "kv-capacity": 138466, "kv-token-bytes": 163840, "link-mbps": 550000.0, "moves": true, "backups": true, "stride": 2,
 		"max-count": 12, "host-mb": 140000.0, "disk-mb": 400000.0, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle_s": 5.0, "models": models,
-		"weights-mb": 200000.0, "adapter-slots": 8, "loads-per-s": 1.5}
+		"weights-mb": 200000.0, "adapter-slots": adapterSlots, "loads-per-s": 1.5}
 	services := []map[string]any{
 		{"name": "petik-app", "health-path": "/health", "max-conns": 96, "protocol": "h1", "tls": false},
 		{"name": "petik-app2", "health-path": "/health", "max-conns": 96, "protocol": "h1", "tls": false},
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,6 +34,7 @@
 	"silent": playSilent,
 	"extra":  playExtra,
 	"drain":  playDrain,
+	"twice":  playTwice,
 }
 
 func main() { os.Exit(playCase()) }
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -51,7 +51,11 @@
 	// down is set while the process doesn't run, and quiet while it writes no entry.
 	down, quiet bool
 	left        bool // the entry is removed
-	channels    map[net.Conn]bool
+	server      *http.Server
+	// extraFrom and extraUntil limit the time in which the answer 421 to an order or a call for a report is sent
+	// a second time, at the point where the next answer on its channel is expected.
+	extraFrom, extraUntil time.Time
+	channels              map[net.Conn]bool
 }
 
 // channelState is what a replica remembers of a channel.
@@ -60,7 +64,11 @@
 type channelKey struct{}
 
 func newReplica(rec *record, id, service, zone string, models ...string) (*replica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newReplicaAt(rec, "127.0.0.1:0", id, service, zone, models...)
+}
+
+func newReplicaAt(rec *record, address, id, service, zone string, models ...string) (*replica, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -79,6 +87,7 @@
 	server := &http.Server{Handler: r.withExtras(mux), ConnState: r.track, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, channelKey{}, &channelState{})
 	}}
+	r.server = server
 	go func() { _ = server.Serve(l) }()
 	return r, nil
 }
@@ -185,11 +194,34 @@
 	if target == "" || target == r.id {
 		return false
 	}
+	if c, ok := req.Context().Value(channelKey{}).(*channelState); ok && req.Header.Get("X-Hyssophaven-Attempt-Id") == "" {
+		r.mu.Lock()
+		now := time.Now()
+		if now.After(r.extraFrom) && now.Before(r.extraUntil) {
+			c.extra = "HTTP/1.1 421 Misdirected Request\r\nX-Hyssophaven-Instance-Id: " + r.id + "\r\nContent-Length: 0\r\n\r\n"
+		}
+		r.mu.Unlock()
+		r.record.add("%s answers 421 to %s for %s", r.id, req.RequestURI, target)
+	}
 	w.Header().Set("X-Hyssophaven-Instance-Id", r.id)
 	w.WriteHeader(http.StatusMisdirectedRequest)
 	return true
 }
 
+// crashForGood ends the process and frees its address. The store removes the entry after
+// three heartbeat intervals.
+func (r *replica) crashForGood(s *store) {
+	r.mu.Lock()
+	r.left, r.down = true, true
+	for c := range r.channels {
+		reset(c)
+	}
+	r.mu.Unlock()
+	_ = r.server.Close()
+	r.record.add("%s crashes for good", r.id)
+	time.AfterFunc(3*heartbeat, func() { s.remove("servers", r.id) })
+}
+
 func (r *replica) report(w http.ResponseWriter, req *http.Request) {
 	if r.misdirected(w, req) {
 		return
@@ -304,7 +336,7 @@
 			return
 		}
 		defer conn.Close()
-		r.record.add("%s sends the answer to an order a second time, before the answer to %s %s %s", r.id, req.Method, req.RequestURI, req.Header.Get("X-Hyssophaven-Attempt-Id"))
+		r.record.add("%s sends an earlier answer a second time, before the answer to %s %s %s", r.id, req.Method, req.RequestURI, req.Header.Get("X-Hyssophaven-Attempt-Id"))
 		_, _ = io.WriteString(conn, c.extra)
 		raw := &rawWriter{conn: conn, header: make(http.Header)}
 		next.ServeHTTP(raw, req)
