ingress: log which side closed a caller's connection, and why

Cause: a request that crosses the close of its connection is in no log line, so the hypotheses of the incident (an idle limit of an older config, a drain, a starved read) could not be told apart from a caller that left. Change: each connection keeps when it was accepted, when its last byte was read and how many requests it has carried. Closes per instance stay far below its requests, so the volume is bounded by the connections that callers leave idle.

--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -19,6 +19,7 @@
 	configLimits func() connLimits          // limits of the current config
 	limitDelay   time.Duration              // how late limits are enforced
 	limits       atomic.Pointer[connLimits] // limits that connections have; nil before the first one
+	onClose      func(connClose)            // is told of each connection that was closed, unless nil
 
 	mu    sync.Mutex
 	open  map[*trackedConn]bool
@@ -27,7 +28,8 @@
 
 // add tracks a connection that was accepted.
 func (t *connTracker) add(raw net.Conn) *trackedConn {
-	c := &trackedConn{Conn: raw, tracker: t}
+	now := time.Now()
+	c := &trackedConn{Conn: raw, tracker: t, acceptedAt: now, lastByteAt: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyConfigLimits()
@@ -77,6 +79,9 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		t.remove(c)
+		if t.onClose != nil {
+			t.onClose(c.describeClose())
+		}
 	}
 }
 
@@ -133,6 +138,11 @@
 	// serverDeadline is the read deadline that the server has set. It is used while
 	// connHandling.
 	serverDeadline time.Time
+
+	acceptedAt time.Time
+	lastByteAt time.Time // last read of bytes, or acceptedAt
+	requests   int       // requests that have begun
+	closeCause closeCause
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
@@ -147,7 +157,10 @@
 	}
 	if n > 0 {
 		c.recordRead(len(b) == 1)
-	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	c.recordReadEnd(err)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.refuseSlowHead()
 	}
 	return n, err
@@ -157,7 +170,7 @@
 func (c *trackedConn) recordRead(oneByte bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAhead = oneByte
+	c.readAhead, c.lastByteAt = oneByte, time.Now()
 	if c.state == connUnused || c.state == connIdle {
 		c.enter(connReadingHead)
 	}
@@ -167,6 +180,7 @@
 func (c *trackedConn) beginHandling() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requests++
 	c.enter(connHandling)
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -118,6 +118,7 @@
 		return errors.Join(fmt.Errorf("listen for callers: listener %T has no deadline", callers), callers.Close(), ready.Close())
 	}
 	s.callers = newCallerServer(http.HandlerFunc(s.serve), s.log, func() connLimits { return limitsOf(s.control.Snapshot().Limits) }, s.node.Bounds.ConfigTime)
+	s.callers.conns.onClose = s.recordConnClose
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
 	err = worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() })
 	if err != nil {
