ingress: keep idle connections of a stopping instance as long as told

Cause: 2.5 s after SIGTERM the instance closed all idle connections at once. Callers send several requests at the same moment on kept connections; those that were on their way when it closed were lost. Change: answers tell callers an idle time of at most half of the grace time, and a stopping instance closes an idle connection half a second after that time has passed. Connections that are still open when the drain ends are closed as before. Plain requests that arrive in the drain are served; streams, which could not end in it, are refused as before.

--- a/ingress/connclose.go
+++ b/ingress/connclose.go
@@ -47,7 +47,7 @@
 		c.closeCause = closedBroken
 	case c.state == connReadingHead:
 		c.closeCause = closedSlowHead
-	case c.closing:
+	case c.closing || c.tracker.draining.Load():
 		c.closeCause = closedDraining
 	case c.state == connUnused:
 		c.closeCause = closedUnused
--- a/ingress/connlimits.go
+++ b/ingress/connlimits.go
@@ -45,10 +45,35 @@
 func (c *trackedConn) enter(state connState) {
 	now := time.Now()
 	c.state, c.since, c.closing = state, now, false
-	c.deadline = now.Add(c.tracker.limits.Load().of(state) + c.tracker.limitDelay)
+	c.deadline = c.limitOf(*c.tracker.limits.Load())
 	c.setDeadline()
 }
 
+// idleNoticeMargin is how much longer than its caller was told an idle connection is kept
+// in a drain, so that a request that its caller sends at the last moment arrives.
+const idleNoticeMargin = 500 * time.Millisecond
+
+// limitOf returns the end of the current state under limits. c.mu must be held.
+func (c *trackedConn) limitOf(limits connLimits) time.Time {
+	t := c.tracker
+	end := c.since.Add(limits.of(c.state) + t.limitDelay)
+	if c.state != connIdle || !t.draining.Load() {
+		return end
+	}
+	if told := c.since.Add(t.idleNotice(limits) + idleNoticeMargin); told.Before(end) {
+		return told
+	}
+	return end
+}
+
+// idleNotice returns the idle time that answers tell callers under limits.
+func (t *connTracker) idleNotice(limits connLimits) time.Duration {
+	if t.maxIdleNotice > 0 {
+		return min(limits.idle, t.maxIdleNotice)
+	}
+	return limits.idle
+}
+
 // setDeadline sets the read deadline that the state has. c.mu must be held.
 func (c *trackedConn) setDeadline() {
 	if c.closing {
@@ -75,7 +100,7 @@
 	if c.state == connIdle && now.Before(earliest) {
 		earliest = now
 	}
-	c.deadline = c.since.Add(limits.of(c.state) + c.tracker.limitDelay)
+	c.deadline = c.limitOf(limits)
 	if c.deadline.Before(earliest) {
 		c.deadline = earliest
 	}
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -20,6 +20,12 @@
 	limitDelay   time.Duration              // how late limits are enforced
 	limits       atomic.Pointer[connLimits] // limits that connections have; nil before the first one
 	onClose      func(connClose)            // is told of each connection that was closed, unless nil
+	// maxIdleNotice is the longest idle time that answers tell callers, so that a drain can
+	// wait until callers have closed their idle connections. If it is 0, answers tell the
+	// limit of the config, and a drain closes idle connections at once.
+	maxIdleNotice time.Duration
+	draining      atomic.Bool // drain was called
+	closesIdle    atomic.Bool // connections are closed as soon as they are idle
 
 	mu    sync.Mutex
 	open  map[*trackedConn]bool
@@ -74,7 +80,7 @@
 		c.beginHandling()
 	case http.StateIdle:
 		c.endHandling()
-		if t.isDraining() {
+		if t.closesIdle.Load() {
 			c.closeIfIdle()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -85,33 +91,47 @@
 	}
 }
 
-func (t *connTracker) isDraining() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.empty != nil
-}
-
-// drain closes idle connections, now and when they become idle. Connections on which no
-// request has begun are kept for newConnWait. The channel that it returns is closed when
-// no connection is left.
+// drain ends the connections as their callers expect: an idle one is closed when the idle
+// time that its last answer told has passed, and one on which no request has begun after
+// newConnWait. The channel that it returns is closed when no connection is left.
 func (t *connTracker) drain(newConnWait time.Duration) (empty <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.empty == nil {
 		t.empty = make(chan struct{})
 	}
+	t.draining.Store(true)
+	t.closesIdle.Store(t.maxIdleNotice == 0)
+	now := time.Now()
 	for c := range t.open {
-		if c.isUsed() {
+		switch {
+		case !c.isUsed():
+		case t.maxIdleNotice == 0:
 			c.closeIfIdle()
+		default:
+			c.applyLimits(now, *t.limits.Load())
 		}
 	}
 	t.signalEmpty()
-	time.AfterFunc(newConnWait, t.closeIdle)
+	time.AfterFunc(newConnWait, t.closeUnused)
 	return t.empty
 }
 
-// closeIdle closes the connections on which no request has begun since the last answer.
+// closeUnused closes the connections on which no request has begun.
+func (t *connTracker) closeUnused() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		if !c.isUsed() {
+			c.closeIfIdle()
+		}
+	}
+}
+
+// closeIdle closes the connections on which no request has begun since the last answer,
+// now and when they become idle.
 func (t *connTracker) closeIdle() {
+	t.closesIdle.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -14,8 +14,8 @@
 	// two failures.
 	balancerWait = 2500 * time.Millisecond
 	// newConnWait is how long a connection on which no request has begun is kept after
-	// the listener is closed, and how long new requests are served. Callers send one as
-	// soon as a connection is open. Later, an answer could not end in the grace time.
+	// the listener is closed, and how long new streams are served. Callers send a request
+	// as soon as a connection is open. Later, a stream could not end in the grace time.
 	newConnWait = 300 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the remaining answers
 	// are broken off, so that they do not end with the process being killed.
@@ -25,13 +25,21 @@
 	finalAnswerMargin = 2 * stopMargin
 )
 
+// idleNotice returns the longest idle time that answers tell callers, with the given grace
+// time: a drain can wait for it and still has time for the requests that arrive meanwhile.
+// It is 0 if the grace time is too short for that.
+func idleNotice(grace time.Duration) time.Duration {
+	return (grace / 2).Truncate(time.Second)
+}
+
 // errStopping means that the drain ended before the answer began.
 var errStopping = errors.New("instance stops")
 
 // Drain prepares a graceful stop. It fails readiness checks, keeps serving until the
 // load balancer has removed the instance, and then waits for the requests in flight.
-// Shortly before deadline it gives requests whose answer has not begun their final
-// answer, and returns.
+// Idle connections stay open until their callers must have closed them, because a request
+// that crosses the close gets no answer. Shortly before deadline it gives requests whose
+// answer has not begun their final answer, and returns.
 func (s *Service) Drain(ctx context.Context, deadline time.Time) {
 	answerBy := deadline.Add(-finalAnswerMargin)
 	s.stopping.Store(true)
@@ -39,6 +47,7 @@
 	finalAnswers := time.AfterFunc(time.Until(answerBy), func() {
 		s.log.Info("drain ends, requests whose answer has not begun get their final answer", s.requests.logFields()...)
 		s.endDrain()
+		s.callers.conns.closeIdle()
 	})
 	defer finalAnswers.Stop()
 	select {
--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -75,3 +75,33 @@
 	is.True(err != nil || status == http.StatusServiceUnavailable) // refused, or closed unread
 	<-drained
 }
+
+// Guards against a request that is lost because it crosses the close of its idle
+// connection when the instance stops: the connection is kept for as long as the last
+// answer told its caller.
+func TestDrainKeepsIdleConnectionAsLongAsTold(t *testing.T) {
+	const notice = time.Second
+	is := is.New(t)
+	s := newCallerServer(http.HandlerFunc(answerOK), log.New(io.Discard), longLimits, 0)
+	s.conns.maxIdleNotice = notice
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.run(l.(deadlineListener))
+	t.Cleanup(func() { _ = l.Close(); _ = s.close() })
+	used, idle, unused := dial(t, l.Addr().String()), dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	for _, c := range []*callerConn{used, idle} {
+		is.Equal(c.get(t), http.StatusOK)
+	}
+	is.Equal(s.idleTimeout(), notice)
+	begun := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- s.shutdown(t.Context()) }()
+	time.Sleep(notice * 9 / 10)
+	is.Equal(used.get(t), http.StatusOK)
+	_, err = unused.answers.ReadByte()
+	is.Equal(err, io.EOF)
+	_, err = idle.answers.ReadByte()
+	is.Equal(err, io.EOF)
+	is.True(time.Since(begun) >= notice)
+	is.NoErr(<-drained) // used is closed too, although its caller does not close it
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -61,7 +61,7 @@
 	// not begun get their final answer. endDrain ends it.
 	drained  context.Context
 	endDrain context.CancelFunc
-	refusing atomic.Bool // new requests are refused
+	refusing atomic.Bool // new streams are refused
 	aborting atomic.Bool // the remaining connections of callers are being closed
 	requests openRequests
 	recorder recorder
@@ -119,6 +119,7 @@
 	}
 	s.callers = newCallerServer(http.HandlerFunc(s.serve), s.log, func() connLimits { return limitsOf(s.control.Snapshot().Limits) }, s.node.Bounds.ConfigTime)
 	s.callers.conns.onClose = s.recordConnClose
+	s.callers.conns.maxIdleNotice = idleNotice(s.node.Bounds.Grace)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
 	err = worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() })
 	if err != nil {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -42,10 +42,6 @@
 	x.countOpen()
 	defer x.countClosed()
 	switch {
-	case s.refusing.Load():
-		closeConnection(w.Header())
-		x.refuse(http.StatusServiceUnavailable, string(dispatch.CauseStopping), dispatch.StoppingRetryAfter)
-		return
 	case config == nil:
 		x.refuse(http.StatusServiceUnavailable, "no-config", noConfigRetry)
 		return
@@ -60,6 +56,11 @@
 	}
 	target, _, _ := strings.Cut(r.RequestURI, "?")
 	x.route = config.FindRoute(r.Host, target)
+	if s.refusing.Load() && (x.route == nil || x.route.Kind == catalog.Stream) {
+		closeConnection(w.Header())
+		x.refuse(http.StatusServiceUnavailable, string(dispatch.CauseStopping), dispatch.StoppingRetryAfter)
+		return
+	}
 	if x.route == nil {
 		x.refuse(http.StatusNotFound, "no-route", 0)
 		return
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -103,8 +103,8 @@
 	return l.Close()
 }
 
-// shutdown closes connections as they become idle, and returns when none is left or ctx
-// ends.
+// shutdown closes connections when their callers no longer use them, and returns when none
+// is left or ctx ends.
 func (s *callerServer) shutdown(ctx context.Context) error {
 	_ = s.queue.Close()
 	select {
@@ -116,10 +116,10 @@
 }
 
 // idleTimeout returns how long a caller can leave its connection idle. The connection is
-// closed limitDelay later, so that no request crosses the close.
+// closed later, so that no request crosses the close.
 func (s *callerServer) idleTimeout() time.Duration {
 	if limits := s.conns.limits.Load(); limits != nil {
-		return limits.idle
+		return s.conns.idleNotice(*limits)
 	}
 	return 0
 }
