ingress: keep idle connections as long as told when a limit is lowered

Callers see a closed connection without an answer beside a change of the config: a config that lowers the idle limit made each instance close, at the same moment, all connections that had been idle for longer than the new limit, although the last answer on them told a longer time. A request that is on its way then is in no log and gets neither an answer nor a refusal. Cause, as in the drain: a limit ends a connection without a look at what its caller counts on. Change: an idle connection is kept until half a second after the time that its last answer told, which is at most half of the grace time, also when the limit is lowered.

--- a/ingress/connlimits.go
+++ b/ingress/connlimits.go
@@ -45,23 +45,26 @@
 func (c *trackedConn) enter(state connState) {
 	now := time.Now()
 	c.state, c.since, c.closing = state, now, false
+	if state == connIdle {
+		c.noticeEnd = now.Add(c.tracker.idleNotice(*c.tracker.limits.Load()) + idleNoticeMargin)
+	}
 	c.deadline = c.limitOf(*c.tracker.limits.Load())
 	c.setDeadline()
 }
 
-// idleNoticeMargin is how much longer than its caller was told an idle connection is kept
-// in a drain, so that a request that its caller sends at the last moment arrives.
+// idleNoticeMargin is how much longer than its caller was told an idle connection is kept,
+// so that a request that its caller sends at the last moment arrives.
 const idleNoticeMargin = 500 * time.Millisecond
 
-// limitOf returns the end of the current state under limits. c.mu must be held.
+// limitOf returns the end of the current state under limits. An idle connection is kept for
+// as long as its caller was told, and no longer in a drain. c.mu must be held.
 func (c *trackedConn) limitOf(limits connLimits) time.Time {
-	t := c.tracker
-	end := c.since.Add(limits.of(c.state) + t.limitDelay)
-	if c.state != connIdle || !t.draining.Load() {
+	end := c.since.Add(limits.of(c.state) + c.tracker.limitDelay)
+	if c.state != connIdle || c.tracker.maxIdleNotice == 0 {
 		return end
 	}
-	if told := c.since.Add(t.idleNotice(limits) + idleNoticeMargin); told.Before(end) {
-		return told
+	if c.tracker.draining.Load() || end.Before(c.noticeEnd) {
+		return c.noticeEnd
 	}
 	return end
 }
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -152,6 +152,7 @@
 	state     connState
 	since     time.Time // when the state began
 	deadline  time.Time // end of the state; not used while connHandling
+	noticeEnd time.Time // when the caller no longer uses the connection; set while connIdle
 	readAhead bool      // the last read took one byte; see endHandling
 	closing   bool      // the read deadline is in the past until a byte is read
 	lastRead  bool      // the last read before the end of the state has begun
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -230,3 +230,28 @@
 	_, err = io.ReadAll(caller.answers) // returns when the server closes the connection
 	is.NoErr(err)
 }
+
+// Guards against a request that is lost because a config lowers the idle limit and its
+// connection is closed before the time that the last answer told its caller.
+func TestLoweredIdleLimitKeepsConnectionAsLongAsTold(t *testing.T) {
+	const notice = time.Second
+	is := is.New(t)
+	var currentLimits atomic.Pointer[connLimits]
+	currentLimits.Store(&connLimits{header: hangTimeout, idle: hangTimeout})
+	s := newCallerServer(http.HandlerFunc(answerOK), log.New(io.Discard), func() connLimits { return *currentLimits.Load() }, 0)
+	s.conns.maxIdleNotice = notice
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.run(l.(deadlineListener))
+	t.Cleanup(func() { _ = l.Close(); _ = s.close() })
+	caller := dial(t, l.Addr().String())
+	is.Equal(caller.get(t), http.StatusOK)
+	currentLimits.Store(&connLimits{header: hangTimeout, idle: notice / 10})
+	s.conns.refreshLimits()
+	time.Sleep(notice * 9 / 10)
+	is.Equal(caller.get(t), http.StatusOK)
+	begun := time.Now()
+	_, err = caller.answers.ReadByte()
+	is.Equal(err, io.EOF)
+	is.True(time.Since(begun) < notice/2+idleNoticeMargin) // the lowered limit was told
+}
