upstream: attribute each answer to its request

Callers got the answers to orders (a 409 without a signature), and non-idempotent requests ran at two replicas, because a second copy of the answer to an order counted as the 421 of the request that waited.

Cause: orders, reports and callers' requests shared one pool.

Change: upstream.Pool takes requests with an ID only, and hands out only answers that carry it. Everything else is ErrForeignAnswer, which is also ErrConnectionBroken: not relayed, no statement about the request, and the connection is closed. One extra answer to any earlier request on the connection is skipped, and a request that is sent again avoids connections on which it was answered before. Orders and reports use upstream.Dedicated, with one connection for each call. Notices (leaving, Retry-After) still count in any answer, since they concern the replica.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -63,16 +63,17 @@
 // kernel.Service.
 type Service struct {
 	store   rowstore.Store
-	pool    *upstream.Pool
+	calls   *upstream.Dedicated
 	codec   Codec
 	log     *log.Logger
 	control *controlplane.Service
 	group   *worker.Group
 }
 
-// New returns a service that is not started yet.
-func New(store rowstore.Store, pool *upstream.Pool, codec Codec, logger *log.Logger) *Service {
-	return &Service{store: store, pool: pool, codec: codec, log: logger, group: worker.NewGroup()}
+// New returns a service that is not started yet. Replicas don't echo an ID in the answers
+// to orders and report requests, so these are made with calls.
+func New(store rowstore.Store, calls *upstream.Dedicated, codec Codec, logger *log.Logger) *Service {
+	return &Service{store: store, calls: calls, codec: codec, log: logger, group: worker.NewGroup()}
 }
 
 // Name implements kernel.Service.
@@ -119,7 +120,7 @@
 		}
 		return nil
 	}
-	answer, err := s.pool.Do(ctx, e.Order.Address, call, answerTimeout)
+	answer, err := s.calls.Do(ctx, e.Order.Address, call, answerTimeout)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		return residency.Unsent, err
@@ -156,7 +157,7 @@
 func (s *Service) fetchReport(ctx context.Context, e controlplane.ReadReplicaReport) (*residency.Report, error) {
 	call := s.codec.Report(e.Replica)
 	call.Host = e.Address
-	answer, err := s.pool.Do(ctx, e.Address, call, answerTimeout)
+	answer, err := s.calls.Do(ctx, e.Address, call, answerTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/actuator/actuator_test.go
+++ b/actuator/actuator_test.go
@@ -51,8 +51,7 @@
 				_ = c.Close()
 			})
 			var taken atomic.Int64
-			pool := upstream.NewPool(rawservertest.CountingDial(&taken))
-			s := New(nil, pool, fakeCodec{}, log.New(io.Discard))
+			s := New(nil, upstream.NewDedicated(rawservertest.CountingDial(&taken)), fakeCodec{}, log.New(io.Discard))
 
 			until := bootclock.Now().Add(time.Hour)
 			outcome, err := s.deliverOrder(t.Context(), controlplane.SendOrder{Order: &residency.Order{Address: server.Address}, Until: until})
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,10 +71,10 @@
 	debug.SetGCPercent(gcPercent)
 	registry := metrics.New()
 	dial := netdial.NewDialFunc(dialTimeout)
-	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
-	registry.Func("connections_opened", pool.ConnectionsOpened)
+	store, pool, orderCalls := platform.NewStore(node.Store, dial), upstream.NewPool(dial, platform.AnswerID), upstream.NewDedicated(dial)
+	registry.Func("connections_opened", func() int64 { return pool.ConnectionsOpened() + orderCalls.ConnectionsOpened() })
 	registry.Func("connections_idle", pool.IdleConnections)
-	registry.Func("answers_cut_off", pool.AnswersCutOff)
+	registry.Func("answers_cut_off", func() int64 { return pool.AnswersCutOff() + orderCalls.AnswersCutOff() })
 	registry.Func("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 	registry.Func("memory_bytes", heapInUse)
 	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
@@ -87,7 +87,7 @@
 	}
 	k.Register(controlplane.New(node, logger, registry))
 	k.Register(watch.New(store, source, logger, registry))
-	k.Register(actuator.New(store, pool, platform.OrderCodec{}, logger))
+	k.Register(actuator.New(store, orderCalls, platform.OrderCodec{}, logger))
 	peers := peering.New(node, logger)
 	registry.Func("peer_frames_malformed", peers.MalformedFrames)
 	k.Register(peers)
--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -34,7 +34,7 @@
 	control := controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
 	is.NoErr(control.Start(t.Context(), k))
 	control.Post(controlplane.ConfigSeen{Config: &catalog.Config{Version: 1}})
-	service := New(Options{Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: anyProtocol{}, Pool: upstream.NewPool(nil)})
+	service := New(Options{Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: anyProtocol{}, Pool: upstream.NewPool(nil, nil)})
 	entered, release := make(chan struct{}), make(chan struct{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -160,8 +160,8 @@
 	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Waited: x.waited}
 }
 
-// newCall returns the request for the chosen replica.
-func (x *exchange) newCall(d dispatch.Decision) *upstream.Call {
+// newUpstreamRequest returns the request for the chosen replica.
+func (x *exchange) newUpstreamRequest(d dispatch.Decision) *upstream.Request {
 	to := ForwardInfo{
 		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: -1, LastEvent: x.lastEvent,
 	}
@@ -172,13 +172,14 @@
 	if x.request.Model != "" {
 		to.Urgency = d.Urgency
 	}
-	return &upstream.Call{
-		ID:     x.head.ID,
+	return &upstream.Request{ID: x.head.ID, Call: upstream.Call{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: x.service.protocol.Forward(x.r.Header, to), Body: x.body,
-	}
+	}}
 }
 
+func endpointOf(r *catalog.Replica) upstream.Endpoint { return upstream.Endpoint{Address: r.Address} }
+
 // answerTimeout returns how long to wait for the beginning of an answer. A request
 // that can be retried waits for a multiple of the expected time, but at least for the
 // route's latency target and, for a stream, a part of dispatch.Patience. Any other
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -19,12 +19,12 @@
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
-// idProtocol reads only the id of the request from an answer.
+// idProtocol takes every answer for a signed one.
 type idProtocol struct{ anyProtocol }
 
-func (idProtocol) ReadAnswer(_ int, h http.Header) AnswerHead {
-	return AnswerHead{RequestID: h.Get("Request-Id"), Signed: true}
-}
+func (idProtocol) ReadAnswer(int, http.Header) AnswerHead { return AnswerHead{Signed: true} }
+
+func answerID(h http.Header) string { return h.Get("Request-Id") }
 
 // Guards against a silent replica that goes on with a request for longer than handoverTime
 // because the replica that takes it over sends an extra answer to the previous request.
@@ -33,6 +33,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
+	extraSent := make(chan struct{})
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -48,14 +49,20 @@
 				time.Sleep(4 * handoverTime / 5)
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: before\r\nContent-Length: 2\r\n\r\nok")
+			if n > 0 {
+				close(extraSent)
+				time.Sleep(handoverTime)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: next\r\nContent-Length: 2\r\n\r\nok")
+				return
+			}
 		}
 	}()
 	service := New(Options{
-		Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: idProtocol{}, Pool: upstream.NewPool((&net.Dialer{}).DialContext),
+		Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: idProtocol{}, Pool: upstream.NewPool((&net.Dialer{}).DialContext, answerID),
 	})
 	service.control = controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
-	call := &upstream.Call{ID: "before", Method: "GET", Target: "/", Host: "h"}
-	before, err := service.pool.Do(t.Context(), l.Addr().String(), call, hangTimeout)
+	call, endpoint := upstream.Call{Method: "GET", Target: "/", Host: "h"}, upstream.Endpoint{Address: l.Addr().String()}
+	before, err := service.pool.Do(t.Context(), endpoint, &upstream.Request{ID: "before", Call: call}, hangTimeout)
 	is.NoErr(err)
 	_, err = io.ReadAll(before)
 	is.NoErr(err)
@@ -63,14 +70,21 @@
 
 	x := &exchange{service: service, head: RequestHead{ID: "next"}, request: &dispatch.Request{Deadline: time.Now().Add(hangTimeout)}, route: &catalog.Route{}}
 	s := &send{flight: &controlplane.Flight{Decision: dispatch.Decision{Replica: &catalog.Replica{ID: "r"}}}}
-	s.answer, err = service.pool.Send(t.Context(), l.Addr().String(), call)
+	s.answer, err = service.pool.Send(t.Context(), endpoint, &upstream.Request{ID: "next", Call: call})
 	is.NoErr(err)
 	defer s.answer.Close(false)
-	is.Equal(s.answer.PreviousID(), "before")
+	is.Equal(service.pool.ConnectionsOpened(), int64(1))
 	begun := time.Now()
 	is.True(x.takesOver(t.Context(), s))
-	is.True(s.skippedExtra)
+	is.True(!s.flight.HeadSeen)
+	select {
+	case <-extraSent:
+	default:
+		t.Fatal("taken over before the extra answer")
+	}
 	if took := time.Since(begun); took > handoverTime*3/2 {
 		t.Fatalf("taken over after %v", took)
 	}
+	is.NoErr(x.readHead(t.Context(), s, hangTimeout)) // the extra answer was skipped
+	is.True(s.flight.HeadSeen)
 }
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -54,7 +54,6 @@
 // AnswerHead holds the values that a Protocol reads from the head of a replica's
 // answer.
 type AnswerHead struct {
-	RequestID   string
 	NotExecuted bool // the replica did not run the request
 	// Misdirected means that another replica answered, or that the replica lacks
 	// the model.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -15,10 +15,9 @@
 )
 
 var (
-	errWrongRequest = errors.New("answer carries the id of another request")
-	errEncoded      = errors.New("answer has a content encoding")
-	errUnsigned     = errors.New("successful answer lacks the replica's signature")
-	errEventOrder   = errors.New("event id is not greater than the last one")
+	errEncoded    = errors.New("answer has a content encoding")
+	errUnsigned   = errors.New("successful answer lacks the replica's signature")
+	errEventOrder = errors.New("event id is not greater than the last one")
 	// errTruncatedEvent is needed for answers without a declared length: such an
 	// answer is truncated if it ends within an event, even if the connection was
 	// closed normally.
@@ -32,7 +31,7 @@
 // connection was still open.
 func isInvalid(err error) bool {
 	var limit *upstream.LimitError
-	for _, invalid := range []error{errWrongRequest, errEncoded, errUnsigned, errEventOrder} {
+	for _, invalid := range []error{upstream.ErrForeignAnswer, errEncoded, errUnsigned, errEventOrder} {
 		if errors.Is(err, invalid) {
 			return true
 		}
@@ -78,8 +77,6 @@
 	a, head := s.answer, s.head
 	success := a.Status >= 200 && a.Status < 300
 	switch {
-	case head.RequestID != x.head.ID && (head.RequestID != "" || success || s.skippedExtra):
-		return errWrongRequest
 	case success && a.Header.Get("Content-Encoding") != "":
 		return errEncoded
 	case success && !head.Signed:
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -26,12 +26,11 @@
 	// including one that this send takes the request over from.
 	earlierRuns int
 
-	sentAt       time.Time
-	answer       *upstream.Answer
-	head         AnswerHead
-	skippedExtra bool // an extra answer to the previous request was discarded
-	outcome      dispatch.Outcome
-	err          error
+	sentAt  time.Time
+	answer  *upstream.Answer
+	head    AnswerHead
+	outcome dispatch.Outcome
+	err     error
 }
 
 // open sends the request and waits for the head of the answer.
@@ -60,7 +59,7 @@
 	d := s.flight.Decision
 	s.sentAt = time.Now()
 	x.enter(phaseSent)
-	s.answer, s.err = x.service.pool.Send(ctx, d.Replica.Address, x.newCall(d))
+	s.answer, s.err = x.service.pool.Send(ctx, endpointOf(d.Replica), x.newUpstreamRequest(d))
 	if !errors.Is(s.err, upstream.ErrNotSent) {
 		x.delivered++
 	}
@@ -83,35 +82,20 @@
 	}
 }
 
-// readHead waits for the head of the answer for timeout, also if an extra answer to the
-// previous request arrives first.
+// readHead waits for the head of the answer for timeout.
 func (x *exchange) readHead(ctx context.Context, s *send, timeout time.Duration) error {
-	end := time.Now().Add(timeout)
-	for {
-		if err := s.answer.ReadHead(ctx, timeout); err != nil {
-			return err
-		}
-		timeout = max(time.Until(end), time.Millisecond) // a read with a passed deadline would fail
-		s.head = x.service.protocol.ReadAnswer(s.answer.Status, s.answer.Header)
-		x.service.control.PostNotice(s.flight.Decision.Replica, s.head.Notice, s.head.NoticeErr)
-		if !x.skipExtraAnswer(s) {
-			break
-		}
+	err := s.answer.ReadHead(ctx, timeout)
+	if err != nil && !errors.Is(err, upstream.ErrForeignAnswer) {
+		return err
 	}
-	s.flight.HeadSeen = true
-	return nil
-}
-
-// skipExtraAnswer discards an extra answer to the previous request on the connection,
-// which replicas may send late. It returns false if the answer is not an extra one or
-// can't be skipped.
-func (x *exchange) skipExtraAnswer(s *send) bool {
-	extra := s.head.RequestID != "" && s.head.RequestID != x.head.ID && s.head.RequestID == s.answer.PreviousID()
-	if !extra || s.skippedExtra || x.discard(s.answer) != nil {
-		return false
+	head := x.service.protocol.ReadAnswer(s.answer.Status, s.answer.Header)
+	// A notice concerns the replica, whatever its answer belongs to.
+	x.service.control.PostNotice(s.flight.Decision.Replica, head.Notice, head.NoticeErr)
+	if err != nil {
+		return err
 	}
-	s.head, s.skippedExtra = AnswerHead{}, true
-	return true
+	s.head, s.flight.HeadSeen = head, true
+	return nil
 }
 
 // relaySend relays the answer of a send to the caller and ends the send. done reports
@@ -120,8 +104,8 @@
 	x.timeToFirstByte = 0
 	if s.err == nil {
 		s.outcome, done, s.err = x.relay(ctx, s)
-		s.flight.InvalidAnswer = isInvalid(s.err)
 	}
+	s.flight.InvalidAnswer = isInvalid(s.err)
 	if s.answer != nil {
 		s.answer.Close(s.err == nil && s.outcome != dispatch.Canceled)
 	}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -27,15 +27,11 @@
 	return fmt.Sprintf("answer exceeds a limit: %s, limit %d", e.Part, e.Limit)
 }
 
-// AnswersCutOff returns the number of answers that exceeded a limit since the pool was
-// created.
-func (p *Pool) AnswersCutOff() int64 { return p.cutOff.Load() }
-
 // LimitExceeded counts the answer as cut off and returns the error for it, which is an
 // ErrConnectionBroken and a LimitError. Readers of an answer call it if a part of the
 // answer is larger than they accept. The limit is in bytes.
 func (a *Answer) LimitExceeded(part string, limit int64) error {
-	a.pool.cutOff.Add(1)
+	a.cutOff.Add(1)
 	return fmt.Errorf("%w: %w", ErrConnectionBroken, &LimitError{Part: part, Limit: limit})
 }
 
--- a/upstream/limit_test.go
+++ b/upstream/limit_test.go
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var taken atomic.Int64
-			pool := NewPool(rawservertest.CountingDial(&taken))
+			pool := newPoolWith(rawservertest.CountingDial(&taken))
 			e := endlessWriter(t, server.prefix, server.chunk)
 			_, err := pool.Do(context.Background(), e.Address, &Call{Method: "GET", Target: "/", Host: "h"}, hangTimeout)
 			is.True(errors.Is(err, ErrConnectionBroken))
@@ -106,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var taken atomic.Int64
-			pool := NewPool(rawservertest.CountingDial(&taken))
+			pool := newPoolWith(rawservertest.CountingDial(&taken))
 			e := endlessWriter(t, server.prefix, server.chunk)
 			a, err := pool.Do(context.Background(), e.Address, &Call{Method: "GET", Target: "/", Host: "h"}, hangTimeout)
 			is.NoErr(err)
@@ -114,7 +114,7 @@
 			is.True(errors.Is(err, ErrConnectionBroken))
 			is.True(taken.Load() <= 2*maxHeadBytes)
 			a.Close(true)
-			is.Equal(len(pool.idle), 0)
+			is.Equal(pool.IdleConnections(), int64(0))
 		})
 	}
 }
@@ -135,7 +135,7 @@
 			_, _ = server.Write(answer)
 			_ = server.Close()
 		}()
-		p := NewPool(func(context.Context, string, string) (net.Conn, error) { return client, nil })
+		p := newPoolWith(func(context.Context, string, string) (net.Conn, error) { return client, nil })
 		a, err := p.Do(context.Background(), "x", &Call{Method: "GET", Target: "/", Host: "h", Header: http.Header{}}, hangTimeout)
 		if err != nil {
 			if !errors.Is(err, ErrConnectionBroken) && !errors.Is(err, ErrNotSent) {
@@ -155,7 +155,7 @@
 		}
 		a.Close(err == nil)
 		whole := bytes.Contains(answer, []byte("\n\r\n")) || bytes.Contains(answer, []byte("\n\n"))
-		if len(p.idle) > 0 && (err != nil || !whole) {
+		if p.IdleConnections() > 0 && (err != nil || !whole) {
 			t.Fatal("connection is kept after an incomplete answer")
 		}
 		p.Close()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -1,8 +1,12 @@
-// Package upstream is the HTTP/1.1 client for endpoints, with a pool of idle
-// connections. It never sends a request twice, its errors distinguish a request that
-// was not sent from one that may have run, and it closes a connection on which
-// anything but the expected answer arrives. Retries and the choice of the endpoint
-// are left to its callers, such as package ingress.
+// Package upstream is the HTTP/1.1 client for endpoints. It never sends a request twice,
+// and its errors distinguish a request that was not sent from one that may have run.
+//
+// A Pool keeps idle connections for requests with an ID, and returns only answers that
+// carry the ID of their request. A Dedicated client is for calls without one: the first
+// answer on a new connection can only be that of the only call on it. A connection never
+// changes from one to the other.
+//
+// Retries and the choice of the endpoint are left to its callers, such as package ingress.
 package upstream
 
 import (
@@ -11,13 +15,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -28,6 +29,9 @@
 	// ErrConnectionBroken means that the connection ended or carried no valid answer after
 	// at least a part of the request had been sent.
 	ErrConnectionBroken = errors.New("upstream: connection broken")
+	// ErrForeignAnswer means that the answer does not carry the ID of the request, so that
+	// it tells nothing of the request. It is also an ErrConnectionBroken.
+	ErrForeignAnswer = errors.New("upstream: answer carries no ID or that of another request")
 	// ErrAnswerTimeout means that the answer, or its next part, did not arrive in time.
 	ErrAnswerTimeout = errors.New("upstream: no answer in time")
 
@@ -50,8 +54,6 @@
 	// defaultIdleTime is how long a connection is kept if the endpoint declares no
 	// idle timeout.
 	defaultIdleTime = 4 * time.Second
-	// maxIdlePerEndpoint limits the idle connections to one endpoint.
-	maxIdlePerEndpoint = 24
 	// maxSyncWriteBytes is the size up to which a request is written completely
 	// before the answer is read. It is far below the TCP window, so that the write
 	// does not block.
@@ -63,9 +65,8 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Call is one request to an endpoint.
+// Call is what is sent to an endpoint.
 type Call struct {
-	ID     string // tells the request from others on its connection
 	Method string
 	Target string // path and query as on the request line
 	Host   string
@@ -76,85 +77,49 @@
 	BeforeWrite func() error
 }
 
-// Pool keeps idle connections to endpoints. It is safe for concurrent use.
-type Pool struct {
+// dialer opens connections and counts them.
+type dialer struct {
 	dial   DialFunc
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	closed bool
 	opened atomic.Int64
 	cutOff atomic.Int64 // answers that exceeded a limit
 }
 
-// NewPool returns an empty pool.
-func NewPool(dial DialFunc) *Pool { return &Pool{dial: dial, idle: make(map[string][]*conn)} }
+// ConnectionsOpened returns the number of connections opened so far.
+func (d *dialer) ConnectionsOpened() int64 { return d.opened.Load() }
 
-// ConnectionsOpened returns the number of connections opened since the pool was created.
-func (p *Pool) ConnectionsOpened() int64 { return p.opened.Load() }
+// AnswersCutOff returns the number of answers that exceeded a limit so far.
+func (d *dialer) AnswersCutOff() int64 { return d.cutOff.Load() }
 
-type conn struct {
-	net.Conn
-	limiter *headLimiter // reads from Conn
-	reader  *bufio.Reader
-	address string
-	expires time.Time
-	lastID  string // ID of the last request that was answered
-}
-
-// Answer is the head of an answer and a reader of its body. The user must call Close.
-type Answer struct {
-	// Status, Header and Length are valid after ReadHead.
-	Status int
-	Header http.Header
-	// Length is the declared length of the body, or -1.
-	Length int64
-
-	pool      *Pool
-	conn      *conn
-	id        string // of the request
-	method    string // of the request
-	body      io.ReadCloser
-	stopWatch func() bool // cancels the callback that closes the connection when the context ends
-	written   chan error  // result of a write in another goroutine; nil if Send wrote the request itself
-	bodyRead  bool        // the body was read to its end
-	remaining int64       // bytes of the body that are left to read, or -1 if unknown
-	chunked   bool        // the body is a chunkedBody
-	silent    bool        // the last Read or ReadHead timed out and can be repeated
-	partial   int         // bytes of a line of a chunk's framing that had arrived then
-	noReuse   bool        // the connection can't be used for another request
-}
-
-// Do sends call to address and returns the head of the answer. It waits for the
-// head for answerTimeout at most. When ctx ends, the connection is closed
-// immediately, even while the body is being read.
-func (p *Pool) Do(ctx context.Context, address string, call *Call, answerTimeout time.Duration) (*Answer, error) {
-	a, err := p.Send(ctx, address, call)
+func (d *dialer) open(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := d.dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := a.ReadHead(ctx, answerTimeout); err != nil {
-		a.Close(false)
-		return nil, err
-	}
-	return a, nil
+	d.opened.Add(1)
+	limiter := &headLimiter{conn: raw}
+	return &conn{Conn: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
-// Send sends call to address. The returned answer has no head before ReadHead. When
-// ctx ends, the connection is closed immediately, even while the answer is being read.
-// A large request is written in another goroutine, because the endpoint may answer
-// before it has read the whole body.
-func (p *Pool) Send(ctx context.Context, address string, call *Call) (*Answer, error) {
-	c, err := p.acquire(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	a := &Answer{pool: p, conn: c, id: call.ID, method: call.Method}
-	a.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+type conn struct {
+	net.Conn
+	limiter  *headLimiter // reads from Conn
+	reader   *bufio.Reader
+	peer     *peer // nil outside a pool
+	expires  time.Time
+	answered []string // IDs of the requests that were answered on the connection
+}
+
+// start sends call on the connection of a. When ctx ends, the connection is closed.
+func (a *Answer) start(ctx context.Context, call *Call) error {
+	a.method = call.Method
+	a.stopWatch = context.AfterFunc(ctx, func() { _ = a.conn.Close() })
 	if err := a.send(call); err != nil {
 		a.Close(false)
-		return nil, contextError(ctx, err)
+		return contextError(ctx, err)
 	}
-	return a, nil
+	return nil
 }
 
 func (a *Answer) send(call *Call) error {
@@ -210,189 +175,3 @@
 	b.Write(c.Body)
 	return b.Bytes()
 }
-
-// ReadHead waits for the head of the answer, for timeout until its first byte and as
-// long again for the rest. It returns ErrAnswerTimeout if the head does not arrive in
-// time; IsSilent then tells whether ReadHead can be called again. After the body has been
-// read to its end, it waits for another answer on the connection, which is not used for
-// another request then.
-func (a *Answer) ReadHead(ctx context.Context, timeout time.Duration) error {
-	a.conn.limiter.limit(maxHeadBytes)
-	defer a.conn.limiter.unlimit()
-	a.SetReadTimeout(timeout)
-	a.silent = false
-	err := a.awaitByte()
-	if err == nil {
-		a.SetReadTimeout(timeout)
-		err = a.parseHead()
-	}
-	return contextError(ctx, err)
-}
-
-// parseHead reads the head of the answer and skips up to maxInterimAnswers interim
-// answers (status 1xx). All heads together have at most maxHeadBytes.
-func (a *Answer) parseHead() error {
-	request := &http.Request{Method: a.method}
-	for interim := 0; ; interim++ {
-		if interim > maxInterimAnswers {
-			return a.LimitExceeded("interim answers", maxInterimAnswers)
-		}
-		response, err := http.ReadResponse(a.conn.reader, request)
-		if err != nil && a.conn.limiter.exceeded() {
-			// Package textproto can return another error for the incomplete line.
-			return a.LimitExceeded("head", maxHeadBytes)
-		}
-		if err != nil {
-			return a.readError(err)
-		}
-		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
-			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
-		}
-		if response.StatusCode < 200 {
-			continue
-		}
-		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
-		a.remaining = response.ContentLength
-		a.chunked = false
-		switch {
-		case response.Body == http.NoBody:
-			a.remaining = 0
-		case len(response.TransferEncoding) > 0:
-			a.chunked, a.body = true, io.NopCloser(&chunkedBody{reader: a.conn.reader})
-		}
-		a.noReuse = a.bodyRead || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
-		a.bodyRead = false
-		return nil
-	}
-}
-
-// PreviousID returns the ID of the previous request on the connection, or "". An extra
-// answer to it can arrive first.
-func (a *Answer) PreviousID() string { return a.conn.lastID }
-
-// readError converts the error of a read. If the write of the request has failed as
-// well, it returns the error of the write, which is the cause.
-func (a *Answer) readError(err error) error {
-	if a.written != nil {
-		select {
-		case writeErr := <-a.written:
-			if writeErr != nil {
-				return writeErr
-			}
-		default:
-		}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return fmt.Errorf("%w: %w", ErrAnswerTimeout, err)
-	}
-	return fmt.Errorf("%w: read: %w", ErrConnectionBroken, err)
-}
-
-// Read reads the body. It returns io.EOF only if the body is complete, and
-// ErrAnswerTimeout if no byte arrives within the time set by SetReadTimeout. After
-// ErrAnswerTimeout, IsSilent tells whether Read can be called again.
-func (a *Answer) Read(b []byte) (int, error) {
-	a.silent = false
-	if a.bodyRead {
-		return 0, io.EOF
-	}
-	if a.conn.reader.Buffered() == 0 && a.remaining != 0 {
-		if err := a.awaitByte(); err != nil {
-			return 0, err
-		}
-	}
-	n, err := a.body.Read(b)
-	if a.remaining > 0 {
-		a.remaining -= int64(n)
-	}
-	switch {
-	case err == nil:
-		return n, nil
-	case err == io.EOF:
-		a.bodyRead = true
-		return n, io.EOF
-	}
-	a.silent, a.partial = a.chunked && errors.Is(err, os.ErrDeadlineExceeded), a.conn.reader.Buffered()
-	return n, a.readError(err)
-}
-
-// awaitByte waits for the next byte of the answer. The readers of the head and of a body
-// without chunks can't be used again after a timeout, but the buffered reader of the
-// connection can. The end of the connection is left to them, because the reader of the
-// body knows whether the body is complete; any other error must be returned here, because
-// the connection reports it only once.
-func (a *Answer) awaitByte() error {
-	_, err := a.conn.reader.Peek(1)
-	if err == nil || err == io.EOF {
-		return nil
-	}
-	a.silent, a.partial = errors.Is(err, os.ErrDeadlineExceeded), 0
-	return a.readError(err)
-}
-
-// IsSilent reports whether the last Read or ReadHead returned ErrAnswerTimeout and lost
-// nothing of the answer. It can then be called again, Read after SetReadTimeout.
-func (a *Answer) IsSilent() bool { return a.silent }
-
-// GoesOn reports whether more of an answer that was silent has arrived. It does not wait
-// for it; SetReadTimeout must be called before the next Read.
-func (a *Answer) GoesOn() bool {
-	a.SetReadTimeout(time.Millisecond) // a read with a passed deadline would fail
-	_, err := a.conn.reader.Peek(a.partial + 1)
-	return err == nil
-}
-
-// SetReadTimeout limits the wait for the next part of the body to d from now.
-func (a *Answer) SetReadTimeout(d time.Duration) { _ = a.conn.SetReadDeadline(time.Now().Add(d)) }
-
-// Abort closes the connection of the answer, which cancels the request. Close must still
-// be called.
-func (a *Answer) Abort() { _ = a.conn.Close() }
-
-// Close releases the connection of the answer. The connection is kept for reuse if
-// the answer was complete and reuse is true. Otherwise it is closed, which cancels the
-// request.
-func (a *Answer) Close(reuse bool) {
-	stopped := a.stopWatch()
-	if !reuse || !stopped || a.noReuse || !a.complete() || a.conn.reader.Buffered() > 0 {
-		_ = a.conn.Close()
-		return
-	}
-	a.conn.lastID = a.id
-	a.pool.putIdle(a.conn, idleTime(a.Header))
-}
-
-// complete reports whether the whole request was written and the whole answer read.
-func (a *Answer) complete() bool {
-	if a.written != nil {
-		select {
-		case err := <-a.written:
-			if err != nil {
-				return false
-			}
-		default:
-			return false // the endpoint answered before it read the body
-		}
-	}
-	if !a.bodyRead {
-		// A reader that stops at the declared length has not seen io.EOF yet.
-		n, err := a.body.Read(make([]byte, 1))
-		a.bodyRead = n == 0 && err == io.EOF
-	}
-	return a.bodyRead
-}
-
-// idleTime returns how long the connection can stay idle: until idleMargin before the
-// timeout in the Keep-Alive header, or for defaultIdleTime.
-func idleTime(h http.Header) time.Duration {
-	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(value); err == nil {
-			return time.Duration(s)*time.Second - idleMargin
-		}
-	}
-	return defaultIdleTime
-}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,10 +57,28 @@
 	return e
 }
 
-func newPool() *Pool { return NewPool((&net.Dialer{}).DialContext) }
+// testPool is a pool whose endpoints seem to echo the ID of the last request.
+type testPool struct {
+	*Pool
+	requests int
+}
+
+func newPool() *testPool { return newPoolWith((&net.Dialer{}).DialContext) }
+
+func newPoolWith(dial DialFunc) *testPool {
+	p := &testPool{}
+	p.Pool = NewPool(dial, func(http.Header) string { return strconv.Itoa(p.requests) })
+	return p
+}
+
+// Do sends call with an ID of its own.
+func (p *testPool) Do(ctx context.Context, address string, call *Call, answerTimeout time.Duration) (*Answer, error) {
+	p.requests++
+	return p.Pool.Do(ctx, Endpoint{Address: address}, &Request{ID: strconv.Itoa(p.requests), Call: *call}, answerTimeout)
+}
 
 // get sends a GET request and returns the body of the answer.
-func get(p *Pool, address string) (string, error) {
+func get(p *testPool, address string) (string, error) {
 	a, err := p.Do(context.Background(), address, &Call{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}}, time.Second)
 	if err != nil {
 		return "", err
@@ -203,7 +221,7 @@
 	is.NoErr(err)
 	is.Equal(a.Status, http.StatusRequestEntityTooLarge)
 	a.Close(true)
-	is.Equal(fmt.Sprint(p.idle), "map[]")
+	is.Equal(p.IdleConnections(), int64(0))
 }
 
 // Guards against an endpoint that keeps working after the context has been canceled.
