upstream: keep connections per replica process

A connection that was opened to a replica stayed in the pool under its address after the replica had ended, and served the requests for the next replica at that address, with what the first calls on it still had to come.

Cause: idle connections were kept by address, and nothing told the pool of a change of the list of replicas.

Change: an endpoint is the address, the ID and the start time of a replica. The control goroutine publishes ReplicaEnded when the list drops a replica or describes another process or address; the pool then closes the idle connections to it, and those in use when their answers end.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -189,8 +189,12 @@
 	if info == nil {
 		delete(c.loggedReplicas, id)
 	}
+	old := c.dispatch.Replica(id)
 	c.dispatch.SetReplica(id, info)
 	info = c.dispatch.Replica(id)
+	if old != nil && (info == nil || info.Address != old.Address || info.StartMillis != old.StartMillis) {
+		c.publishEvent(ReplicaEnded{Replica: old})
+	}
 	c.plan.SetReplica(now, id, info)
 	c.plan.SetBackoff(id, c.dispatch.BackoffUntil(id))
 	c.wakeModelWaiters(info)
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -141,6 +141,10 @@
 	}
 }
 
+// ReplicaEnded is published when a replica is dropped from the list, or its entry describes
+// another process or address. Replica is its last description before.
+type ReplicaEnded struct{ Replica *catalog.Replica }
+
 // logReplica logs an entry if its description differs from the last one logged.
 // Most entries are heartbeats that change nothing.
 func (c *core) logReplica(e catalog.Entry) {
--- a/edge/attribution_test.go
+++ b/edge/attribution_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +62,34 @@
 		})
 	}
 }
+
+// Guards against an idle connection that outlives the process that it leads to, whose
+// address another one can take over.
+func TestConnectionsEndWithTheirReplica(t *testing.T) {
+	for name, end := range map[string]func(d *deployment, r *platformtest.Replica){
+		"removed": func(d *deployment, r *platformtest.Replica) { d.Store.Remove("servers", r.ID) },
+		"restarted": func(d *deployment, r *platformtest.Replica) {
+			row := r.Row("app", "z1", "in_service")
+			row.Born++
+			d.Store.Put("servers", r.ID, row)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			metric := func(line string) bool {
+				_, text := d.get("http://" + d.nodes[0].PeerHost + ":" + MetricsPort + MetricsPath)
+				return strings.Contains(text, line+"\n")
+			}
+			d.eventually("a connection is idle", func() bool {
+				return d.do(0, request{Method: "GET", Path: "/look/x"}).Status == http.StatusOK && !metric("connections_idle 0")
+			})
+			ended := time.Now()
+			for _, r := range d.Apps {
+				end(d, r)
+			}
+			d.eventually("the idle connections are closed", func() bool { return metric("connections_idle 0") })
+			is.True(time.Since(ended) < 2*time.Second) // idle connections expire after 4 s
+		})
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -178,7 +178,10 @@
 	}}
 }
 
-func endpointOf(r *catalog.Replica) upstream.Endpoint { return upstream.Endpoint{Address: r.Address} }
+// endpointOf returns the process that a replica's entry describes.
+func endpointOf(r *catalog.Replica) upstream.Endpoint {
+	return upstream.Endpoint{Address: r.Address, ID: r.ID, StartMillis: r.StartMillis}
+}
 
 // answerTimeout returns how long to wait for the beginning of an answer. A request
 // that can be retried waits for a multiple of the expected time, but at least for the
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -119,7 +119,10 @@
 	}
 	s.callers = newCallerServer(http.HandlerFunc(s.serve), s.log, func() connLimits { return limitsOf(s.control.Snapshot().Limits) }, s.node.Bounds.ConfigTime)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
-	err = worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() })
+	err = errors.Join(
+		worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() }),
+		worker.Subscribe(s.group, k.Bus(), "ingress.endpoints", func(_ context.Context, e controlplane.ReplicaEnded) { s.pool.EndpointEnded(endpointOf(e.Replica)) }),
+	)
 	if err != nil {
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,9 +21,12 @@
 
 var errNoID = errors.New("request without an ID")
 
-// Endpoint is where a replica listens.
+// Endpoint is a process that listens at an address, which another process can use after
+// it. No connection to one of them is used for the other.
 type Endpoint struct {
-	Address string
+	Address     string
+	ID          string // of the replica
+	StartMillis int64  // start of the process in Unix milliseconds; 0 if unknown
 }
 
 // Request is a call whose answer carries its ID.
@@ -47,6 +50,7 @@
 	endpoint Endpoint
 	idle     []*conn
 	inUse    int
+	ended    bool // returned connections are closed
 }
 
 // NewPool returns an empty pool. answerID reads the ID of the request from the head of an
@@ -165,7 +169,7 @@
 }
 
 // putIdle keeps a connection for reuse for the given time. It closes the connection if
-// the pool is closed or holds enough of them.
+// the pool is closed, holds enough of them, or the endpoint has ended.
 func (p *Pool) putIdle(c *conn, idle time.Duration) {
 	c.expires = time.Now().Add(idle)
 	_ = c.SetDeadline(time.Time{})
@@ -173,15 +177,27 @@
 	defer p.mu.Unlock()
 	c.peer.inUse--
 	defer p.forget(c.peer)
-	if p.closed || idle <= 0 || len(c.peer.idle) >= maxIdlePerEndpoint || len(c.answered) >= maxRequestsPerConnection {
+	if p.closed || c.peer.ended || idle <= 0 || len(c.peer.idle) >= maxIdlePerEndpoint || len(c.answered) >= maxRequestsPerConnection {
 		_ = c.Close()
 		return
 	}
 	c.peer.idle = append(c.peer.idle, c)
 }
 
-// closeIdle closes the idle connections to the peer.
-func (p *peer) closeIdle() {
+// EndpointEnded closes the idle connections to e, and those in use when their answers end.
+// Connections that are opened to e later are kept again.
+func (p *Pool) EndpointEnded(e Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer := p.peers[e]; peer != nil {
+		peer.end()
+		delete(p.peers, e)
+	}
+}
+
+// end closes the idle connections to the peer.
+func (p *peer) end() {
+	p.ended = true
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
@@ -223,7 +239,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, peer := range p.peers {
-		peer.closeIdle()
+		peer.end()
 	}
 	clear(p.peers)
 }
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -41,7 +41,7 @@
 			}()
 		}
 	}()
-	return Endpoint{Address: l.Addr().String()}
+	return Endpoint{Address: l.Addr().String(), ID: "r", StartMillis: 1}
 }
 
 func newEchoPool() *Pool {
@@ -138,6 +138,43 @@
 	is.Equal(p.ConnectionsOpened(), int64(2))
 }
 
+// Guards against a connection to a process that has ended, on which a request is sent to
+// the process that uses its address or its ID now.
+func TestConnectionIsNotUsedForAnotherProcess(t *testing.T) {
+	is := is.New(t)
+	first := startEchoing(t, func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, answerTo(id, 200, "ok")) })
+	other, restarted := first, first
+	other.ID, restarted.StartMillis = "s", 2
+	p := newEchoPool()
+	for n, e := range []Endpoint{first, other, restarted} {
+		_, err := send(p, e, fmt.Sprint("r", n))
+		is.NoErr(err)
+		is.Equal(p.ConnectionsOpened(), int64(n+1))
+	}
+	_, err := send(p, first, "again")
+	is.NoErr(err)
+	is.Equal(p.ConnectionsOpened(), int64(3))
+	p.EndpointEnded(first)
+	is.Equal(p.IdleConnections(), int64(2))
+}
+
+// Guards against a connection that was in use when its endpoint ended, and is kept after
+// its answer.
+func TestConnectionInUseEndsWithItsEndpoint(t *testing.T) {
+	is := is.New(t)
+	e := startEchoing(t, func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, answerTo(id, 200, "ok")) })
+	p := newEchoPool()
+	a, err := p.Do(t.Context(), e, &Request{ID: "r", Call: Call{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {"r"}}}}, time.Second)
+	is.NoErr(err)
+	p.EndpointEnded(e)
+	_, err = io.ReadAll(a)
+	is.NoErr(err)
+	a.Close(true)
+	a.Close(true)
+	is.Equal(p.IdleConnections(), int64(0))
+	is.Equal(len(p.peers), 0)
+}
+
 // Guards against a connection that remembers the IDs of its requests without end.
 func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
 	is := is.New(t)
