enginehttp: attribute refusals to their call

A request that an engine has run counts as not run, and is sent to another engine, if a copy of an earlier refusal arrives before its own answer: the same class as the answers to orders in package upstream.

Cause: all calls to an engine share the connections of one transport. Chunks and the results of orders carry the ID of their request, refusals don't.

Change: each call has a random Call-Id, which the handler echoes. A refusal states that the request did not run only if it carries the ID of the call; otherwise the outcome is unknown.

The stand-in responses of client_test.go echo the ID; no expectation is changed.

--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -176,6 +177,8 @@
 		return nil, &engine.Error{Kind: engine.Unreachable, Executed: engine.ExecutedNo, Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
+	callID := strconv.FormatUint(rand.Uint64(), 36)
+	req.Header.Set(headerCallID, callID)
 	jsonhttp.SetBearer(req, c.token)
 	res, err := c.http.Do(req)
 	if err != nil {
@@ -189,7 +192,7 @@
 	if err != nil {
 		return nil, readError(ctx, err, engine.ExecutedUnknown)
 	}
-	return nil, parseRefusal(res.StatusCode, data)
+	return nil, parseRefusal(res.StatusCode, data, res.Header.Get(headerCallID) == callID)
 }
 
 // sendError returns the error for a request that received no response.
@@ -218,9 +221,10 @@
 }
 
 // parseRefusal returns the error for a response whose status is not 200. It sets
-// ExecutedNo only if the body has the error format of the protocol and states
-// that the request did not run.
-func parseRefusal(status int, body []byte) error {
+// ExecutedNo only if the response carries the ID of the call, and the body has the error
+// format of the protocol and states that the request did not run. Without the ID, it can be
+// a second copy of an earlier response on the connection.
+func parseRefusal(status int, body []byte, hasCallID bool) error {
 	e, ok := jsonhttp.ParseError(body)
 	if !ok {
 		return &engine.Error{Kind: engine.Malformed, Err: fmt.Errorf("status %d without an error code", status)}
@@ -229,7 +233,7 @@
 	if e.Code == codeNotResident {
 		failure.Kind = engine.NotResident
 	}
-	if e.Executed == engine.ExecutedNo.String() {
+	if hasCallID && e.Executed == engine.ExecutedNo.String() {
 		failure.Executed = engine.ExecutedNo
 	}
 	return failure
--- a/engine/enginehttp/client_test.go
+++ b/engine/enginehttp/client_test.go
@@ -31,6 +31,7 @@
 func respond(status int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(headerCallID, r.Header.Get(headerCallID))
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, body)
 	}
--- a/engine/enginehttp/fuzz_test.go
+++ b/engine/enginehttp/fuzz_test.go
@@ -104,7 +104,7 @@
 			}
 		}
 		var refusal *engine.Error
-		if err := parseRefusal(503, data); !errors.As(err, &refusal) || refusal.Executed == engine.ExecutedYes {
+		if err := parseRefusal(503, data, true); !errors.As(err, &refusal) || refusal.Executed == engine.ExecutedYes {
 			t.Fatalf("refusal became %v", err)
 		}
 	})
--- a/engine/enginehttp/handler.go
+++ b/engine/enginehttp/handler.go
@@ -34,7 +34,7 @@
 func NewHandler(b Backend, bearerToken string) http.Handler {
 	h := handler{backend: b}
 	r := chi.NewRouter()
-	r.Use(jsonhttp.RequireBearer(bearerToken))
+	r.Use(echoCallID, jsonhttp.RequireBearer(bearerToken))
 	r.Post(pathGenerate, h.generate)
 	r.Post(pathOrders, h.order)
 	r.Get(pathState, h.state)
@@ -43,6 +43,14 @@
 	return r
 }
 
+// echoCallID copies the ID of a call to its response.
+func echoCallID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerCallID, r.Header.Get(headerCallID))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // NewReportHandler returns a handler that serves only the load reports of r.
 func NewReportHandler(r Reporter) http.Handler {
 	router := chi.NewRouter()
--- a/engine/enginehttp/wire.go
+++ b/engine/enginehttp/wire.go
@@ -24,6 +24,9 @@
 	pathEvents   = "/events"
 )
 
+// headerCallID is a random ID of a call. Responses carry the ID of their call.
+const headerCallID = "Call-Id"
+
 // Error codes of the protocol.
 const (
 	codeRefused     = "refused"
