--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -160,8 +160,8 @@
 	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Waited: x.waited}
 }
 
-// newCall returns the request for the chosen replica.
-func (x *exchange) newCall(d dispatch.Decision) *upstream.Call {
+// newUpstreamRequest returns the request for the chosen replica.
+func (x *exchange) newUpstreamRequest(d dispatch.Decision) *upstream.Request {
 	to := ForwardInfo{
 		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: -1, LastEvent: x.lastEvent,
 	}
@@ -172,11 +172,15 @@
 	if x.request.Model != "" {
 		to.Urgency = d.Urgency
 	}
-	return &upstream.Call{
-		ID:     x.head.ID,
+	return &upstream.Request{ID: x.head.ID, Call: upstream.Call{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: x.service.protocol.Forward(x.r.Header, to), Body: x.body,
-	}
+	}}
+}
+
+// endpointOf returns the process that a replica's entry describes.
+func endpointOf(r *catalog.Replica) upstream.Endpoint {
+	return upstream.Endpoint{Address: r.Address, ID: r.ID, StartMillis: r.StartMillis}
 }
 
 // answerTimeout returns how long to wait for the beginning of an answer. A request
