upstream: don't keep a connection that owes an answer

Answer.Close(true) after an extra answer was skipped and before the own head kept the connection, whose next bytes are the owed answer. No caller closes so today; the next request on it would have failed as foreign.

Cause: the end of the extra answer's body counted as that of the answer.

Change: a connection on which an extra answer was skipped is never reused, whatever follows. TestConnectionWithOwedAnswerIsNotReused keeps one connection on the code before and none now.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -101,7 +101,7 @@
 	if err != io.EOF {
 		return foreign(fmt.Errorf("extra answer after %d bytes: %w", n, err))
 	}
-	a.skipped = true
+	a.skipped, a.noReuse = true, true
 	return nil
 }
 
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -115,6 +115,27 @@
 	is.Equal(p.ConnectionsOpened(), int64(2)) // the connection with the copy is not kept
 }
 
+// Guards against a connection that is kept while the answer to its request is owed, because
+// an extra answer was read to its end.
+func TestConnectionWithOwedAnswerIsNotReused(t *testing.T) {
+	is := is.New(t)
+	e := startEchoing(t, func(c net.Conn, n int, id string) {
+		if n == 0 {
+			_, _ = io.WriteString(c, answerTo(id, 200, "ok"))
+		} else {
+			_, _ = io.WriteString(c, answerTo("first", 200, "ok"))
+		}
+	})
+	p := newEchoPool()
+	_, err := send(p, e, "first")
+	is.NoErr(err)
+	a, err := p.Send(t.Context(), e, &Request{ID: "second", Call: Call{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {"second"}}}})
+	is.NoErr(err)
+	is.True(errors.Is(a.ReadHead(t.Context(), 200*time.Millisecond), ErrAnswerTimeout))
+	a.Close(true)
+	is.Equal(p.IdleConnections(), int64(0))
+}
+
 // Guards against a second copy of the answer to a request that is taken for the answer to
 // the same request when it is sent again.
 func TestRepeatedRequestGetsNoCopyOfItsFirstAnswer(t *testing.T) {
