watch: bound the calls for the list of replicas, and report its age

Cause: a call for the list waited for up to 28 s, and one that is never answered (the connection is silent, or the store has lost track of the call) was believed for that time. The holder of the order lease told its peers how current its list is by the last answer of the store to any call, so that answers to lease calls vouched for a list that nobody followed. After a failed call the next one waited for changes too, and the table stayed marked as unavailable until one came.

FleetState.ListAge replaces StoreAge and is the age of the list itself; the time of the exchange counts too. The pause between calls counts from the start of a call, and instances that get the list from the holder check it every 12 s instead of 6 s, which pays for the calls.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -60,16 +60,15 @@
 	ordersBlocked     bool          // no instance can send orders for adapters now
 	stopping          bool
 
-	storeUnavailable map[string]bool             // tables that can't be read
+	storeUnavailable map[string]bool             // tables whose last call failed
 	storeRecoveredAt time.Time                   // when the store last became available again
 	tableVersions    map[string]rowstore.Version // newest row version read, by table
 	behindSince      map[string]time.Time        // when a peer was first seen with a newer row, by table
 	leaseCallFailed  bool                        // a lease call failed since the last answered one
-	storeAnsweredAt  time.Time                   // last answer from the store
 	storeVersion     rowstore.Version            // newest version of the store that was seen
 
 	listTable    string    // table that holds the list of replicas
-	listReadAt   time.Time // last answer from the feed of listTable
+	listReadAt   time.Time // time at which the list from the store was current
 	holderListAt time.Time // time at which the list from the holder was current
 	listSource   ListSource
 	listPause    time.Duration // between two calls for the list
@@ -126,12 +125,8 @@
 
 // exportState sets the gauges that describe the control state.
 func (c *core) exportState(now time.Time) {
-	current := c.holderListAt
-	if c.listReadAt.After(current) {
-		current = c.listReadAt
-	}
 	age := int64(-1)
-	if !current.IsZero() {
+	if current := c.listCurrentAt(); !current.IsZero() {
 		age = now.Sub(current).Milliseconds()
 	}
 	ordering := int64(0)
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -23,18 +23,15 @@
 // has relayed.
 type ConfigRelayed struct{ Value []byte }
 
-// RowsSeen reports the newest row version that was read from a table.
+// RowsSeen reports the newest row version that was read from a table, after the rows
+// themselves.
 type RowsSeen struct {
 	Table   string
 	Version rowstore.Version
 }
 
 func (e RowsSeen) apply(c *core, now time.Time) {
-	c.storeAnsweredAt = now
 	c.observeVersion(now, e.Version)
-	if e.Table == c.listTable {
-		c.listReadAt = now
-	}
 	c.tableVersions[e.Table] = max(c.tableVersions[e.Table], e.Version)
 	delete(c.behindSince, e.Table)
 }
@@ -67,10 +64,10 @@
 	}
 }
 
-// leaseCallAnswered records an answer from the store. After failed lease calls it
-// requests a new call of every feed, because pending calls may never be answered.
-func (c *core) leaseCallAnswered(now time.Time) {
-	c.storeAnsweredAt = now
+// leaseCallAnswered records an answered lease call, which tells nothing of the age of
+// other tables. After failed lease calls it requests a new call of every feed, because
+// pending calls may never be answered.
+func (c *core) leaseCallAnswered() {
 	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	if !c.leaseCallFailed {
 		return
@@ -81,15 +78,18 @@
 	}
 }
 
-// ReplicasRead reports a full read of the list of replicas.
+// ReplicasRead reports a full read of the list of replicas. CurrentAt is a time at which
+// it was current.
 type ReplicasRead struct {
-	Table   string
-	Entries []catalog.Entry
-	Version rowstore.Version
+	Table     string
+	Entries   []catalog.Entry
+	Version   rowstore.Version
+	CurrentAt time.Time
 }
 
 func (e ReplicasRead) apply(c *core, now time.Time) {
 	c.listTable = e.Table
+	c.listReadAt = e.CurrentAt
 	dropAt := c.graceAfterRestore(now, e.Version)
 	if dropAt.IsZero() && now.Sub(c.storeRecoveredAt) < recoveryGrace {
 		dropAt = c.storeRecoveredAt.Add(recoveryGrace)
@@ -98,14 +98,17 @@
 }
 
 // ReplicasChanged reports changed and removed rows of the list of replicas. A row can be
-// in both if it was removed and written again, or the other way round.
+// in both if it was removed and written again, or the other way round. CurrentAt is a
+// time at which the list was current.
 type ReplicasChanged struct {
-	Entries []catalog.Entry
-	Removed []catalog.Entry // with the versions of the removals
-	Version rowstore.Version
+	Entries   []catalog.Entry
+	Removed   []catalog.Entry // with the versions of the removals
+	Version   rowstore.Version
+	CurrentAt time.Time
 }
 
 func (e ReplicasChanged) apply(c *core, now time.Time) {
+	c.listReadAt = e.CurrentAt
 	c.updateReplicas(now, c.replicaList.Apply(e.Entries, e.Version), e.Entries)
 	var dropAt time.Time
 	if c.anyTableUnavailable() || now.Sub(c.storeRecoveredAt) < recoveryGrace {
@@ -165,7 +168,7 @@
 	}
 }
 
-// StoreState reports whether the store answers reads of a table.
+// StoreState reports whether the last call for a table was answered.
 type StoreState struct {
 	Table       string
 	Unavailable bool
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -10,21 +10,25 @@
 
 const (
 	// listLifetimeShare is the fraction of the leave time for which a list of
-	// replicas from the holder counts as current. The rest of that time is left for
-	// this instance's own read. The store answers the holder every 650 ms, and the
-	// holder answers peers several times a second.
-	listLifetimeShare = 0.6
-	// The pause between two calls for the list batches changes, which come several times
-	// a second. It is a share of the leave time: holderPauseShare on the holder, whose
+	// replicas from the holder counts as current. It covers a call of the holder that is
+	// never answered. What is left of the leave time is for two own calls, one of them on
+	// a connection that has failed as well.
+	listLifetimeShare = listWaitShare + listAnswerShare
+	// listWaitShare and listAnswerShare are the fractions of the leave time that are the
+	// age of the list up to which a call for it waits for changes, and the time for which
+	// the answer is awaited beyond that. A slow store answers within 240 ms.
+	listWaitShare, listAnswerShare = 0.5, 0.2
+	// The pause from one call for the list to the next batches changes, which come several
+	// times a second. It is a share of the leave time: holderPauseShare on the holder, whose
 	// reads serve all instances, and storePauseShare on an instance without a holder. The
 	// holder's pause stays below maxFeedLag, so that its feed does not count as behind.
-	holderPauseShare, storePauseShare = 0.1, 0.2
+	holderPauseShare, storePauseShare = 0.125, 0.2
 	maxHolderPause                    = maxFeedLag - 50*time.Millisecond
-	// An instance that gets the list from the holder reads it only to check that the
-	// holder follows it. The time between two checks grows with the number of instances,
+	// An instance that gets the list from the holder, with its age, reads it only to check
+	// it. The time between two checks grows with the number of instances,
 	// so that their calls don't. It stays below the 20 s of changes that the store
 	// keeps, after which a check would read the whole table.
-	minCheckPause, maxCheckPause = 6 * time.Second, 15 * time.Second
+	minCheckPause, maxCheckPause = 12 * time.Second, 15 * time.Second
 	checkPausePerInstance        = 250 * time.Millisecond
 	// defaultLeaveTime is used if the deployment sets no leave time, the time within
 	// which instances must stop sending requests to a leaving replica.
@@ -36,6 +40,13 @@
 	return time.Duration(listLifetimeShare * float64(leaveTime(c.node.Bounds)))
 }
 
+// ListCallLimits returns the age of the list of replicas up to which a call for it waits
+// for changes, and for how long the answer is awaited beyond that.
+func ListCallLimits(b nodeconfig.Bounds) (wait, answer time.Duration) {
+	leave := float64(leaveTime(b))
+	return time.Duration(listWaitShare * leave), time.Duration(listAnswerShare * leave)
+}
+
 // leaveTime returns the time within which instances must stop sending requests to a
 // leaving replica.
 func leaveTime(b nodeconfig.Bounds) time.Duration {
@@ -102,6 +113,7 @@
 		return
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
+	c.holderListAt = now.Add(-state.ListAge)
 	var changed []string
 	if state.ListIsWhole {
 		changed = c.replicaList.Replace(state.List, state.ListVersion, c.graceAfterRestore(now, state.ListVersion))
@@ -112,10 +124,18 @@
 	if c.listTable != "" {
 		c.tableVersions[c.listTable] = max(c.tableVersions[c.listTable], state.TableVersions[c.listTable])
 	}
-	c.holderListAt = now.Add(-state.StoreAge)
 	c.updateListSource(now)
 }
 
+// listCurrentAt returns the latest time at which the list of replicas is known to have
+// been current, or the zero time.
+func (c *core) listCurrentAt() time.Time {
+	if c.listReadAt.After(c.holderListAt) {
+		return c.listReadAt
+	}
+	return c.holderListAt
+}
+
 // graceAfterRestore returns the time until which replicas are kept that a list lacks, or
 // the zero time if they are dropped at once. The first list of an era lacks replicas that
 // have joined since the copy was made; each of them writes its entry again.
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -193,7 +193,7 @@
 	before := c.leader.Row()
 	c.observeVersion(now, e.Row.Version)
 	c.leader.RecordRead(bootclock.Now(), e.Row)
-	c.leaseCallAnswered(now)
+	c.leaseCallAnswered()
 	c.announceHolder(before)
 	c.directAdapterRequests(now, bootclock.Now())
 }
@@ -205,7 +205,7 @@
 	before := c.leader.Row()
 	c.observeVersion(now, e.Version)
 	c.leader.RecordWritten(bootclock.Now(), e.Version)
-	c.leaseCallAnswered(now)
+	c.leaseCallAnswered()
 	c.announceHolder(before)
 	c.directAdapterRequests(now, bootclock.Now())
 }
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -109,8 +109,8 @@
 	// Config is the row of the holder's config if it is newer than the peer's. A restored
 	// store shows an older one until the operator writes it again.
 	Config []byte
-	// StoreAge is the time since the store last answered the holder.
-	StoreAge time.Duration
+	// ListAge is the time since the holder's list was current.
+	ListAge time.Duration
 }
 
 // peerState is the part of a peer's last state that is kept.
@@ -175,7 +175,7 @@
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
-		state.StoreAge = now.Sub(c.storeAnsweredAt)
+		state.ListAge = now.Sub(c.listCurrentAt())
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
 			state.Config = c.configValue
 		}
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -91,7 +91,7 @@
 	FleetSeen{State: FleetState{Holder: "other", List: entry(6, false), ListVersion: 6}}.apply(c, now)
 	is.True(!c.replicaList.Replicas()[0].Leaving)
 	is.Equal(c.listSource, FromHolder)
-	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, StoreAge: c.listLifetime()}}.apply(c, now.Add(time.Second))
+	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, ListAge: c.listLifetime()}}.apply(c, now.Add(time.Second))
 	is.Equal(c.listSource, FromStore)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,6 +85,7 @@
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ReplicaTable: platform.ReplicaTable,
 		DecodeConfig: platform.DecodeConfig, DecodeReplica: platform.DecodeReplica,
 	}
+	source.ListWait, source.ListAnswerTime = controlplane.ListCallLimits(node.Bounds)
 	k.Register(controlplane.New(node, logger, registry))
 	k.Register(watch.New(store, source, logger, registry))
 	k.Register(actuator.New(store, pool, platform.OrderCodec{}, logger))
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -23,14 +23,17 @@
 const ServiceName = "watch"
 
 const (
-	// longPollTimeout is how long one call of a feed waits for changes. It is near the
+	// longPollTimeout is how long one call for the config waits for changes. It is near the
 	// 30 s that the store allows because every call has a cost. TCP keepalive probes
 	// detect connections that no longer respond, and the lease holder tells instances
 	// whose feed is behind.
 	longPollTimeout = 28 * time.Second
-	// recheckTimeout limits a call that does not wait for changes, which the store
-	// answers immediately.
-	recheckTimeout = 800 * time.Millisecond
+	// maxAnswerTime limits the time that the answer to a feed call takes beyond the time
+	// for which the call waits for changes.
+	maxAnswerTime = 800 * time.Millisecond
+	// minListWait is the shortest time for which a call for the list of replicas waits for
+	// changes.
+	minListWait = 100 * time.Millisecond
 	// initialListPause is the pause between two calls for the list of replicas until the
 	// control plane sets another one.
 	initialListPause = 400 * time.Millisecond
@@ -46,6 +49,9 @@
 	ReplicaTable           string
 	DecodeConfig           func(value []byte) (*catalog.Config, error)
 	DecodeReplica          func(id string, value []byte) (*catalog.Replica, error)
+	// ListWait is the age of the list of replicas up to which a call for it waits for
+	// changes, and ListAnswerTime how long the answer is awaited beyond that.
+	ListWait, ListAnswerTime time.Duration
 }
 
 // Service follows the tables. It implements kernel.Service.
@@ -60,7 +66,7 @@
 	// waits for changes, so that another is made at once. The map is not modified
 	// after the goroutines have started.
 	recheckRequests map[string]chan struct{}
-	// listPause is the pause between two calls for the list of replicas, in
+	// listPause is the pause from one call for the list of replicas to the next, in
 	// nanoseconds.
 	listPause atomic.Int64
 }
@@ -94,8 +100,10 @@
 	); err != nil {
 		return err
 	}
-	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ConfigTable, s.handleConfigRows) })
-	s.group.Go(func(ctx context.Context) { s.follow(ctx, s.source.ReplicaTable, s.handleReplicaRows) })
+	config := &feed{table: s.source.ConfigTable, wait: longPollTimeout, answerTime: maxAnswerTime, backoff: minRetryBackoff, handlePage: s.handleConfigRows}
+	list := &feed{table: s.source.ReplicaTable, wait: s.source.ListWait, answerTime: s.source.ListAnswerTime, backoff: minRetryBackoff, handlePage: s.handleReplicaRows}
+	s.group.Go(func(ctx context.Context) { s.follow(ctx, config) })
+	s.group.Go(func(ctx context.Context) { s.follow(ctx, list) })
 	return nil
 }
 
@@ -126,74 +134,102 @@
 	}
 }
 
+// feed is the state of the calls for one table.
+type feed struct {
+	table string
+	// wait is how long the next call waits for changes, and answerTime how long the
+	// answer is awaited beyond that.
+	wait, answerTime time.Duration
+	handlePage       func(p page)
+	version          rowstore.Version // up to which the table was read
+	haveTable        bool             // the whole table was read
+	// recheck is set if the next call does not wait for changes.
+	recheck  bool
+	failures int           // failed calls since the last answered one
+	backoff  time.Duration // after the next failed call
+}
+
+// page is an answer to a call for a table.
+type page struct {
+	rowstore.Page
+	wholeTable bool      // it has all rows of the table
+	askedAt    time.Time // when the call started
+	currentAt  time.Time // a time at which the table was as the page says
+}
+
 // follow reads a table and then its feed until ctx ends. It passes each page to
-// handlePage; wholeTable is true if the page contains all rows of the table.
-func (s *Service) follow(ctx context.Context, table string, handlePage func(page rowstore.Page, wholeTable bool)) {
-	var version rowstore.Version
-	haveTable := false
-	backoff := minRetryBackoff
-	recheck := false
+// f.handlePage.
+func (s *Service) follow(ctx context.Context, f *feed) {
 	for ctx.Err() == nil {
-		page, wholeTable, err := s.fetchPage(ctx, table, version, haveTable, recheck)
-		recheck = errors.Is(err, errRecheckRequested)
-		if recheck {
+		p, err := s.fetchPage(ctx, f)
+		f.recheck = errors.Is(err, errRecheckRequested)
+		if f.recheck {
 			continue
 		}
 		if err != nil {
-			haveTable = haveTable && !errors.Is(err, rowstore.ErrCompacted)
-			s.metrics.Counter("store_calls", "table", table, "result", "failed").Add(1)
-			if !errors.Is(err, rowstore.ErrCompacted) {
-				s.control.Post(controlplane.StoreState{Table: table, Unavailable: true})
-				s.log.Debug("store call failed", "table", table, "version", version, "error", err)
-				if !sleep(ctx, backoff) {
-					return
-				}
-				backoff = min(2*backoff, maxRetryBackoff)
-			}
+			s.handleFailure(ctx, f, err)
 			continue
 		}
-		backoff = minRetryBackoff
-		s.metrics.Counter("store_calls", "table", table, "result", "answered").Add(1)
-		s.control.Post(controlplane.StoreState{Table: table})
-		if !wholeTable && page.Version.Era() > version.Era() {
-			haveTable = false // the feed lacks the rows that the restored store has lost
+		f.failures, f.backoff = 0, minRetryBackoff
+		s.metrics.Counter("store_calls", "table", f.table, "result", "answered").Add(1)
+		s.control.Post(controlplane.StoreState{Table: f.table})
+		if !p.wholeTable && p.Version.Era() > f.version.Era() {
+			f.haveTable = false // the feed lacks the rows that the restored store has lost
 			continue
 		}
-		if page.Version < version {
-			s.log.Warn("store returned a stale page", "table", table, "version", version, "answer", page.Version)
-			if !sleep(ctx, maxRetryBackoff) {
-				return
-			}
+		if p.Version < f.version {
+			s.log.Warn("store returned a stale page", "table", f.table, "version", f.version, "answer", p.Version)
+			sleep(ctx, maxRetryBackoff)
 			continue
 		}
-		handlePage(page, wholeTable)
-		s.control.Post(controlplane.RowsSeen{Table: table, Version: newestVersion(page)})
-		version, haveTable = page.Version, true
-		if table == s.source.ReplicaTable {
-			recheck = s.waitListPause(ctx, table)
+		f.handlePage(p)
+		s.control.Post(controlplane.RowsSeen{Table: f.table, Version: newestVersion(p.Page)})
+		f.version, f.haveTable = p.Version, true
+		if f.table == s.source.ReplicaTable {
+			f.recheck = s.waitListPause(ctx, p.askedAt)
+			f.wait = max(s.source.ListWait-time.Since(p.currentAt), minListWait)
 		}
 	}
 }
 
-// waitListPause waits for listPause so that changes of the list of replicas are
-// batched. It returns true at once if a recheck is requested.
-func (s *Service) waitListPause(ctx context.Context, table string) bool {
-	timer := time.NewTimer(time.Duration(s.listPause.Load()))
+// handleFailure reports a failed call and waits before the next one, which does not wait
+// for changes: it is to show whether the store answers again.
+func (s *Service) handleFailure(ctx context.Context, f *feed, err error) {
+	s.metrics.Counter("store_calls", "table", f.table, "result", "failed").Add(1)
+	if errors.Is(err, rowstore.ErrCompacted) {
+		f.haveTable = false
+		return
+	}
+	s.control.Post(controlplane.StoreState{Table: f.table, Unavailable: true})
+	s.log.Debug("store call failed", "table", f.table, "version", f.version, "error", err)
+	f.recheck = true
+	f.failures++
+	if f.failures == 1 && errors.Is(err, context.DeadlineExceeded) {
+		return // the call was lost, and the store may answer others
+	}
+	sleep(ctx, f.backoff)
+	f.backoff = min(2*f.backoff, maxRetryBackoff)
+}
+
+// waitListPause waits for listPause since the last call so that changes of the list of
+// replicas are batched. It returns true at once if a recheck is requested.
+func (s *Service) waitListPause(ctx context.Context, askedAt time.Time) bool {
+	timer := time.NewTimer(time.Duration(s.listPause.Load()) - time.Since(askedAt))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-s.recheckRequests[table]:
+	case <-s.recheckRequests[s.source.ReplicaTable]:
 		return true
 	case <-ctx.Done():
 	}
 	return false
 }
 
-// newestVersion returns the highest row version in page. If the page has no rows, the
+// newestVersion returns the highest row version in p. If the page has no rows, the
 // counter of the version is 0.
-func newestVersion(page rowstore.Page) rowstore.Version {
-	version := rowstore.NewVersion(page.Version.Era(), 0)
-	for _, row := range page.Rows {
+func newestVersion(p rowstore.Page) rowstore.Version {
+	version := rowstore.NewVersion(p.Version.Era(), 0)
+	for _, row := range p.Rows {
 		version = max(version, row.Version)
 	}
 	return version
@@ -203,19 +239,25 @@
 // replaced because of requestRecheck.
 var errRecheckRequested = errors.New("feed recheck requested")
 
-// fetchPage returns the next page and whether it contains the whole table. It reads
-// the whole table if haveTable is false, and the changes after version otherwise.
-// If recheck is true, it does not wait for changes.
-func (s *Service) fetchPage(ctx context.Context, table string, version rowstore.Version, haveTable, recheck bool) (rowstore.Page, bool, error) {
-	if !haveTable {
-		page, err := s.store.Read(ctx, table)
-		return page, true, err
+// fetchPage returns the next page: the whole table if it was not read yet, and otherwise
+// the changes since.
+func (s *Service) fetchPage(ctx context.Context, f *feed) (page, error) {
+	now := time.Now()
+	p := page{wholeTable: !f.haveTable, askedAt: now, currentAt: now}
+	var err error
+	if p.wholeTable {
+		p.Page, err = s.store.Read(ctx, f.table)
+		return p, err
 	}
-	if recheck {
-		ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
+	answerTime := f.answerTime
+	if f.failures > 1 { // the store may be slow, rather than a single connection
+		answerTime = maxAnswerTime
+	}
+	if f.recheck {
+		ctx, cancel := context.WithTimeout(ctx, answerTime)
 		defer cancel()
-		page, err := s.store.Feed(ctx, table, version, 0)
-		return page, false, err
+		p.Page, err = s.store.Feed(ctx, f.table, f.version, 0)
+		return p, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -223,32 +265,35 @@
 	defer close(done)
 	go func() {
 		select {
-		case <-s.recheckRequests[table]:
+		case <-s.recheckRequests[f.table]:
 			cancel(errRecheckRequested)
 		case <-done:
 		}
 	}()
-	page, err := s.store.Feed(ctx, table, version, longPollTimeout)
+	callCtx, cancelCall := context.WithTimeout(ctx, f.wait+answerTime)
+	defer cancelCall()
+	p.Page, err = s.store.Feed(callCtx, f.table, f.version, f.wait)
+	if len(p.Rows) == 0 && time.Since(p.askedAt) >= f.wait {
+		p.currentAt = p.askedAt.Add(f.wait) // the store answers no sooner without changes
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errRecheckRequested) {
 		err = errRecheckRequested
 	}
-	return page, false, err
+	return p, err
 }
 
-// sleep waits for d and returns true, or returns false as soon as ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
 }
 
-func (s *Service) handleConfigRows(page rowstore.Page, _ bool) {
-	for _, row := range page.Rows {
+func (s *Service) handleConfigRows(p page) {
+	for _, row := range p.Rows {
 		if row.Key != s.source.ConfigKey || row.Removed {
 			continue
 		}
@@ -271,10 +316,10 @@
 	s.control.Post(controlplane.ConfigSeen{Config: config, Value: value})
 }
 
-func (s *Service) handleReplicaRows(page rowstore.Page, wholeTable bool) {
+func (s *Service) handleReplicaRows(p page) {
 	var entries []catalog.Entry
 	var removed []catalog.Entry
-	for _, row := range page.Rows {
+	for _, row := range p.Rows {
 		if row.Removed {
 			removed = append(removed, catalog.Entry{ID: row.Key, Version: row.Version})
 			continue
@@ -285,9 +330,9 @@
 		}
 		entries = append(entries, catalog.Entry{ID: row.Key, Version: row.Version, Replica: replica})
 	}
-	if wholeTable {
-		s.control.Post(controlplane.ReplicasRead{Table: s.source.ReplicaTable, Entries: entries, Version: page.Version})
+	if p.wholeTable {
+		s.control.Post(controlplane.ReplicasRead{Table: s.source.ReplicaTable, Entries: entries, Version: p.Version, CurrentAt: p.currentAt})
 		return
 	}
-	s.control.Post(controlplane.ReplicasChanged{Entries: entries, Removed: removed, Version: page.Version})
+	s.control.Post(controlplane.ReplicasChanged{Entries: entries, Removed: removed, Version: p.Version, CurrentAt: p.currentAt})
 }
