controlplane: keep replicas only if their entries can have lapsed

Cause: a replica whose entry was removed was kept for two seconds from the moment at which this was learned whenever a call for any table had failed. A reset of the config's connection marks that table for up to half a minute, and an instance that was cut off keeps replicas that the store removed meanwhile. The holder of the order lease went on listing them to all instances.

Change: the grace period starts when the list of replicas is current again after a gap of two heartbeat intervals, the shortest one in which the entry of a healthy replica can lapse, and ends two seconds after the gap. Other tables and failed calls have no part in it. While removals are pending, an instance reports the version before them, so that a holder that has seen them confirms them at once.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -162,6 +162,18 @@
 // Version returns the newest version of the list that was applied.
 func (r *ReplicaList) Version() rowstore.Version { return r.version }
 
+// AppliedVersion returns the version up to which all changes were applied. It is lower
+// than Version while removals are pending, so that a peer that knows of them returns them.
+func (r *ReplicaList) AppliedVersion() rowstore.Version {
+	version := r.version
+	for id := range r.pendingRemovals {
+		if e := r.entries[id]; e.Version.Era() == r.version.Era() {
+			version = min(version, e.Version)
+		}
+	}
+	return version
+}
+
 // ChangedSince returns the entries that changed after version, including removed
 // ones. Entries that are missing since the store was restored are left out.
 func (r *ReplicaList) ChangedSince(version rowstore.Version) []Entry {
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -61,17 +61,17 @@
 	stopping          bool
 
 	storeUnavailable map[string]bool             // tables whose last call failed
-	storeRecoveredAt time.Time                   // when the store last became available again
 	tableVersions    map[string]rowstore.Version // newest row version read, by table
 	behindSince      map[string]time.Time        // when a peer was first seen with a newer row, by table
 	leaseCallFailed  bool                        // a lease call failed since the last answered one
 	storeVersion     rowstore.Version            // newest version of the store that was seen
 
-	listTable    string    // table that holds the list of replicas
-	listReadAt   time.Time // time at which the list from the store was current
-	holderListAt time.Time // time at which the list from the holder was current
-	listSource   ListSource
-	listPause    time.Duration // between two calls for the list
+	listTable      string    // table that holds the list of replicas
+	listReadAt     time.Time // time at which the list from the store was current
+	holderListAt   time.Time // time at which the list from the holder was current
+	listGraceUntil time.Time // until when replicas are kept whose entries have lapsed
+	listSource     ListSource
+	listPause      time.Duration // between two calls for the list
 
 	loggedReplicas map[string]string // description in the last log line, by replica
 	demand         map[string]*modelDemand
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -89,10 +89,10 @@
 
 func (e ReplicasRead) apply(c *core, now time.Time) {
 	c.listTable = e.Table
-	c.listReadAt = e.CurrentAt
+	c.recordOwnList(e.CurrentAt)
 	dropAt := c.graceAfterRestore(now, e.Version)
-	if dropAt.IsZero() && now.Sub(c.storeRecoveredAt) < recoveryGrace {
-		dropAt = c.storeRecoveredAt.Add(recoveryGrace)
+	if dropAt.IsZero() {
+		dropAt = c.graceAfterGap(now)
 	}
 	c.updateReplicas(now, c.replicaList.Replace(e.Entries, e.Version, dropAt), e.Entries)
 }
@@ -108,12 +108,9 @@
 }
 
 func (e ReplicasChanged) apply(c *core, now time.Time) {
-	c.listReadAt = e.CurrentAt
+	c.recordOwnList(e.CurrentAt)
 	c.updateReplicas(now, c.replicaList.Apply(e.Entries, e.Version), e.Entries)
-	var dropAt time.Time
-	if c.anyTableUnavailable() || now.Sub(c.storeRecoveredAt) < recoveryGrace {
-		dropAt = now.Add(recoveryGrace)
-	}
+	dropAt := c.graceAfterGap(now)
 	for _, r := range e.Removed {
 		if c.replicaList.Remove(r.ID, r.Version, dropAt) {
 			c.log.Info("replica dropped", "replica", r.ID, "reason", "entry removed", "version", r.Version)
@@ -174,27 +171,14 @@
 	Unavailable bool
 }
 
-func (e StoreState) apply(c *core, now time.Time) {
+func (e StoreState) apply(c *core, _ time.Time) {
 	if c.storeUnavailable[e.Table] == e.Unavailable {
 		return
 	}
 	c.storeUnavailable[e.Table] = e.Unavailable
-	if !e.Unavailable {
-		c.storeRecoveredAt = now
-	}
 	c.log.Info("store contact changed", "table", e.Table, "away", e.Unavailable)
 }
 
-// anyTableUnavailable reports whether the store fails to answer reads of some table.
-func (c *core) anyTableUnavailable() bool {
-	for _, unavailable := range c.storeUnavailable {
-		if unavailable {
-			return true
-		}
-	}
-	return false
-}
-
 // Stopping reports that the instance has begun to shut down. Until is when requests
 // whose answer has not begun are given up.
 type Stopping struct{ Until time.Time }
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -30,6 +30,12 @@
 	// keeps, after which a check would read the whole table.
 	minCheckPause, maxCheckPause = 12 * time.Second, 15 * time.Second
 	checkPausePerInstance        = 250 * time.Millisecond
+	// lapseGapShare is the fraction of ReplicaLease for which the store must be away before
+	// it can drop the entry of a healthy replica: two of three heartbeats have failed, and
+	// the third one is late.
+	lapseGapShare = 2.0 / 3
+	// defaultReplicaLease is used if the deployment sets no heartbeat interval.
+	defaultReplicaLease = 3600 * time.Millisecond
 	// defaultLeaveTime is used if the deployment sets no leave time, the time within
 	// which instances must stop sending requests to a leaving replica.
 	defaultLeaveTime = 2 * time.Second
@@ -113,7 +119,9 @@
 		return
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
-	c.holderListAt = now.Add(-state.ListAge)
+	currentAt := now.Add(-state.ListAge)
+	c.checkListGap(currentAt)
+	c.holderListAt = currentAt
 	var changed []string
 	if state.ListIsWhole {
 		changed = c.replicaList.Replace(state.List, state.ListVersion, c.graceAfterRestore(now, state.ListVersion))
@@ -136,6 +144,38 @@
 	return c.holderListAt
 }
 
+// recordOwnList records an answered call for the list, which was current at a time.
+func (c *core) recordOwnList(currentAt time.Time) {
+	c.checkListGap(currentAt)
+	c.listReadAt = currentAt
+}
+
+// checkListGap starts the grace period for lapsed entries if the list is current at a time
+// after a gap in which the entries of healthy replicas can have lapsed. The gap is one of
+// the list alone: calls for other tables that fail or succeed tell nothing of it.
+func (c *core) checkListGap(currentAt time.Time) {
+	before := c.listCurrentAt()
+	lease := c.node.ReplicaLease
+	if lease <= 0 {
+		lease = defaultReplicaLease
+	}
+	gap := currentAt.Sub(before)
+	if before.IsZero() || gap < time.Duration(lapseGapShare*float64(lease)) {
+		return
+	}
+	c.listGraceUntil = currentAt.Add(recoveryGrace)
+	c.log.Info("list of replicas is current again", "gap", gap)
+}
+
+// graceAfterGap returns the time until which replicas are kept whose entries were removed,
+// or the zero time if they are dropped at once.
+func (c *core) graceAfterGap(now time.Time) time.Time {
+	if now.Before(c.listGraceUntil) {
+		return c.listGraceUntil
+	}
+	return time.Time{}
+}
+
 // graceAfterRestore returns the time until which replicas are kept that a list lacks, or
 // the zero time if they are dropped at once. The first list of an era lacks replicas that
 // have joined since the copy was made; each of them writes its entry again.
--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -39,3 +39,72 @@
 	ReplicasChanged{Version: 4, CurrentAt: now.Add(-time.Second)}.apply(c, now)
 	is.Equal(c.reportPeerState(now, "peer", 0).ListAge, time.Second)
 }
+
+// Guards against replicas that are kept after their entries were removed, although their
+// entries can't have lapsed while the store was away, and against ones that are dropped
+// although they can have.
+func TestGraceAppliesToEntriesThatCanHaveLapsed(t *testing.T) {
+	const gap = 5 * time.Second
+	for _, test := range []struct {
+		name        string
+		otherFailed bool          // the calls for another table fail
+		gap         time.Duration // in which the list was not read
+		learnedAt   time.Duration // after the gap
+		keptUntil   time.Duration // after the gap; 0 if the replica is dropped at once
+	}{
+		{"no gap", false, 300 * time.Millisecond, 0, 0},
+		{"another table is away", true, 300 * time.Millisecond, 0, 0},
+		{"reset of one connection", false, 1500 * time.Millisecond, 0, 0},
+		{"store was away", false, gap, 0, recoveryGrace},
+		{"store was away, removal is learned later", false, gap, time.Second, recoveryGrace},
+		{"removal is learned after the grace period", false, gap, 3 * time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore(t)
+			c.node.ReplicaLease = 3600 * time.Millisecond
+			ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
+			StoreState{Table: "config", Unavailable: test.otherFailed}.apply(c, epoch)
+			StoreState{Table: "replicas", Unavailable: true}.apply(c, epoch)
+			back := epoch.Add(test.gap)
+			StoreState{Table: "replicas"}.apply(c, back)
+			for at := time.Duration(0); at < test.learnedAt; at += 500 * time.Millisecond {
+				ReplicasChanged{Version: 1, CurrentAt: back.Add(at)}.apply(c, back.Add(at))
+			}
+			learned := back.Add(test.learnedAt)
+			ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: learned}.apply(c, learned)
+			is.Equal(c.replicaList.Replica("r") != nil, test.keptUntil > 0)
+			if test.keptUntil > 0 {
+				c.tick(back.Add(test.keptUntil-time.Millisecond), 0)
+				is.True(c.replicaList.Replica("r") != nil)
+				c.tick(back.Add(test.keptUntil), 0)
+				is.True(c.replicaList.Replica("r") == nil)
+			}
+		})
+	}
+}
+
+// Guards against an instance that was cut off from the store and keeps a replica for the
+// grace period, although the holder of the order lease has seen the store remove it.
+func TestHolderConfirmsRemovalAfterGap(t *testing.T) {
+	is := is.New(t)
+	cut, holder := newTestCore(t), newTestCore(t)
+	for _, c := range []*core{cut, holder} {
+		ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 2), listedReplica("other", 3)}, Version: 3, CurrentAt: epoch}.apply(c, epoch)
+	}
+	for at := time.Duration(0); at < 10*time.Second; at += 500 * time.Millisecond {
+		ReplicasChanged{Version: 3, CurrentAt: epoch.Add(at)}.apply(holder, epoch.Add(at))
+	}
+	now := epoch.Add(10 * time.Second)
+	removal := ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 4}}, Version: 4, CurrentAt: now}
+	removal.apply(holder, now)
+	removal.apply(cut, now)
+	is.True(cut.replicaList.Replica("r") != nil) // the store can have been away
+	answer := make(chan PeerState, 1)
+	ownState{answer: answer}.apply(cut, now)
+	state := FleetState{Holder: "h", ListVersion: holder.replicaList.Version()}
+	state.List, state.ListIsWhole = holder.listSince((<-answer).ListVersion)
+	FleetSeen{State: state}.apply(cut, now)
+	is.True(cut.replicaList.Replica("r") == nil)
+	is.True(cut.replicaList.Replica("other") != nil)
+}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -53,7 +53,8 @@
 	Crashes map[uint64]int
 	// Suspects holds the instance's records of prompt parts that may crash replicas.
 	Suspects suspect.Report
-	// ListVersion is the version of the instance's list of replicas.
+	// ListVersion is the version up to which the instance has applied all changes of the
+	// list of replicas.
 	ListVersion rowstore.Version
 	// ConfigVersion is the version of the instance's config; 0 if it has none.
 	ConfigVersion int64
@@ -130,7 +131,7 @@
 }
 
 func (e ownState) apply(c *core, now time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.Version(), ConfigVersion: c.configVersion()}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.AppliedVersion(), ConfigVersion: c.configVersion()}
 }
 
 type servePeer struct {
