watch: give a slow store more time after repeated failed calls

Cause: a call that follows a failed one was limited to 0.8 s however often it had failed, so that a store that needs longer was never read again.

Change: the time for which an answer is awaited doubles after every second failed call, at most twice; the limit of the store's client applies as well.

Measured: no test of its own; go test -race ./watch passes.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -28,9 +28,12 @@
 	// detect connections that no longer respond, and the lease holder tells instances
 	// whose feed is behind.
 	longPollTimeout = 28 * time.Second
-	// maxAnswerTime limits the time that the answer to a feed call takes beyond the time
-	// for which the call waits for changes.
-	maxAnswerTime = 800 * time.Millisecond
+	// configAnswerTime is how long the answer to a call for the config is awaited beyond
+	// the time for which the call waits for changes.
+	configAnswerTime = 800 * time.Millisecond
+	// The time for which an answer is awaited doubles after every failuresPerDoubling
+	// failed calls, at most maxDoublings times.
+	failuresPerDoubling, maxDoublings = 2, 2
 	// minListWait is the shortest time for which a call for the list of replicas waits for
 	// changes.
 	minListWait = 100 * time.Millisecond
@@ -100,7 +103,7 @@
 	); err != nil {
 		return err
 	}
-	config := &feed{table: s.source.ConfigTable, wait: longPollTimeout, answerTime: maxAnswerTime, backoff: minRetryBackoff, handlePage: s.handleConfigRows}
+	config := &feed{table: s.source.ConfigTable, wait: longPollTimeout, answerTime: configAnswerTime, backoff: minRetryBackoff, handlePage: s.handleConfigRows}
 	list := &feed{table: s.source.ReplicaTable, wait: s.source.ListWait, answerTime: s.source.ListAnswerTime, backoff: minRetryBackoff, handlePage: s.handleReplicaRows}
 	s.group.Go(func(ctx context.Context) { s.follow(ctx, config) })
 	s.group.Go(func(ctx context.Context) { s.follow(ctx, list) })
@@ -249,10 +252,8 @@
 		p.Page, err = s.store.Read(ctx, f.table)
 		return p, err
 	}
-	answerTime := f.answerTime
-	if f.failures > 1 { // the store may be slow, rather than a single connection
-		answerTime = maxAnswerTime
-	}
+	// After several failures the store may be slow, rather than a connection silent.
+	answerTime := f.answerTime << min(f.failures/failuresPerDoubling, maxDoublings)
 	if f.recheck {
 		ctx, cancel := context.WithTimeout(ctx, answerTime)
 		defer cancel()
