--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -23,18 +23,15 @@
 // has relayed.
 type ConfigRelayed struct{ Value []byte }
 
-// RowsSeen reports the newest row version that was read from a table.
+// RowsSeen reports the newest row version that was read from a table, after the rows
+// themselves.
 type RowsSeen struct {
 	Table   string
 	Version rowstore.Version
 }
 
 func (e RowsSeen) apply(c *core, now time.Time) {
-	c.storeAnsweredAt = now
 	c.observeVersion(now, e.Version)
-	if e.Table == c.listTable {
-		c.listReadAt = now
-	}
 	c.tableVersions[e.Table] = max(c.tableVersions[e.Table], e.Version)
 	delete(c.behindSince, e.Table)
 }
@@ -67,10 +64,10 @@
 	}
 }
 
-// leaseCallAnswered records an answer from the store. After failed lease calls it
-// requests a new call of every feed, because pending calls may never be answered.
-func (c *core) leaseCallAnswered(now time.Time) {
-	c.storeAnsweredAt = now
+// leaseCallAnswered records an answered lease call, which tells nothing of the age of
+// other tables. After failed lease calls it requests a new call of every feed, because
+// pending calls may never be answered.
+func (c *core) leaseCallAnswered() {
 	c.metrics.Counter("store_calls", "table", leaseCalls, "result", "answered").Add(1)
 	if !c.leaseCallFailed {
 		return
@@ -81,36 +78,39 @@
 	}
 }
 
-// ReplicasRead reports a full read of the list of replicas.
+// ReplicasRead reports a full read of the list of replicas. CurrentAt is a time at which
+// it was current.
 type ReplicasRead struct {
-	Table   string
-	Entries []catalog.Entry
-	Version rowstore.Version
+	Table     string
+	Entries   []catalog.Entry
+	Version   rowstore.Version
+	CurrentAt time.Time
 }
 
 func (e ReplicasRead) apply(c *core, now time.Time) {
 	c.listTable = e.Table
+	c.recordOwnList(e.CurrentAt)
 	dropAt := c.graceAfterRestore(now, e.Version)
-	if dropAt.IsZero() && now.Sub(c.storeRecoveredAt) < recoveryGrace {
-		dropAt = c.storeRecoveredAt.Add(recoveryGrace)
+	if dropAt.IsZero() {
+		dropAt = c.graceAfterGap(now)
 	}
 	c.updateReplicas(now, c.replicaList.Replace(e.Entries, e.Version, dropAt), e.Entries)
 }
 
 // ReplicasChanged reports changed and removed rows of the list of replicas. A row can be
-// in both if it was removed and written again, or the other way round.
+// in both if it was removed and written again, or the other way round. CurrentAt is a
+// time at which the list was current.
 type ReplicasChanged struct {
-	Entries []catalog.Entry
-	Removed []catalog.Entry // with the versions of the removals
-	Version rowstore.Version
+	Entries   []catalog.Entry
+	Removed   []catalog.Entry // with the versions of the removals
+	Version   rowstore.Version
+	CurrentAt time.Time
 }
 
 func (e ReplicasChanged) apply(c *core, now time.Time) {
+	c.recordOwnList(e.CurrentAt)
 	c.updateReplicas(now, c.replicaList.Apply(e.Entries, e.Version), e.Entries)
-	var dropAt time.Time
-	if c.anyTableUnavailable() || now.Sub(c.storeRecoveredAt) < recoveryGrace {
-		dropAt = now.Add(recoveryGrace)
-	}
+	dropAt := c.graceAfterGap(now)
 	for _, r := range e.Removed {
 		if c.replicaList.Remove(r.ID, r.Version, dropAt) {
 			c.log.Info("replica dropped", "replica", r.ID, "reason", "entry removed", "version", r.Version)
@@ -169,33 +169,20 @@
 	}
 }
 
-// StoreState reports whether the store answers reads of a table.
+// StoreState reports whether the last call for a table was answered.
 type StoreState struct {
 	Table       string
 	Unavailable bool
 }
 
-func (e StoreState) apply(c *core, now time.Time) {
+func (e StoreState) apply(c *core, _ time.Time) {
 	if c.storeUnavailable[e.Table] == e.Unavailable {
 		return
 	}
 	c.storeUnavailable[e.Table] = e.Unavailable
-	if !e.Unavailable {
-		c.storeRecoveredAt = now
-	}
 	c.log.Info("store contact changed", "table", e.Table, "away", e.Unavailable)
 }
 
-// anyTableUnavailable reports whether the store fails to answer reads of some table.
-func (c *core) anyTableUnavailable() bool {
-	for _, unavailable := range c.storeUnavailable {
-		if unavailable {
-			return true
-		}
-	}
-	return false
-}
-
 // Stopping reports that the instance has begun to shut down. Until is when requests
 // whose answer has not begun are given up.
 type Stopping struct{ Until time.Time }
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -10,22 +10,32 @@
 
 const (
 	// listLifetimeShare is the fraction of the leave time for which a list of
-	// replicas from the holder counts as current. The rest of that time is left for
-	// this instance's own read. The store answers the holder every 650 ms, and the
-	// holder answers peers several times a second.
-	listLifetimeShare = 0.6
-	// The pause between two calls for the list batches changes, which come several times
-	// a second. It is a share of the leave time: holderPauseShare on the holder, whose
+	// replicas from the holder counts as current. It covers a call of the holder that is
+	// never answered. What is left of the leave time is for two own calls, one of them on
+	// a connection that has failed as well.
+	listLifetimeShare = listWaitShare + listAnswerShare
+	// listWaitShare and listAnswerShare are the fractions of the leave time that are the
+	// age of the list up to which a call for it waits for changes, and the time for which
+	// the answer is awaited beyond that. A slow store answers within 240 ms.
+	listWaitShare, listAnswerShare = 0.5, 0.2
+	// The pause from one call for the list to the next batches changes, which come several
+	// times a second. It is a share of the leave time: holderPauseShare on the holder, whose
 	// reads serve all instances, and storePauseShare on an instance without a holder. The
 	// holder's pause stays below maxFeedLag, so that its feed does not count as behind.
-	holderPauseShare, storePauseShare = 0.1, 0.2
+	holderPauseShare, storePauseShare = 0.125, 0.2
 	maxHolderPause                    = maxFeedLag - 50*time.Millisecond
-	// An instance that gets the list from the holder reads it only to check that the
-	// holder follows it. The time between two checks grows with the number of instances,
+	// An instance that gets the list from the holder, with its age, reads it only to check
+	// it. The time between two checks grows with the number of instances,
 	// so that their calls don't. It stays below the 20 s of changes that the store
 	// keeps, after which a check would read the whole table.
-	minCheckPause, maxCheckPause = 6 * time.Second, 15 * time.Second
+	minCheckPause, maxCheckPause = 12 * time.Second, 15 * time.Second
 	checkPausePerInstance        = 250 * time.Millisecond
+	// lapseGapShare is the fraction of ReplicaLease for which the store must be away before
+	// it can drop the entry of a healthy replica: two of three heartbeats have failed, and
+	// the third one is late.
+	lapseGapShare = 2.0 / 3
+	// defaultReplicaLease is used if the deployment sets no heartbeat interval.
+	defaultReplicaLease = 3600 * time.Millisecond
 	// defaultLeaveTime is used if the deployment sets no leave time, the time within
 	// which instances must stop sending requests to a leaving replica.
 	defaultLeaveTime = 2 * time.Second
@@ -36,6 +46,13 @@
 	return time.Duration(listLifetimeShare * float64(leaveTime(c.node.Bounds)))
 }
 
+// ListCallLimits returns the age of the list of replicas up to which a call for it waits
+// for changes, and for how long the answer is awaited beyond that.
+func ListCallLimits(b nodeconfig.Bounds) (wait, answer time.Duration) {
+	leave := float64(leaveTime(b))
+	return time.Duration(listWaitShare * leave), time.Duration(listAnswerShare * leave)
+}
+
 // leaveTime returns the time within which instances must stop sending requests to a
 // leaving replica.
 func leaveTime(b nodeconfig.Bounds) time.Duration {
@@ -102,6 +119,9 @@
 		return
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
+	currentAt := now.Add(-state.ListAge)
+	c.checkListGap(currentAt)
+	c.holderListAt = currentAt
 	var changed []string
 	if state.ListIsWhole {
 		changed = c.replicaList.Replace(state.List, state.ListVersion, c.graceAfterRestore(now, state.ListVersion))
@@ -112,10 +132,50 @@
 	if c.listTable != "" {
 		c.tableVersions[c.listTable] = max(c.tableVersions[c.listTable], state.TableVersions[c.listTable])
 	}
-	c.holderListAt = now.Add(-state.StoreAge)
 	c.updateListSource(now)
 }
 
+// listCurrentAt returns the latest time at which the list of replicas is known to have
+// been current, or the zero time.
+func (c *core) listCurrentAt() time.Time {
+	if c.listReadAt.After(c.holderListAt) {
+		return c.listReadAt
+	}
+	return c.holderListAt
+}
+
+// recordOwnList records an answered call for the list, which was current at a time.
+func (c *core) recordOwnList(currentAt time.Time) {
+	c.checkListGap(currentAt)
+	c.listReadAt = currentAt
+}
+
+// checkListGap starts the grace period for lapsed entries if the list is current at a time
+// after a gap in which the entries of healthy replicas can have lapsed. The gap is one of
+// the list alone: calls for other tables that fail or succeed tell nothing of it.
+func (c *core) checkListGap(currentAt time.Time) {
+	before := c.listCurrentAt()
+	lease := c.node.ReplicaLease
+	if lease <= 0 {
+		lease = defaultReplicaLease
+	}
+	gap := currentAt.Sub(before)
+	if before.IsZero() || gap < time.Duration(lapseGapShare*float64(lease)) {
+		return
+	}
+	c.listGraceUntil = currentAt.Add(recoveryGrace)
+	c.log.Info("list of replicas is current again", "gap", gap)
+}
+
+// graceAfterGap returns the time until which replicas are kept whose entries were removed,
+// or the zero time if they are dropped at once.
+func (c *core) graceAfterGap(now time.Time) time.Time {
+	if now.Before(c.listGraceUntil) {
+		return c.listGraceUntil
+	}
+	return time.Time{}
+}
+
 // graceAfterRestore returns the time until which replicas are kept that a list lacks, or
 // the zero time if they are dropped at once. The first list of an era lacks replicas that
 // have joined since the copy was made; each of them writes its entry again.
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -53,7 +53,8 @@
 	Crashes map[uint64]int
 	// Suspects holds the instance's records of prompt parts that may crash replicas.
 	Suspects suspect.Report
-	// ListVersion is the version of the instance's list of replicas.
+	// ListVersion is the version up to which the instance has applied all changes of the
+	// list of replicas.
 	ListVersion rowstore.Version
 	// ConfigVersion is the version of the instance's config; 0 if it has none.
 	ConfigVersion int64
@@ -109,8 +110,8 @@
 	// Config is the row of the holder's config if it is newer than the peer's. A restored
 	// store shows an older one until the operator writes it again.
 	Config []byte
-	// StoreAge is the time since the store last answered the holder.
-	StoreAge time.Duration
+	// ListAge is the time since the holder's list was current.
+	ListAge time.Duration
 }
 
 // peerState is the part of a peer's last state that is kept.
@@ -130,7 +131,7 @@
 }
 
 func (e ownState) apply(c *core, now time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.Version(), ConfigVersion: c.configVersion()}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.AppliedVersion(), ConfigVersion: c.configVersion()}
 }
 
 type servePeer struct {
@@ -175,7 +176,7 @@
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
-		state.StoreAge = now.Sub(c.storeAnsweredAt)
+		state.ListAge = now.Sub(c.listCurrentAt())
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
 			state.Config = c.configValue
 		}
