controlplane: bound the age of the evidence for the config

Cause: a change of the config came only with the answer to one waiting call of the feed. If the store had lost track of that call, or its connection was silent for good, all instances served the old config for up to 28 s.

Change: each instance knows when its config was last known to be the newest one, from answers about the row of the config only. The holder of the order lease writes the lease on the condition that this row is unchanged; a rejected write brings the new row, keeps the lease and is repeated at once without the condition. The holder tells its peers the age of its evidence. An instance whose evidence is too old reads the row over a new connection, and again after 0.3 s without an answer. A feed that misses a version found in this way gets a new call.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -188,7 +188,14 @@
 		return
 	}
 	conditions := []rowstore.Condition{{Table: leaseTable, Key: leaseKey, Version: e.Write.Version}}
+	if e.Config != nil {
+		conditions = append(conditions, rowstore.Condition{Table: e.Config.Table, Key: e.Config.Key, Version: e.Config.Version})
+	}
 	version, err := s.store.Write(ctx, conditions, []rowstore.Row{{Table: leaseTable, Key: leaseKey, Value: value}})
+	if row, ok := changedConfig(e, err); ok {
+		s.control.Post(controlplane.LeaseRejected{Config: row})
+		return
+	}
 	if err != nil {
 		s.control.Post(controlplane.LeaseFailed{Conflict: errors.Is(err, rowstore.ErrConflict), Err: err})
 		return
@@ -196,6 +203,17 @@
 	s.control.Post(controlplane.LeaseWritten{Version: version})
 }
 
+// changedConfig returns the row of the config if it is the only reason why a write of the
+// lease was rejected.
+func changedConfig(e controlplane.AccessLease, err error) (rowstore.Row, bool) {
+	var conflict *rowstore.ConflictError
+	if e.Config == nil || !errors.As(err, &conflict) || conflict.Row(leaseTable, leaseKey).Version != e.Write.Version {
+		return rowstore.Row{}, false
+	}
+	row := conflict.Row(e.Config.Table, e.Config.Key)
+	return row, row.Version != e.Config.Version
+}
+
 func (s *Service) readLease(ctx context.Context) {
 	page, err := s.store.Read(ctx, leaseTable)
 	if err != nil {
--- a/actuator/actuator_test.go
+++ b/actuator/actuator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,7 +18,9 @@
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/residency"
+	"github.com/hyssophaven/hyssophaven/rowstore"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -66,3 +69,49 @@
 		})
 	}
 }
+
+// Guards against a lease that is given up because only the config has changed, and against
+// a lost lease that is taken for a change of the config.
+func TestRejectedWriteOfLease(t *testing.T) {
+	version := func(n uint64) rowstore.Version { return rowstore.NewVersion(1, n) }
+	lease := func(n uint64) rowstore.Row {
+		return rowstore.Row{Table: leaseTable, Key: leaseKey, Version: version(n)}
+	}
+	config := func(n uint64) rowstore.Row {
+		return rowstore.Row{Table: "config", Key: "key", Version: version(n)}
+	}
+	write := controlplane.AccessLease{Action: leader.WriteLease, Write: leader.Write{Version: version(3)}, Config: &controlplane.ConfigRow{Table: "config", Key: "key", Version: version(2)}}
+	first := write
+	first.Write.Version = version(0)
+	unconditional := write
+	unconditional.Config = nil
+	conflict := func(rows ...rowstore.Row) error {
+		return fmt.Errorf("write: %w", &rowstore.ConflictError{Rows: rows, Version: version(9)})
+	}
+	for name, test := range map[string]struct {
+		access controlplane.AccessLease
+		err    error
+		want   bool
+		row    rowstore.Version
+	}{
+		"config changed":              {write, conflict(lease(3), config(8)), true, version(8)},
+		"config removed":              {write, conflict(lease(3)), true, version(0)},
+		"config changed, first lease": {first, conflict(config(8)), true, version(8)},
+		"lease written":               {write, conflict(lease(7), config(2)), false, 0},
+		"both changed":                {write, conflict(lease(7), config(8)), false, 0},
+		"lease removed":               {write, conflict(config(8)), false, 0},
+		"no condition":                {unconditional, conflict(lease(3), config(8)), false, 0},
+		"rows unknown":                {write, rowstore.ErrConflict, false, 0},
+		"no answer":                   {write, rowstore.ErrUnknownOutcome, false, 0},
+		"confirmed":                   {write, nil, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			row, ok := changedConfig(test.access, test.err)
+			is.Equal(ok, test.want)
+			if ok {
+				is.Equal(row.Version, test.row)
+			}
+		})
+	}
+}
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -41,6 +41,7 @@
 
 	config            *catalog.Config
 	configValue       []byte           // row of the config
+	configState       configState      // what is known about the row
 	replacedLimits    []replacedLimits // limits that callers may still go by, oldest first
 	replicaList       *catalog.ReplicaList
 	dispatch          *dispatch.State
@@ -117,6 +118,7 @@
 	c.updateSuspects(now)
 	c.updateOrderAvailability(now, boot)
 	c.updateListSource(now)
+	c.checkConfig(now)
 	c.directAdapterRequests(now, boot)
 	c.expireAdapterWaiters(now)
 	c.expireModelWaiters(now)
@@ -139,6 +141,7 @@
 		ordering = 1
 	}
 	c.metrics.Gauge("list_age").Set(age)
+	c.metrics.Gauge("config_age").Set(c.configState.age(now).Milliseconds())
 	c.metrics.Gauge("config_version").Set(c.configVersion())
 	c.metrics.Gauge("ordering").Set(ordering)
 	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -10,23 +10,12 @@
 	"github.com/hyssophaven/hyssophaven/rowstore"
 )
 
-// ConfigSeen reports a config that was read from the store or relayed by the holder of
-// the order lease. Value is its row.
-type ConfigSeen struct {
-	Config *catalog.Config
-	Value  []byte
-}
-
-func (e ConfigSeen) apply(c *core, now time.Time) { c.adoptConfig(now, e.Config, e.Value) }
-
-// ConfigRelayed is published to have a config decoded that the holder of the order lease
-// has relayed.
-type ConfigRelayed struct{ Value []byte }
-
-// RowsSeen reports the newest row version that was read from a table.
+// RowsSeen reports the newest row version that was read from a table. SentAt is when the
+// read or the call of the feed was sent.
 type RowsSeen struct {
 	Table   string
 	Version rowstore.Version
+	SentAt  time.Time
 }
 
 func (e RowsSeen) apply(c *core, now time.Time) {
@@ -37,6 +26,9 @@
 	}
 	c.tableVersions[e.Table] = max(c.tableVersions[e.Table], e.Version)
 	delete(c.behindSince, e.Table)
+	if e.Table == c.configState.row.Table {
+		c.configState.confirm(c.configState.row.Version, e.SentAt)
+	}
 }
 
 // FeedBehind is published to replace the pending call of a table's feed with a new
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -37,14 +37,14 @@
 type AccessLease struct {
 	Action leader.Action
 	Write  leader.Write
+	// Config, if not nil, is a row that a write requires to be unchanged.
+	Config *ConfigRow
 }
 
 // tickLeader renews or acquires the order lease. While this instance may send
 // orders, it also runs the load planner every planInterval.
 func (c *core) tickLeader(now time.Time, boot bootclock.Time) {
-	if a := c.leader.Tick(boot); a != leader.None {
-		c.publishEvent(AccessLease{Action: a, Write: c.leader.NextWrite()})
-	}
+	c.accessLease(now, boot)
 	_, ok := c.leader.OrderUntil(boot)
 	if ok != c.canOrder {
 		c.canOrder = ok
@@ -74,6 +74,20 @@
 	}
 }
 
+// accessLease publishes the call to the store that is due for the lease. A write that does
+// not release it also checks that the config has not changed.
+func (c *core) accessLease(now time.Time, boot bootclock.Time) {
+	a := c.leader.Tick(boot)
+	if a == leader.None {
+		return
+	}
+	access := AccessLease{Action: a, Write: c.leader.NextWrite()}
+	if a == leader.WriteLease && !access.Write.Lease.Released {
+		access.Config = c.configState.startLeaseWrite(now, access.Write.Version)
+	}
+	c.publishEvent(access)
+}
+
 // maxHolderSilence returns how long the holder of the order lease can be silent
 // before it is no longer counted as able to load adapters: two missed answers.
 func (c *core) maxHolderSilence() time.Duration { return 2*c.stateInterval + maxAnswerTime }
@@ -205,6 +219,7 @@
 	before := c.leader.Row()
 	c.observeVersion(now, e.Version)
 	c.leader.RecordWritten(bootclock.Now(), e.Version)
+	c.configState.endLeaseWrite(e.Version)
 	c.leaseCallAnswered(now)
 	c.announceHolder(before)
 	c.directAdapterRequests(now, bootclock.Now())
@@ -218,6 +233,7 @@
 }
 
 func (e LeaseFailed) apply(c *core, _ time.Time) {
+	c.configState.leaseWrite = conditionalWrite{}
 	result := "failed"
 	if e.Conflict {
 		result = "conflict"
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -109,6 +109,10 @@
 	// Config is the row of the holder's config if it is newer than the peer's. A restored
 	// store shows an older one until the operator writes it again.
 	Config []byte
+	// ConfigVersion is the version of the holder's config, and ConfigAge the time since it
+	// was last known to be the newest one; negative if the holder does not tell.
+	ConfigVersion int64
+	ConfigAge     time.Duration
 	// StoreAge is the time since the store last answered the holder.
 	StoreAge time.Duration
 }
@@ -165,7 +169,7 @@
 	state := FleetState{
 		Loads: c.fleet.loadsWithout(peer.Loads), Crashes: c.fleet.crashesWithout(peer.Crashes),
 		TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Interval: stateInterval(len(c.peers), c.node.AvoidLease()),
-		Instances: len(c.peers) + 1,
+		Instances: len(c.peers) + 1, ConfigAge: -1,
 	}
 	row := c.leader.Row()
 	if c.leader.Held() {
@@ -176,6 +180,7 @@
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
 		state.StoreAge = now.Sub(c.storeAnsweredAt)
+		state.ConfigVersion, state.ConfigAge = c.configVersion(), c.configState.age(now)
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
 			state.Config = c.configValue
 		}
@@ -362,8 +367,11 @@
 	}
 }
 
-// FleetSeen delivers the answer to a PeerState of this instance.
-type FleetSeen struct{ State FleetState }
+// FleetSeen delivers the answer to a PeerState that this instance sent at SentAt.
+type FleetSeen struct {
+	State  FleetState
+	SentAt time.Time
+}
 
 func (e FleetSeen) apply(c *core, now time.Time) {
 	c.leader.RecordContact(bootclock.Now(), e.State.Holder, e.State.Epoch, e.State.LeaseVersion)
@@ -379,9 +387,7 @@
 			c.logPartChanges(c.dispatch.Suspects().Adopt(now, *e.State.Suspects), e.State.Holder)
 		}
 	}
-	if len(e.State.Config) > 0 {
-		c.publishEvent(ConfigRelayed{Value: e.State.Config})
-	}
+	c.adoptHolderConfig(e.State, e.SentAt)
 	c.adoptHolderList(now, e.State)
 	c.checkFeedLag(now, e.State.TableVersions)
 	c.setPeerLoads(now, e.State.Loads)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -361,6 +361,14 @@
 	return s.rowSince.Add(Term + s.options.HandoverGap + handoverMargin)
 }
 
+// RecordRejected records that the store rejected a write for a reason that does not
+// concern the lease. The next Tick repeats the write.
+func (s *State) RecordRejected(now bootclock.Time) {
+	s.pending = false
+	s.recordAnswer(now)
+	s.renewAt = now
+}
+
 // RecordFailure records that the last read or write failed, perhaps after it took
 // effect. conflict is true if the row had another version than a write required; the
 // lease is then read before the next write. Other failed calls are retried.
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -127,6 +127,8 @@
 	case callResult == "lost":
 		c.store.putIfVersion(next)
 		i.state.RecordFailure(i.now(t), false)
+	case callResult == "rejected" && c.store.row.Version.Counter() == next.Version.Counter():
+		i.state.RecordRejected(i.now(t))
 	case c.store.putIfVersion(next):
 		i.state.RecordWritten(i.now(t), c.store.row.Version)
 	default:
@@ -158,7 +160,7 @@
 }
 
 // Guards against two holders whose orders are less than Options.HandoverGap apart when
-// calls to the store are lost or delayed and instances are suspended or
+// calls to the store are lost, delayed or rejected and instances are suspended or
 // partitioned.
 func TestOrdersOfHoldersKeepHandoverGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newCluster(3).run(t, 19) })
@@ -183,7 +185,7 @@
 			}
 			c.store.delayedWrites = nil
 		case 3:
-			c.tick(now, k, rapid.SampledFrom([]string{"late", "lost"}).Draw(t, "fate"))
+			c.tick(now, k, rapid.SampledFrom([]string{"late", "lost", "rejected"}).Draw(t, "fate"))
 		case 20:
 			c.store.copy()
 		case 21:
@@ -347,3 +349,29 @@
 		is.Equal(s.HolderExpected(now), now < bootclock.Time(maxHolderUnknown)+1)
 	}
 }
+
+// Guards against a holder that gives up the lease, or extends its term, when the store
+// rejects a renewal for a reason that does not concern the lease, and against one that
+// does not repeat the renewal at once.
+func TestRejectedRenewalIsRepeated(t *testing.T) {
+	is := is.New(t)
+	s := New("a", "a:1", 1, Options{FirstStart: true})
+	now := bootclock.Time(time.Second)
+	is.Equal(s.Tick(now), ReadLease)
+	s.RecordRead(now, Row{})
+	is.Equal(s.Tick(now), WriteLease)
+	s.RecordRejected(now) // the acquisition
+	is.Equal(s.Tick(now), WriteLease)
+	s.RecordWritten(now, 1)
+	until, ok := s.OrderUntil(now)
+	is.True(ok)
+	now = now.Add(renewInterval)
+	is.Equal(s.Tick(now), WriteLease)
+	renewal := s.NextWrite()
+	s.RecordRejected(now)
+	is.Equal(s.Tick(now), WriteLease)
+	is.Equal(s.NextWrite(), renewal)
+	stillUntil, ok := s.OrderUntil(now)
+	is.True(ok)
+	is.Equal(stillUntil, until)
+}
--- a/nodeconfig/contradictions.go
+++ b/nodeconfig/contradictions.go
@@ -45,8 +45,8 @@
 	// lease holder's list of replicas stale, one tick, and its own read of the store.
 	leaveReactionTime = 1500 * time.Millisecond
 	// configReactionTime is the time within which a change of the config is in force
-	// while the feed is silent: the interval of two state messages of peers, 0.3 s
-	// until the feed is considered behind, and a read of the store.
+	// while the feed is silent: 0.5 s until an instance reads the config, one tick, two
+	// reads of 0.3 s, and a margin.
 	configReactionTime = 1500 * time.Millisecond
 	// orderTimeout is the time after which an unanswered order counts as lost. The
 	// orders of two successive lease holders must be further apart.
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -113,6 +113,8 @@
 	ListEra         uint64                           `json:"list_era,omitempty"`
 	Config          []byte                           `json:"config,omitempty"`
 	StoreAge        int64                            `json:"store_age"`
+	ConfigVersion   int64                            `json:"config_version,omitempty"`
+	ConfigAge       *int64                           `json:"config_age,omitempty"` // instances of earlier versions send none
 }
 
 // mapValues returns a map with translate applied to every value, or nil for an empty
@@ -250,7 +252,11 @@
 		Holder: s.Holder, Epoch: s.Epoch, LeaseVersion: s.LeaseVersion.Counter(), LeaseEra: s.LeaseVersion.Era(), TimeUntilOrders: s.TimeUntilOrders.Milliseconds(), ReleasedBy: s.ReleasedBy, Interval: s.Interval.Milliseconds(), Instances: s.Instances,
 		Loads: mapValues(s.Loads, encodeLoad), TableVersions: counters, TableEras: eras, LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeDecisions(s.Suspects),
 		ModelChanges: mapValues(s.ModelChanges, time.Duration.Milliseconds), UnloadingModels: s.UnloadingModels, FullReplicas: s.FullReplicas,
-		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListIsWhole: s.ListIsWhole, ListVersion: s.ListVersion.Counter(), ListEra: s.ListVersion.Era(), Config: s.Config, StoreAge: s.StoreAge.Milliseconds(),
+		ModelArrivals: mapValues(s.ModelArrivals, time.Duration.Milliseconds), ListIsWhole: s.ListIsWhole, ListVersion: s.ListVersion.Counter(), ListEra: s.ListVersion.Era(), Config: s.Config, StoreAge: s.StoreAge.Milliseconds(), ConfigVersion: s.ConfigVersion,
+	}
+	if s.ConfigAge >= 0 {
+		age := s.ConfigAge.Milliseconds()
+		m.ConfigAge = &age
 	}
 	for _, e := range s.List {
 		m.List = append(m.List, encodeEntry(e))
@@ -263,7 +269,10 @@
 		Holder: m.Holder, Epoch: m.Epoch, LeaseVersion: rowstore.NewVersion(m.LeaseEra, m.LeaseVersion), TimeUntilOrders: fromMilliseconds(m.TimeUntilOrders), ReleasedBy: m.ReleasedBy, Interval: fromMilliseconds(m.Interval), Instances: m.Instances,
 		Loads: mapValues(m.Loads, decodeLoad), TableVersions: decodeVersions(m.TableVersions, m.TableEras), LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeDecisions(m.Suspects),
 		ModelChanges: mapValues(m.ModelChanges, fromMilliseconds), UnloadingModels: m.UnloadingModels, FullReplicas: m.FullReplicas,
-		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListIsWhole: m.ListIsWhole, ListVersion: rowstore.NewVersion(m.ListEra, m.ListVersion), Config: m.Config, StoreAge: fromMilliseconds(m.StoreAge),
+		ModelArrivals: mapValues(m.ModelArrivals, fromMilliseconds), ListIsWhole: m.ListIsWhole, ListVersion: rowstore.NewVersion(m.ListEra, m.ListVersion), Config: m.Config, StoreAge: fromMilliseconds(m.StoreAge), ConfigVersion: m.ConfigVersion, ConfigAge: -1,
+	}
+	if m.ConfigAge != nil {
+		s.ConfigAge = fromMilliseconds(*m.ConfigAge)
 	}
 	for _, e := range m.List {
 		s.List = append(s.List, decodeEntry(e))
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -256,7 +256,7 @@
 	if called {
 		fleet := decodeFleet(answer)
 		s.stateInterval = fleet.Interval
-		s.control.Post(controlplane.FleetSeen{State: fleet})
+		s.control.Post(controlplane.FleetSeen{State: fleet, SentAt: s.lastSentAt})
 	}
 }
 
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -28,6 +28,29 @@
 	ErrCompacted = errors.New("rowstore: history compacted")
 )
 
+// ConflictError is an ErrConflict with the rows that the conditions name.
+type ConflictError struct {
+	Rows    []Row   // the current ones; rows that do not exist may be missing
+	Version Version // of the store
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Row returns a row of the conditions. If it does not exist, the counter of its version
+// is 0.
+func (e *ConflictError) Row(table, key string) Row {
+	for _, r := range e.Rows {
+		if r.Table == table && r.Key == key {
+			return r
+		}
+	}
+	return Row{Table: table, Key: key, Version: NewVersion(e.Version.Era(), 0)}
+}
+
 // Row is one row of a table.
 type Row struct {
 	Table, Key string
@@ -60,12 +83,17 @@
 	// Read returns all rows of a table. A large table is read in several calls, so the
 	// rows need not be a snapshot: Feed after the page's version returns newer changes.
 	Read(ctx context.Context, table string) (Page, error)
+	// ReadRow returns one row. If it does not exist, the counter of its version is 0. The
+	// call uses a connection of its own, so it can be answered although the other
+	// connections are silent.
+	ReadRow(ctx context.Context, table, key string) (Row, error)
 	// Feed returns the rows that changed after the given version. It blocks until
 	// a row has changed, and returns an empty page once wait has passed. If the page is
 	// of a later era than after, changes are missing from it: the table must be read
 	// again.
 	Feed(ctx context.Context, table string, after Version, wait time.Duration) (Page, error)
 	// Write stores all rows in one transaction if all conditions hold, and returns
-	// the version of the rows.
+	// the version of the rows. If a condition does not hold, the error is a ConflictError
+	// where the store reports the rows.
 	Write(ctx context.Context, conditions []Condition, rows []Row) (Version, error)
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -91,6 +91,7 @@
 		kernel.Subscribe(k.Bus(), "watch.behind", s.handleFeedBehind),
 		kernel.Subscribe(k.Bus(), "watch.list", s.handleListSourceChanged),
 		kernel.Subscribe(k.Bus(), "watch.config", s.handleConfigRelayed),
+		worker.Subscribe(s.group, k.Bus(), "watch.check", s.checkConfig),
 	); err != nil {
 		return err
 	}
@@ -134,6 +135,7 @@
 	backoff := minRetryBackoff
 	recheck := false
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		page, wholeTable, err := s.fetchPage(ctx, table, version, haveTable, recheck)
 		recheck = errors.Is(err, errRecheckRequested)
 		if recheck {
@@ -167,7 +169,7 @@
 			continue
 		}
 		handlePage(page, wholeTable)
-		s.control.Post(controlplane.RowsSeen{Table: table, Version: newestVersion(page)})
+		s.control.Post(controlplane.RowsSeen{Table: table, Version: newestVersion(page), SentAt: sentAt})
 		version, haveTable = page.Version, true
 		if table == s.source.ReplicaTable {
 			recheck = s.waitListPause(ctx, table)
@@ -247,30 +249,6 @@
 	}
 }
 
-func (s *Service) handleConfigRows(page rowstore.Page, _ bool) {
-	for _, row := range page.Rows {
-		if row.Key != s.source.ConfigKey || row.Removed {
-			continue
-		}
-		s.postConfig(row.Value, "row_version", row.Version)
-	}
-}
-
-// handleConfigRelayed decodes a config that the holder of the order lease has relayed.
-func (s *Service) handleConfigRelayed(_ context.Context, e controlplane.ConfigRelayed) {
-	s.postConfig(e.Value, "source", "holder")
-}
-
-// postConfig decodes a config and posts it. The origin is logged if that fails.
-func (s *Service) postConfig(value []byte, origin ...any) {
-	config, err := s.source.DecodeConfig(value)
-	if err != nil {
-		s.log.Error("cannot decode config", append(origin, "error", err)...)
-		return
-	}
-	s.control.Post(controlplane.ConfigSeen{Config: config, Value: value})
-}
-
 func (s *Service) handleReplicaRows(page rowstore.Page, wholeTable bool) {
 	var entries []catalog.Entry
 	var removed []catalog.Entry
