--- a/peering/peering.go
+++ b/peering/peering.go
@@ -258,7 +258,7 @@
 		fleet := decodeFleet(answer)
 		fleet.ListAge += time.Since(askedAt) // an answer can be delayed by any part of that time
 		s.stateInterval = fleet.Interval
-		s.control.Post(controlplane.FleetSeen{State: fleet})
+		s.control.Post(controlplane.FleetSeen{State: fleet, SentAt: s.lastSentAt})
 	}
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -100,6 +100,7 @@
 		kernel.Subscribe(k.Bus(), "watch.behind", s.handleFeedBehind),
 		kernel.Subscribe(k.Bus(), "watch.list", s.handleListSourceChanged),
 		kernel.Subscribe(k.Bus(), "watch.config", s.handleConfigRelayed),
+		worker.Subscribe(s.group, k.Bus(), "watch.check", s.checkConfig),
 	); err != nil {
 		return err
 	}
@@ -186,7 +187,7 @@
 			continue
 		}
 		f.handlePage(p)
-		s.control.Post(controlplane.RowsSeen{Table: f.table, Version: newestVersion(p.Page)})
+		s.control.Post(controlplane.RowsSeen{Table: f.table, Version: newestVersion(p.Page), SentAt: p.askedAt})
 		f.version, f.haveTable = p.Version, true
 		if f.table == s.source.ReplicaTable {
 			f.recheck = s.waitListPause(ctx, p.askedAt)
@@ -293,30 +294,6 @@
 	}
 }
 
-func (s *Service) handleConfigRows(p page) {
-	for _, row := range p.Rows {
-		if row.Key != s.source.ConfigKey || row.Removed {
-			continue
-		}
-		s.postConfig(row.Value, "row_version", row.Version)
-	}
-}
-
-// handleConfigRelayed decodes a config that the holder of the order lease has relayed.
-func (s *Service) handleConfigRelayed(_ context.Context, e controlplane.ConfigRelayed) {
-	s.postConfig(e.Value, "source", "holder")
-}
-
-// postConfig decodes a config and posts it. The origin is logged if that fails.
-func (s *Service) postConfig(value []byte, origin ...any) {
-	config, err := s.source.DecodeConfig(value)
-	if err != nil {
-		s.log.Error("cannot decode config", append(origin, "error", err)...)
-		return
-	}
-	s.control.Post(controlplane.ConfigSeen{Config: config, Value: value})
-}
-
 func (s *Service) handleReplicaRows(p page) {
 	var entries []catalog.Entry
 	var removed []catalog.Entry
