leader: keep the lease while an order can still arrive

Cause: a holder that stopped released the lease at once. An order without an answer can arrive later, by resends of TCP, and the successor counts its wait from the release. The term of a killed holder did not cover such an order either: it could order until the end of the term, and the successor orders HandoverGap + 0.2 s after that.

Change: the leader counts the orders without an outcome and remembers when the last one of unknown fate can have arrived (2 s, a term, after it was given up). A stopping holder releases the lease at once if all orders are answered or were not sent; else the lease runs out. A holder orders for 1.3 s after a renewal instead of 2 s, and the successor of a lease that ran out waits until 1.3 + 2 + 3 = 6.3 s after the last renewal (before: 5.2 s), so that it covers the last order with any delay of up to a term. A holder that has not waited for its predecessor's orders yet doesn't release the lease before they can have arrived. A renewal that was in flight at the stop no longer prevents the release. The record is unchanged: an older successor waits for the end of the term where the lease is not released.

Reports are requested once per epoch, since the order window can lapse and come back within one.

TestTermStartsAtLastRenewal had Term + gap + 0.2 s as its bound; it is now the new wait, as exact as before.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -49,6 +49,7 @@
 	plannedAt         time.Time
 	modelsLoggedAt    time.Time
 	canOrder          bool          // this instance may send orders
+	planEpoch         uint64        // epoch of the order lease for which plan has started a term
 	holderSeenAt      time.Time     // last answer from another instance that holds the lease
 	suspectsDecidedAt time.Time     // last decision on prompt parts by this instance
 	storedBlocks      string        // parts and failures of the blocks in the store
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -49,7 +49,9 @@
 	if ok != c.canOrder {
 		c.canOrder = ok
 		c.log.Info("order lease", "ordering", ok, "holder", c.leader.Row().Holder, "epoch", c.leader.Epoch(), "version", c.leader.Row().Version)
-		if ok {
+		// In one epoch, no other instance has ordered meanwhile.
+		if epoch := c.leader.Epoch(); ok && epoch != c.planEpoch {
+			c.planEpoch = epoch
 			c.executeActions(now, c.plan.StartTerm(now))
 		}
 	}
@@ -141,6 +143,7 @@
 		c.executeActions(now, c.plan.HandleOutcome(now, o, residency.Unsent))
 		return
 	}
+	c.leader.RecordOrderSent()
 	c.publishEvent(SendOrder{Order: o, Holder: c.node.ID, Epoch: c.leader.Epoch(), Until: until})
 }
 
@@ -154,6 +157,7 @@
 
 func (e OrderAnswered) apply(c *core, now time.Time) {
 	o := e.Order
+	c.leader.RecordOrderOutcome(bootclock.Now(), e.Outcome != residency.Unknown)
 	c.metrics.Counter("orders", "operation", operationName(o), "outcome", e.Outcome.String()).Add(1)
 	c.metrics.Histogram("order_time", "operation", operationName(o)).Observe(e.Elapsed)
 	c.log.Info("order answered", "replica", o.Replica, "operation", operationName(o), "model", o.Model, "adapter", o.Adapter,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -3,12 +3,15 @@
 // I/O and reads no clock. Package lease, by contrast, assigns many shards to the
 // instances of the serve program, each with a lease of its own.
 //
-// Invariant: the orders of two holders are at least Options.HandoverGap apart. A
-// holder stops ordering one Term after it sent its last confirmed renewal. A
-// successor acquires the lease only after it was released or has stayed unchanged
-// for one Term, and sends its first order at least Options.HandoverGap after that.
-// All times are readings of the local boot clock, which advances while the machine
-// is suspended.
+// Invariant: the orders of two holders arrive at a replica at least Options.HandoverGap
+// apart. A holder stops ordering orderWindow after it sent its last confirmed renewal,
+// and an order arrives within maxOrderDelay of its sending or not at all. A successor
+// acquires the lease only after it was released or has stayed unchanged for one Term. It
+// sends its first order at least Options.HandoverGap after the last order can have
+// arrived. A holder that stops releases the lease only once each of its orders and of
+// those before it is answered, was not sent, or can't arrive any more; else the lease runs
+// out. All times are readings of the local boot clock, which advances while the machine is
+// suspended.
 //
 // A restore of the store from a copy begins a new era, in which the row of the lease is
 // lost or old. Each record therefore contains the era in which it was written; a record
@@ -26,13 +29,13 @@
 )
 
 const (
-	// Term is the time for which a holder can order after it sent a renewal. It
-	// covers three renewals if the store answers in 0.25 s, 60 times the usual time.
+	// Term is the time after which a lease that is not renewed is free. It covers three
+	// renewals if the store answers in 0.25 s, 60 times the usual time.
 	Term = 2 * time.Second
 	// renewInterval is the time between renewals. Two renewals can fail within a
 	// Term without loss of the lease.
 	renewInterval = 650 * time.Millisecond
-	// handoverMargin is added to Options.HandoverGap to cover orders in transit.
+	// handoverMargin is added to Options.HandoverGap after a release.
 	handoverMargin = 200 * time.Millisecond
 	// The lease is read after missedAnswers answers of the holder are overdue, but
 	// not before minContactTimeout without contact.
@@ -80,6 +83,7 @@
 	held      bool
 	heldUntil bootclock.Time // end of the last term
 	orderFrom bootclock.Time // earliest time of an order
+	orders    orderFates
 	// handoverDone is HandoverDone of the last confirmed write.
 	handoverDone bool
 	renewAt      bootclock.Time // when the next renewal is due
@@ -139,15 +143,6 @@
 	}
 }
 
-// OrderUntil returns the time before which this instance may send orders. If ok
-// is false, it must send none.
-func (s *State) OrderUntil(now bootclock.Time) (until bootclock.Time, ok bool) {
-	if !s.held || s.stopping || now < s.orderFrom || now >= s.heldUntil {
-		return 0, false
-	}
-	return s.heldUntil, true
-}
-
 // RecordContact records a message from the holder, which contains the version that
 // the holder wrote last. A successor counts the term from the time at which it
 // first received that version.
@@ -172,23 +167,10 @@
 	}
 }
 
-// TimeUntilOrders returns an estimate of the time until some instance can order. It
-// is 0 if one can order now or nothing is known.
-func (s *State) TimeUntilOrders(now bootclock.Time) time.Duration {
-	switch {
-	case s.held && now >= s.heldUntil:
-		return renewInterval // the store has confirmed no renewal for a term
-	case s.held:
-		return max(0, s.orderFrom.Sub(now))
-	case !s.rowKnown, s.neverHeld(), s.resumesLease(), s.row.current() && now.Sub(s.lastContact) < s.contactTimeout:
-		return 0
-	}
-	return max(0, s.successorOrderTime().Sub(now))
-}
-
-// Stop makes the next Tick release the lease if this instance holds it. The
-// instance does not acquire it again.
-func (s *State) Stop() { s.stopping = true }
+// Stop ends the orders of this instance and makes Tick release the lease, if this
+// instance holds it, as soon as no order can arrive any more. The instance neither renews
+// the lease nor acquires it again.
+func (s *State) Stop() { s.stopping, s.renewAt = true, 0 }
 
 // Tick returns the call to the store that is due now. The caller reports its
 // result with RecordRead, RecordWritten or RecordFailure; until then, Tick returns
@@ -230,17 +212,17 @@
 }
 
 func (s *State) tickHolder(now bootclock.Time) Action {
-	if s.stopping {
-		next := s.row.Lease
-		next.Released = true
+	next := s.row.Lease
+	next.HandoverDone = next.HandoverDone || now >= s.orderFrom
+	switch {
+	case s.stopping && now >= s.heldUntil:
 		s.held = false
-		return s.startWrite(now, next)
-	}
-	if now < s.renewAt {
 		return None
+	case now < s.renewAt, s.stopping && !s.orders.settled(now):
+		return None
+	case s.stopping:
+		next.Released = true
 	}
-	next := s.row.Lease
-	next.HandoverDone = next.HandoverDone || now >= s.orderFrom
 	return s.startWrite(now, next)
 }
 
@@ -321,44 +303,23 @@
 		s.held, s.rowKnown, s.nextRead = false, false, now
 		return
 	}
-	if s.stopping || s.nextWrite.Lease.Released {
+	if s.nextWrite.Lease.Released {
 		s.held = false
 		s.row = Row{Lease: s.nextWrite.Lease, Version: version}
 		return
 	}
 	if !s.held {
 		s.orderFrom = s.firstOrderTime(now)
+		if !s.neverHeld() && !s.released() {
+			s.orders.waitUntil(ordersArriveBy(s.rowSince))
+		}
 	}
 	s.row, s.rowKnown, s.rowSince = Row{Lease: s.nextWrite.Lease, Version: version}, true, now
 	s.held, s.heldUntil, s.renewAt, s.resumes = true, sent.Add(Term), sent.Add(renewInterval), false
 	s.handoverDone = s.nextWrite.Lease.HandoverDone
-}
-
-// firstOrderTime returns the time from which this instance may order after it
-// acquired the lease. The predecessor sent its last order at most a term after
-// this instance first saw the current version of the lease.
-func (s *State) firstOrderTime(now bootclock.Time) bootclock.Time {
-	switch {
-	case s.neverHeld(), s.writtenBySelf() && s.row.HandoverDone:
-		return now
-	case s.resumesLease():
-		return s.orderFrom
-	case s.writtenBySelf():
-		// This instance already acquired the lease, but has sent no order since: it
-		// did not receive the answer, or it restarted.
-		return s.rowSince.Add(s.options.HandoverGap + handoverMargin)
-	}
-	return s.successorOrderTime()
-}
-
-// successorOrderTime returns the time from which a successor of the current holder
-// may order: Options.HandoverGap and the margin after the release, or after the end
-// of the holder's term.
-func (s *State) successorOrderTime() bootclock.Time {
-	if s.released() {
-		return s.rowSince.Add(s.options.HandoverGap + handoverMargin)
+	if s.stopping {
+		s.renewAt = now
 	}
-	return s.rowSince.Add(Term + s.options.HandoverGap + handoverMargin)
 }
 
 // RecordFailure records that the last read or write failed, perhaps after it took
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"cmp"
 	"math/bits"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,8 +59,21 @@
 	frozenUntil      time.Duration // virtual time until which the process is suspended
 	partitioned      bool          // reaches neither the store nor its peers
 	storeUnreachable bool          // reaches its peers but not the store
+	unanswered       []sentOrder   // oldest first
 }
 
+// answerTimeout is the time after which the outcome of an order without an answer counts
+// as unknown.
+const answerTimeout = 300 * time.Millisecond
+
+// sentOrder is an order that arrives at a replica, and is answered, delay after it was sent.
+type sentOrder struct {
+	by        int
+	at, delay time.Duration
+}
+
+func (o sentOrder) arrival() time.Duration { return o.at + o.delay }
+
 func (i *instance) now(t time.Duration) bootclock.Time {
 	return bootclock.Time(time.Minute + t + i.offset)
 }
@@ -67,11 +82,10 @@
 type cluster struct {
 	store     store
 	instances []*instance
-	orders    []struct {
-		by int
-		at time.Duration
-	}
-	epochs map[uint64]int // instance that ordered with an epoch
+	orders    []sentOrder
+	epochs    map[uint64]int // instance that ordered with an epoch
+	// orderDelay returns the delay of the next order; nil stands for no delay.
+	orderDelay func() time.Duration
 }
 
 func newCluster(n int) *cluster {
@@ -97,6 +111,7 @@
 	if t < i.frozenUntil {
 		return
 	}
+	i.recordOutcomes(t)
 	switch i.state.Tick(i.now(t)) {
 	case ReadLease:
 		if i.partitioned || i.storeUnreachable || callResult == "lost" {
@@ -108,14 +123,35 @@
 		c.write(t, i, callResult)
 	}
 	if _, ok := i.state.OrderUntil(i.now(t)); ok {
-		c.orders = append(c.orders, struct {
-			by int
-			at time.Duration
-		}{k, t})
+		o := sentOrder{by: k, at: t}
+		if c.orderDelay != nil {
+			o.delay = c.orderDelay()
+		}
+		c.orders = append(c.orders, o)
 		c.epochs[i.state.Epoch()] |= 1 << k
+		i.state.RecordOrderSent()
+		i.unanswered = append(i.unanswered, o)
+		i.recordOutcomes(t)
 	}
 }
 
+// recordOutcomes records the outcomes of the orders that were answered, or whose answers
+// are overdue.
+func (i *instance) recordOutcomes(t time.Duration) {
+	i.unanswered = slices.DeleteFunc(i.unanswered, func(o sentOrder) bool {
+		due := t >= o.at+min(o.delay, answerTimeout)
+		if due {
+			i.state.RecordOrderOutcome(i.now(t), o.delay < answerTimeout)
+		}
+		return due
+	})
+}
+
+// restart replaces the process of instance k.
+func (c *cluster) restart(k int) {
+	c.instances[k].state, c.instances[k].unanswered = newState(k, Options{}), nil
+}
+
 func (c *cluster) write(t time.Duration, i *instance, callResult string) {
 	next := i.state.NextWrite()
 	switch {
@@ -157,16 +193,23 @@
 	}
 }
 
-// Guards against two holders whose orders are less than Options.HandoverGap apart when
-// calls to the store are lost or delayed and instances are suspended or
-// partitioned.
+// Guards against two holders whose orders arrive less than Options.HandoverGap apart when
+// orders and calls to the store are lost or delayed and instances are stopped, killed,
+// suspended or partitioned.
 func TestOrdersOfHoldersKeepHandoverGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newCluster(3).run(t, 19) })
 }
 
+// drawOrderDelay returns the delay of an order: most are answered at once.
+func drawOrderDelay(t *rapid.T) time.Duration {
+	longest := rapid.SampledFrom([]time.Duration{0, 0, 0, answerTimeout, Term}).Draw(t, "longest delay")
+	return time.Duration(rapid.Int64Range(0, longest.Milliseconds()).Draw(t, "order delay")) * time.Millisecond
+}
+
 // run plays random events, of which the first ones are faults, and checks the orders.
 func (c *cluster) run(t *rapid.T, events int) {
 	now := time.Duration(0)
+	c.orderDelay = func() time.Duration { return drawOrderDelay(t) }
 	for range rapid.IntRange(100, 400).Draw(t, "steps") {
 		now += time.Duration(rapid.IntRange(10, 250).Draw(t, "ms")) * time.Millisecond
 		k := rapid.IntRange(0, 2).Draw(t, "instance")
@@ -184,6 +227,10 @@
 			c.store.delayedWrites = nil
 		case 3:
 			c.tick(now, k, rapid.SampledFrom([]string{"late", "lost"}).Draw(t, "fate"))
+		case 5:
+			c.instances[k].state.Stop()
+		case 6:
+			c.restart(k)
 		case 20:
 			c.store.copy()
 		case 21:
@@ -192,7 +239,7 @@
 			}
 			c.store.restore(rapid.IntRange(0, len(c.store.copies)-1).Draw(t, "copy"))
 		case 22:
-			c.instances[k].state = newState(k, Options{})
+			c.restart(k)
 		default:
 			for n := range c.instances {
 				c.tick(now, n, "")
@@ -209,10 +256,11 @@
 }
 
 func (c *cluster) checkOrderGaps(t interface{ Fatalf(string, ...any) }) {
-	for n := 1; n < len(c.orders); n++ {
-		a, b := c.orders[n-1], c.orders[n]
-		if a.by != b.by && b.at-a.at < handoverGap {
-			t.Fatalf("instance %d orders %s after instance %d", b.by, b.at-a.at, a.by)
+	arrived := slices.SortedStableFunc(slices.Values(c.orders), func(a, b sentOrder) int { return cmp.Compare(a.arrival(), b.arrival()) })
+	for n := 1; n < len(arrived); n++ {
+		a, b := arrived[n-1], arrived[n]
+		if gap := b.arrival() - a.arrival(); a.by != b.by && gap < handoverGap {
+			t.Fatalf("an order of instance %d, sent at %s, arrives %s after one of instance %d, sent at %s", b.by, b.at, gap, a.by, a.at)
 		}
 	}
 }
@@ -290,13 +338,14 @@
 	is := is.New(t)
 	c, now := newClusterWithHolder()
 	last := now
+	const wait = orderWindow + maxOrderDelay + handoverGap + 100*time.Millisecond
 	c.instances[0].frozenUntil = time.Hour
 	for ; len(c.orders) == 0 || c.orders[len(c.orders)-1].by == 0; now += 50 * time.Millisecond {
 		c.tick(now, 1, "")
 		is.True(now < time.Minute)
-		is.True(c.instances[1].state.TimeUntilOrders(c.instances[1].now(now)) <= last+Term+handoverGap+handoverMargin+100*time.Millisecond-now)
+		is.True(c.instances[1].state.TimeUntilOrders(c.instances[1].now(now)) <= last+wait-now)
 	}
-	is.True(now-last <= Term+handoverGap+handoverMargin+100*time.Millisecond)
+	is.True(now-last <= wait)
 }
 
 // Guards against instances that notice a release only when contact with the
