edge: bound the time in which an order can be resent

Cause: an order that has left the process is resent by the kernel until TCP_USER_TIMEOUT, 2.5 s, also after the actuator has given up its answer and closed the connection, and after the process was killed. The leader takes 2 s, a term, as the longest delay of an order.

Change: orders and reports have connections of their own, with a user timeout of leader.OrderDeliveryTimeout, 1.5 s, and each is closed after its answer: another call on a kept connection would change nothing about a late order, but a shorter user timeout must not act on requests of callers. The other connections keep 2.5 s.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -133,13 +133,13 @@
 	return s.codec.Outcome(answer.Status), nil
 }
 
-// readBody reads the body of an answer and closes the answer.
+// readBody reads the body of an answer and closes the answer and its connection.
 func readBody(a *upstream.Answer) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = a.LimitExceeded("body", maxAnswerBytes)
 	}
-	a.Close(err == nil)
+	a.Close(false)
 	return body, err
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/ingress"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
@@ -72,7 +73,9 @@
 	registry := metrics.New()
 	dial := netdial.NewDialFunc(dialTimeout)
 	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
+	orderPool := upstream.NewPool(netdial.NewDialFuncWithUserTimeout(dialTimeout, leader.OrderDeliveryTimeout))
 	registry.Func("connections_opened", pool.ConnectionsOpened)
+	registry.Func("order_connections_opened", orderPool.ConnectionsOpened)
 	registry.Func("connections_idle", pool.IdleConnections)
 	registry.Func("answers_cut_off", pool.AnswersCutOff)
 	registry.Func("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
@@ -87,7 +90,7 @@
 	}
 	k.Register(controlplane.New(node, logger, registry))
 	k.Register(watch.New(store, source, logger, registry))
-	k.Register(actuator.New(store, pool, platform.OrderCodec{}, logger))
+	k.Register(actuator.New(store, orderPool, platform.OrderCodec{}, logger))
 	peers := peering.New(node, logger)
 	registry.Func("peer_frames_malformed", peers.MalformedFrames)
 	k.Register(peers)
--- a/netdial/netdial.go
+++ b/netdial/netdial.go
@@ -26,10 +26,19 @@
 // NewDialFunc returns a dial function whose connections fail when the remote end
 // stops responding. The timeout limits the dial.
 func NewDialFunc(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return NewDialFuncWithUserTimeout(timeout, userTimeout)
+}
+
+// NewDialFuncWithUserTimeout is NewDialFunc with another limit of the time for which sent
+// data can stay unacknowledged. Data is not sent again later, not even if the process has
+// ended by then.
+func NewDialFuncWithUserTimeout(timeout, unacknowledged time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	d := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         setUserTimeout,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, unacknowledged)
+		},
 	}
 	return d.DialContext
 }
@@ -39,15 +48,15 @@
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         setUserTimeout,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
 	}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if controlErr != nil {
 		return controlErr
