--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/ingress"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
@@ -71,7 +72,8 @@
 	debug.SetGCPercent(gcPercent)
 	registry := metrics.New()
 	dial := netdial.NewDialFunc(dialTimeout)
-	store, pool, orderCalls := platform.NewStore(node.Store, dial), upstream.NewPool(dial, platform.AnswerID), upstream.NewDedicated(dial)
+	orderDial := netdial.NewDialFuncWithUserTimeout(dialTimeout, leader.OrderDeliveryTimeout)
+	store, pool, orderCalls := platform.NewStore(node.Store, dial), upstream.NewPool(dial, platform.AnswerID), upstream.NewDedicated(orderDial)
 	registry.Func("connections_opened", func() int64 { return pool.ConnectionsOpened() + orderCalls.ConnectionsOpened() })
 	registry.Func("connections_idle", pool.IdleConnections)
 	registry.Func("answers_cut_off", func() int64 { return pool.AnswersCutOff() + orderCalls.AnswersCutOff() })
