residency: ask no replica for a report while it wants no requests

Cause: a new holder of the order lease asks every replica for a report, also one that has answered this instance 503 with Retry-After, and an order that was turned away so is followed by a report request. The planner's own check left such replicas alone, StartTerm and HandleOutcome didn't. Three terms within one pause made three requests; two are allowed.

Change: requestReport does nothing during the pause. The replica counts as uncertain until then, gets no orders, and is asked by the next plan after the pause. A request that was already delayed when the pause begins is still made, one per replica at most.

--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -235,3 +235,32 @@
 	p.now = until
 	is.Equal(orders()["r0"], 1)
 }
+
+// Guards against report requests to a replica that wants no requests for a while, by a
+// holder of which several terms begin meanwhile or whose order the replica turned away,
+// and against a replica that is not asked afterwards.
+func TestNoReportRequestsDuringBackoff(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(1, nil)
+	until := p.now.Add(time.Minute)
+	p.state.SetBackoff("r0", until)
+	reports := func(actions []Action) (n int) {
+		for _, a := range actions {
+			if a.ReportFrom != "" {
+				n++
+				p.state.HandleReport(p.now, a.ReportFrom, nil)
+			}
+		}
+		return n
+	}
+	for range 3 {
+		is.Equal(reports(p.state.StartTerm(p.now)), 0)
+		p.now = p.now.Add(2 * retryDelay)
+		is.Equal(reports(p.state.Plan(p.now)), 0)
+	}
+	order := &Order{Replica: "r0", Operation: Load, Model: "m0"}
+	p.state.replicas["r0"].pendingOrder = order
+	is.Equal(reports(p.state.HandleOutcome(p.now, order, Unknown)), 0)
+	p.now = until
+	is.Equal(reports(p.state.Plan(p.now)), 1)
+}
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -202,9 +202,10 @@
 	return actions
 }
 
-// requestReport requests a report that is newer than the replica's last order.
+// requestReport requests a report that is newer than the replica's last order. While the
+// replica wants no requests, it does nothing; checkReplica requests the report later.
 func (s *State) requestReport(now time.Time, id string, r *replica) []Action {
-	if r.reportPending || s.engine(r.info.Service) == nil {
+	if r.reportPending || r.backsOff(now) || s.engine(r.info.Service) == nil {
 		return nil
 	}
 	r.reportPending = true
