controlplane: test the grace period of an instance behind the holder

Cause: TestGraceAppliesToEntriesThatCanHaveLapsed covers own reads only.

Change: a test in which the holder of the order lease reaches the store first after it was away.

Measured: passes, and fails without checkListGap.

--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -108,3 +108,19 @@
 	is.True(cut.replicaList.Replica("r") == nil)
 	is.True(cut.replicaList.Replica("other") != nil)
 }
+
+// Guards against replicas that are dropped after the store was away, because the holder of
+// the order lease reached it first and its list hid the gap from this instance.
+func TestListOfHolderAfterGapStartsGrace(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
+	const gap, age = 5 * time.Second, 100 * time.Millisecond
+	now := epoch.Add(gap)
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: gap - time.Second}}.apply(c, now.Add(-time.Second)) // the holder has not reached the store
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: age}}.apply(c, now.Add(age))
+	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now.Add(2 * age)}.apply(c, now.Add(2*age))
+	is.True(c.replicaList.Replica("r") != nil)
+	c.tick(now.Add(recoveryGrace), 0)
+	is.True(c.replicaList.Replica("r") == nil)
+}
