upstream: read a head again after silence within it

Callers got 502 or 504 although their replica went on: a replica that paused between two bytes of the head of its answer was left after the answer timeout, and the request failed if the other replica turned it away.

Cause: http.ReadResponse consumes what it reads, so a timeout within a head lost the answer, which was then not "silent" but failed. ReadHead now waits until the read buffer (4 KB) holds the whole head and parses it then; a timeout consumes nothing. Bytes that can't become a head still end the answer at once, and a head larger than the buffer is read as before. The connection's error is repeated by headLimiter, because the wait takes it from the connection before the parser.

--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,108 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// ReadHead waits for the head of the answer, for timeout until its first byte and as
+// long again for the rest. A head larger than the read buffer can't be read again after a
+// timeout within it. ReadHead returns ErrAnswerTimeout if the head does not arrive in
+// time; IsSilent then tells whether ReadHead can be called again. After the body has been
+// read to its end, it waits for another answer on the connection, which is not used for
+// another request then.
+func (a *Answer) ReadHead(ctx context.Context, timeout time.Duration) error {
+	a.conn.limiter.limit(maxHeadBytes)
+	defer a.conn.limiter.unlimit()
+	a.SetReadTimeout(timeout)
+	a.silent = false
+	err := a.awaitByte()
+	if err == nil {
+		a.SetReadTimeout(timeout)
+		err = a.parseHead()
+	}
+	return contextError(ctx, err)
+}
+
+// parseHead reads the head of the answer and skips up to maxInterimAnswers interim
+// answers (status 1xx). All heads together have at most maxHeadBytes.
+func (a *Answer) parseHead() error {
+	request := &http.Request{Method: a.method}
+	for interim := 0; ; interim++ {
+		if interim > maxInterimAnswers {
+			return a.LimitExceeded("interim answers", maxInterimAnswers)
+		}
+		if err := a.awaitWholeHead(); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(a.conn.reader, request)
+		if err != nil && a.conn.limiter.exceeded() {
+			// Package textproto can return another error for the incomplete line.
+			return a.LimitExceeded("head", maxHeadBytes)
+		}
+		if err != nil {
+			return a.readError(err)
+		}
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
+		}
+		if response.StatusCode < 200 {
+			continue
+		}
+		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
+		a.remaining = response.ContentLength
+		a.chunked = false
+		switch {
+		case response.Body == http.NoBody:
+			a.remaining = 0
+		case len(response.TransferEncoding) > 0:
+			a.chunked, a.body = true, io.NopCloser(&chunkedBody{reader: a.conn.reader})
+		}
+		a.noReuse = a.bodyRead || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		a.bodyRead = false
+		return nil
+	}
+}
+
+// awaitWholeHead waits until the read buffer has a whole head or is full, or shows that
+// there is no valid head. Nothing is consumed, so that the wait can be repeated after a
+// timeout. The end of the connection is left to the parser.
+func (a *Answer) awaitWholeHead() error {
+	r := a.conn.reader
+	for {
+		b, _ := r.Peek(r.Buffered())
+		whole := bytes.Contains(b, []byte("\n\r\n")) || bytes.Contains(b, []byte("\n\n"))
+		if whole || len(b) == r.Size() || !isHeadPrefix(b) {
+			return nil
+		}
+		_, err := r.Peek(len(b) + 1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			a.silent, a.partial = true, len(b)
+			return a.readError(err)
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// isHeadPrefix reports whether b can be the beginning of a head that is not complete.
+func isHeadPrefix(b []byte) bool {
+	const protocol = "HTTP/"
+	if !bytes.HasPrefix(b, []byte(protocol)[:min(len(b), len(protocol))]) {
+		return false
+	}
+	lines := b[:bytes.LastIndexByte(b, '\n')+1]
+	if len(lines) == 0 {
+		return true
+	}
+	_, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(lines)), nil)
+	return errors.Is(err, io.ErrUnexpectedEOF)
+}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
 )
 
 const (
@@ -42,8 +44,10 @@
 // headLimiter reads from a connection and, while a head is being read, limits the
 // bytes that are taken from it. The bytes of a body need no limit here, because its
 // reader does not keep them; package net/http limits the framing of a chunked body.
+// It repeats the error that ended the connection, which the connection reports once.
 type headLimiter struct {
 	conn    net.Conn
+	ended   error // the error of the connection, other than a timeout
 	limited bool
 	left    int // bytes left while limited; -1 after a read beyond the limit
 }
@@ -58,13 +62,24 @@
 // Read implements io.Reader.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.limited {
-		return l.conn.Read(b)
+		return l.readConn(b)
 	}
 	if l.left <= 0 {
 		l.left = -1
 		return 0, &LimitError{Part: "head", Limit: maxHeadBytes}
 	}
-	n, err := l.conn.Read(b[:min(len(b), l.left)])
+	n, err := l.readConn(b[:min(len(b), l.left)])
 	l.left -= n
 	return n, err
 }
+
+func (l *headLimiter) readConn(b []byte) (int, error) {
+	if l.ended != nil {
+		return 0, l.ended
+	}
+	n, err := l.conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		l.ended = err
+	}
+	return n, err
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -120,7 +120,7 @@
 	remaining int64       // bytes of the body that are left to read, or -1 if unknown
 	chunked   bool        // the body is a chunkedBody
 	silent    bool        // the last Read or ReadHead timed out and can be repeated
-	partial   int         // bytes of a line of a chunk's framing that had arrived then
+	partial   int         // bytes of a head, or of a line of a chunk's framing, that had arrived then
 	noReuse   bool        // the connection can't be used for another request
 }
 
@@ -211,61 +211,6 @@
 	return b.Bytes()
 }
 
-// ReadHead waits for the head of the answer, for timeout until its first byte and as
-// long again for the rest. It returns ErrAnswerTimeout if the head does not arrive in
-// time; IsSilent then tells whether ReadHead can be called again. After the body has been
-// read to its end, it waits for another answer on the connection, which is not used for
-// another request then.
-func (a *Answer) ReadHead(ctx context.Context, timeout time.Duration) error {
-	a.conn.limiter.limit(maxHeadBytes)
-	defer a.conn.limiter.unlimit()
-	a.SetReadTimeout(timeout)
-	a.silent = false
-	err := a.awaitByte()
-	if err == nil {
-		a.SetReadTimeout(timeout)
-		err = a.parseHead()
-	}
-	return contextError(ctx, err)
-}
-
-// parseHead reads the head of the answer and skips up to maxInterimAnswers interim
-// answers (status 1xx). All heads together have at most maxHeadBytes.
-func (a *Answer) parseHead() error {
-	request := &http.Request{Method: a.method}
-	for interim := 0; ; interim++ {
-		if interim > maxInterimAnswers {
-			return a.LimitExceeded("interim answers", maxInterimAnswers)
-		}
-		response, err := http.ReadResponse(a.conn.reader, request)
-		if err != nil && a.conn.limiter.exceeded() {
-			// Package textproto can return another error for the incomplete line.
-			return a.LimitExceeded("head", maxHeadBytes)
-		}
-		if err != nil {
-			return a.readError(err)
-		}
-		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
-			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
-		}
-		if response.StatusCode < 200 {
-			continue
-		}
-		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
-		a.remaining = response.ContentLength
-		a.chunked = false
-		switch {
-		case response.Body == http.NoBody:
-			a.remaining = 0
-		case len(response.TransferEncoding) > 0:
-			a.chunked, a.body = true, io.NopCloser(&chunkedBody{reader: a.conn.reader})
-		}
-		a.noReuse = a.bodyRead || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
-		a.bodyRead = false
-		return nil
-	}
-}
-
 // PreviousID returns the ID of the previous request on the connection, or "". An extra
 // answer to it can arrive first.
 func (a *Answer) PreviousID() string { return a.conn.lastID }
