ingress: keep a silent replica until another one accepts

Callers saw streams broken off, and 502, 504 or 500, although the replica that had their request only paused. The instance asked a second replica to take the request over and, if that one had not answered after 250 ms either, aborted the first. If the second one then turned the request away, reset the connection or answered 500, nobody had the request. A 500 before the first event ended the stay at the first replica as well.

Cause: the time that had passed, and not an answer, decided that the other replica goes on. The wait for the silent replica and the wait for the other one now run beside each other, each a blocking read in a goroutine that the read deadline interrupts and that is joined. The first to continue has the request: bytes of the silent replica cancel the other send, whatever it waits for (adapter, connection, head); the head of an answer that can be relayed, below 500, closes the silent connection at once, so that no two runs go on for 400 ms. If the silent connection ends, the other send stays as the successor, and the next read tells whether the answer was complete. One hand-over at a time and no more sends than before. The wait for the other head is bounded by its answer timeout, which is the request's deadline if no third replica may run it.

TestExtraAnswerDelaysNoHandover asserted that a replica silent but for an extra answer takes over after 250 ms, which is the fault. It now asserts that the extra answer alone moves nothing, that the right answer does within 125 ms, and that the silent replica that goes on keeps the request. Answer.GoesOn is replaced by Await; the test of chunks asks Await instead.

--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -1,10 +1,11 @@
 package ingress
 
 import (
-	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/upstream"
@@ -26,51 +28,68 @@
 	return AnswerHead{RequestID: h.Get("Request-Id"), Signed: true}
 }
 
-// Guards against a silent replica that goes on with a request for longer than handoverTime
-// because the replica that takes it over sends an extra answer to the previous request.
+// Guards against a silent replica that goes on with a request, or is left for one that does
+// not, because the replica that takes it over sends an extra answer to the previous request.
 func TestExtraAnswerDelaysNoHandover(t *testing.T) {
-	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		reader := bufio.NewReader(c)
-		for n := 0; ; n++ {
-			if _, err := http.ReadRequest(reader); err != nil {
+	for name, silentGoesOnAfter := range map[string]time.Duration{"other one answers": hangTimeout, "silent one goes on": handoverTime} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answered := make(chan time.Time, 1)
+			other := rawservertest.Start(t, func(c net.Conn, n int64) {
+				if n > 1 {
+					time.Sleep(4 * handoverTime / 5)
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: before\r\nContent-Length: 2\r\n\r\nok")
+				if n > 1 {
+					time.Sleep(4 * handoverTime / 5)
+					answered <- time.Now()
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: next\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			silent := rawservertest.Start(t, func(c net.Conn, _ int64) {
+				time.Sleep(silentGoesOnAfter)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			})
+			service := New(Options{
+				Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: idProtocol{}, Pool: upstream.NewPool((&net.Dialer{}).DialContext),
+			})
+			service.control = controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
+			call := &upstream.Call{ID: "before", Method: "GET", Target: "/", Host: "h"}
+			before, err := service.pool.Do(t.Context(), other.Address, call, hangTimeout)
+			is.NoErr(err)
+			_, err = io.ReadAll(before)
+			is.NoErr(err)
+			before.Close(true)
+
+			x := &exchange{service: service, r: httptest.NewRequest("GET", "/", nil), head: RequestHead{ID: "next"}, request: &dispatch.Request{Deadline: time.Now().Add(hangTimeout)}, route: &catalog.Route{}}
+			sendTo := func(address string) *send {
+				s := &send{flight: &controlplane.Flight{Decision: dispatch.Decision{Replica: &catalog.Replica{ID: "r"}}}}
+				s.answer, err = service.pool.Send(t.Context(), address, call)
+				is.NoErr(err)
+				t.Cleanup(func() { s.answer.Close(false) })
+				return s
+			}
+			first := sendTo(silent.Address)
+			is.True(x.readHead(t.Context(), first, time.Millisecond) != nil)
+			s := sendTo(other.Address)
+			is.Equal(s.answer.PreviousID(), "before")
+			begun := time.Now()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			stop := context.AfterFunc(ctx, s.answer.Abort) // as for a send with ctx
+			defer stop()
+			result := x.awaitEither(ctx, first, awaitSilent(first.answer, hangTimeout, cancel), s)
+			ended := time.Now()
+			is.True(s.skippedExtra)
+			if silentGoesOnAfter < hangTimeout {
+				is.Equal(result, silentGoesOn)
+				is.True(ended.Sub(begun) < handoverTime*3/2)
 				return
 			}
-			if n > 0 {
-				time.Sleep(4 * handoverTime / 5)
+			is.Equal(result, takenOver)
+			if took := ended.Sub(<-answered); took > handoverTime/2 {
+				t.Fatalf("taken over %v after the answer", took)
 			}
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: before\r\nContent-Length: 2\r\n\r\nok")
-		}
-	}()
-	service := New(Options{
-		Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: idProtocol{}, Pool: upstream.NewPool((&net.Dialer{}).DialContext),
-	})
-	service.control = controlplane.New(nodeconfig.Node{}, log.New(io.Discard), metrics.New())
-	call := &upstream.Call{ID: "before", Method: "GET", Target: "/", Host: "h"}
-	before, err := service.pool.Do(t.Context(), l.Addr().String(), call, hangTimeout)
-	is.NoErr(err)
-	_, err = io.ReadAll(before)
-	is.NoErr(err)
-	before.Close(true)
-
-	x := &exchange{service: service, head: RequestHead{ID: "next"}, request: &dispatch.Request{Deadline: time.Now().Add(hangTimeout)}, route: &catalog.Route{}}
-	s := &send{flight: &controlplane.Flight{Decision: dispatch.Decision{Replica: &catalog.Replica{ID: "r"}}}}
-	s.answer, err = service.pool.Send(t.Context(), l.Addr().String(), call)
-	is.NoErr(err)
-	defer s.answer.Close(false)
-	is.Equal(s.answer.PreviousID(), "before")
-	begun := time.Now()
-	is.True(x.takesOver(t.Context(), s))
-	is.True(s.skippedExtra)
-	if took := time.Since(begun); took > handoverTime*3/2 {
-		t.Fatalf("taken over after %v", took)
+		})
 	}
 }
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -4,6 +4,12 @@
 // connections and requests in flight; package dispatch decides on replicas, waits
 // and refusals.
 //
+// A replica's silence ends no answer. If another replica can run the request, it is asked
+// to take it over, one at a time, and both connections stay open until one of the replicas
+// goes on; the other connection is then closed. The wait for the other replica's head is
+// bounded by its answer timeout, or by the request's deadline if no third replica may run
+// the request.
+//
 // Package gateway is the request path of the serve program. Package edge is the
 // assembly: it creates this service and the others of an instance.
 package ingress
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -62,7 +62,11 @@
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
 	}
 	x.reportFirstByte(s)
-	return x.relayPlain(a)
+	timeout := time.Until(x.request.Deadline)
+	if s.fromSilent {
+		timeout = min(timeout, minAnswerTimeout) // the silent replica can go on meanwhile
+	}
+	return x.relayPlain(a, timeout)
 }
 
 // reportFirstByte reports the time to the first byte of a send to the control
@@ -102,12 +106,12 @@
 	return err
 }
 
-// relayPlain relays an answer that is not a stream.
-func (x *exchange) relayPlain(a *upstream.Answer) (dispatch.Outcome, bool, error) {
+// relayPlain relays an answer that is not a stream, whose body must arrive within timeout.
+func (x *exchange) relayPlain(a *upstream.Answer, timeout time.Duration) (dispatch.Outcome, bool, error) {
 	if a.Length > maxAnswerBytes && bodyAllowed(x.r.Method, a.Status) {
 		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
 	}
-	a.SetReadTimeout(time.Until(x.request.Deadline))
+	a.SetReadTimeout(timeout)
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
 	if err != nil {
 		return x.outcomeOf(err), false, err
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/controlplane"
@@ -11,13 +10,6 @@
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
-// handoverTime is how long a silent replica can go on with a request while another one
-// is asked to take it over. Its run must end within 400 ms after the other one begins.
-const handoverTime = 250 * time.Millisecond
-
-// errNotNeeded ends a send that was to take a request over from a replica that goes on.
-var errNotNeeded = errors.New("the silent replica goes on")
-
 // send is one send of the request to a replica. If it has no answer, outcome and err
 // tell why.
 type send struct {
@@ -30,8 +22,10 @@
 	answer       *upstream.Answer
 	head         AnswerHead
 	skippedExtra bool // an extra answer to the previous request was discarded
-	outcome      dispatch.Outcome
-	err          error
+	// fromSilent is set while the send is to take the request over from a silent replica.
+	fromSilent bool
+	outcome    dispatch.Outcome
+	err        error
 }
 
 // open sends the request and waits for the head of the answer.
@@ -129,66 +123,3 @@
 	x.service.control.Finish(s.flight, s.outcome, s.head.Report)
 	return s.outcome, done
 }
-
-// handOver lets another replica take over a request whose replica is silent. It returns
-// false if none does and the silent replica can still go on.
-func (x *exchange) handOver(ctx context.Context, silent *send) bool {
-	query := x.query()
-	query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], silent.flight.Decision.Replica.ID)
-	query.PossibleRuns++
-	query.FromSilent = true
-	x.service.control.Silent(silent.flight)
-	next, err := x.service.control.Admit(ctx, query)
-	if err != nil || next.Decision.Verdict != dispatch.Send {
-		return false
-	}
-	x.logRetry(next.Decision)
-	defer x.enter(x.phase)
-	s := x.prepare(ctx, next.Flight)
-	s.earlierRuns++
-	x.transmit(ctx, s)
-	if s.err == nil && x.takesOver(ctx, s) {
-		if !silent.answer.GoesOn() {
-			silent.answer.Abort()
-			x.successor = s
-			return true
-		}
-		s.err, s.outcome = errNotNeeded, dispatch.Canceled
-	}
-	timeToFirstByte := x.timeToFirstByte
-	outcome, _ := x.relaySend(ctx, s)
-	x.timeToFirstByte = timeToFirstByte
-	x.countSend(s.flight, outcome)
-	return false
-}
-
-// takesOver reports whether a replica takes a request over from a silent one. If it is
-// silent too, it does so after handoverTime.
-func (x *exchange) takesOver(ctx context.Context, s *send) bool {
-	err := x.readHead(ctx, s, handoverTime)
-	switch {
-	case err != nil && s.answer.IsSilent():
-		return true
-	case err != nil:
-		s.err, s.outcome = err, x.outcomeOf(err)
-		return false
-	case x.headSent && s.answer.Status != http.StatusOK:
-		return false
-	}
-	return !s.head.NotExecuted && !s.head.Misdirected && x.checkHead(s) == nil
-}
-
-// dropSuccessor ends a successor that takes over nothing, because the request has ended.
-func (x *exchange) dropSuccessor() {
-	if s := x.successor; s != nil {
-		x.successor = nil
-		if s.answer != nil {
-			s.answer.Close(false)
-		}
-		outcome := dispatch.Canceled
-		if s.err != nil {
-			outcome = s.outcome
-		}
-		x.service.control.Finish(s.flight, outcome, s.head.Report)
-	}
-}
--- a/upstream/chunked_test.go
+++ b/upstream/chunked_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 			before, err := io.ReadAll(a)
 			is.True(errors.Is(err, ErrAnswerTimeout))
 			is.True(a.IsSilent())
-			is.True(!a.GoesOn())
+			is.True(errors.Is(<-a.Await(time.Millisecond), os.ErrDeadlineExceeded))
 			close(resume)
 			a.SetReadTimeout(time.Second)
 			after, err := io.ReadAll(a)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -279,14 +279,25 @@
 // nothing of the answer. It can then be called again, Read after SetReadTimeout.
 func (a *Answer) IsSilent() bool { return a.silent }
 
-// GoesOn reports whether more of an answer that was silent has arrived. It does not wait
-// for it; SetReadTimeout must be called before the next Read.
-func (a *Answer) GoesOn() bool {
-	a.SetReadTimeout(time.Millisecond) // a read with a passed deadline would fail
-	_, err := a.conn.reader.Peek(a.partial + 1)
-	return err == nil
+// Await begins to wait, for d at most, for more of an answer whose last Read or ReadHead has
+// timed out, or for the head of one that has not been read yet. It consumes nothing. The
+// returned channel gets nil when more has arrived, and otherwise an error, which is
+// os.ErrDeadlineExceeded after d and after Interrupt. Until then the answer must not be
+// used otherwise, except for Interrupt and Abort; SetReadTimeout must be called before the
+// next Read.
+func (a *Answer) Await(d time.Duration) <-chan error {
+	a.SetReadTimeout(d)
+	result := make(chan error, 1)
+	go func() {
+		_, err := a.conn.reader.Peek(a.partial + 1)
+		result <- err
+	}()
+	return result
 }
 
+// Interrupt ends the wait of Await.
+func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // SetReadTimeout limits the wait for the next part of the body to d from now.
 func (a *Answer) SetReadTimeout(d time.Duration) { _ = a.conn.SetReadDeadline(time.Now().Add(d)) }
 
