--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -43,47 +42,10 @@
 	remaining int64       // bytes of the body that are left to read, or -1 if unknown
 	chunked   bool        // the body is a chunkedBody
 	silent    bool        // the last Read or ReadHead timed out and can be repeated
-	partial   int         // bytes of a line of a chunk's framing that had arrived then
+	partial   int         // bytes of a head, or of a line of a chunk's framing, that had arrived then
 	noReuse   bool        // the connection can't be used for another request
 }
 
-// ReadHead waits for the head of the answer, for timeout until its first byte and as
-// long again for the rest. It returns ErrAnswerTimeout if the head does not arrive in
-// time; IsSilent then tells whether ReadHead can be called again.
-//
-// An answer from a pool that does not carry the ID of the request is an ErrForeignAnswer,
-// except that one extra answer to an earlier request on the connection is skipped. The
-// connection is not used for another request then.
-func (a *Answer) ReadHead(ctx context.Context, timeout time.Duration) error {
-	a.conn.limiter.limit(maxHeadBytes)
-	defer a.conn.limiter.unlimit()
-	end := time.Now().Add(timeout)
-	for {
-		if err := a.readOneHead(timeout); err != nil {
-			return contextError(ctx, err)
-		}
-		if a.pool == nil || a.pool.answerID(a.Header) == a.id {
-			return nil
-		}
-		if err := a.skipExtra(); err != nil {
-			return contextError(ctx, err)
-		}
-		timeout = max(time.Until(end), time.Millisecond) // a read with a passed deadline would fail
-		a.conn.limiter.limit(maxHeadBytes)
-	}
-}
-
-// readOneHead waits for the next head on the connection.
-func (a *Answer) readOneHead(timeout time.Duration) error {
-	a.SetReadTimeout(timeout)
-	a.silent = false
-	if err := a.awaitByte(); err != nil {
-		return err
-	}
-	a.SetReadTimeout(timeout)
-	return a.parseHead()
-}
-
 // skipExtra discards an extra answer to an earlier request on the connection, which
 // replicas may send late. It fails if the answer is not an extra one or can't be skipped.
 func (a *Answer) skipExtra() error {
@@ -110,43 +72,6 @@
 	return fmt.Errorf("%w: %w: %w", ErrConnectionBroken, ErrForeignAnswer, err)
 }
 
-// parseHead reads the head of the answer and skips up to maxInterimAnswers interim
-// answers (status 1xx). All heads together have at most maxHeadBytes.
-func (a *Answer) parseHead() error {
-	request := &http.Request{Method: a.method}
-	for interim := 0; ; interim++ {
-		if interim > maxInterimAnswers {
-			return a.LimitExceeded("interim answers", maxInterimAnswers)
-		}
-		response, err := http.ReadResponse(a.conn.reader, request)
-		if err != nil && a.conn.limiter.exceeded() {
-			// Package textproto can return another error for the incomplete line.
-			return a.LimitExceeded("head", maxHeadBytes)
-		}
-		if err != nil {
-			return a.readError(err)
-		}
-		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
-			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
-		}
-		if response.StatusCode < 200 {
-			continue
-		}
-		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
-		a.remaining = response.ContentLength
-		a.chunked = false
-		switch {
-		case response.Body == http.NoBody:
-			a.remaining = 0
-		case len(response.TransferEncoding) > 0:
-			a.chunked, a.body = true, io.NopCloser(&chunkedBody{reader: a.conn.reader})
-		}
-		a.noReuse = a.skipped || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0
-		a.bodyRead = false
-		return nil
-	}
-}
-
 // readError converts the error of a read. If the write of the request has failed as
 // well, it returns the error of the write, which is the cause.
 func (a *Answer) readError(err error) error {
@@ -211,14 +136,25 @@
 // nothing of the answer. It can then be called again, Read after SetReadTimeout.
 func (a *Answer) IsSilent() bool { return a.silent }
 
-// GoesOn reports whether more of an answer that was silent has arrived. It does not wait
-// for it; SetReadTimeout must be called before the next Read.
-func (a *Answer) GoesOn() bool {
-	a.SetReadTimeout(time.Millisecond) // a read with a passed deadline would fail
-	_, err := a.conn.reader.Peek(a.partial + 1)
-	return err == nil
+// Await begins to wait, for d at most, for more of an answer whose last Read or ReadHead has
+// timed out, or for the head of one that has not been read yet. It consumes nothing. The
+// returned channel gets nil when more has arrived, and otherwise an error, which is
+// os.ErrDeadlineExceeded after d and after Interrupt. Until then the answer must not be
+// used otherwise, except for Interrupt and Abort; SetReadTimeout must be called before the
+// next Read.
+func (a *Answer) Await(d time.Duration) <-chan error {
+	a.SetReadTimeout(d)
+	result := make(chan error, 1)
+	go func() {
+		_, err := a.conn.reader.Peek(a.partial + 1)
+		result <- err
+	}()
+	return result
 }
 
+// Interrupt ends the wait of Await.
+func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // SetReadTimeout limits the wait for the next part of the body to d from now.
 func (a *Answer) SetReadTimeout(d time.Duration) { _ = a.conn.SetReadDeadline(time.Now().Add(d)) }
 
