ingress: a late refusal by a silent replica doesn't end the hand-over

A caller got 502 (retry-budget) 2 ms after its silent replica had answered 421: the bytes of that answer counted as "goes on", so the send to the replica that had accepted the request was canceled, and the request had no replica left.

Cause: the silent replica went on with any bytes, the other one only with a head that can be relayed. Both are now judged by the same check while the silent one's head has not been read; if it turns the request away, the other send stays as the successor.

edge.TestLateRefusalOfSilentReplicaEndsNoHandover failed before for 503, 421 (502 instead of 200) and 500 (500 instead of 200), and passes; a reset passed before as well. ingress.TestExtraAnswerDelaysNoHandover now reads the head of the silent answer first, because the case that goes on is one within the body. go test -race ./ingress and the tests of silence in ./edge: ok.

--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against a request that is taken from the replica that has accepted it because the
+// silent one, from which that replica takes it over, turns it away.
+func TestLateRefusalOfSilentReplicaEndsNoHandover(t *testing.T) {
+	for name, refusal := range map[string]platformtest.Fault{
+		"503": platformtest.Shed, "421": platformtest.Misdirect, "500": platformtest.Fail, "reset": platformtest.DropAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := startDeployment(t, 1)
+			for _, e := range d.Engines {
+				e.RefusalDelay, e.Pause = 1500*time.Millisecond, 700*time.Millisecond
+			}
+			platformtest.ShareFaults(d.Engines, refusal, platformtest.PauseAnswer)
+			got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "refused", Model: "m1"})
+			is.NoErr(got.Err)
+			is.Equal(got.Status, http.StatusOK)
+			is.Equal(got.Body, platformtest.StreamBody("refused", 6))
+		})
+	}
+}
+
 // Guards against a request that is left at a lost replica although another one has begun
 // to answer it, or that goes on at both.
 func TestLostReplicaIsLeftWhenOtherOneBegins(t *testing.T) {
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -30,7 +30,7 @@
 	notTakenOver handover = iota // the other replica turned the request away, failed or timed out
 	takenOver                    // the other replica answers
 	silentGoesOn                 // more of the silent replica's answer has arrived
-	silentEnded                  // the connection of the silent replica has ended
+	silentEnded                  // the silent replica's connection has ended, or it has turned the request away
 )
 
 // handOver lets another replica take over a request whose replica is silent. It returns
@@ -51,18 +51,18 @@
 	x.logRetry(next.Decision)
 	defer x.enter(x.phase)
 	sendCtx, cancel := context.WithCancel(ctx) // ends at the latest with the request
-	more := awaitSilent(silent.answer, time.Until(x.request.Deadline), cancel)
+	more := x.awaitSilent(silent, cancel)
 	s := x.prepare(sendCtx, next.Flight)
 	s.earlierRuns++
 	s.fromSilent = true
 	x.transmit(sendCtx, s)
-	switch x.awaitEither(sendCtx, silent, more, s) {
+	switch x.awaitEither(sendCtx, cancel, silent, more, s) {
 	case takenOver:
 		silent.answer.Abort()
 		s.fromSilent, x.successor = false, s
 		return true
 	case silentEnded:
-		// The next read from the silent replica tells whether its answer is complete.
+		// The rest of the silent replica's answer tells whether the successor is needed.
 		s.fromSilent, x.successor = false, s
 		return false
 	case silentGoesOn:
@@ -77,13 +77,14 @@
 }
 
 // awaitSilent waits in another goroutine for more of a silent answer, as upstream.Answer.Await
-// does. It calls cancel when more has arrived, which ends the send to the other replica
-// whatever it waits for.
-func awaitSilent(a *upstream.Answer, d time.Duration, cancel context.CancelFunc) <-chan error {
-	more, result := a.Await(d), make(chan error, 1)
+// does. If the answer has begun, it calls cancel when more has arrived, which ends the send
+// to the other replica whatever it waits for.
+func (x *exchange) awaitSilent(silent *send, cancel context.CancelFunc) <-chan error {
+	begun := silent.flight.HeadSeen
+	more, result := silent.answer.Await(time.Until(x.request.Deadline)), make(chan error, 1)
 	go func() {
 		err := <-more
-		if err == nil {
+		if err == nil && begun {
 			cancel()
 		}
 		result <- err
@@ -94,7 +95,7 @@
 // awaitEither waits until a silent replica or the one that is to take the request over
 // continues. more is the result of awaitSilent. After notTakenOver, the send has an error or
 // an answer that can't be relayed.
-func (x *exchange) awaitEither(ctx context.Context, silent *send, more <-chan error, s *send) handover {
+func (x *exchange) awaitEither(ctx context.Context, cancel context.CancelFunc, silent *send, more <-chan error, s *send) handover {
 	limit := time.Now().Add(x.answerTimeout(s))
 	for s.err == nil && !s.flight.HeadSeen {
 		begins := s.answer.Await(time.Until(limit))
@@ -106,7 +107,11 @@
 				s.err, s.outcome = errNoTimeLeft, dispatch.TimedOut
 				return notTakenOver
 			}
-			return afterSilence(err)
+			if result := x.afterSilence(ctx, silent, err); result != notTakenOver {
+				return result
+			}
+			more = x.awaitSilent(silent, cancel)
+			continue
 		case <-begins:
 		}
 		err := x.readHead(ctx, s, handoverTime)
@@ -116,7 +121,9 @@
 	}
 	silent.answer.Interrupt()
 	if err := <-more; !errors.Is(err, os.ErrDeadlineExceeded) {
-		return afterSilence(err)
+		if result := x.afterSilence(ctx, silent, err); result != notTakenOver {
+			return result
+		}
 	}
 	if x.accepts(s) {
 		return takenOver
@@ -124,9 +131,21 @@
 	return notTakenOver
 }
 
-// afterSilence returns the result of a handover before which the silent answer has
-// continued, or ended with err.
-func afterSilence(err error) handover {
+// afterSilence returns the result of a handover during which more of the silent answer has
+// arrived, or its connection has ended with err. It is notTakenOver if the answer is silent
+// again within its head. A replica that turns the request away does not go on with it.
+func (x *exchange) afterSilence(ctx context.Context, silent *send, err error) handover {
+	if err == nil && !silent.flight.HeadSeen {
+		err = x.readHead(ctx, silent, handoverTime)
+		switch {
+		case err != nil && silent.answer.IsSilent():
+			return notTakenOver
+		case err != nil:
+			silent.err, silent.outcome = err, x.outcomeOf(err)
+		case !x.accepts(silent):
+			return silentEnded
+		}
+	}
 	if err == nil {
 		return silentGoesOn
 	}
--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -47,8 +47,9 @@
 				}
 			})
 			silent := rawservertest.Start(t, func(c net.Conn, _ int64) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: next\r\nContent-Length: 2\r\n\r\n")
 				time.Sleep(silentGoesOnAfter)
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				_, _ = io.WriteString(c, "ok")
 			})
 			service := New(Options{
 				Log: log.New(io.Discard), Metrics: metrics.New(), Protocol: idProtocol{}, Pool: upstream.NewPool((&net.Dialer{}).DialContext),
@@ -70,7 +71,7 @@
 				return s
 			}
 			first := sendTo(silent.Address)
-			is.True(x.readHead(t.Context(), first, time.Millisecond) != nil)
+			is.NoErr(x.readHead(t.Context(), first, hangTimeout))
 			s := sendTo(other.Address)
 			is.Equal(s.answer.PreviousID(), "before")
 			begun := time.Now()
@@ -78,7 +79,7 @@
 			defer cancel()
 			stop := context.AfterFunc(ctx, s.answer.Abort) // as for a send with ctx
 			defer stop()
-			result := x.awaitEither(ctx, first, awaitSilent(first.answer, hangTimeout, cancel), s)
+			result := x.awaitEither(ctx, cancel, first, x.awaitSilent(first, cancel), s)
 			ended := time.Now()
 			is.True(s.skippedExtra)
 			if silentGoesOnAfter < hangTimeout {
