actuator: keep the connections of orders for the next order

Cause: since orders have connections with a user timeout of their own, each was closed after its answer. A round trip to connect per order and report made orders slower while many are given.

Change: these connections are kept like those of requests, in a pool that only orders and reports use; the actuator closes the expired ones.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -40,6 +40,8 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAnswerBytes limits the body of an answer. Reports have a few KB.
 	maxAnswerBytes = 1 << 20
+	// idleCheckInterval is the time between checks for idle connections that have expired.
+	idleCheckInterval = 500 * time.Millisecond
 )
 
 var errLeaseExpired = errors.New("order lease expired")
@@ -88,6 +90,7 @@
 		return err
 	}
 	s.group.Go(s.restoreBlocks)
+	s.group.Every(idleCheckInterval, nil, func(context.Context) { s.pool.CloseExpired() })
 	return errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "actuator.order", s.sendOrder),
 		worker.Subscribe(s.group, k.Bus(), "actuator.report", s.requestReport),
@@ -133,13 +136,13 @@
 	return s.codec.Outcome(answer.Status), nil
 }
 
-// readBody reads the body of an answer and closes the answer and its connection.
+// readBody reads the body of an answer and closes the answer.
 func readBody(a *upstream.Answer) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = a.LimitExceeded("body", maxAnswerBytes)
 	}
-	a.Close(false)
+	a.Close(err == nil)
 	return body, err
 }
 
