edge: count the connections of orders with the others

The metrics cover both pools again. Expired connections are looked for every 2 s, as those of requests.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -41,7 +41,7 @@
 	// maxAnswerBytes limits the body of an answer. Reports have a few KB.
 	maxAnswerBytes = 1 << 20
 	// idleCheckInterval is the time between checks for idle connections that have expired.
-	idleCheckInterval = 500 * time.Millisecond
+	idleCheckInterval = 2 * time.Second
 )
 
 var errLeaseExpired = errors.New("order lease expired")
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,10 +74,9 @@
 	dial := netdial.NewDialFunc(dialTimeout)
 	store, pool := platform.NewStore(node.Store, dial), upstream.NewPool(dial)
 	orderPool := upstream.NewPool(netdial.NewDialFuncWithUserTimeout(dialTimeout, leader.OrderDeliveryTimeout))
-	registry.Func("connections_opened", pool.ConnectionsOpened)
-	registry.Func("order_connections_opened", orderPool.ConnectionsOpened)
-	registry.Func("connections_idle", pool.IdleConnections)
-	registry.Func("answers_cut_off", pool.AnswersCutOff)
+	registry.Func("connections_opened", func() int64 { return pool.ConnectionsOpened() + orderPool.ConnectionsOpened() })
+	registry.Func("connections_idle", func() int64 { return pool.IdleConnections() + orderPool.IdleConnections() })
+	registry.Func("answers_cut_off", func() int64 { return pool.AnswersCutOff() + orderPool.AnswersCutOff() })
 	registry.Func("goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 	registry.Func("memory_bytes", heapInUse)
 	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
