--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -40,8 +40,6 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAnswerBytes limits the body of an answer. Reports have a few KB.
 	maxAnswerBytes = 1 << 20
-	// idleCheckInterval is the time between checks for idle connections that have expired.
-	idleCheckInterval = 2 * time.Second
 )
 
 var errLeaseExpired = errors.New("order lease expired")
@@ -91,7 +89,6 @@
 		return err
 	}
 	s.group.Go(s.restoreBlocks)
-	s.group.Every(idleCheckInterval, nil, func(context.Context) { s.pool.CloseExpired() })
 	return errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "actuator.order", s.sendOrder),
 		worker.Subscribe(s.group, k.Bus(), "actuator.report", s.requestReport),
