ingress: keep the idle time that an answer told beside a lowered limit

Callers see a connection closed before the time that its last answer told, so that a request which crosses the close is lost.

Cause: the time was taken from the limits at the end of the answer, but the head tells it before; a config that lowers the idle limit during an answer came between.

Change: the connection keeps the longest idle time that can have been told since its request began.

Measured: TestLimitLoweredDuringAnswerKeepsConnectionAsLongAsTold fails before (closed after 0.61 s, told 1 s) and passes; go test ./ingress ok.

--- a/ingress/connlimits.go
+++ b/ingress/connlimits.go
@@ -45,8 +45,11 @@
 func (c *trackedConn) enter(state connState) {
 	now := time.Now()
 	c.state, c.since, c.closing = state, now, false
-	if state == connIdle {
-		c.noticeEnd = now.Add(c.tracker.idleNotice(*c.tracker.limits.Load()) + idleNoticeMargin)
+	switch state {
+	case connHandling:
+		c.notice = c.tracker.idleNotice(*c.tracker.limits.Load())
+	case connIdle:
+		c.noticeEnd = now.Add(c.notice + idleNoticeMargin)
 	}
 	c.deadline = c.limitOf(*c.tracker.limits.Load())
 	c.setDeadline()
@@ -97,6 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connHandling {
+		c.notice = max(c.notice, c.tracker.idleNotice(limits)) // the head can have been sent before
 		return
 	}
 	earliest := c.deadline
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -153,9 +153,11 @@
 	since     time.Time // when the state began
 	deadline  time.Time // end of the state; not used while connHandling
 	noticeEnd time.Time // when the caller no longer uses the connection; set while connIdle
-	readAhead bool      // the last read took one byte; see endHandling
-	closing   bool      // the read deadline is in the past until a byte is read
-	lastRead  bool      // the last read before the end of the state has begun
+	// notice is the longest idle time that the answer can tell. It is set while connHandling.
+	notice    time.Duration
+	readAhead bool // the last read took one byte; see endHandling
+	closing   bool // the read deadline is in the past until a byte is read
+	lastRead  bool // the last read before the end of the state has begun
 	// serverDeadline is the read deadline that the server has set. It is used while
 	// connHandling.
 	serverDeadline time.Time
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -255,3 +255,30 @@
 	is.Equal(err, io.EOF)
 	is.True(time.Since(begun) < notice/2+idleNoticeMargin) // the lowered limit was told
 }
+
+// Guards against a request that is lost because a config lowers the idle limit during an
+// answer that has told its caller a longer time.
+func TestLimitLoweredDuringAnswerKeepsConnectionAsLongAsTold(t *testing.T) {
+	const notice = time.Second
+	is := is.New(t)
+	var currentLimits atomic.Pointer[connLimits]
+	currentLimits.Store(&connLimits{header: hangTimeout, idle: hangTimeout})
+	var s *callerServer
+	s = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(s.idleTimeout(), notice)
+		answerOK(w, r)
+		currentLimits.Store(&connLimits{header: hangTimeout, idle: notice / 10})
+		s.conns.refreshLimits()
+	}), log.New(io.Discard), func() connLimits { return *currentLimits.Load() }, 0)
+	s.conns.maxIdleNotice = notice
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.run(l.(deadlineListener))
+	t.Cleanup(func() { _ = l.Close(); _ = s.close() })
+	caller := dial(t, l.Addr().String())
+	is.Equal(caller.get(t), http.StatusOK)
+	begun := time.Now()
+	_, err = caller.answers.ReadByte()
+	is.Equal(err, io.EOF)
+	is.True(time.Since(begun) >= notice)
+}
