ingress: don't wait for the rest of a failure if another replica has the request

A caller got 504 at its deadline: its silent replica began a 500 and stalled within the body, while the replica that had taken the request over had answered.

Cause: after a late refusal the send that took over stays as the successor, but the body of the refusal was awaited until the deadline.

--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -224,3 +224,22 @@
 	is.Equal(got.Body, "id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\n")
 	is.Equal(len(d.Runs("paused")), 1)
 }
+
+// Guards against a request that waits for the rest of a failure until its deadline although
+// another replica has taken it over.
+func TestStalledFailureOfSilentReplicaIsLeft(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	setRawAnswers(d.Apps, func(c net.Conn, head string, _ int) {
+		time.Sleep(700 * time.Millisecond)
+		_, _ = io.WriteString(c, strings.Replace(head, " 200 ", " 500 ", 1)+"Content-Length: 2\r\n\r\n")
+		_, _ = io.ReadAll(c)
+	}, func(c net.Conn, head string, _ int) {
+		time.Sleep(800 * time.Millisecond)
+		_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\nok")
+	})
+	got := d.do(0, request{Method: "GET", Path: "/look/x", ID: "stalled", TimeLeft: 4 * time.Second})
+	is.NoErr(got.Err)
+	is.Equal(got.Status, http.StatusOK)
+	is.Equal(got.Body, "ok")
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -62,8 +62,8 @@
 	}
 	x.reportFirstByte(s)
 	timeout := time.Until(x.request.Deadline)
-	if s.fromSilent {
-		timeout = min(timeout, minAnswerTimeout) // the silent replica can go on meanwhile
+	if s.fromSilent || x.successor != nil {
+		timeout = min(timeout, minAnswerTimeout) // the other replica can go on meanwhile
 	}
 	return x.relayPlain(a, timeout)
 }
