controlplane: check the config in the drain too

An instance serves plain requests on kept connections for up to half of the grace time after SIGTERM. If its call of the feed was lost and there is no holder, it went on with the old config for all of that time.

Cause: the read of the config's row was left out for a stopping instance.

Change: it is not.

--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -216,7 +216,7 @@
 // checkConfig has the row of the config read if the evidence for it is too old.
 func (c *core) checkConfig(now time.Time) {
 	maxAge := configMaxAge(c.node.Bounds.ConfigTime, c.leader.Held(), c.stateInterval)
-	if !c.stopping && c.configState.startCheck(now, maxAge) {
+	if c.configState.startCheck(now, maxAge) {
 		c.log.Info("config is checked", "age", c.configState.age(now), "version", c.configState.row.Version)
 		c.publishEvent(CheckConfig{Row: c.configState.row, Timeout: configCheckTimeout})
 	}
--- a/controlplane/config_test.go
+++ b/controlplane/config_test.go
@@ -145,3 +145,15 @@
 	is.Equal(c.fleetState(now, PeerState{}).ConfigAge, time.Duration(0))
 	is.Equal(c.tableVersions["config"], configRowAt(7).Version)
 }
+
+// Guards against a stopping instance that serves an old config in its drain because its
+// call of the feed is lost.
+func TestStoppingInstanceChecksConfig(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	ConfigSeen{Config: &catalog.Config{Version: 4}, Row: configRowAt(3)}.apply(c, epoch)
+	RowsSeen{Table: "config", Version: configRowAt(3).Version, SentAt: epoch}.apply(c, epoch)
+	Stopping{}.apply(c, epoch)
+	c.tick(epoch.Add(defaultConfigTime), 0)
+	is.True(c.configState.checking)
+}
