controlplane: an older list of a new holder starts no grace period

A removed replica was kept, and got requests, for up to two seconds after an instance had learned of the removal, although it had known the list all the time.

Cause: the age of the list went back with the first answer of a new holder whose list was older, and the next answer looked like the end of a gap in which entries can have lapsed.

Change: the latest time at which the list is known to have been current is kept apart from the age of the holder's list, and does not go back.

Measured: TestOlderListOfNewHolderStartsNoGrace fails before and passes; go test ./controlplane ok.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -69,7 +69,7 @@
 	storeVersion     rowstore.Version            // newest version of the store that was seen
 
 	listTable      string    // table that holds the list of replicas
-	listReadAt     time.Time // time at which the list from the store was current
+	listCurrentAt  time.Time // latest time at which the list is known to have been current; zero if none
 	holderListAt   time.Time // time at which the list from the holder was current
 	listGraceUntil time.Time // until when replicas are kept whose entries have lapsed
 	listSource     ListSource
@@ -129,7 +129,7 @@
 // exportState sets the gauges that describe the control state.
 func (c *core) exportState(now time.Time) {
 	age := int64(-1)
-	if current := c.listCurrentAt(); !current.IsZero() {
+	if current := c.listCurrentAt; !current.IsZero() {
 		age = now.Sub(current).Milliseconds()
 	}
 	ordering := int64(0)
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -80,7 +80,7 @@
 
 func (e ReplicasRead) apply(c *core, now time.Time) {
 	c.listTable = e.Table
-	c.recordOwnList(e.CurrentAt)
+	c.recordList(e.CurrentAt)
 	dropAt := c.graceAfterRestore(now, e.Version)
 	if dropAt.IsZero() {
 		dropAt = c.graceAfterGap(now)
@@ -99,7 +99,7 @@
 }
 
 func (e ReplicasChanged) apply(c *core, now time.Time) {
-	c.recordOwnList(e.CurrentAt)
+	c.recordList(e.CurrentAt)
 	c.updateReplicas(now, c.replicaList.Apply(e.Entries, e.Version), e.Entries)
 	dropAt := c.graceAfterGap(now)
 	for _, r := range e.Removed {
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -120,7 +120,7 @@
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
 	currentAt := now.Add(-state.ListAge)
-	c.checkListGap(currentAt)
+	c.recordList(currentAt)
 	c.holderListAt = currentAt
 	var changed []string
 	if state.ListIsWhole {
@@ -135,26 +135,15 @@
 	c.updateListSource(now)
 }
 
-// listCurrentAt returns the latest time at which the list of replicas is known to have
-// been current, or the zero time.
-func (c *core) listCurrentAt() time.Time {
-	if c.listReadAt.After(c.holderListAt) {
-		return c.listReadAt
-	}
-	return c.holderListAt
-}
-
-// recordOwnList records an answered call for the list, which was current at a time.
-func (c *core) recordOwnList(currentAt time.Time) {
-	c.checkListGap(currentAt)
-	c.listReadAt = currentAt
-}
-
-// checkListGap starts the grace period for lapsed entries if the list is current at a time
+// recordList records that the list was current at a time. It starts the grace period for lapsed entries if the list is current at a time
 // after a gap in which the entries of healthy replicas can have lapsed. The gap is one of
 // the list alone: calls for other tables that fail or succeed tell nothing of it.
-func (c *core) checkListGap(currentAt time.Time) {
-	before := c.listCurrentAt()
+func (c *core) recordList(currentAt time.Time) {
+	before := c.listCurrentAt
+	if !currentAt.After(before) {
+		return
+	}
+	c.listCurrentAt = currentAt
 	lease := c.node.ReplicaLease
 	if lease <= 0 {
 		lease = defaultReplicaLease
--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -124,3 +124,22 @@
 	c.tick(now.Add(recoveryGrace), 0)
 	is.True(c.replicaList.Replica("r") == nil)
 }
+
+// Guards against a removed replica that is kept because the list of a new holder is older
+// than the one that this instance had from the holder before.
+func TestOlderListOfNewHolderStartsNoGrace(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
+	now := epoch
+	for range 4 {
+		now = now.Add(time.Second)
+		FleetSeen{State: FleetState{Holder: "old", ListVersion: 1}, SentAt: now}.apply(c, now)
+	}
+	now = now.Add(300 * time.Millisecond)
+	FleetSeen{State: FleetState{Holder: "new", ListVersion: 1, ListAge: 3 * time.Second}, SentAt: now}.apply(c, now)
+	now = now.Add(300 * time.Millisecond)
+	FleetSeen{State: FleetState{Holder: "new", ListVersion: 1}, SentAt: now}.apply(c, now)
+	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now}.apply(c, now)
+	is.True(c.replicaList.Replica("r") == nil)
+}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -180,7 +180,7 @@
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
-		state.ListAge = now.Sub(c.listCurrentAt())
+		state.ListAge = now.Sub(c.listCurrentAt)
 		state.ConfigVersion, state.ConfigAge = c.configVersion(), c.configState.age(now)
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
 			state.Config = c.configValue
