controlplane: count the age of the holder's list from the question

A list from the holder looked as new as before a pause of the process (SIGSTOP) that came after its answer was received, so that the instance relied on it, and vouched for it as the next holder.

Cause: the age was counted up to the receipt of the answer, and subtracted from the time at which the control goroutine took the event.

Change: the age is subtracted from the time at which the instance sent its state, as that of the config already is. The tests of lists tell that time.

Measured: TestListAgeCountsPauseOfProcess fails before (current 4 s after the question instead of 1 s before it) and passes; go test -race ./controlplane ./peering ok.

--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -114,12 +114,12 @@
 // adoptHolderList applies the changes to the list of replicas in a holder's answer.
 // It ignores answers from an instance that does not hold the lease, and lists older
 // than the current one.
-func (c *core) adoptHolderList(now time.Time, state FleetState) {
+func (c *core) adoptHolderList(now time.Time, state FleetState, sentAt time.Time) {
 	if state.Holder == "" || state.ListVersion < c.replicaList.Version() {
 		return
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
-	currentAt := now.Add(-state.ListAge)
+	currentAt := sentAt.Add(-state.ListAge)  // the answer can have been delayed by any time
 	c.recordList(currentAt)
 	c.holderListAt = currentAt
 	var changed []string
@@ -135,9 +135,10 @@
 	c.updateListSource(now)
 }
 
-// recordList records that the list was current at a time. It starts the grace period for lapsed entries if the list is current at a time
-// after a gap in which the entries of healthy replicas can have lapsed. The gap is one of
-// the list alone: calls for other tables that fail or succeed tell nothing of it.
+// recordList records that the list was current at a time. It starts the grace period for
+// lapsed entries if that is after a gap in which the entries of healthy replicas can have
+// lapsed. The gap is one of the list alone: calls for other tables that fail or succeed tell
+// nothing of it.
 func (c *core) recordList(currentAt time.Time) {
 	before := c.listCurrentAt
 	if !currentAt.After(before) {
--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -104,7 +104,7 @@
 	ownState{answer: answer}.apply(cut, now)
 	state := FleetState{Holder: "h", ListVersion: holder.replicaList.Version()}
 	state.List, state.ListIsWhole = holder.listSince((<-answer).ListVersion)
-	FleetSeen{State: state}.apply(cut, now)
+	FleetSeen{State: state, SentAt: now}.apply(cut, now)
 	is.True(cut.replicaList.Replica("r") == nil)
 	is.True(cut.replicaList.Replica("other") != nil)
 }
@@ -117,8 +117,8 @@
 	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
 	const gap, age = 5 * time.Second, 100 * time.Millisecond
 	now := epoch.Add(gap)
-	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: gap - time.Second}}.apply(c, now.Add(-time.Second)) // the holder has not reached the store
-	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: age}}.apply(c, now.Add(age))
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: gap - time.Second}, SentAt: now.Add(-time.Second)}.apply(c, now.Add(-time.Second)) // the holder has not reached the store
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: age}, SentAt: now.Add(age)}.apply(c, now.Add(age))
 	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now.Add(2 * age)}.apply(c, now.Add(2*age))
 	is.True(c.replicaList.Replica("r") != nil)
 	c.tick(now.Add(recoveryGrace), 0)
@@ -143,3 +143,13 @@
 	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now}.apply(c, now)
 	is.True(c.replicaList.Replica("r") == nil)
 }
+
+// Guards against a list from the holder that looks new because the process was paused after
+// it had received the answer.
+func TestListAgeCountsPauseOfProcess(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: time.Second}, SentAt: epoch}.apply(c, epoch.Add(5*time.Second))
+	is.Equal(c.listCurrentAt, epoch.Add(-time.Second))
+	is.Equal(c.listSource, FromStore)
+}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -389,7 +389,7 @@
 		}
 	}
 	c.adoptHolderConfig(e.State, e.SentAt)
-	c.adoptHolderList(now, e.State)
+	c.adoptHolderList(now, e.State, e.SentAt)
 	c.checkFeedLag(now, e.State.TableVersions)
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetModelChanges(now, e.State.ModelChanges, e.State.UnloadingModels)
--- a/controlplane/peers_test.go
+++ b/controlplane/peers_test.go
@@ -85,13 +85,13 @@
 		return []catalog.Entry{{ID: "r", Version: version, Replica: &catalog.Replica{ID: "r", Service: "s", Address: "a:1", Leaving: leaving}}}
 	}
 	ReplicasRead{Table: "replicas", Entries: entry(5, true), Version: 5}.apply(c, now)
-	FleetSeen{State: FleetState{Holder: "other", List: entry(4, false), ListVersion: 4}}.apply(c, now)
+	FleetSeen{State: FleetState{Holder: "other", List: entry(4, false), ListVersion: 4}, SentAt: now}.apply(c, now)
 	is.True(c.replicaList.Replicas()[0].Leaving)
 	is.Equal(c.listSource, FromStore)
-	FleetSeen{State: FleetState{Holder: "other", List: entry(6, false), ListVersion: 6}}.apply(c, now)
+	FleetSeen{State: FleetState{Holder: "other", List: entry(6, false), ListVersion: 6}, SentAt: now}.apply(c, now)
 	is.True(!c.replicaList.Replicas()[0].Leaving)
 	is.Equal(c.listSource, FromHolder)
-	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, ListAge: c.listLifetime()}}.apply(c, now.Add(time.Second))
+	FleetSeen{State: FleetState{Holder: "other", ListVersion: 6, ListAge: c.listLifetime()}, SentAt: now.Add(time.Second)}.apply(c, now.Add(time.Second))
 	is.Equal(c.listSource, FromStore)
 }
 
@@ -147,7 +147,7 @@
 		list, whole := holder.listSince(peer.replicaList.Version())
 		return FleetState{Holder: "h", List: list, ListIsWhole: whole, ListVersion: holder.replicaList.Version()}
 	}
-	peer.adoptHolderList(epoch, answer())
+	peer.adoptHolderList(epoch, answer(), epoch)
 	is.True(peer.replicaList.Replica("removed") == nil)
 	is.True(peer.replicaList.Replica("kept") != nil)
 	is.True(!answer().ListIsWhole)
@@ -206,7 +206,7 @@
 // that are ignored.
 func TestReplicasAreKeptUntilWrittenAgainAfterRestore(t *testing.T) {
 	ownRead := ReplicasRead{Table: "replicas", Version: rowstore.NewVersion(2, 3)}
-	relayed := FleetSeen{State: FleetState{Holder: "h", ListIsWhole: true, ListVersion: rowstore.NewVersion(2, 3)}}
+	relayed := FleetSeen{State: FleetState{Holder: "h", ListIsWhole: true, ListVersion: rowstore.NewVersion(2, 3)}, SentAt: epoch}
 	readBefore := ReplicasChanged{Version: rowstore.NewVersion(1, 10), Entries: []catalog.Entry{
 		{ID: "r", Version: rowstore.NewVersion(1, 10), Replica: &catalog.Replica{ID: "r", Service: "s", Address: "a:1"}},
 		{ID: "other", Version: rowstore.NewVersion(1, 10), Replica: &catalog.Replica{ID: "other", Service: "s", Address: "b:1"}},
@@ -280,7 +280,7 @@
 	before, after := rowstore.NewVersion(1, 9), rowstore.NewVersion(2, 3)
 	ReplicasRead{Table: "replicas", Version: before}.apply(c, epoch)
 	RowsSeen{Table: "replicas", Version: before}.apply(c, epoch)
-	FleetSeen{State: FleetState{Holder: "h", ListIsWhole: true, ListVersion: after, TableVersions: map[string]rowstore.Version{"replicas": after}}}.apply(c, epoch)
+	FleetSeen{State: FleetState{Holder: "h", ListIsWhole: true, ListVersion: after, TableVersions: map[string]rowstore.Version{"replicas": after}}, SentAt: epoch}.apply(c, epoch)
 	select {
 	case table := <-behind:
 		is.Equal(table, "replicas")
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -242,8 +242,7 @@
 	if address == "" || (address == s.lastSentTo && time.Since(s.lastSentAt) < s.stateInterval-timerSlack) {
 		return
 	}
-	askedAt := time.Now()
-	s.lastSentAt, s.lastSentTo = askedAt, address
+	s.lastSentAt, s.lastSentTo = time.Now(), address
 	own, err := s.control.OwnState(ctx)
 	if err != nil {
 		return // the instance is shutting down
@@ -256,7 +255,6 @@
 	}
 	if called {
 		fleet := decodeFleet(answer)
-		fleet.ListAge += time.Since(askedAt) // an answer can be delayed by any part of that time
 		s.stateInterval = fleet.Interval
 		s.control.Post(controlplane.FleetSeen{State: fleet, SentAt: s.lastSentAt})
 	}
