--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -114,13 +114,13 @@
 // adoptHolderList applies the changes to the list of replicas in a holder's answer.
 // It ignores answers from an instance that does not hold the lease, and lists older
 // than the current one.
-func (c *core) adoptHolderList(now time.Time, state FleetState) {
+func (c *core) adoptHolderList(now time.Time, state FleetState, sentAt time.Time) {
 	if state.Holder == "" || state.ListVersion < c.replicaList.Version() {
 		return
 	}
 	c.observeVersion(now, state.ListVersion) // before tableVersions changes
-	currentAt := now.Add(-state.ListAge)
-	c.checkListGap(currentAt)
+	currentAt := sentAt.Add(-state.ListAge)  // the answer can have been delayed by any time
+	c.recordList(currentAt)
 	c.holderListAt = currentAt
 	var changed []string
 	if state.ListIsWhole {
@@ -135,26 +135,16 @@
 	c.updateListSource(now)
 }
 
-// listCurrentAt returns the latest time at which the list of replicas is known to have
-// been current, or the zero time.
-func (c *core) listCurrentAt() time.Time {
-	if c.listReadAt.After(c.holderListAt) {
-		return c.listReadAt
+// recordList records that the list was current at a time. It starts the grace period for
+// lapsed entries if that is after a gap in which the entries of healthy replicas can have
+// lapsed. The gap is one of the list alone: calls for other tables that fail or succeed tell
+// nothing of it.
+func (c *core) recordList(currentAt time.Time) {
+	before := c.listCurrentAt
+	if !currentAt.After(before) {
+		return
 	}
-	return c.holderListAt
-}
-
-// recordOwnList records an answered call for the list, which was current at a time.
-func (c *core) recordOwnList(currentAt time.Time) {
-	c.checkListGap(currentAt)
-	c.listReadAt = currentAt
-}
-
-// checkListGap starts the grace period for lapsed entries if the list is current at a time
-// after a gap in which the entries of healthy replicas can have lapsed. The gap is one of
-// the list alone: calls for other tables that fail or succeed tell nothing of it.
-func (c *core) checkListGap(currentAt time.Time) {
-	before := c.listCurrentAt()
+	c.listCurrentAt = currentAt
 	lease := c.node.ReplicaLease
 	if lease <= 0 {
 		lease = defaultReplicaLease
--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -104,7 +104,7 @@
 	ownState{answer: answer}.apply(cut, now)
 	state := FleetState{Holder: "h", ListVersion: holder.replicaList.Version()}
 	state.List, state.ListIsWhole = holder.listSince((<-answer).ListVersion)
-	FleetSeen{State: state}.apply(cut, now)
+	FleetSeen{State: state, SentAt: now}.apply(cut, now)
 	is.True(cut.replicaList.Replica("r") == nil)
 	is.True(cut.replicaList.Replica("other") != nil)
 }
@@ -117,10 +117,39 @@
 	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
 	const gap, age = 5 * time.Second, 100 * time.Millisecond
 	now := epoch.Add(gap)
-	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: gap - time.Second}}.apply(c, now.Add(-time.Second)) // the holder has not reached the store
-	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: age}}.apply(c, now.Add(age))
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: gap - time.Second}, SentAt: now.Add(-time.Second)}.apply(c, now.Add(-time.Second)) // the holder has not reached the store
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: age}, SentAt: now.Add(age)}.apply(c, now.Add(age))
 	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now.Add(2 * age)}.apply(c, now.Add(2*age))
 	is.True(c.replicaList.Replica("r") != nil)
 	c.tick(now.Add(recoveryGrace), 0)
 	is.True(c.replicaList.Replica("r") == nil)
 }
+
+// Guards against a removed replica that is kept because the list of a new holder is older
+// than the one that this instance had from the holder before.
+func TestOlderListOfNewHolderStartsNoGrace(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
+	now := epoch
+	for range 4 {
+		now = now.Add(time.Second)
+		FleetSeen{State: FleetState{Holder: "old", ListVersion: 1}, SentAt: now}.apply(c, now)
+	}
+	now = now.Add(300 * time.Millisecond)
+	FleetSeen{State: FleetState{Holder: "new", ListVersion: 1, ListAge: 3 * time.Second}, SentAt: now}.apply(c, now)
+	now = now.Add(300 * time.Millisecond)
+	FleetSeen{State: FleetState{Holder: "new", ListVersion: 1}, SentAt: now}.apply(c, now)
+	ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: now}.apply(c, now)
+	is.True(c.replicaList.Replica("r") == nil)
+}
+
+// Guards against a list from the holder that looks new because the process was paused after
+// it had received the answer.
+func TestListAgeCountsPauseOfProcess(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	FleetSeen{State: FleetState{Holder: "h", ListVersion: 1, ListAge: time.Second}, SentAt: epoch}.apply(c, epoch.Add(5*time.Second))
+	is.Equal(c.listCurrentAt, epoch.Add(-time.Second))
+	is.Equal(c.listSource, FromStore)
+}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -180,7 +180,7 @@
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
 		state.ListVersion = c.replicaList.Version()
-		state.ListAge = now.Sub(c.listCurrentAt())
+		state.ListAge = now.Sub(c.listCurrentAt)
 		state.ConfigVersion, state.ConfigAge = c.configVersion(), c.configState.age(now)
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
 			state.Config = c.configValue
@@ -389,7 +389,7 @@
 		}
 	}
 	c.adoptHolderConfig(e.State, e.SentAt)
-	c.adoptHolderList(now, e.State)
+	c.adoptHolderList(now, e.State, e.SentAt)
 	c.checkFeedLag(now, e.State.TableVersions)
 	c.setPeerLoads(now, e.State.Loads)
 	c.dispatch.SetModelChanges(now, e.State.ModelChanges, e.State.UnloadingModels)
