--- a/internal/loopbacktest/loopbacktest.go
+++ b/internal/loopbacktest/loopbacktest.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// maxHosts bounds the hosts allocated per process, which differ in the last
-	// byte of the address.
-	maxHosts = 254
+	// hostsPerBlock is the number of hosts that differ only in the last byte of the
+	// address. A process has two blocks, whose second bytes are blockDistance apart;
+	// process ids below 2^15 use half of the second bytes for the first block.
+	hostsPerBlock = 254
+	blockDistance = 127
+	maxHosts      = 2 * hostsPerBlock
 	// firstPort and lastPort bound the allocated ports. They lie below the range of
 	// ephemeral ports, because an outgoing connection that is refused occupies its
 	// local port on all hosts until it is closed.
@@ -41,8 +44,9 @@
 	if hostsIssued++; hostsIssued > maxHosts {
 		panic(fmt.Sprintf("more than %d loopback hosts", maxHosts))
 	}
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, hostsIssued)
+	pid, block := os.Getpid(), (hostsIssued-1)/hostsPerBlock
+	second := 1 + (pid>>8+block*blockDistance)%254
+	return fmt.Sprintf("127.%d.%d.%d", second, pid%256, 1+(hostsIssued-1)%hostsPerBlock)
 }
 
 // Address returns an unused address of host, as host:port. It never returns the
