ingress: end the send that stalls within the head of its answer

A request went on at two replicas for as long as 8 s: one was silent, and the one that was to take the request over paused within the head of its answer, so that its run had begun.

Cause: since a head can be read again after a pause, a stalled head counts as silence, and the wait for it began again, although it is limited because two runs must not go on beside each other for 400 ms.

Change: a send whose head has begun and does not end within that limit ends; the silent replica keeps the request. Silence after an extra answer, before the head, is waited out as before.

Measured: TestPauseWithinHeadOfSuccessorEndsOneRun fails before (8 s) and passes; the tests of silence in ./edge and of the hand-over in ./ingress ok.

--- a/edge/handover_test.go
+++ b/edge/handover_test.go
@@ -259,3 +259,22 @@
 	is.Equal(len(d.Runs("refused")), 2)
 	is.Equal(got.Status, http.StatusGatewayTimeout)
 }
+
+// Guards against a request that goes on at two replicas because the one that takes it over
+// pauses within the head of its answer.
+func TestPauseWithinHeadOfSuccessorEndsOneRun(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	begun, left := make(chan time.Time, 1), make(chan time.Time, 4)
+	setRawAnswers(d.Engines, func(c net.Conn, _ string, _ int) {
+		_, _ = io.ReadAll(c)
+		left <- time.Now()
+	}, func(c net.Conn, head string, _ int) {
+		begun <- time.Now()
+		_, _ = io.WriteString(c, head[:30])
+		_, _ = io.ReadAll(c)
+		left <- time.Now()
+	}, refuseRaw)
+	go d.do(0, request{Method: "POST", Path: "/chat/x", ID: "paused", Model: "m1"})
+	is.True((<-left).Sub(<-begun) < 400*time.Millisecond)
+}
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -115,7 +115,7 @@
 		case <-begins:
 		}
 		err := x.readHead(ctx, s, handoverTime)
-		if err != nil && (!s.answer.IsSilent() || !time.Now().Before(limit)) {
+		if err != nil && (!s.answer.IsSilent() || s.answer.HeadBegun() || !time.Now().Before(limit)) {
 			s.err, s.outcome = err, x.outcomeOf(err)
 		}
 	}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -136,6 +136,9 @@
 // nothing of the answer. It can then be called again, Read after SetReadTimeout.
 func (a *Answer) IsSilent() bool { return a.silent }
 
+// HeadBegun reports whether a part of the head had arrived when the last ReadHead timed out.
+func (a *Answer) HeadBegun() bool { return a.silent && a.partial > 0 }
+
 // Await begins to wait, for d at most, for more of an answer whose last Read or ReadHead has
 // timed out, or for the head of one that has not been read yet. It consumes nothing. The
 // returned channel gets nil when more has arrived, and otherwise an error, which is
