internal/loopbacktest: issue more than 254 hosts to a test process

Cause: hosts differ in the last byte of the address only.

Change: a process has a second block of hosts, far from those of processes with near ids.

--- a/internal/loopbacktest/loopbacktest.go
+++ b/internal/loopbacktest/loopbacktest.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// maxHosts bounds the hosts allocated per process, which differ in the last
-	// byte of the address.
-	maxHosts = 254
+	// hostsPerBlock is the number of hosts that differ in the last byte of the address
+	// only, and blocks the number of such blocks per process. The second blocks of
+	// processes that run concurrently are those of distant process ids.
+	hostsPerBlock, blocks = 254, 2
+	// maxHosts bounds the hosts allocated per process.
+	maxHosts = blocks * hostsPerBlock
 	// firstPort and lastPort bound the allocated ports. They lie below the range of
 	// ephemeral ports, because an outgoing connection that is refused occupies its
 	// local port on all hosts until it is closed.
@@ -38,11 +41,13 @@
 func Host() string {
 	mu.Lock()
 	defer mu.Unlock()
-	if hostsIssued++; hostsIssued > maxHosts {
+	if hostsIssued == maxHosts {
 		panic(fmt.Sprintf("more than %d loopback hosts", maxHosts))
 	}
+	block, host := hostsIssued/hostsPerBlock, 1+hostsIssued%hostsPerBlock
+	hostsIssued++
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, hostsIssued)
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8+block*254/blocks)%254, pid%256, host)
 }
 
 // Address returns an unused address of host, as host:port. It never returns the
