--- a/internal/loopbacktest/loopbacktest.go
+++ b/internal/loopbacktest/loopbacktest.go
@@ -41,7 +41,7 @@
 func Host() string {
 	mu.Lock()
 	defer mu.Unlock()
-	if hostsIssued == maxHosts {
+	if hostsIssued++; hostsIssued > maxHosts {
 		panic(fmt.Sprintf("more than %d loopback hosts", maxHosts))
 	}
 	pid, block := os.Getpid(), (hostsIssued-1)/hostsPerBlock
