ingress: tell the two idle notices apart by name

Cause: a function and a method had the same name, one for the grace time and one for the limits. Change: maxIdleNotice is that of the grace time; the comment of applyLimits names the exception.

--- a/ingress/connlimits.go
+++ b/ingress/connlimits.go
@@ -94,8 +94,8 @@
 }
 
 // applyLimits applies new limits to the time in the current state. A connection that has
-// been idle for longer than a smaller limit is closed at once. The time for a head is not
-// made shorter after it has begun.
+// been idle for longer than a smaller limit is closed at once, but not before the time that
+// its caller was told. The time for a head is not made shorter after it has begun.
 func (c *trackedConn) applyLimits(now time.Time, limits connLimits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -25,10 +25,10 @@
 	finalAnswerMargin = 2 * stopMargin
 )
 
-// idleNotice returns the longest idle time that answers tell callers, with the given grace
+// maxIdleNotice returns the longest idle time that answers tell callers, with the given grace
 // time: a drain can wait for it and still has time for the requests that arrive meanwhile.
 // It is 0 if the grace time is too short for that.
-func idleNotice(grace time.Duration) time.Duration {
+func maxIdleNotice(grace time.Duration) time.Duration {
 	return (grace / 2).Truncate(time.Second)
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -119,7 +119,7 @@
 	}
 	s.callers = newCallerServer(http.HandlerFunc(s.serve), s.log, func() connLimits { return limitsOf(s.control.Snapshot().Limits) }, s.node.Bounds.ConfigTime)
 	s.callers.conns.onClose = s.recordConnClose
-	s.callers.conns.maxIdleNotice = idleNotice(s.node.Bounds.Grace)
+	s.callers.conns.maxIdleNotice = maxIdleNotice(s.node.Bounds.Grace)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
 	err = errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() }),
