edge: identify customers by their keys

Cause: keys of callers did not exist.

A request on a route that is not public needs the key of a customer (401 otherwise). The key is not forwarded, and the replica gets the name of the customer. The rank of a customer goes before that of the route. Malformed entries are findings in the log; the others stay in force. Configs without customers are served as before.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssophaven/hyssophaven/finding"
 )
 
 // RequestKind is the kind of a route's requests. It determines whether a request
@@ -41,6 +43,9 @@
 	Services     map[string]*Service
 	routesByHost map[string][]*Route // by host name, longest prefix first
 	routes       []*Route
+	customers    *customers // nil if the config names no customers
+	// Findings are the problems of entries that are ignored or ambiguous.
+	Findings []finding.Finding
 }
 
 // NewConfig returns a config with the given services and routes.
@@ -123,6 +128,8 @@
 	// parts of the prompt. Package dispatch does so for every request that names its
 	// parts, whatever the setting.
 	PrefixAffinity bool
+	// Public is true if requests need no customer's key.
+	Public bool
 	// Resumable is true if a broken stream can continue on another replica after
 	// the last event that was received.
 	Resumable bool
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -178,7 +178,10 @@
 	if c.limits() != old {
 		c.publishEvent(LimitsChanged{})
 	}
-	c.log.Info("config taken over", "version", config.Version, "routes", len(config.Routes()), "services", len(config.Services))
+	c.log.Info("config taken over", "version", config.Version, "routes", len(config.Routes()), "services", len(config.Services), "customers", len(config.Customers()))
+	for _, f := range config.Findings {
+		c.log.Warn("config has a problem", "version", config.Version, "finding", f.String())
+	}
 }
 
 // updateReplica passes a replica's new description to dispatch, the load plan and
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -39,13 +39,13 @@
 		c.demand[req.Model] = m
 	}
 	m.requests++
-	m.weight += rankWeight(req.Route.Rank)
+	m.weight += rankWeight(req.Rank())
 	if req.Adapter != "" {
 		if m.adapters == nil {
 			m.adapters = make(map[string]int)
 		}
 		m.adapters[req.Adapter]++
-		m.adapterWeight += rankWeight(req.Route.Rank)
+		m.adapterWeight += rankWeight(req.Rank())
 	}
 	if d.Verdict == dispatch.Send {
 		m.prefillWork += d.PrefillWork
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 	ID      string
 	Route   *catalog.Route
 	Service string
+	// Customer is nil if the config names no customers or the route is public.
+	Customer *catalog.Customer
 	// Model and Adapter are empty for plain services.
 	Model, Adapter string
 	PromptTokens   int
@@ -39,6 +41,15 @@
 	Deadline time.Time
 }
 
+// Rank returns the rank of the request's customer, or that of its route if the customer
+// has none.
+func (r *Request) Rank() int {
+	if r.Customer != nil && r.Customer.Rank != nil {
+		return *r.Customer.Rank
+	}
+	return r.Route.Rank
+}
+
 // Part is one part of a prompt. Key hashes the part together with all parts
 // before it, the model and the adapter.
 type Part struct {
@@ -144,7 +155,7 @@
 // urgencyLevel returns the urgency level of a request by the rank of its route.
 // late means that the request is expected to miss its target.
 func urgencyLevel(req *Request, late bool) int {
-	level := baseLevel + levelsPerRank*max(req.Route.Rank, 0)
+	level := baseLevel + levelsPerRank*max(req.Rank(), 0)
 	if late {
 		level += lateLevels
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -30,9 +30,13 @@
 	r       *http.Request
 	head    RequestHead
 	route   *catalog.Route
-	request *dispatch.Request
-	body    []byte
-	arrived time.Time
+	// byCustomer is set if the config names customers, and customer is the one that the
+	// request's key belongs to, or nil on a public route.
+	byCustomer bool
+	customer   *catalog.Customer
+	request    *dispatch.Request
+	body       []byte
+	arrived    time.Time
 
 	waited       bool             // the request has waited for its model or adapter
 	tried        []string         // ids of the replicas that were tried
@@ -164,7 +168,10 @@
 // newUpstreamRequest returns the request for the chosen replica.
 func (x *exchange) newUpstreamRequest(d dispatch.Decision) *upstream.Request {
 	to := ForwardInfo{
-		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: -1, LastEvent: x.lastEvent,
+		Replica: d.Replica.ID, TimeLeft: time.Until(x.request.Deadline), Urgency: -1, LastEvent: x.lastEvent, ByCustomer: x.byCustomer,
+	}
+	if x.customer != nil {
+		to.Customer = x.customer.Name
 	}
 	if d.PrefixSource != nil {
 		to.PrefixSource = d.PrefixSource.Address
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -33,6 +33,8 @@
 	Parts          []PromptPart
 	// LastEvent is the id of the last event that the caller received; empty if none.
 	LastEvent string
+	// Key is the key of a customer; empty if the request carries none or several.
+	Key string
 }
 
 // PromptPart is one part of a prompt. Requests with the same leading parts share a
@@ -55,6 +57,11 @@
 	// LastEvent is the id of the event after which the replica resumes the stream.
 	// If it is empty, the caller's own value is sent.
 	LastEvent string
+	// ByCustomer is set if the config names customers. The caller's key and the name of a
+	// customer that it sent are not forwarded then, and Customer is the customer that the
+	// key belongs to, empty on a public route.
+	ByCustomer bool
+	Customer   string
 }
 
 // AnswerHead holds the values that a Protocol reads from the head of a replica's
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -122,6 +122,10 @@
 	if x.route != nil {
 		kind, rank, route = x.route.Kind.String(), x.route.Rank, x.route.Name
 	}
+	customer := ""
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
 	elapsed := time.Since(x.arrived)
 	outcome := "answered"
 	if cause != "" {
@@ -138,7 +142,7 @@
 	if !noteworthy && x.service.recorder.ordinary.Add(1)%sampleInterval != 0 {
 		return
 	}
-	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "model", x.head.Model,
+	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "customer", customer, "model", x.head.Model,
 		"adapter", x.head.Adapter, "status", status, "cause", outcome, "late", late, "first_byte", timeToFirstByte.Round(time.Millisecond),
 		"took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "blocked_part", x.blockedPart, "sends", x.formatAttempts())
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -65,6 +65,13 @@
 		x.refuse(http.StatusNotFound, "no-route", 0)
 		return
 	}
+	if x.byCustomer = config.HasCustomers(); x.byCustomer && !x.route.Public {
+		if x.customer = config.FindCustomer(head.Key); x.customer == nil {
+			s.metrics.Counter("keys_rejected").Add(1)
+			x.refuse(http.StatusUnauthorized, "unknown-key", 0)
+			return
+		}
+	}
 	if !x.readBody(snapshot.Limits) {
 		return
 	}
@@ -141,7 +148,7 @@
 		timeout = min(timeout, x.head.TimeLeft)
 	}
 	return &dispatch.Request{
-		ID: x.head.ID, Route: x.route, Service: x.route.PickService(x.head.ID), Model: x.head.Model, Adapter: x.head.Adapter,
+		ID: x.head.ID, Route: x.route, Service: x.route.PickService(x.head.ID), Customer: x.customer, Model: x.head.Model, Adapter: x.head.Adapter,
 		PromptTokens: x.head.PromptTokens, OutputTokens: x.head.OutputTokens, Parts: x.promptParts(), SharedParts: x.sharedParts(),
 		Fingerprint: x.fingerprint(), Arrived: x.arrived, Deadline: x.arrived.Add(timeout),
 	}
