ingress: record the longest gap between the events of a stream

Change: the line of a request has longest_gap, a stream over its target counts as late and is logged, and the histogram event_gap shows the gaps by kind and rank.

Result: go test ./ingress passes.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -117,12 +117,21 @@
 		return false, err
 	}
 	if found.any {
+		x.recordEventGap(time.Now())
 		x.anyEvent, x.lastEvent, x.unresumable = true, found.lastID, !found.numbered
 	}
 	s.buffer = s.buffer[:copy(s.buffer, s.buffer[found.end:])]
 	return found.any, nil
 }
 
+// recordEventGap updates the longest time between two events.
+func (x *exchange) recordEventGap(now time.Time) {
+	if !x.eventAt.IsZero() {
+		x.longestGap = max(x.longestGap, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // foundEvents describes the complete events at the beginning of a buffer.
 type foundEvents struct {
 	end      int    // end of the last one
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -48,7 +48,11 @@
 	headSent  bool
 	firstByte time.Time // time at which the answer to the caller began
 	lastEvent string    // id of the last relayed event that has one
-	anyEvent  bool      // an event was relayed
+	// eventAt is the time at which the last event was relayed, and longestGap the longest
+	// time between two events.
+	eventAt    time.Time
+	longestGap time.Duration
+	anyEvent   bool // an event was relayed
 	// unresumable is set while the last relayed event has no id. A replica would
 	// resume the stream before it.
 	unresumable bool
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -137,14 +137,18 @@
 		timeToFirstByte = x.firstByte.Sub(x.arrived)
 		m.Histogram("first_byte", "kind", kind, "rank", fmt.Sprint(rank)).Observe(timeToFirstByte)
 	}
-	late := x.route != nil && x.route.LatencyTarget > 0 && timeToFirstByte > x.route.LatencyTarget
+	if x.longestGap > 0 {
+		m.Histogram("event_gap", "kind", kind, "rank", fmt.Sprint(rank)).Observe(x.longestGap)
+	}
+	late := x.route != nil && (x.route.LatencyTarget > 0 && timeToFirstByte > x.route.LatencyTarget ||
+		x.route.EventGapTarget > 0 && x.longestGap > x.route.EventGapTarget)
 	noteworthy := cause != "" || status >= 400 || len(x.attempts) > 1 || late
 	if !noteworthy && x.service.recorder.ordinary.Add(1)%sampleInterval != 0 {
 		return
 	}
 	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "customer", customer, "model", x.head.Model,
 		"adapter", x.head.Adapter, "status", status, "cause", outcome, "late", late, "first_byte", timeToFirstByte.Round(time.Millisecond),
-		"took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "blocked_part", x.blockedPart, "sends", x.formatAttempts())
+		"longest_gap", x.longestGap.Round(time.Millisecond), "took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "blocked_part", x.blockedPart, "sends", x.formatAttempts())
 }
 
 // formatAttempts returns all attempts as one text for the log.
