dispatch: expect longer times from machines that state they are slow

Some replicas state four numbers in the load of their answers. The adapter took such a header for none, so the load of these replicas was unknown. The fourth number, how long work takes on the machine now, changes about every 0.6 s.

The adapter reads three or four numbers, and counts and logs (once a second) a header that it can't read. Estimates are multiplied by the slowness with a weight that falls from 1 at 100 ms of age to 0 at 1 s. What an answer teaches about its replica and model is divided by the slowness stated in that answer.

Tests: TestSlownessCountsWhileFresh, TestSlownessIsNotLearned (latency ratio and profile stay within 5 % of 1 with every second answer 2.5 times slower), TestReportsOfSharedMachines, TestLoadReport; go test -race of dispatch, controlplane, platform, edge passes.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -86,6 +86,9 @@
 	adapterWaiters map[adapterKey][]adapterWaiter
 	undirected     map[adapterKey]bool      // adapters that were requested while the holder was not known
 	modelWaiters   map[string][]modelWaiter // waiting requests, by model
+
+	malformedReports int       // since the last line about them
+	malformedAt      time.Time // time of that line
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -103,6 +106,7 @@
 		undirected: make(map[adapterKey]bool), listPause: listPause(FromStore, leaveTime(b), 0),
 	}
 	c.initNoticeCounters()
+	registry.Counter(malformedReportsMetric)
 	registry.Counter(metricStoreRestores)
 	return c
 }
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -146,11 +146,11 @@
 
 func (e firstByte) apply(c *core, now time.Time) {
 	f := e.flight
-	c.dispatch.RecordFirstByte(now, f.Request, f.Decision, f.PrefillWork, e.elapsed)
-	f.PrefillWork, f.begunAt = 0, now
-	if e.report != nil {
+	if e.report != nil && e.report.Slowness <= 0 {
 		c.dispatch.SetReport(now, f.Decision.Replica.ID, *e.report)
 	}
+	c.dispatch.RecordFirstByte(now, f.Request, f.Decision, f.PrefillWork, e.elapsed)
+	f.PrefillWork, f.begunAt = 0, now
 }
 
 type silence struct {
@@ -204,7 +204,7 @@
 func (e finish) apply(c *core, now time.Time) {
 	f := e.flight
 	id := f.Decision.Replica.ID
-	if e.report != nil {
+	if e.report != nil && e.report.Slowness <= 0 {
 		c.dispatch.SetReport(now, id, *e.report)
 	}
 	switch {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -145,13 +145,21 @@
 			return Decision{Verdict: Refuse, Cause: CauseOverload, RetryAfter: overloadRetryAfter, Expected: expected}
 		}
 	}
-	prefill := s.prefillWork(chosen, req)
-	return Decision{
+	return s.sendTo(now, svc, chosen, req, level, expected)
+}
+
+// sendTo returns the decision to send a request to a replica.
+func (s *State) sendTo(now time.Time, svc *service, chosen *replica, req *Request, level int, expected time.Duration) Decision {
+	d := Decision{
 		Replica: chosen.info, NeedsAdapter: !chosen.hasAdapter(req.Model, req.Adapter), Urgency: level,
-		Expected: expected, PendingPrefill: chosen.pendingPrefill(now, level, svc.avgPrefill), PrefillWork: prefill,
+		Expected: expected, PendingPrefill: chosen.pendingPrefill(now, level, svc.avgPrefill), PrefillWork: s.prefillWork(chosen, req),
 		PrefixSource: s.prefixSource(now, svc, chosen, req),
 		CachedTokens: chosen.prefixes.cachedTokens(req.Parts), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
 	}
+	if svc.statesSlowness {
+		d.Slowness = chosen.slowness(now)
+	}
+	return d
 }
 
 // Patience returns how long a caller waits for the first event of a stream.
@@ -334,7 +342,7 @@
 func (s *State) estimateTTFB(now time.Time, svc *service, r *replica, req *Request, level int) time.Duration {
 	running := r.inFlight(now)
 	if req.Model == "" {
-		return s.estimatePlainTTFB(svc, r, running)
+		return s.estimatePlainTTFB(now, svc, r, running)
 	}
 	estimate := s.LatencyProfile(req.Model).Base + prefillTime(r.pendingPrefill(now, level, svc.avgPrefill)+s.prefillWork(r, req))
 	if excess := running + 1 - s.concurrency(svc, r); excess > 0 {
@@ -343,7 +351,7 @@
 	if !r.hasAdapter(req.Model, req.Adapter) {
 		estimate += adapterLoadTime
 	}
-	return time.Duration(float64(estimate) * r.latencyRatio)
+	return time.Duration(float64(estimate) * r.latencyRatio * r.slowness(now))
 }
 
 // prefillWork returns the prefill work of a request on a replica, without the
@@ -382,12 +390,12 @@
 
 // estimatePlainTTFB returns the expected time to the first byte of a replica that
 // serves no models.
-func (s *State) estimatePlainTTFB(svc *service, r *replica, running int) time.Duration {
+func (s *State) estimatePlainTTFB(now time.Time, svc *service, r *replica, running int) time.Duration {
 	avgTTFB := svc.avgTTFB
 	if avgTTFB == 0 {
 		avgTTFB = 20 * time.Millisecond // assumed equally for all replicas before the first answer
 	}
 	waiting := max(0, running+1-r.info.Slots)
 	utilization := float64(running) / float64(max(r.info.Slots, 1))
-	return time.Duration(float64(avgTTFB) * r.latencyRatio * (1 + 0.3*min(utilization, 1) + float64(waiting)/float64(max(r.info.Slots, 1))))
+	return time.Duration(float64(avgTTFB) * r.latencyRatio * r.slowness(now) * (1 + 0.3*min(utilization, 1) + float64(waiting)/float64(max(r.info.Slots, 1))))
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -124,6 +124,9 @@
 	// LoadAge is the age of the replica's last load report.
 	LoadAge time.Duration
 	Running int // estimated requests that run or wait on the replica
+	// Slowness is the factor for the replica's present slowness in Expected; 0 if the
+	// replicas of the service do not state it.
+	Slowness float64
 	// BlockedPart is the index in SharedParts of the blocked part, for a refusal with
 	// CauseBlockedPart.
 	BlockedPart int
@@ -200,6 +203,9 @@
 	avgPromptTokens float64
 	avgOutputTokens float64
 	avgPrefill      float64
+	// statesSlowness is set once a replica of the service has stated its slowness, which
+	// means that the replicas share their machines with other work.
+	statesSlowness bool
 }
 
 // New returns a State without replicas.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -126,7 +126,9 @@
 }
 
 // RecordFirstByte records that an answer began, with the time that it took since the
-// send. prefill is the work that RecordSend returned; d is the decision of the send.
+// send. prefill is the work that RecordSend returned; d is the decision of the send. The
+// report that came with the answer must be recorded before: how slow the replica was while
+// it worked on the answer is not a property of the replica or the model, and is not learned.
 func (s *State) RecordFirstByte(now time.Time, req *Request, d Decision, prefill float64, took time.Duration) {
 	r, ok := s.replicas[d.Replica.ID]
 	if !ok {
@@ -135,14 +137,20 @@
 	r.finishPrefill(d.Urgency, prefill)
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
 	svc := s.service(req.Service)
+	expected := d.Expected
+	if d.Slowness > 0 {
+		slowness := r.slowness(now)
+		expected = time.Duration(float64(expected) / d.Slowness)
+		took = time.Duration(float64(took) / slowness)
+	}
 	if svc.avgTTFB == 0 {
 		svc.avgTTFB = took
 	}
 	svc.avgTTFB += time.Duration(averageWeight * float64(took-svc.avgTTFB))
-	if d.Expected <= 0 {
+	if expected <= 0 {
 		return
 	}
-	ratio := min(max(float64(took)*r.latencyRatio/float64(d.Expected), minLatencyRatio), maxLatencyRatio)
+	ratio := min(max(float64(took)*r.latencyRatio/float64(expected), minLatencyRatio), maxLatencyRatio)
 	s.learnLatency(req, d, took)
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
@@ -162,13 +170,6 @@
 // Suspects returns the records of prompt parts that may crash replicas.
 func (s *State) Suspects() *suspect.State { return s.suspects }
 
-// SetReport records the load report that came with a replica's answer.
-func (s *State) SetReport(now time.Time, replicaID string, report Report) {
-	if r, ok := s.replicas[replicaID]; ok {
-		r.report, r.reportAt, r.sentSinceReport = report, now, 0
-	}
-}
-
 // RecordEnd records the end of a send that began at sentAt. It reports whether the
 // outcome ejected the replica. prefill is the work that RecordSend returned, or 0
 // if RecordFirstByte has subtracted it.
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -44,11 +44,6 @@
 	return rest
 }
 
-// Report is the load that a replica states in an answer.
-type Report struct {
-	Running, Waiting, Slots int
-}
-
 const (
 	// maxReportAge is the age up to which a load report is used. Replicas in use
 	// answer about once a second; a replica that stopped answering must not be
--- /dev/null
+++ b/dispatch/report.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "time"
+
+// Report is the load that a replica states in an answer.
+type Report struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes on the replica's machine now, as a multiple of what
+	// is usual there; 1 is as usual, and 0 means that the replica does not state it.
+	Slowness float64
+}
+
+const (
+	// fullSlownessAge is the age up to which a stated slowness is fully believed, and
+	// maxSlownessAge the age from which it is ignored. Slowness changes about every 0.6 s.
+	fullSlownessAge = 100 * time.Millisecond
+	maxSlownessAge  = time.Second
+	// minSlowness and maxSlowness bound what is believed, so that a wrong figure neither
+	// draws all requests to a replica nor keeps it without any.
+	minSlowness, maxSlowness = 0.2, 10.0
+)
+
+// slowness returns the expected slowness of the replica: the stated one, drawn towards 1
+// with its age.
+func (r *replica) slowness(now time.Time) float64 {
+	age := now.Sub(r.reportAt)
+	if r.report.Slowness <= 0 || age >= maxSlownessAge {
+		return 1
+	}
+	stated := min(max(r.report.Slowness, minSlowness), maxSlowness)
+	weight := min(1, float64(maxSlownessAge-age)/float64(maxSlownessAge-fullSlownessAge))
+	return 1 + weight*(stated-1)
+}
+
+// SetReport records the load report that came with a replica's answer.
+func (s *State) SetReport(now time.Time, replicaID string, report Report) {
+	r, ok := s.replicas[replicaID]
+	if !ok {
+		return
+	}
+	r.report, r.reportAt, r.sentSinceReport = report, now, 0
+	if report.Slowness > 0 {
+		s.service(r.info.Service).statesSlowness = true
+	}
+}
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -72,7 +72,10 @@
 	// the model.
 	Misdirected bool
 	Signed      bool // the answer carries the replica's signature
-	Report      *dispatch.Report
+	// Report is the load that the replica states, or nil. ReportErr is set if it is
+	// malformed.
+	Report    *dispatch.Report
+	ReportErr error
 	// Notice is what the replica asks for. NoticeErr is set if a header of it is
 	// malformed.
 	Notice    dispatch.Notice
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -39,6 +39,7 @@
 	expected        time.Duration // expected time to the first byte
 	loadAge         time.Duration
 	running         int
+	slowness        float64 // factor in expected; 0 if the replica's service states none
 	urgency         int
 	timeToFirstByte time.Duration // from the send to the first byte; 0 if none arrived
 	cachedTokens    int
@@ -53,6 +54,9 @@
 	text := fmt.Sprintf("replica=%s outcome=%s sent_after=%s ended_after=%s first_byte_after=%s expected=%s urgency=%d running=%d load_age=%s cached_tokens=%d adapter_loaded=%t",
 		s.replica, s.outcome, s.sentAfter.Round(time.Millisecond), s.endedAfter.Round(time.Millisecond),
 		s.timeToFirstByte.Round(time.Millisecond), s.expected.Round(time.Millisecond), s.urgency, s.running, s.loadAge.Round(time.Millisecond), s.cachedTokens, s.adapterLoaded)
+	if s.slowness > 0 {
+		text += fmt.Sprintf(" slowness=%.2f", s.slowness)
+	}
 	if s.prefixSource != "" {
 		text += " prefix_source=" + s.prefixSource
 	}
@@ -66,7 +70,7 @@
 func (x *exchange) recordAttempt(f *controlplane.Flight, outcome dispatch.Outcome, err error) {
 	d := f.Decision
 	x.attempts = append(x.attempts, attempt{
-		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running, urgency: d.Urgency, timeToFirstByte: x.timeToFirstByte,
+		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running, slowness: d.Slowness, urgency: d.Urgency, timeToFirstByte: x.timeToFirstByte,
 		cachedTokens: d.CachedTokens, prefixSource: prefixSourceID(d), adapterLoaded: d.NeedsAdapter, endedAfter: time.Since(x.arrived), sentAfter: f.SentAt.Sub(x.arrived),
 	})
 	var limit *upstream.LimitError
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	x.service.control.PostReport(s.flight.Decision.Replica, head.Report, head.ReportErr)
 	s.head, s.flight.HeadSeen = head, true
 	return nil
 }
