residency: give models copies from a slow weight store

Cause: the plan assumes demand for 8 s, and a load that takes longer has no value.

Change: if each load from the store of an engine takes longer than 8 s, the plan looks ahead for twice that time, and up to half of the replicas load from the store at once (they load no adapters meanwhile). If the replicas can't hold two copies of each model, and the store is slow or the deployment has customers, a second copy has no value beyond that of the model's requests.

--- a/residency/moves.go
+++ b/residency/moves.go
@@ -109,7 +109,7 @@
 			if n.gain < minMoveValue {
 				n.reason = "single copy"
 			}
-			n.gain += secondCopyValue + singleCopyLossShare*n.value
+			n.gain += view.secondCopyValue() + singleCopyLossShare*n.value
 		}
 		if n.gain >= minMoveValue {
 			out = append(out, n)
@@ -146,7 +146,7 @@
 func (s *State) evaluateMove(view *poolView, rv *replicaView, n neededCopy, minValue float64) *moveOption {
 	o := &moveOption{target: rv, fromStore: !rv.replica.hasLocalWeights(n.model.Name)}
 	duration := rv.replica.timeUntilIdle(view.now) + s.loadTime(rv.replica, n.model.Name)
-	if n.gain*remainingHorizonShare(duration)+dataCentreCopyValue <= minValue {
+	if n.gain*view.remainingShare(duration)+dataCentreCopyValue <= minValue {
 		return nil
 	}
 	load, loss, drainTime, ok := view.planEvictions(o, n)
@@ -162,7 +162,7 @@
 	}
 	level := waterLevelOrUnserved(n.utilization, append(view.loads(n.model.Name, nil), load))
 	gain := n.gain - n.value*missRate(level) - n.adapterValue*view.unplacedShare(n.model.Name, rv.freeAdapterSlots) - otherValue*(missRate(max(level, load))-missRate(load))
-	o.value = gain*remainingHorizonShare(duration) - loss - view.blockedAdapterCost(rv, duration)
+	o.value = gain*view.remainingShare(duration) - loss - view.blockedAdapterCost(rv, duration)
 	if !view.hasCopyInDataCentre(n.model.Name, rv.replica.info.DataCentre) {
 		o.value += dataCentreCopyValue
 	}
@@ -175,12 +175,6 @@
 	return o
 }
 
-// remainingHorizonShare returns the share of planHorizon that is left after the
-// duration.
-func remainingHorizonShare(duration time.Duration) float64 {
-	return max(0, 1-duration.Seconds()/planHorizon.Seconds())
-}
-
 // planEvictions chooses the models to unload for a needed copy. It returns the
 // replica's load without them, the value lost, and the time until they are
 // drained. ok is false if they make too little room before their loss reaches
@@ -232,7 +226,7 @@
 			requests += rate * singleCopyAdapterMissShare
 		}
 	}
-	return requests * replicaSecondsPerRequest * duration.Seconds() / planHorizon.Seconds()
+	return requests * replicaSecondsPerRequest * duration.Seconds() / view.horizon.Seconds()
 }
 
 func (view *poolView) hasCopyInDataCentre(model, dataCentre string) bool {
@@ -266,7 +260,7 @@
 		}
 		// While a copy drains, it serves no new requests.
 		share := view.state.demand[model].value() / float64(max(1, len(view.copies[model])))
-		v.loss += share * v.drainTime.Seconds() / planHorizon.Seconds() * drainLossShare
+		v.loss += share * v.drainTime.Seconds() / view.horizon.Seconds() * drainLossShare
 		rv.evictionCandidates = append(rv.evictionCandidates, v)
 	}
 	slices.SortFunc(rv.evictionCandidates, func(a, b evictionCandidate) int {
@@ -289,7 +283,7 @@
 			loss += requestedModelValue
 		}
 	case n == 2:
-		loss += secondCopyValue + singleCopyLossShare*d.value()
+		loss += view.secondCopyValue() + singleCopyLossShare*d.value()
 	default:
 		loss += secondCopyValue / float64(n*n)
 	}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -128,7 +128,7 @@
 // canStartStoreLoad reports whether one more load from the weight store may
 // begin.
 func (s *State) canStartStoreLoad(now time.Time, view *poolView) bool {
-	return view.storeLoadsInProgress() < maxStoreLoads(view.engine) && s.storeLoadBucket.hasToken(now, view.engine.LoadsPerSecond, s.limits)
+	return view.storeLoadsInProgress() < view.maxStoreLoads() && s.storeLoadBucket.hasToken(now, view.engine.LoadsPerSecond, s.limits)
 }
 
 // nextMoveOrder returns the next order of the replica's move: an unload that
@@ -167,8 +167,10 @@
 }
 
 // maxStoreLoads returns the maximum number of concurrent loads from the weight
-// store: as many as begin at its rate during the mean load time.
-func maxStoreLoads(e *catalog.Engine) int {
+// store: as many as begin at its rate during the mean load time, and at a slow store
+// at most maxStoreLoadShare of the replicas.
+func (view *poolView) maxStoreLoads() int {
+	e := view.engine
 	var sum time.Duration
 	for i := range e.Models {
 		sum += e.Models[i].StoreLoadTime
@@ -177,5 +179,9 @@
 		return minStoreLoads
 	}
 	mean := sum.Seconds() / float64(len(e.Models))
-	return max(minStoreLoads, int(e.LoadsPerSecond*mean))
+	loads := max(minStoreLoads, int(e.LoadsPerSecond*mean))
+	if view.slowStore {
+		loads = min(loads, max(1, int(maxStoreLoadShare*float64(len(view.replicas)))))
+	}
+	return loads
 }
--- a/residency/poolview.go
+++ b/residency/poolview.go
@@ -12,6 +12,7 @@
 // poolView is a snapshot of where a service's models are and how loaded its
 // replicas are. Plan updates it with each move that it starts.
 type poolView struct {
+	poolTraits
 	state    *State
 	now      time.Time
 	engine   *catalog.Engine
@@ -55,6 +56,7 @@
 			view.addReplica(id, r)
 		}
 	}
+	view.poolTraits = newPoolTraits(s.config, service.Engine, len(view.replicas))
 	slices.SortFunc(view.replicas, func(a, b *replicaView) int { return cmp.Compare(a.id, b.id) })
 	for key := range s.unplacedAdapters {
 		model, _, _ := strings.Cut(key, "/")
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,7 +44,27 @@
 	delayedOrders  []Order
 	history        []Report // its state after each step, oldest first
 	publishedIndex int      // index of the entry in history that the list shows
-	fail           func(format string, args ...any)
+	// local lists the models whose weights it has without the store, newest first.
+	// Models are loaded in one second unless it is set.
+	local []string
+	fail  func(format string, args ...any)
+}
+
+// loadTime returns the time of a load, and records its weights as local.
+func (f *fakeReplica) loadTime(c *catalog.Engine, model string) time.Duration {
+	took := time.Second
+	if i := slices.Index(f.local, model); f.local != nil {
+		took = c.Model(model).StoreLoadTime
+		switch {
+		case i >= localMemory:
+			took = c.Model(model).DiskLoadTime
+		case i >= 0:
+			took = c.Model(model).MemoryLoadTime
+		}
+		others := slices.DeleteFunc(slices.Clone(f.local), func(m string) bool { return m == model })
+		f.local = append([]string{model}, others[:min(len(others), localModels-1)]...)
+	}
+	return took
 }
 
 func (f *fakeReplica) usedMB(c *catalog.Engine) float64 {
@@ -71,7 +92,7 @@
 		if f.usedMB(c)+c.Model(o.Model).WeightsMB > c.WeightsMB {
 			f.fail("replica %s is ordered to load %s on top of %v", f.id, o.Model, f.models)
 		}
-		f.loading, f.loadDone = o.Model, now.Add(time.Second)
+		f.loading, f.loadDone = o.Model, now.Add(f.loadTime(c, o.Model))
 	case o.Operation == Load:
 		if !f.models[o.Model] {
 			return OtherReplica
@@ -96,7 +117,7 @@
 	default:
 		delete(f.models, o.Model)
 		for a := range f.adapters {
-			if a[:2] == o.Model {
+			if strings.HasPrefix(a, o.Model+"/") {
 				delete(f.adapters, a)
 			}
 		}
@@ -119,8 +140,8 @@
 	for m := range f.models {
 		r := catalog.LoadedModel{Name: m}
 		for a := range f.adapters {
-			if a[:2] == m {
-				r.Adapters = append(r.Adapters, a[3:])
+			if model, name, _ := strings.Cut(a, "/"); model == m {
+				r.Adapters = append(r.Adapters, name)
 			}
 		}
 		out = append(out, r)
@@ -163,7 +184,7 @@
 // ago.
 func (sim *simulation) publishEntry(id string, lag int) {
 	e := sim.replicas[id]
-	info := &catalog.Replica{ID: id, Service: serviceName, Address: id + ":1", DataCentre: "z", Slots: 8, StartMillis: 1, Models: e.loadedModels()}
+	info := &catalog.Replica{ID: id, Service: serviceName, Address: id + ":1", DataCentre: "z", Slots: 8, StartMillis: 1, Models: e.loadedModels(), InMemory: e.local[:min(len(e.local), localMemory)], OnDisk: e.local}
 	// The list never returns to an older state.
 	e.publishedIndex = max(e.publishedIndex, len(e.history)-1-lag)
 	if len(e.history) > 0 {
