ratelimit: keep limits of customers over all instances

Cause: a customer's limit was decoded but not applied.

Change: the holder of the order lease owns the token buckets of all customers (ratelimit.Owner). Each instance holds the tokens that it was granted (ratelimit.Client) and asks for those that a request lacks, with the JSON-RPC method quota. Requests above the limit are refused with 429 and the time at which the bucket has room. Instances without an owner use their shares of the limit, and the owner grants less by the shares of instances that it does not hear. Configs without limits are served as before.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -86,6 +86,7 @@
 	adapterWaiters map[adapterKey][]adapterWaiter
 	undirected     map[adapterKey]bool      // adapters that were requested while the holder was not known
 	modelWaiters   map[string][]modelWaiter // waiting requests, by model
+	quotas         quotas
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -101,6 +102,7 @@
 		stateInterval: StateInterval, storeUnavailable: make(map[string]bool), tableVersions: make(map[string]rowstore.Version), behindSince: make(map[string]time.Time), loggedReplicas: make(map[string]string), demand: make(map[string]*modelDemand),
 		peers: make(map[string]*peerState), fleet: newFleetSum(), adapterWaiters: make(map[adapterKey][]adapterWaiter), modelWaiters: make(map[string][]modelWaiter),
 		undirected: make(map[adapterKey]bool), listPause: listPause(FromStore, leaveTime(b), 0),
+		quotas: newQuotas(node, now),
 	}
 	c.initNoticeCounters()
 	registry.Counter(metricStoreRestores)
@@ -123,6 +125,7 @@
 	c.expireAdapterWaiters(now)
 	c.expireModelWaiters(now)
 	c.expireLimits(now)
+	c.tickQuotas(now, boot)
 	c.exportState(now)
 }
 
@@ -174,6 +177,7 @@
 	c.config, c.configValue = config, value
 	c.dispatch.SetConfig(config)
 	c.plan.SetConfig(config)
+	c.setCustomers(now, config.Customers())
 	c.publishSnapshot()
 	if c.limits() != old {
 		c.publishEvent(LimitsChanged{})
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -181,6 +181,7 @@
 func (e Stopping) apply(c *core, _ time.Time) {
 	c.stopping = true
 	c.leader.Stop()
+	c.quotas.client.Leave()
 	c.dispatch.SetStopTime(e.Until)
 	c.wakeAllModelWaiters()
 	c.publishSnapshot()
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -97,8 +97,17 @@
 		e.answer <- Admission{} // nobody waits for it
 		return
 	}
-	req := e.request.Request
 	first := len(e.request.Tried) == 0 && !e.request.Waited
+	if first && !c.takeQuota(now, e) {
+		return
+	}
+	e.decide(c, now, first)
+}
+
+// decide answers a request that is within its customer's limit. first is set for the first
+// decision about it.
+func (e admit) decide(c *core, now time.Time, first bool) {
+	req := e.request.Request
 	if first {
 		c.dispatch.RecordArrival(now, req)
 	}
@@ -109,6 +118,9 @@
 	if e.request.Delivered > 0 {
 		c.countRetry(d)
 	}
+	if first && d.Verdict == dispatch.Refuse {
+		c.returnQuota(now, req)
+	}
 	if d.Verdict != dispatch.Send {
 		e.answer <- Admission{Decision: d}
 		return
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	CauseBlockedPart       Cause = "part-crashes-replicas" // a part of the prompt is blocked
 	CauseOverload          Cause = "overload"
 	CauseDeadline          Cause = "no-time-left"
+	CauseRateLimit         Cause = "rate-limit"        // the customer has used up its limit
 	CauseStopping          Cause = "instance-stopping" // the answer would begin after this instance has stopped
 )
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -264,6 +264,8 @@
 	case x.failedAnswer != nil:
 		x.deliver(x.failedAnswer)
 		x.finish(x.status, "")
+	case x.possibleRuns == 0 && cause == string(dispatch.CauseRateLimit):
+		x.refuse(http.StatusTooManyRequests, cause, retryAfter)
 	case x.possibleRuns == 0:
 		x.refuse(http.StatusServiceUnavailable, cause, retryAfter)
 	case ctx.Err() != nil || x.lastOutcome == dispatch.TimedOut:
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -121,6 +121,10 @@
 // Held reports whether this instance believes that it holds the lease.
 func (s *State) Held() bool { return s.held }
 
+// WithinTerm reports whether this instance holds the lease and no other instance can have
+// acquired it.
+func (s *State) WithinTerm(now bootclock.Time) bool { return s.held && now < s.heldUntil }
+
 // Epoch returns the epoch of the lease, which is the fencing token of orders.
 func (s *State) Epoch() uint64 { return s.row.Epoch }
 
--- a/nodeconfig/contradictions.go
+++ b/nodeconfig/contradictions.go
@@ -21,10 +21,11 @@
 	FieldLoadExcess
 	FieldLeave
 	FieldConfigTime
+	FieldQuotaWindow
 )
 
 var fieldNames = [...]string{
-	"callers", "peer-ports", "memory", "grace", "lease-turn", "retry-ratio", "load-excess", "leave", "config-time",
+	"callers", "peer-ports", "memory", "grace", "lease-turn", "retry-ratio", "load-excess", "leave", "config-time", "quota-window",
 }
 
 // String returns the field's name for logs.
@@ -81,6 +82,7 @@
 	add(b.LoadExcess > 0 && b.LoadExcess < 1, FieldLoadExcess, "is %v: the weight store's own rate would exceed it", b.LoadExcess)
 	add(b.Leave > 0 && b.Leave < leaveReactionTime, FieldLeave, "is %v: an instance may send work to a leaving replica for %v", b.Leave, leaveReactionTime)
 	add(b.ConfigTime > 0 && b.ConfigTime < configReactionTime, FieldConfigTime, "is %v: a change may take %v while a feed is silent", b.ConfigTime, configReactionTime)
+	add(b.QuotaWindow <= 0 && (b.QuotaExcess > 0 || b.QuotaSlack > 0), FieldQuotaWindow, "is missing: the excess over limits of customers is counted in it")
 	return found
 }
 
--- a/nodeconfig/contradictions_test.go
+++ b/nodeconfig/contradictions_test.go
@@ -37,6 +37,7 @@
 		{FieldLoadExcess, func(n *Node) { n.Bounds.LoadExcess = 0.5 }},
 		{FieldLeave, func(n *Node) { n.Bounds.Leave = time.Second }},
 		{FieldConfigTime, func(n *Node) { n.Bounds.ConfigTime = time.Second }},
+		{FieldQuotaWindow, func(n *Node) { n.Bounds.QuotaSlack = 17_000 }},
 	} {
 		n := validNode()
 		c.change(&n)
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -59,6 +59,10 @@
 	// ConfigTime is the time after which a change of the config must be in force.
 	// Both are 0 if the deployment sets no bound.
 	Leave, ConfigTime time.Duration
+	// In any QuotaWindow, over all instances, at most (rate × QuotaWindow + burst) ×
+	// (1 + QuotaExcess) + QuotaSlack tokens of a customer's limit may be used.
+	QuotaWindow             time.Duration
+	QuotaExcess, QuotaSlack float64
 }
 
 const (
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -1,7 +1,7 @@
 // Package peering exchanges state between the edge instances of a deployment. Each
 // instance sends its load and demand to the holder of the order lease, receives the
-// state of the fleet, and requests adapters from the holder, all by JSON-RPC over
-// TCP. It decides nothing. Package peer, the counterpart for instances started with
+// state of the fleet, and requests adapters and tokens of customers' limits from the
+// holder, all by JSON-RPC over TCP. It decides nothing. Package peer, the counterpart for instances started with
 // the serve command, sends heartbeats to peers rather than states to one holder.
 package peering
 
@@ -112,6 +112,7 @@
 	return errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "peering.holder", s.handleHolderChanged),
 		worker.Subscribe(s.group, k.Bus(), "peering.adapter", s.requestAdapter),
+		worker.Subscribe(s.group, k.Bus(), "peering.quota", s.requestQuota),
 	)
 }
 
@@ -221,17 +222,27 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err = conn.Call(ctx, method, params, result)
-	var answered *jsonrpc2.Error
-	if err != nil && !errors.As(err, &answered) {
-		s.mu.Lock()
-		if s.holderConn == conn {
-			s.closeHolderConn()
-		}
-		s.mu.Unlock()
+	if err != nil && !isAnswer(err) {
+		s.dropHolderConn(conn)
 	}
 	return true, err
 }
 
+// isAnswer reports whether an error is an answer of the holder.
+func isAnswer(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered)
+}
+
+// dropHolderConn closes the connection to the holder if it is still the given one.
+func (s *Service) dropHolderConn(conn *jsonrpc2.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holderConn == conn {
+		s.closeHolderConn()
+	}
+}
+
 // exchangeState sends this instance's state to the holder and posts the answer to the
 // control goroutine. It does nothing if no other instance is known to be the holder,
 // or if the last state was sent to the same holder less than stateInterval ago.
@@ -328,6 +339,16 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		return true, s.control.ServeAdapter(ctx, params.Replica, params.Model, params.Adapter)
+	case methodQuota:
+		var message quotaMessage
+		if err := json.Unmarshal(*r.Params, &message); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		answer, err := s.control.ServeQuota(ctx, decodeQuota(message))
+		if err != nil {
+			return nil, err
+		}
+		return encodeGrant(answer), nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
