--- a/integration/edgedeployment_test.go
+++ b/integration/edgedeployment_test.go
@@ -38,22 +38,35 @@
 
 func startEdgeFleet(t *testing.T, instances int) *edgeFleet {
 	t.Helper()
-	f := &edgeFleet{Backends: platformtest.NewBackends(), t: t, dir: t.TempDir(), caller: platformtest.NewCaller(waitTimeout)}
-	t.Cleanup(f.Backends.Close)
+	f := newEdgeFleet(t)
 	for range instances {
 		f.addInstance()
 	}
 	return f
 }
 
+// newEdgeFleet returns a fleet without instances.
+func newEdgeFleet(t *testing.T) *edgeFleet {
+	f := &edgeFleet{Backends: platformtest.NewBackends(), t: t, dir: t.TempDir(), caller: platformtest.NewCaller(waitTimeout)}
+	t.Cleanup(f.Backends.Close)
+	return f
+}
+
 // addInstance starts a new instance and waits until it serves requests.
 func (f *edgeFleet) addInstance() *edgeInstance {
+	f.t.Helper()
+	return f.addLimitedInstance(0, 0)
+}
+
+// addLimitedInstance is addInstance with limits in the settings, unless they are 0.
+func (f *edgeFleet) addLimitedInstance(memoryMB, maxFDs int) *edgeInstance {
 	f.t.Helper()
 	host := loopbacktest.Host()
 	name := fmt.Sprintf("edge-%d", len(f.instances))
 	i := &edgeInstance{storeLink: newLink(f.t, name+"-store", f.Store.Address())}
 	i.settings = platformtest.NodeSettings{
 		Name: name, Zone: "z1", Host: host, Callers: loopbacktest.Address(f.t, host), Readiness: loopbacktest.Address(f.t, host), Store: i.storeLink.address(),
+		MemoryMB: memoryMB, MaxFDs: maxFDs,
 	}
 	f.instances = append(f.instances, i)
 	f.startInstance(i)
@@ -64,7 +77,7 @@
 // serves requests.
 func (f *edgeFleet) startInstance(i *edgeInstance) {
 	f.t.Helper()
-	file := filepath.Join(f.dir, i.settings.Name+".json")
+	file := f.settingsFile(i)
 	if err := i.settings.WriteFile(file); err != nil {
 		f.t.Fatal(err)
 	}
@@ -78,6 +91,11 @@
 	})
 }
 
+// settingsFile returns the path of the settings file of an instance.
+func (f *edgeFleet) settingsFile(i *edgeInstance) string {
+	return filepath.Join(f.dir, i.settings.Name+".json")
+}
+
 func (f *edgeFleet) send(i *edgeInstance, r edgeRequest) platformtest.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
