gateway: limit what requests hold

callers.max_held_bytes (default: no limit) limits what bodies of requests and answers of plain services hold in serve, by the same budget as in edge. A request beyond it gets 503 memory_short with Retry-After and has not run.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/gateway"
 	"github.com/hyssophaven/hyssophaven/membership"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/placement"
 	"github.com/hyssophaven/hyssophaven/routing"
 	"github.com/hyssophaven/hyssophaven/settings"
@@ -45,7 +46,7 @@
 	return gateway.Config{
 		Listener: i.listeners.callers, TLS: t,
 		EngineClient: e.Client, Table: tables, Objects: objects, Recorder: r, Log: i.log,
-		BalancerWait: time.Duration(s.Instance.BalancerWait),
+		BalancerWait: time.Duration(s.Instance.BalancerWait), Memory: memoryBudget(s.Callers.MaxHeldBytes),
 		Limits: gateway.Limits{
 			MaxBodyBytes: s.Callers.MaxBodyBytes, BodyTimeout: time.Duration(s.Callers.ReadTimeout),
 			WriteTimeout: time.Duration(s.Callers.WriteTimeout), IdleTimeout: time.Duration(s.Callers.IdleTimeout),
@@ -54,6 +55,14 @@
 	}
 }
 
+// memoryBudget returns the budget of what requests hold, or nil for no limit.
+func memoryBudget(bytes int64) *memorybudget.Budget {
+	if bytes == 0 {
+		return nil
+	}
+	return memorybudget.New(bytes)
+}
+
 // dialer creates engine clients that share a connection pool.
 type dialer struct{ http *http.Client }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/idempotency"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/worker"
 )
 
@@ -60,7 +61,9 @@
 	// its readiness check fails, so that the load balancer can remove it first.
 	BalancerWait time.Duration
 	Limits       Limits
-	Claims       idempotency.Settings // the zero value selects the default settings
+	// Memory limits what requests hold; nil means no limit.
+	Memory *memorybudget.Budget
+	Claims idempotency.Settings // the zero value selects the default settings
 }
 
 // Gateway serves the callers of one instance. It is an http.Handler and a
@@ -71,6 +74,7 @@
 	control  control.Control
 	counters counters
 	services http.RoundTripper
+	memory   *memorybudget.Group // of the requests; nil without a limit
 
 	sequence          atomic.Uint64 // last number given to an admission, engine request or claim
 	draining          atomic.Bool
@@ -116,6 +120,7 @@
 		cfg.Log = log.New(io.Discard)
 	}
 	g := &Gateway{adapterLoadSlots: semaphore.NewWeighted(int64(cfg.Limits.MaxAdapterLoads)), cfg: cfg, counters: newCounters(), claimWrites: worker.NewGroup(), stopping: make(chan struct{}), services: cfg.ServiceTransport}
+	g.memory = cfg.Memory.NewGroup(0)
 	if g.services == nil {
 		g.services = newTransport(cfg.Limits)
 	}
--- a/gateway/keyed.go
+++ b/gateway/keyed.go
@@ -52,7 +52,11 @@
 		return
 	}
 	k.call = idempotency.NewCall(g.cfg.Claims, k.recordKey, owner, idempotency.BodyHash(c.r.Method, c.requestURI, c.body))
-	g.background.Go(k.run)
+	k.memory.share()
+	g.background.Go(func() {
+		defer k.memory.close()
+		k.run()
+	})
 	select {
 	case t := <-k.verdict:
 		g.writeKeyedReply(w, k, t)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/hyssophaven/hyssophaven/headlimits"
 )
 
 // Limits bounds the memory and time that one caller or endpoint can take from an
@@ -29,9 +31,9 @@
 
 func (l Limits) withDefaults() Limits {
 	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, 8<<20)
-	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, 64<<10)
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, headlimits.MaxBytes)
 	l.MaxAnswerBytes = cmp.Or(l.MaxAnswerBytes, 8<<20)
-	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, 5*time.Second)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, headlimits.Timeout)
 	l.BodyTimeout = cmp.Or(l.BodyTimeout, 30*time.Second)
 	l.WriteTimeout = cmp.Or(l.WriteTimeout, 10*time.Second)
 	l.IdleTimeout = cmp.Or(l.IdleTimeout, 2*time.Minute)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hyssophaven/hyssophaven/admission"
 	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 )
 
 const streamBody = `{"model":"base","stream":true,"messages":[{"role":"user","content":"when?"}]}`
@@ -68,6 +69,52 @@
 	r.is.Equal(len(r.control.admitRequests), 0)
 }
 
+// Guards against bodies that together take more memory than the gateway may, against a
+// refusal that states no time, and against memory that is not given back.
+func TestBodiesBeyondMemoryAreRefused(t *testing.T) {
+	const limit = 1 << 20
+	r := newTestGateway(t, func(c *Config) { c.Limits.MaxBodyBytes, c.Memory = limit/4, memorybudget.New(limit) })
+	var stalled []net.Conn
+	for range 4 {
+		conn, err := net.Dial("tcp", r.Addr().String())
+		r.is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", limit/4, strings.Repeat(" ", limit/4-1))
+		r.is.NoErr(err)
+		stalled = append(stalled, conn)
+	}
+	refused := 0
+	for _, conn := range stalled {
+		_ = conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			continue
+		}
+		refused++
+		r.is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		r.is.Equal(resp.Header.Get("Retry-After"), "1")
+		r.is.Equal(resp.Header.Get(HeaderExecuted), "no")
+	}
+	r.is.True(refused > 0 && refused < len(stalled))
+	r.is.Equal(r.Vars().Get("memory_refused").String(), fmt.Sprint(refused))
+	for _, conn := range stalled {
+		_ = conn.Close()
+	}
+	awaitReleased := func() {
+		for end := time.Now().Add(20 * time.Second); r.cfg.Memory.Counts().Held > 0; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d bytes are still held", r.cfg.Memory.Counts().Held)
+			}
+		}
+	}
+	awaitReleased()
+	large := `{"model":"base","prompt":"` + strings.Repeat("p", limit/4-100) + `"}`
+	for range 2 {
+		r.is.Equal(r.call("POST", "/v1/completions", large).status, http.StatusOK)
+		awaitReleased() // the answer arrives before the request has ended
+	}
+}
+
 // Guards against a caller that does not read its answer and so holds its grant for
 // ever.
 func TestSlowReaderIsDisconnected(t *testing.T) {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -52,7 +52,7 @@
 	chunksRelayed, answersResumed, endpointsLost, answersTruncated, answersMalformed *expvar.Int
 	answersCrossed, enginesStalled, adapterLoads, adapterLoadsRefused                *expvar.Int
 	keyedCalls, keyedReplayed, keyedUnknown, serviceRetries                          *expvar.Int
-	claimsWrittenAgain, claimsLost                                                   *expvar.Int
+	claimsWrittenAgain, claimsLost, memoryRefused                                    *expvar.Int
 }
 
 func newCounters() counters {
@@ -73,7 +73,7 @@
 		answersCrossed: add("answers_crossed"), enginesStalled: add("engines_stalled"),
 		adapterLoads: add("adapter_loads"), adapterLoadsRefused: add("adapter_loads_refused"),
 		keyedCalls: add("keyed_calls"), keyedReplayed: add("keyed_replayed"),
-		claimsWrittenAgain: add("claims_written_again"), claimsLost: add("claims_lost"),
+		claimsWrittenAgain: add("claims_written_again"), claimsLost: add("claims_lost"), memoryRefused: add("memory_refused"),
 		keyedUnknown: add("keyed_unknown"), serviceRetries: add("service_retries"),
 	}
 }
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -13,6 +13,8 @@
 
 	"github.com/hyssophaven/hyssophaven/admission"
 	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/openai"
 )
 
@@ -105,7 +107,11 @@
 		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
 	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
-	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
+	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength, limit+1, c.memory.held(), memorybudget.Other)
+	if errors.Is(err, heldbytes.ErrNoRoom) {
+		f := failf(openai.CodeAnswerTooLarge, engine.ExecutedYes, "there is no memory for the answer of endpoint %s", grant.Endpoint.ID)
+		return &serviceAnswer{status: resp.StatusCode}, f
+	}
 	if err != nil {
 		return nil, c.lostFailure(grant, err)
 	}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -13,6 +13,8 @@
 	"github.com/google/uuid"
 
 	"github.com/hyssophaven/hyssophaven/engine"
+	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/openai"
 )
 
@@ -147,8 +149,14 @@
 func (g *Gateway) modelCallHandler(decode func([]byte) (openai.Request, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var c *modelCall
+		m, ok := g.openMemory(w)
+		defer m.close()
+		if !ok {
+			g.writeFailure(w, g.refuseForMemory(w))
+			return
+		}
 		var f *failure
-		runOnSeparateStack(func() { c, f = g.decodeModelCall(w, r, decode) })
+		runOnSeparateStack(func() { c, f = g.decodeModelCall(w, r, decode, m) })
 		if f != nil {
 			g.writeFailure(w, f)
 			return
@@ -158,10 +166,10 @@
 }
 
 // decodeModelCall reads and decodes a request and resolves its model in the table.
-func (g *Gateway) decodeModelCall(w http.ResponseWriter, r *http.Request, decode func([]byte) (openai.Request, error)) (*modelCall, *failure) {
+func (g *Gateway) decodeModelCall(w http.ResponseWriter, r *http.Request, decode func([]byte) (openai.Request, error), m *requestMemory) (*modelCall, *failure) {
 	arrived := time.Now()
 	g.counters.requests.Add(1)
-	body, f := g.readBody(w, r)
+	body, f := g.readBody(w, r, m)
 	if f != nil {
 		return nil, f
 	}
@@ -186,7 +194,7 @@
 }
 
 // readBody reads a request body of at most MaxBodyBytes within BodyTimeout.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, m *requestMemory) ([]byte, *failure) {
 	limit := g.cfg.Limits.MaxBodyBytes
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close") // the body is left unread
@@ -194,9 +202,11 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(g.cfg.Limits.BodyTimeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	body, err := readAll(m.countProgress(http.MaxBytesReader(w, r.Body, limit)), r.ContentLength, limit+1, m.held(), memorybudget.Body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, heldbytes.ErrNoRoom) || !m.protect():
+		return nil, g.refuseForMemory(w)
 	case err == nil:
 		// Removes the deadline, because the server continues to read from the connection
 		// to detect that the caller hangs up.
@@ -223,21 +233,13 @@
 // alone, before any of the body has arrived.
 const maxInitialBufferBytes = 64 << 10
 
-// readAll reads r to its end. The expected length is only a hint; -1 means unknown.
-func readAll(r io.Reader, expected int64) ([]byte, error) {
+// readAll reads r, which ends after limit bytes at the latest. The expected length is only
+// a hint; -1 means unknown.
+func readAll(r io.Reader, expected, limit int64, m *memorybudget.Reservation, p memorybudget.Purpose) ([]byte, error) {
 	// One spare byte lets the reader report io.EOF without growing the buffer.
-	buf := make([]byte, 0, max(512, min(expected, maxInitialBufferBytes)+1))
-	for {
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return nil, fmt.Errorf("read body: %w", err)
-		}
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
+	body, err := heldbytes.ReadAll(r, max(512, min(expected, maxInitialBufferBytes)+1), limit+1, m, p)
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
 	}
+	return body, nil
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -27,6 +27,7 @@
 	sendOnce     bool // not idempotent: at most one attempt may reach an endpoint
 	admitRequest admission.Request
 	arrived      time.Time
+	memory       *requestMemory // of the body and of answers
 }
 
 // serveService handles requests to plain services.
@@ -39,12 +40,19 @@
 		g.writeFailure(w, failf(openai.CodeServiceNotFound, engine.ExecutedNo, "the service %q does not exist", name))
 		return
 	}
-	body, f := g.readBody(w, r)
+	m, ok := g.openMemory(w)
+	defer m.close()
+	if !ok {
+		g.writeFailure(w, g.refuseForMemory(w))
+		return
+	}
+	body, f := g.readBody(w, r, m)
 	if f != nil {
 		g.writeFailure(w, f)
 		return
 	}
 	c := newServiceCall(g, r, row, body, arrived)
+	c.memory = m
 	key := r.Header.Get(HeaderIdempotencyKey)
 	switch {
 	case !c.sendOnce:
--- a/openai/error.go
+++ b/openai/error.go
@@ -50,6 +50,7 @@
 	CodeInProgress            Code = "request_in_progress"
 	CodeOutcomeUnknown        Code = "outcome_unknown"
 	CodeAnswerNotKept         Code = "answer_not_kept"
+	CodeMemoryShort           Code = "memory_short"
 	CodeInternal              Code = "internal_error"
 )
 
@@ -81,6 +82,7 @@
 	CodeInProgress:            http.StatusConflict,
 	CodeOutcomeUnknown:        http.StatusConflict,
 	CodeAnswerNotKept:         http.StatusConflict,
+	CodeMemoryShort:           http.StatusServiceUnavailable,
 	CodeInternal:              http.StatusInternalServerError,
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -188,6 +188,10 @@
 
 func (c checker) checkNumbers(s *Settings) {
 	checkRange(c, "callers", "max_body_bytes", s.Callers.MaxBodyBytes, 1024, 1<<30)
+	if s.Callers.MaxHeldBytes != 0 {
+		// Two of the largest bodies must find room in the part that bodies can use.
+		checkRange(c, "callers", "max_held_bytes", s.Callers.MaxHeldBytes, 4*s.Callers.MaxBodyBytes, 1<<40)
+	}
 	checkRange(c, "endpoints", "shards", s.Endpoints.Shards, 1, maxShards)
 	checkRange(c, "admission", "max_queued", s.Admission.MaxQueued, 1, 1_000_000)
 	checkRange(c, "weight_store", "loads_per_second", s.WeightStore.LoadsPerSecond, 0.01, 10_000)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,9 +38,10 @@
 type Callers struct {
 	Listen       string            `toml:"listen"`
 	MaxBodyBytes int64             `toml:"max_body_bytes"`
-	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`  // limits the time to receive a whole request
-	WriteTimeout tomlfile.Duration `toml:"write_timeout"` // limits the time to write each chunk of an answer
-	IdleTimeout  tomlfile.Duration `toml:"idle_timeout"`  // limits the time between two requests on a connection
+	MaxHeldBytes int64             `toml:"max_held_bytes"` // limits what all requests hold; 0 means no limit
+	ReadTimeout  tomlfile.Duration `toml:"read_timeout"`   // limits the time to receive a whole request
+	WriteTimeout tomlfile.Duration `toml:"write_timeout"`  // limits the time to write each chunk of an answer
+	IdleTimeout  tomlfile.Duration `toml:"idle_timeout"`   // limits the time between two requests on a connection
 }
 
 // Operators configures the operators' listener.
