edge: keep clients within memory and descriptors

Bodies reserved their announced length, were held twice when sent, and nothing bounded the bytes of all requests or the connections of any listener.

Bodies now grow in pieces as bytes arrive and are sent in these pieces; plain answers and event buffers are reserved while they are held, and an answer without room is relayed as it arrives. Connections of callers, peers, readiness checks and metrics are accounts of the budget and have shares of limits.max-fds, which is read from the settings. Heads have one bound on bytes and time at all listeners; the first message of a peer has the same time. What finds no room gets 503 with Retry-After, or its connection is closed; both are counted and logged at most every two seconds. Without memory-mb and max-fds nothing is limited.

--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -26,13 +26,14 @@
 // deployment is the edge instances of one test with their store, replicas and caller.
 type deployment struct {
 	*platformtest.Backends
-	t         *testing.T
+	t         testing.TB
 	instances []*Instance
 	nodesMu   sync.RWMutex // guards nodes while requests are being sent
 	nodes     []nodeconfig.Node
 	logs      *lockedBuffer
 	caller    *platformtest.Caller
 	bounds    nodeconfig.Bounds // of the instances that are added from now on
+	memory    int64             // memory limit of these instances; 0 for none
 }
 
 // lockedBuffer is a log buffer that all instances of a deployment share.
@@ -55,13 +56,13 @@
 
 // startDeployment starts a deployment and waits until each instance has the config and
 // the list of replicas.
-func startDeployment(t *testing.T, instances int) *deployment {
+func startDeployment(t testing.TB, instances int) *deployment {
 	t.Helper()
 	return startDeploymentOn(t, platformtest.NewBackends(), instances)
 }
 
 // startDeploymentOn is startDeployment with the given stand-ins.
-func startDeploymentOn(t *testing.T, backends *platformtest.Backends, instances int) *deployment {
+func startDeploymentOn(t testing.TB, backends *platformtest.Backends, instances int) *deployment {
 	t.Helper()
 	d := newDeploymentOn(t, backends)
 	for range instances {
@@ -76,7 +77,7 @@
 }
 
 // newDeploymentOn is newDeployment with the given stand-ins.
-func newDeploymentOn(t *testing.T, backends *platformtest.Backends) *deployment {
+func newDeploymentOn(t testing.TB, backends *platformtest.Backends) *deployment {
 	d := &deployment{Backends: backends, t: t, logs: &lockedBuffer{}, caller: platformtest.NewCaller(hangTimeout)}
 	d.bounds = nodeconfig.Bounds{
 		Grace: 6 * time.Second, LeaseTurn: 300 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 200,
@@ -92,7 +93,7 @@
 	host := loopbacktest.Host()
 	node := nodeconfig.Node{
 		ID: "edge-" + host, DataCentre: "z1", FirstStart: true, Callers: loopbacktest.Address(d.t, host), Readiness: loopbacktest.Address(d.t, host), PeerHost: host,
-		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds,
+		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds, MemoryBytes: d.memory,
 	}
 	d.nodesMu.Lock()
 	d.instances, d.nodes = append(d.instances, nil), append(d.nodes, node)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,10 +20,13 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/hyssophaven/hyssophaven/actuator"
+	"github.com/hyssophaven/hyssophaven/boundedlisten"
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/headlimits"
 	"github.com/hyssophaven/hyssophaven/ingress"
 	"github.com/hyssophaven/hyssophaven/kernel"
 	"github.com/hyssophaven/hyssophaven/leader"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
@@ -55,6 +58,7 @@
 	kernel   *kernel.Kernel
 	ingress  *ingress.Service
 	metrics  *http.Server
+	checks   *memorybudget.Group // of the connections to metrics
 	registry *metrics.Registry
 	log      *log.Logger
 }
@@ -71,9 +75,12 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	registry := metrics.New()
+	budget, shares := memorybudget.New(memorybudget.LimitFor(node.MemoryBytes)), memorybudget.SharesOf(node.MaxDescriptors)
+	exportBudget(registry, budget)
 	dial := netdial.NewDialFunc(dialTimeout)
 	orderDial := netdial.NewDialFuncWithUserTimeout(dialTimeout, leader.OrderDeliveryTimeout)
 	store, pool, orderCalls := platform.NewStore(node.Store, dial), upstream.NewPool(dial, platform.AnswerID), upstream.NewDedicated(orderDial)
+	pool.SetMaxIdle(shares.IdleReplicas)
 	registry.Func("connections_opened", func() int64 { return pool.ConnectionsOpened() + orderCalls.ConnectionsOpened() })
 	registry.Func("connections_idle", pool.IdleConnections)
 	registry.Func("answers_cut_off", func() int64 { return pool.AnswersCutOff() + orderCalls.AnswersCutOff() })
@@ -82,6 +89,7 @@
 	i := &Instance{node: node, kernel: k, registry: registry, log: logger}
 	i.ingress = ingress.New(ingress.Options{
 		Node: node, ReadinessPath: platform.ReadinessPath, Protocol: platform.Protocol{}, Pool: pool, Log: logger, Metrics: registry,
+		Budget: budget, Shares: shares,
 	})
 	source := watch.Source{
 		ConfigTable: platform.ConfigTable, ConfigKey: platform.ConfigKey, ReplicaTable: platform.ReplicaTable,
@@ -92,15 +100,28 @@
 	k.Register(watch.New(store, source, logger, registry))
 	k.Register(actuator.New(store, orderCalls, platform.OrderCodec{}, logger))
 	peers := peering.New(node, logger)
+	peers.LimitConnections(budget.NewGroup(shares.Peers))
 	registry.Func("peer_frames_malformed", peers.MalformedFrames)
 	k.Register(peers)
 	k.Register(i.ingress)
 	router := chi.NewRouter()
 	router.Get(MetricsPath, registry.ServeHTTP)
-	i.metrics = &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
+	i.metrics, i.checks = headlimits.NewCheckServer(router, logger.StandardLog()), budget.NewGroup(shares.Checks)
 	return i, nil
 }
 
+// exportBudget exports the figures of the memory budget.
+func exportBudget(registry *metrics.Registry, budget *memorybudget.Budget) {
+	for name, value := range map[string]func(memorybudget.Counts) int64{
+		"memory_budget_bytes":               func(c memorybudget.Counts) int64 { return c.Held },
+		"memory_budget_refusals":            func(c memorybudget.Counts) int64 { return c.Refused },
+		"memory_budget_connections_turned":  func(c memorybudget.Counts) int64 { return c.Turned },
+		"memory_budget_connections_evicted": func(c memorybudget.Counts) int64 { return c.Evicted },
+	} {
+		registry.Func(name, func() int64 { return value(budget.Counts()) })
+	}
+}
+
 // ExportDroppedLines exports the value of dropped as the metric of dropped log lines.
 func (i *Instance) ExportDroppedLines(dropped func() int64) {
 	i.registry.Func("log_lines_dropped", dropped)
@@ -121,7 +142,7 @@
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	go func() {
-		if err := i.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := i.metrics.Serve(boundedlisten.New(l, i.checks)); !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error("metrics listener failed", "error", err)
 		}
 	}()
--- a/ingress/connclose.go
+++ b/ingress/connclose.go
@@ -18,10 +18,11 @@
 	closedDraining                      // the instance drains
 	closedByCaller                      // the caller closed it
 	closedBroken                        // it failed
+	closedForRoom                       // its memory or descriptor was needed
 	closeCauseCount
 )
 
-var closeCauseNames = [closeCauseCount]string{"after-answer", "idle", "unused", "slow-head", "draining", "caller", "broken"}
+var closeCauseNames = [closeCauseCount]string{"after-answer", "idle", "unused", "slow-head", "draining", "caller", "broken", "no-room"}
 
 // String returns the cause's name for logs and metrics.
 func (c closeCause) String() string { return closeCauseNames[c] }
@@ -37,10 +38,12 @@
 func (c *trackedConn) recordReadEnd(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connHandling && errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.state == connHandling && !c.evicted && errors.Is(err, os.ErrDeadlineExceeded) {
 		return // the server stops to watch for a caller that leaves
 	}
 	switch {
+	case c.evicted:
+		c.closeCause = closedForRoom
 	case errors.Is(err, io.EOF):
 		c.closeCause = closedByCaller
 	case !errors.Is(err, os.ErrDeadlineExceeded):
--- a/ingress/connlimits.go
+++ b/ingress/connlimits.go
@@ -82,7 +82,7 @@
 
 // setDeadline sets the read deadline that the state has. c.mu must be held.
 func (c *trackedConn) setDeadline() {
-	if c.closing {
+	if c.closing || c.evicted {
 		return
 	}
 	c.lastRead = false
@@ -125,7 +125,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	switch {
-	case c.state == connHandling:
+	case c.state == connHandling || c.evicted:
 		return false
 	case !c.closing && now.Before(c.deadline):
 		c.setDeadline()
@@ -151,15 +151,23 @@
 // the server closes its connection.
 func (c *trackedConn) refuseSlowHead() {
 	c.mu.Lock()
-	reading := c.state == connReadingHead
+	reading, answer := c.state == connReadingHead, slowHeadAnswer
+	if c.evicted {
+		answer = noRoomAnswer
+	}
 	c.mu.Unlock()
 	if reading {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(slowHeadWriteTime))
-		_, _ = io.WriteString(c.Conn, slowHeadAnswer) // the caller may have disconnected
-		_ = c.CloseWrite()                            // net/http must not add its own answer
+		c.writeRefusal(answer)
 	}
 }
 
+// writeRefusal writes an answer to a request whose head has not been read.
+func (c *trackedConn) writeRefusal(answer string) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(slowHeadWriteTime))
+	_, _ = io.WriteString(c.Conn, answer) // the caller may have disconnected
+	_ = c.CloseWrite()                    // net/http must not add its own answer
+}
+
 // isLimited reports whether the limits of the config determine the read deadline.
 func (c *trackedConn) isLimited() bool {
 	c.mu.Lock()
--- /dev/null
+++ b/ingress/connmemory.go
@@ -0,0 +1,83 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/memorybudget"
+)
+
+// noRoomRetry is the time after which a caller should retry that was refused because the
+// memory budget has no room. Connections without progress are closed meanwhile.
+const noRoomRetry = time.Second
+
+// causeNoRoom is the cause of such refusals.
+const causeNoRoom = "no-room"
+
+// connContextKey is the key of the connection in the context of its requests.
+type connContextKey struct{}
+
+// withConn implements http.Server.ConnContext.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, conn)
+}
+
+// accountOf returns the account of a request's connection, or nil.
+func accountOf(ctx context.Context) *memorybudget.Account {
+	if c, ok := ctx.Value(connContextKey{}).(*trackedConn); ok {
+		return &c.account
+	}
+	return nil
+}
+
+// evict ends the read of a connection whose memory or descriptor is needed. If a head or a
+// body is being read, the request is refused.
+func (c *trackedConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// reserveHead reserves memory for n bytes of a head that were read, and for what is decoded
+// from them. The usual head needs no reservation.
+func (c *trackedConn) reserveHead(now time.Time, n int) bool {
+	free := max(memorybudget.BufferBytes-c.headBytes, 0)
+	c.headBytes += n
+	if more := n - free; more > 0 {
+		return c.head.Grow(now, 2*int64(more), memorybudget.Other)
+	}
+	return true
+}
+
+// releaseHead gives back the memory of a head.
+func (c *trackedConn) releaseHead() {
+	c.headBytes = 0
+	c.head.Release()
+}
+
+// refuseHead refuses a request whose head finds no room.
+func (c *trackedConn) refuseHead() error {
+	c.mu.Lock()
+	c.evicted = true
+	c.closeCause = closedForRoom
+	c.mu.Unlock()
+	c.writeRefusal(noRoomAnswer)
+	return os.ErrDeadlineExceeded // net/http adds no answer of its own
+}
+
+// noRoomAnswer refuses a request before its head has been read.
+const noRoomAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 8\r\n\r\nno-room\n"
+
+// logBudget logs how many clients have found no room since the last call, if any.
+func (s *Service) logBudget() {
+	now, last := s.budget.Counts(), s.lastCounts
+	s.lastCounts = now
+	if now.Refused == last.Refused && now.Turned == last.Turned && now.Evicted == last.Evicted {
+		return
+	}
+	s.log.Warn("memory or descriptors are short", "bytes_held", now.Held, "reservations_refused", now.Refused-last.Refused,
+		"connections_turned_away", now.Turned-last.Turned, "connections_evicted", now.Evicted-last.Evicted, "caller_connections", s.callers.conns.group.Open())
+}
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 )
 
 // connTracker holds the open connections of callers and applies time limits to them. Its
@@ -24,18 +26,24 @@
 	// wait until callers have closed their idle connections. If it is 0, answers tell the
 	// limit of the config, and a drain closes idle connections at once.
 	maxIdleNotice time.Duration
-	draining      atomic.Bool // drain was called
-	closesIdle    atomic.Bool // connections are closed as soon as they are idle
+	group         *memorybudget.Group // limits the connections, unless it is nil
+	draining      atomic.Bool         // drain was called
+	closesIdle    atomic.Bool         // connections are closed as soon as they are idle
 
 	mu    sync.Mutex
 	open  map[*trackedConn]bool
 	empty chan struct{} // nil until drain; closed when the last connection is closed after it
 }
 
-// add tracks a connection that was accepted.
+// add tracks a connection that was accepted. It returns nil if there is no room for one
+// more.
 func (t *connTracker) add(raw net.Conn) *trackedConn {
 	now := time.Now()
 	c := &trackedConn{Conn: raw, tracker: t, acceptedAt: now, lastByteAt: now}
+	c.head.Account = &c.account
+	if !t.group.OpenAccount(&c.account, now, c.evict) {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyConfigLimits()
@@ -51,6 +59,8 @@
 
 // remove ends the tracking of a connection that was closed.
 func (t *connTracker) remove(c *trackedConn) {
+	c.releaseHead()
+	c.account.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, c)
@@ -166,6 +176,11 @@
 	lastByteAt time.Time // last read of bytes, or acceptedAt
 	requests   int       // requests that have begun
 	closeCause closeCause
+
+	account   memorybudget.Account
+	evicted   bool                     // the account was evicted; reads fail
+	head      memorybudget.Reservation // of the head of the request
+	headBytes int                      // bytes read of it; only the goroutine that reads it uses this
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
@@ -179,7 +194,12 @@
 		n, err = c.Conn.Read(b)
 	}
 	if n > 0 {
-		c.recordRead(len(b) == 1)
+		now := time.Now()
+		inHead := c.recordRead(now, len(b) == 1)
+		c.account.Moved(now, n)
+		if inHead && !c.reserveHead(now, n) {
+			return 0, c.refuseHead()
+		}
 		return n, err
 	}
 	c.recordReadEnd(err)
@@ -189,14 +209,15 @@
 	return n, err
 }
 
-// recordRead records that bytes were read.
-func (c *trackedConn) recordRead(oneByte bool) {
+// recordRead records that bytes were read. It reports whether they belong to a head.
+func (c *trackedConn) recordRead(now time.Time, oneByte bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAhead, c.lastByteAt = oneByte, time.Now()
+	c.readAhead, c.lastByteAt = oneByte, now
 	if c.state == connUnused || c.state == connIdle {
 		c.enter(connReadingHead)
 	}
+	return c.state == connReadingHead
 }
 
 // beginHandling records that the server has read the head of a request.
@@ -211,6 +232,8 @@
 // ahead while it handles a request, to notice a caller that leaves. Such a byte belongs
 // to the next request.
 func (c *trackedConn) endHandling() {
+	c.releaseHead()
+	c.account.Unprotect()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readAhead {
@@ -230,7 +253,7 @@
 	if c.state == connIdle && !t.IsZero() {
 		c.enter(connReadingHead)
 	}
-	if c.state != connHandling {
+	if c.state != connHandling || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/suspect"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
@@ -52,12 +54,16 @@
 // is silent, and if it goes on.
 func (s *eventStream) readNext(from *send) (int, error) {
 	control := s.exchange.service.control
-	n, err := s.answer.Read(s.freeSpace())
+	space := s.freeSpace()
+	if space == nil {
+		return 0, heldbytes.ErrNoRoom
+	}
+	n, err := s.answer.Read(space)
 	if left := time.Until(s.deadline); err != nil && s.answer.IsSilent() && left > 0 {
 		s.silent = true
 		control.Silent(from.flight)
 		s.answer.SetReadTimeout(left)
-		n, err = s.answer.Read(s.freeSpace())
+		n, err = s.answer.Read(space)
 	}
 	if n > 0 && s.silent {
 		s.silent = false
@@ -84,10 +90,14 @@
 }
 
 // freeSpace returns the unused part of the buffer, and grows the buffer if less than
-// half of its initial size is unused.
+// half of its initial size is unused. It returns nil if there is no memory for that.
 func (s *eventStream) freeSpace() []byte {
 	if cap(s.buffer)-len(s.buffer) < eventBufferBytes/2 {
-		grown := make([]byte, len(s.buffer), max(eventBufferBytes, 2*cap(s.buffer)))
+		size := max(eventBufferBytes, 2*cap(s.buffer))
+		if size > memorybudget.BufferBytes && !s.exchange.memory.Grow(time.Now(), int64(size-cap(s.buffer)), memorybudget.Other) {
+			return nil
+		}
+		grown := make([]byte, len(s.buffer), size)
 		copy(grown, s.buffer)
 		s.buffer = grown
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -16,6 +17,10 @@
 	// maxBufferedBytes is the size up to which a plain answer is read completely
 	// before it is relayed, so that the request can be retried if the answer breaks.
 	maxBufferedBytes = 256 << 10
+	// initialAnswerBytes and maxInitialAnswerBytes are the size of the buffer of a plain
+	// answer before it has arrived, without a declared length, and at most with one.
+	initialAnswerBytes    = 512
+	maxInitialAnswerBytes = 4 << 10
 	// maxAnswerBytes limits the body of an answer, a stream's as well. Answers of
 	// replicas have a few KB; without a limit, a body without end takes the
 	// bandwidth and processor time of other requests until its deadline.
@@ -35,8 +40,10 @@
 	byCustomer bool
 	customer   *catalog.Customer
 	request    *dispatch.Request
-	body       []byte
+	body       []byte   // the first piece of the body
+	bodyRest   [][]byte // the other pieces
 	arrived    time.Time
+	memory     memorybudget.Reservation // of the body and of answers that are held
 
 	waited       bool             // the request has waited for its model or adapter
 	tried        []string         // ids of the replicas that were tried
@@ -182,7 +189,7 @@
 	}
 	return &upstream.Request{ID: x.head.ID, Call: upstream.Call{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: x.service.protocol.Forward(x.r.Header, to), Body: x.body,
+		Header: x.service.protocol.Forward(x.r.Header, to), Body: x.body, Rest: x.bodyRest,
 	}}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -12,8 +12,11 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/hyssophaven/hyssophaven/boundedlisten"
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/headlimits"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/metrics"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
@@ -27,14 +30,11 @@
 const (
 	// headerTimeout limits the time to read the head of a request while the config
 	// sets no limit.
-	headerTimeout = 5 * time.Second
+	headerTimeout = headlimits.Timeout
 	// idleTimeout is how long an idle connection is kept while the config sets no
 	// limit. It exceeds every limit that operators declare: callers reuse a
 	// connection for up to four fifths of that limit.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes limits the head of a request in the HTTP server. The limit of
-	// the config is lower and is checked for each request.
-	maxHeaderBytes = 64 << 10
 	// acceptRetryDelay is the pause after a failed accept, which occurs when the process
 	// runs out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -66,6 +66,10 @@
 	requests openRequests
 	recorder recorder
 	group    *worker.Group
+
+	budget     *memorybudget.Budget
+	shares     memorybudget.Shares
+	lastCounts memorybudget.Counts // used by logBudget only
 }
 
 // Options holds the settings and dependencies of a Service.
@@ -76,6 +80,10 @@
 	Pool          *upstream.Pool
 	Log           *log.Logger
 	Metrics       *metrics.Registry
+	// Budget limits the memory of callers, and Shares their connections; nil and 0 mean no
+	// limit.
+	Budget *memorybudget.Budget
+	Shares memorybudget.Shares
 }
 
 // New returns a Service that has not been started.
@@ -85,6 +93,7 @@
 	s := &Service{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
 		recorder: newRecorder(o.Log, o.Metrics), group: worker.NewGroup(),
+		budget: o.Budget, shares: o.Shares,
 	}
 	s.drained, s.endDrain = context.WithCancel(context.Background())
 	s.requests.export(o.Metrics)
@@ -118,9 +127,10 @@
 		return errors.Join(fmt.Errorf("listen for callers: listener %T has no deadline", callers), callers.Close(), ready.Close())
 	}
 	s.callers = newCallerServer(http.HandlerFunc(s.serve), s.log, func() connLimits { return limitsOf(s.control.Snapshot().Limits) }, s.node.Bounds.ConfigTime)
+	s.callers.conns.group = s.budget.NewGroup(s.shares.Callers)
 	s.callers.conns.onClose = s.recordConnClose
 	s.callers.conns.maxIdleNotice = maxIdleNotice(s.node.Bounds.Grace)
-	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, ErrorLog: s.log.StandardLog()}
+	s.readiness = headlimits.NewCheckServer(router, s.log.StandardLog())
 	err = errors.Join(
 		worker.Subscribe(s.group, k.Bus(), "ingress.limits", func(context.Context, controlplane.LimitsChanged) { s.callers.conns.refreshLimits() }),
 		worker.Subscribe(s.group, k.Bus(), "ingress.endpoints", func(_ context.Context, e controlplane.ReplicaEnded) { s.pool.EndpointEnded(endpointOf(e.Replica)) }),
@@ -129,8 +139,12 @@
 		return errors.Join(err, callers.Close(), ready.Close())
 	}
 	go s.callers.run(s.listener)
-	s.serveListener(s.readiness, ready)
-	s.group.Every(idleCheckInterval, nil, func(context.Context) { s.pool.CloseExpired() })
+	s.serveListener(s.readiness, boundedlisten.New(ready, s.budget.NewGroup(s.shares.Checks)))
+	s.group.Every(idleCheckInterval, nil, func(context.Context) {
+		s.pool.CloseExpired()
+		s.logBudget()
+	})
+	s.metrics.Func("caller_connections_open", func() int64 { return int64(s.callers.conns.group.Open()) })
 	return nil
 }
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -11,6 +11,8 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -109,12 +111,17 @@
 		return dispatch.ConnectionBroken, false, a.LimitExceeded("body", maxAnswerBytes)
 	}
 	a.SetReadTimeout(timeout)
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
-	if err != nil {
+	initial := int64(initialAnswerBytes)
+	if a.Length >= 0 {
+		initial = min(a.Length+1, maxInitialAnswerBytes) // the reader reports the end after the last byte
+	}
+	body, err := heldbytes.ReadAll(a, initial, maxBufferedBytes, &x.memory, memorybudget.Other)
+	noRoom := errors.Is(err, heldbytes.ErrNoRoom)
+	if err != nil && !noRoom {
 		return x.outcomeOf(err), false, err
 	}
 	whole := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
-	if len(body) < maxBufferedBytes {
+	if len(body) < maxBufferedBytes && !noRoom {
 		return x.relayBuffered(whole)
 	}
 	return x.relayLarge(a, whole)
@@ -174,7 +181,8 @@
 	h.Del("Keep-Alive")
 }
 
-// relayLarge relays an answer of maxBufferedBytes or more while it is being read.
+// relayLarge relays an answer of maxBufferedBytes or more, or one for which there is no
+// memory, while it is being read.
 // prefix holds the bytes that were read already.
 func (x *exchange) relayLarge(a *upstream.Answer, prefix *bufferedAnswer) (dispatch.Outcome, bool, error) {
 	if err := x.beginAnswer(); err != nil {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/heldbytes"
 	"github.com/hyssophaven/hyssophaven/suspect"
 )
 
@@ -38,6 +38,8 @@
 	config := snapshot.Config
 	head, err := s.protocol.ReadRequest(r)
 	x := &exchange{service: s, w: w, r: r, head: head, arrived: arrived}
+	x.memory.Account = accountOf(r.Context())
+	defer x.memory.Release()
 	x.setConnectionHeaders()
 	x.countOpen()
 	defer x.countClosed()
@@ -75,6 +77,11 @@
 	if !x.readBody(snapshot.Limits) {
 		return
 	}
+	if !x.memory.Account.Protect() {
+		closeConnection(w.Header())
+		x.refuse(http.StatusServiceUnavailable, causeNoRoom, noRoomRetry)
+		return
+	}
 	x.request = x.newRequest()
 	x.run()
 }
@@ -113,21 +120,21 @@
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(x.w, x.r.Body, limits.MaxBodyBytes)
 	}
-	var buffer bytes.Buffer
-	if x.r.ContentLength > 0 {
-		buffer.Grow(int(x.r.ContentLength))
-	}
-	_, err := buffer.ReadFrom(reader)
+	var err error
+	x.body, x.bodyRest, err = heldbytes.ReadPieces(reader, x.r.ContentLength, &x.memory)
 	_ = rc.SetReadDeadline(time.Time{})
 	if err == nil {
-		x.body = buffer.Bytes()
 		return true
 	}
+	x.body, x.bodyRest = nil, nil
+	x.memory.Release()
 	var tooLarge *http.MaxBytesError
 	if !errors.As(err, &tooLarge) { // after a body that is too large, MaxBytesReader closes the connection
 		closeConnection(x.w.Header())
 	}
 	switch {
+	case errors.Is(err, heldbytes.ErrNoRoom) || x.memory.Account.Evicted():
+		x.refuse(http.StatusServiceUnavailable, causeNoRoom, noRoomRetry)
 	case tooLarge != nil:
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -195,5 +202,8 @@
 		_, _ = h.WriteString("," + p.ID)
 	}
 	_, _ = h.Write(x.body)
+	for _, piece := range x.bodyRest {
+		_, _ = h.Write(piece)
+	}
 	return h.Sum64()
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/hyssophaven/hyssophaven/headlimits"
 )
 
 // deadlineListener is a listener whose Accept can be ended without closing it, as of
@@ -40,7 +42,7 @@
 	// The server sets no time limits: they can't change after its start.
 	// ReadHeaderTimeout only tells the connection that the server begins to read a head;
 	// see trackedConn.SetReadDeadline.
-	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: logger.StandardLog(), ConnState: s.conns.observeState}
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headlimits.MaxBytes, ErrorLog: logger.StandardLog(), ConnState: s.conns.observeState, ConnContext: withConn}
 	return s
 }
 
@@ -73,6 +75,10 @@
 // serve passes an accepted connection to the HTTP server.
 func (s *callerServer) serve(conn net.Conn) {
 	c := s.conns.add(conn)
+	if c == nil {
+		_ = conn.Close()
+		return
+	}
 	if !s.queue.put(c) {
 		s.conns.remove(c)
 	}
--- a/internal/jsonframe/jsonframe.go
+++ b/internal/jsonframe/jsonframe.go
@@ -11,6 +11,9 @@
 	"fmt"
 	"io"
 	"net"
+
+	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 )
 
 // ErrBadFrame means that a frame is malformed or larger than its limit.
@@ -21,8 +24,14 @@
 	MaxSentBytes int          // limit for frames to send
 	MaxBytes     func() int64 // returns the limit for received frames
 	OnMalformed  func()       // called for each bad frame, after which the connection is closed
+	OnReceived   func()       // called for each valid frame, unless nil
+	// Memory reserves the bytes of the frame that is being received, unless it is nil.
+	Memory *memorybudget.Reservation
 }
 
+// initialBytes limits the buffer of a frame before its bytes have arrived.
+const initialBytes = 512
+
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (c Codec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
@@ -42,15 +51,19 @@
 
 // ReadObject implements jsonrpc2.ObjectCodec.
 func (c Codec) ReadObject(r *bufio.Reader, v any) error {
-	data, err := read(r, c.MaxBytes)
+	defer c.Memory.Release()
+	data, err := read(r, c.MaxBytes, c.Memory)
 	if err == nil {
 		err = json.Unmarshal(data, v)
 		if err != nil {
 			err = fmt.Errorf("%w: %w", ErrBadFrame, err)
 		}
 	}
-	if errors.Is(err, ErrBadFrame) {
+	switch {
+	case errors.Is(err, ErrBadFrame):
 		c.OnMalformed()
+	case err == nil && c.OnReceived != nil:
+		c.OnReceived()
 	}
 	return err
 }
@@ -59,7 +72,7 @@
 // has read the length, because the limit can change while it waits for a frame.
 // It allocates memory as data arrives, so that a peer can't reserve memory by
 // announcing a large frame.
-func read(r *bufio.Reader, maxBytes func() int64) ([]byte, error) {
+func read(r *bufio.Reader, maxBytes func() int64, memory *memorybudget.Reservation) ([]byte, error) {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !isNetError(err) {
@@ -70,7 +83,7 @@
 	if limit := maxBytes(); n == 0 || n > uint64(limit) {
 		return nil, fmt.Errorf("%w: %d bytes announced, limit %d", ErrBadFrame, n, limit)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	data, err := heldbytes.ReadAll(r, min(int64(n), initialBytes), int64(n), memory, memorybudget.Other)
 	if err == nil && uint64(len(data)) < n {
 		err = io.ErrUnexpectedEOF
 	}
--- a/nodeconfig/contradictions.go
+++ b/nodeconfig/contradictions.go
@@ -21,10 +21,11 @@
 	FieldLoadExcess
 	FieldLeave
 	FieldConfigTime
+	FieldDescriptors
 )
 
 var fieldNames = [...]string{
-	"callers", "peer-ports", "memory", "grace", "lease-turn", "retry-ratio", "load-excess", "leave", "config-time",
+	"callers", "peer-ports", "memory", "grace", "lease-turn", "retry-ratio", "load-excess", "leave", "config-time", "descriptors",
 }
 
 // String returns the field's name for logs.
@@ -57,6 +58,8 @@
 	minGrace = 3 * time.Second
 	// minMemoryBytes is the memory of an idle instance plus the heap of a busy one.
 	minMemoryBytes = 48 << 20
+	// minDescriptors leaves 200 for connections beside the 200 that are kept for files.
+	minDescriptors = 400
 )
 
 // Contradictions returns the settings that can't be met, or nil if all can. The
@@ -75,6 +78,7 @@
 		add(n.isPeerPort(listener), FieldPeerPorts, "hold the port of %s, which is another listener", listener)
 	}
 	add(n.MemoryBytes > 0 && n.MemoryBytes < minMemoryBytes, FieldMemory, "is under %d MB, which an instance takes", minMemoryBytes>>20)
+	add(n.MaxDescriptors > 0 && n.MaxDescriptors < minDescriptors, FieldDescriptors, "is under %d, which an instance takes", minDescriptors)
 	add(b.Grace < minGrace, FieldGrace, "is %v: a graceful stop takes %v", b.Grace, minGrace)
 	add(b.LeaseTurn <= orderTimeout, FieldLeaseTurn, "is %v: an order may be on its way for %v", b.LeaseTurn, orderTimeout)
 	add(b.RetryRatio <= 0 && b.RetrySlack <= 0, FieldRetryRatio, "allows no repeated send, and neither does the slack")
--- a/nodeconfig/contradictions_test.go
+++ b/nodeconfig/contradictions_test.go
@@ -31,6 +31,7 @@
 		{FieldPeerPorts, func(n *Node) { n.Callers = "10.0.0.1:7390" }},
 		{FieldPeerPorts, func(n *Node) { n.LastPeerPort = 9500 }}, // the range includes 8000, 8001 and the metrics port
 		{FieldMemory, func(n *Node) { n.MemoryBytes = 1 << 20 }},
+		{FieldDescriptors, func(n *Node) { n.MaxDescriptors = 300 }},
 		{FieldGrace, func(n *Node) { n.Bounds.Grace = time.Second }},
 		{FieldLeaseTurn, func(n *Node) { n.Bounds.LeaseTurn = 100 * time.Millisecond }},
 		{FieldRetryRatio, func(n *Node) { n.Bounds.RetryRatio, n.Bounds.RetrySlack = 0, 0 }},
--- a/nodeconfig/nodeconfig.go
+++ b/nodeconfig/nodeconfig.go
@@ -31,6 +31,8 @@
 	ReplicaLease time.Duration
 	// MemoryBytes is the memory limit of the process; 0 if unlimited.
 	MemoryBytes int64
+	// MaxDescriptors is the limit of file descriptors of the process; 0 if unlimited.
+	MaxDescriptors int
 	// Cores is the limit of processor time in cores, and LinkMbps the rate of the
 	// network link in Mbit/s; 0 if unlimited.
 	Cores    float64
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -18,9 +18,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/hyssophaven/hyssophaven/boundedlisten"
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/headlimits"
 	"github.com/hyssophaven/hyssophaven/internal/jsonframe"
 	"github.com/hyssophaven/hyssophaven/kernel"
+	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/netdial"
 	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/residency"
@@ -70,6 +73,8 @@
 	group    *worker.Group
 	wake     chan struct{}
 	bad      atomic.Int64 // malformed frames
+	// accepted limits the connections from other instances, unless it is nil.
+	accepted *memorybudget.Group
 
 	mu             sync.Mutex // guards the fields up to peerConns, which are not control state
 	holder         string     // address of the holder; empty if it is this instance or none is known
@@ -92,6 +97,10 @@
 	}
 }
 
+// LimitConnections makes the connections from other instances accounts of group. It must
+// be called before Start.
+func (s *Service) LimitConnections(group *memorybudget.Group) { s.accepted = group }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
 
@@ -107,6 +116,7 @@
 	if s.listener, err = netdial.ListenConfig().Listen(ctx, "tcp", s.node.PeerAddress()); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	s.listener = boundedlisten.New(s.listener, s.accepted)
 	s.group.Go(s.acceptPeers)
 	s.group.Every(controlplane.StateInterval, s.wake, s.exchangeState)
 	return errors.Join(
@@ -134,6 +144,19 @@
 	}
 }
 
+// codecOf returns the codec of a connection that was accepted. Its first frame must arrive
+// within headlimits.Timeout: an instance connects when it has something to send.
+func (s *Service) codecOf(raw net.Conn) jsonframe.Codec {
+	codec := s.codec()
+	_ = raw.SetReadDeadline(time.Now().Add(headlimits.Timeout))
+	var first sync.Once
+	codec.OnReceived = func() { first.Do(func() { _ = raw.SetReadDeadline(time.Time{}) }) }
+	if c, ok := raw.(*boundedlisten.Conn); ok {
+		codec.Memory = &memorybudget.Reservation{Account: c.Account()}
+	}
+	return codec
+}
+
 // MalformedFrames returns the number of frames that were malformed or too large since
 // the service was created. The connection is closed after each of them.
 func (s *Service) MalformedFrames() int64 { return s.bad.Load() }
@@ -293,7 +316,7 @@
 			}
 		}
 		handler := newPeerHandler(jsonrpc2.HandlerWithError(s.handleRequest))
-		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, s.codec()), handler, jsonrpc2.SetLogger(s.log.StandardLog()))
+		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, s.codecOf(raw)), handler, jsonrpc2.SetLogger(s.log.StandardLog()))
 		s.mu.Lock()
 		s.peerConns[conn] = true
 		s.mu.Unlock()
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -5,13 +5,15 @@
 	"fmt"
 	"net"
 	"os"
+
+	"github.com/hyssophaven/hyssophaven/headlimits"
 )
 
 const (
 	// maxHeadBytes limits the head of an answer together with the interim answers
 	// before it. It is the limit for callers' requests in package ingress. Replicas'
 	// heads have some hundred bytes.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = headlimits.MaxBytes
 	// maxInterimAnswers limits the interim answers (status 1xx) before an answer. It
 	// is the limit of http.Transport.
 	maxInterimAnswers = 5
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -43,6 +43,8 @@
 	mu       sync.Mutex
 	peers    map[Endpoint]*peer
 	closed   bool
+	idle     int // idle connections to all endpoints
+	maxIdle  int // 0 if there is no limit
 }
 
 // peer holds the connections to one endpoint. The mutex of the pool guards it.
@@ -59,6 +61,10 @@
 	return &Pool{dialer: dialer{dial: dial}, answerID: answerID, peers: make(map[Endpoint]*peer)}
 }
 
+// SetMaxIdle limits the idle connections to all endpoints; 0 means no limit. It must be
+// called before the pool is used.
+func (p *Pool) SetMaxIdle(n int) { p.maxIdle = n }
+
 // Do sends r to e and returns the head of the answer. It waits for the head for
 // answerTimeout at most. When ctx ends, the connection is closed immediately, even while
 // the body is being read.
@@ -130,6 +136,7 @@
 		if !slices.Contains(c.answered, id) {
 			peer.idle = slices.Delete(peer.idle, i, i+1)
 			peer.inUse++
+			p.idle--
 			return c
 		}
 	}
@@ -177,11 +184,13 @@
 	defer p.mu.Unlock()
 	c.peer.inUse--
 	defer p.forget(c.peer)
-	if p.closed || c.peer.ended || idle <= 0 || len(c.peer.idle) >= maxIdlePerEndpoint || len(c.answered) >= maxRequestsPerConnection {
+	if p.closed || c.peer.ended || idle <= 0 || len(c.peer.idle) >= maxIdlePerEndpoint || len(c.answered) >= maxRequestsPerConnection ||
+		p.maxIdle > 0 && p.idle >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
 	c.peer.idle = append(c.peer.idle, c)
+	p.idle++
 }
 
 // EndpointEnded closes the idle connections to e, and those in use when their answers end.
@@ -190,18 +199,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if peer := p.peers[e]; peer != nil {
-		peer.end()
+		p.idle -= peer.end()
 		delete(p.peers, e)
 	}
 }
 
-// end closes the idle connections to the peer.
-func (p *peer) end() {
+// end closes the idle connections to the peer and returns their number.
+func (p *peer) end() int {
+	n := len(p.idle)
 	p.ended = true
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
 	p.idle = nil
+	return n
 }
 
 // CloseExpired closes idle connections that have expired.
@@ -213,6 +224,7 @@
 		peer.idle = slices.DeleteFunc(peer.idle, func(c *conn) bool {
 			expired := !now.Before(c.expires)
 			if expired {
+				p.idle--
 				_ = c.Close()
 			}
 			return expired
@@ -225,11 +237,7 @@
 func (p *Pool) IdleConnections() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, peer := range p.peers {
-		n += len(peer.idle)
-	}
-	return int64(n)
+	return int64(p.idle)
 }
 
 // Close closes all idle connections. Connections that are returned later are closed
@@ -239,7 +247,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, peer := range p.peers {
-		peer.end()
+		p.idle -= peer.end()
 	}
 	clear(p.peers)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -72,6 +72,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Rest holds the pieces of the body after Body. They are written as they are, without
+	// being copied.
+	Rest [][]byte
 	// BeforeWrite, if not nil, is called right before the first byte is written. If
 	// it returns an error, the request is not sent.
 	BeforeWrite func() error
@@ -128,12 +131,15 @@
 			return fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
-	message := call.encode()
-	if len(message) <= maxSyncWriteBytes {
-		return a.conn.write(message)
+	size := call.bodyBytes()
+	if size <= maxSyncWriteBytes {
+		if message := call.encode(true); len(message) <= maxSyncWriteBytes {
+			return a.conn.write(message)
+		}
 	}
+	head, body, rest := call.encode(false), call.Body, call.Rest
 	a.written = make(chan error, 1)
-	go func() { a.written <- a.conn.write(message) }()
+	go func() { a.written <- a.conn.writePieces(head, body, rest) }()
 	return nil
 }
 
@@ -151,6 +157,27 @@
 func (c *conn) write(message []byte) error {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Write(message)
+	return writeError(n, err)
+}
+
+// writePieces is write for a request in pieces, which are not copied into one.
+func (c *conn) writePieces(head, body []byte, rest [][]byte) error {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := c.Write(head)
+	total := n
+	if err == nil && len(body) > 0 {
+		n, err = c.Write(body)
+		total += n
+	}
+	for i := 0; i < len(rest) && err == nil; i++ {
+		n, err = c.Write(rest[i])
+		total += n
+	}
+	return writeError(total, err)
+}
+
+// writeError returns the error for the result of a write.
+func writeError(n int, err error) error {
 	switch {
 	case err == nil:
 		return nil
@@ -161,17 +188,36 @@
 	}
 }
 
-// encode formats the request. The target and the header values are copied
-// unchanged.
-func (c *Call) encode() []byte {
+// bodyBytes returns the length of the body.
+func (c *Call) bodyBytes() int {
+	size := len(c.Body)
+	for _, piece := range c.Rest {
+		size += len(piece)
+	}
+	return size
+}
+
+// encode formats the request, or only its head. The target and the header values are
+// copied unchanged.
+func (c *Call) encode(withBody bool) []byte {
+	size := c.bodyBytes()
 	var b bytes.Buffer
-	b.Grow(512 + len(c.Body))
+	if withBody {
+		b.Grow(512 + size)
+	} else {
+		b.Grow(512)
+	}
 	b.WriteString(c.Method + " " + c.Target + " HTTP/1.1\r\nHost: " + c.Host + "\r\n")
-	if len(c.Body) > 0 || (c.Method != http.MethodGet && c.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
+	if size > 0 || (c.Method != http.MethodGet && c.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	_ = c.Header.Write(&b) // a bytes.Buffer returns no error
 	b.WriteString("\r\n")
-	b.Write(c.Body)
+	if withBody {
+		b.Write(c.Body)
+		for _, piece := range c.Rest {
+			b.Write(piece)
+		}
+	}
 	return b.Bytes()
 }
