dispatch: estimate which replicas hold prompt parts

Cause: each instance took the last 60,000 tokens that it sent to a replica for cached, also after a crash of the replica, an unload or a lack of memory, and credited the replica that all instances prefer with half of the prefill time whether or not it held anything.

The score takes the expected saving at the speed of the replica, weighed by urgency and time left, and less on a crowded replica; answers that are late correct the estimate. Only services with usesPresentLoad() use it, so far none; for all others the choice is as before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/hyssophaven/hyssophaven/rendezvous"
 )
 
 const (
@@ -36,9 +34,6 @@
 	// crossDataCentrePenalty is added to the score of a replica in another data
 	// centre: the extra round-trip time and the cost of the bytes transferred.
 	crossDataCentrePenalty = 6 * time.Millisecond
-	// affinityShare is the share of the prefill time of shared prompt parts that
-	// is subtracted from the score of the replica all instances prefer for them.
-	affinityShare = 0.5
 	// minTimeLeft is the time to the deadline below which a request is refused.
 	minTimeLeft = 20 * time.Millisecond
 	// refusedRetryAfter is the retry time for a service whose replicas are full or
@@ -130,6 +125,7 @@
 // if no replica is usable or the expected queueing time is too long. A request
 // that is expected to miss its target gets a less urgent level.
 func (s *State) chooseReplica(now time.Time, svc *service, req *Request, h History) Decision {
+	s.lookUpPrefixes(now, svc, req)
 	usable, cause := s.candidates(now, svc, req, h)
 	if len(usable) == 0 {
 		return s.refuseOrWait(now, req, cause)
@@ -150,7 +146,7 @@
 		Replica: chosen.info, NeedsAdapter: !chosen.hasAdapter(req.Model, req.Adapter), Urgency: level,
 		Expected: expected, PendingPrefill: chosen.pendingPrefill(now, level, svc.avgPrefill), PrefillWork: prefill,
 		PrefixSource: s.prefixSource(now, svc, chosen, req),
-		CachedTokens: chosen.prefixes.cachedTokens(req.Parts), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
+		CachedTokens: s.cachedTokens(chosen, req), believed: s.believedPrefix(now, svc, chosen, req), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
 	}
 }
 
@@ -207,12 +203,10 @@
 // each took the replica with the lowest score, that replica would get all requests.
 func (s *State) sampleReplica(now time.Time, svc *service, usable []*replica, req *Request, level int) *replica {
 	scores := make([]time.Duration, len(usable))
-	preferredID, bonus := s.prefixAffinity(now, svc, req)
+	preference := s.prefixPreference(now, svc, usable, req)
 	for i, r := range usable {
 		scores[i] = s.score(now, svc, r, req, level)
-		if r.info.ID == preferredID {
-			scores[i] -= bonus
-		}
+		scores[i] -= preference.credit(r, scores[i])
 	}
 	lowest := slices.Min(scores)
 	weights, sum := make([]float64, len(usable)), 0.0
@@ -297,38 +291,6 @@
 	return score
 }
 
-// prefixAffinity returns the ID of the replica that all instances prefer for the
-// shared parts of a request's prompt, or "", and the amount to subtract from its
-// score. All parts but the last count as shared.
-func (s *State) prefixAffinity(now time.Time, svc *service, req *Request) (id string, bonus time.Duration) {
-	if req.Model == "" || len(req.Parts) < 2 {
-		return "", 0
-	}
-	shared := req.Parts[:len(req.Parts)-1]
-	tokens := 0
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
-	work := float64(tokens) * s.LatencyProfile(req.Model).PerToken
-	return affinityReplica(now, svc, req.Model, shared[len(shared)-1].Key), time.Duration(affinityShare * float64(prefillTime(work)))
-}
-
-// affinityReplica returns the ID of the replica that rendezvous hashing selects
-// for a shared prompt part, or "" if no replica holds the model.
-func affinityReplica(now time.Time, svc *service, model string, key uint64) string {
-	var best string
-	var highest uint64
-	for _, r := range svc.replicas {
-		if r.info.Leaving || r.backsOff(now) || r.ejectionTime > 0 || !r.info.Holds(model) {
-			continue
-		}
-		if w := rendezvous.Score(key, r.idHash); best == "" || w > highest {
-			best, highest = r.info.ID, w
-		}
-	}
-	return best
-}
-
 // estimateTTFB returns the expected time from sending a request at an urgency
 // level to the first byte of its answer.
 func (s *State) estimateTTFB(now time.Time, svc *service, r *replica, req *Request, level int) time.Duration {
@@ -349,7 +311,7 @@
 // prefillWork returns the prefill work of a request on a replica, without the
 // prompt parts expected in its cache.
 func (s *State) prefillWork(r *replica, req *Request) float64 {
-	return float64(max(0, req.PromptTokens-r.prefixes.cachedTokens(req.Parts))) * s.LatencyProfile(req.Model).PerToken
+	return float64(max(0, req.PromptTokens-s.cachedTokens(r, req))) * s.LatencyProfile(req.Model).PerToken
 }
 
 // UncachedPrefill returns the prefill work of a request without cached parts.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 	// PrefixSource is the replica from whose KV cache Replica is to take the shared
 	// parts of the prompt that it lacks, or nil.
 	PrefixSource *catalog.Replica
+	believed     believedPrefix // what CachedTokens was based on
 	// LoadAge is the age of the replica's last load report.
 	LoadAge time.Duration
 	Running int // estimated requests that run or wait on the replica
@@ -176,6 +177,7 @@
 	peerCrashes map[uint64]int
 	suspects    *suspect.State
 	profiles    latencyProfiles
+	prefixes    prefixEstimate
 	// ordersUnavailable reports that no instance can order adapter loads now;
 	// ordersAvailableIn is the expected time until one can.
 	ordersUnavailable bool
@@ -200,13 +202,16 @@
 	avgPromptTokens float64
 	avgOutputTokens float64
 	avgPrefill      float64
+	prefixAverages
+	// presentLoad is set if replicas state how slow they work at present.
+	presentLoad bool
 }
 
 // New returns a State without replicas.
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service), notices: make(map[string]notices),
-		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), prefixes: newPrefixEstimate(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
@@ -239,11 +244,13 @@
 		s.restoreNotices(r)
 		return
 	}
+	s.forgetUnloaded(old, info)
 	old.update(info)
 	s.restoreNotices(old)
 }
 
 func (s *State) removeFromService(r *replica) {
+	s.prefixes.remove(r)
 	svc := s.service(r.info.Service)
 	for i, other := range svc.replicas {
 		if other == r {
@@ -291,7 +298,9 @@
 // on a replica.
 func (s *State) SetPeerLoad(now time.Time, replicaID string, load Load) {
 	if r, ok := s.replicas[replicaID]; ok {
+		s.countPeerWork(now, r, load)
 		r.peerLoad, r.peerLoadAt = load, now
+		s.updateCacheRoom(now, r)
 	}
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -100,7 +100,7 @@
 		svc := s.service(req.Service)
 		svc.avgPrefill = movingAverage(svc.avgPrefill, prefill)
 	}
-	r.prefixes.add(now, req.Parts)
+	s.recordPrefixSend(now, r, req)
 	return prefill
 }
 
@@ -134,6 +134,7 @@
 	}
 	r.finishPrefill(d.Urgency, prefill)
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
+	missed := s.judgePrefix(r, req, d, took)
 	svc := s.service(req.Service)
 	if svc.avgTTFB == 0 {
 		svc.avgTTFB = took
@@ -143,7 +144,9 @@
 		return
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(d.Expected), minLatencyRatio), maxLatencyRatio)
-	s.learnLatency(req, d, took)
+	if !missed {
+		s.learnLatency(req, d, took)
+	}
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
@@ -166,6 +169,7 @@
 func (s *State) SetReport(now time.Time, replicaID string, report Report) {
 	if r, ok := s.replicas[replicaID]; ok {
 		r.report, r.reportAt, r.sentSinceReport = report, now, 0
+		s.updateCacheRoom(now, r)
 	}
 }
 
@@ -185,6 +189,7 @@
 	}
 	r.releaseModelAndAdapter(req)
 	r.ownLoad.Requests = max(0, r.ownLoad.Requests-1)
+	s.recordPrefixEnd(now, sentAt, r, req, outcome)
 	r.finishPrefill(d.Urgency, prefill)
 	switch outcome {
 	case Answered:
--- a/dispatch/prefixsource.go
+++ b/dispatch/prefixsource.go
@@ -45,14 +45,14 @@
 	}
 	key := shared[len(shared)-1].Key
 	var source *replica
-	var lastUsed time.Time
+	var lastUsed int64
 	var highest uint64
 	for _, r := range svc.replicas {
 		if r == chosen || !r.canProvidePrefix(now, req.Model) {
 			continue
 		}
-		used, score := r.prefixes.parts[key].lastUsed, rendezvous.Score(key, r.idHash)
-		if source == nil || used.After(lastUsed) || (used.Equal(lastUsed) && score > highest) {
+		used, score := s.lastPrefixUse(r, req), rendezvous.Score(key, r.idHash)
+		if source == nil || used > lastUsed || (used == lastUsed && score > highest) {
 			source, lastUsed, highest = r, used, score
 		}
 	}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -100,10 +100,11 @@
 	probing             bool          // a probe request is in flight
 	changingModel       bool          // it loads or unloads a model, and accepts no other order
 	changingModelUntil  time.Time
-	adapterSlotsFull    bool      // all adapter slots are in use
-	unloading           []string  // models that are being unloaded or are about to be
-	backoffUntil        time.Time // no requests before this time, as the replica asked
-	prefixes            prefixes
+	adapterSlotsFull    bool           // all adapter slots are in use
+	unloading           []string       // models that are being unloaded or are about to be
+	backoffUntil        time.Time      // no requests before this time, as the replica asked
+	prefixes            prefixes       // for services that don't use prefixEstimate
+	cached              cachedPrefixes // for those that do
 }
 
 func newReplica(info *catalog.Replica) *replica {
