--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -89,7 +89,7 @@
 
 	malformedReports int       // since the last line about them
 	malformedAt      time.Time // time of that line
-	quotas         quotas
+	quotas           quotas
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -122,6 +122,7 @@
 	// PrefixSource is the replica from whose KV cache Replica is to take the shared
 	// parts of the prompt that it lacks, or nil.
 	PrefixSource *catalog.Replica
+	believed     believedPrefix // what CachedTokens was based on
 	// LoadAge is the age of the replica's last load report.
 	LoadAge time.Duration
 	Running int // estimated requests that run or wait on the replica
@@ -180,6 +181,7 @@
 	peerCrashes map[uint64]int
 	suspects    *suspect.State
 	profiles    latencyProfiles
+	prefixes    prefixEstimate
 	// ordersUnavailable reports that no instance can order adapter loads now;
 	// ordersAvailableIn is the expected time until one can.
 	ordersUnavailable bool
@@ -207,13 +209,14 @@
 	// statesSlowness is set once a replica of the service has stated its slowness, which
 	// means that the replicas share their machines with other work.
 	statesSlowness bool
+	prefixAverages
 }
 
 // New returns a State without replicas.
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service), notices: make(map[string]notices),
-		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), prefixes: newPrefixEstimate(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
@@ -246,11 +249,13 @@
 		s.restoreNotices(r)
 		return
 	}
+	s.forgetUnloaded(old, info)
 	old.update(info)
 	s.restoreNotices(old)
 }
 
 func (s *State) removeFromService(r *replica) {
+	s.prefixes.remove(r)
 	svc := s.service(r.info.Service)
 	for i, other := range svc.replicas {
 		if other == r {
@@ -298,7 +303,9 @@
 // on a replica.
 func (s *State) SetPeerLoad(now time.Time, replicaID string, load Load) {
 	if r, ok := s.replicas[replicaID]; ok {
+		s.countPeerWork(now, r, load)
 		r.peerLoad, r.peerLoadAt = load, now
+		s.updateCacheRoom(now, r)
 	}
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -100,7 +100,7 @@
 		svc := s.service(req.Service)
 		svc.avgPrefill = movingAverage(svc.avgPrefill, prefill)
 	}
-	r.prefixes.add(now, req.Parts)
+	s.recordPrefixSend(now, r, req)
 	return prefill
 }
 
@@ -136,6 +136,7 @@
 	}
 	r.finishPrefill(d.Urgency, prefill)
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
+	missed := s.judgePrefix(r, req, d, took)
 	svc := s.service(req.Service)
 	expected := d.Expected
 	if d.Slowness > 0 {
@@ -151,7 +152,9 @@
 		return
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(expected), minLatencyRatio), maxLatencyRatio)
-	s.learnLatency(req, d, took)
+	if !missed {
+		s.learnLatency(req, d, took)
+	}
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
@@ -186,6 +189,7 @@
 	}
 	r.releaseModelAndAdapter(req)
 	r.ownLoad.Requests = max(0, r.ownLoad.Requests-1)
+	s.recordPrefixEnd(now, sentAt, r, req, outcome)
 	r.finishPrefill(d.Urgency, prefill)
 	switch outcome {
 	case Answered:
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -42,4 +42,5 @@
 	if report.Slowness > 0 {
 		s.service(r.info.Service).statesSlowness = true
 	}
+	s.updateCacheRoom(now, r)
 }
