--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -86,6 +86,7 @@
 	adapterWaiters map[adapterKey][]adapterWaiter
 	undirected     map[adapterKey]bool      // adapters that were requested while the holder was not known
 	modelWaiters   map[string][]modelWaiter // waiting requests, by model
+	prefixes       prefixExport
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -141,6 +142,7 @@
 	c.metrics.Gauge("ordering").Set(ordering)
 	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
 	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.ModelChanges(now))))
+	c.exportPrefixes(now)
 }
 
 // configVersion returns the version of the config, or 0 if there is none.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -195,6 +195,7 @@
 type service struct {
 	replicas []*replica
 	budget   *retry.Budget
+	prefixAverages
 	// avgTTFB is the moving average of the time to the first byte, used for
 	// services without models.
 	avgTTFB time.Duration
@@ -202,9 +203,9 @@
 	avgPromptTokens float64
 	avgOutputTokens float64
 	avgPrefill      float64
-	prefixAverages
-	// presentLoad is set if replicas state how slow they work at present.
-	presentLoad bool
+	// statesSlowness is set once a replica of the service has stated its slowness, which
+	// means that the replicas share their machines with other work.
+	statesSlowness bool
 }
 
 // New returns a State without replicas.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -134,7 +134,6 @@
 	}
 	r.finishPrefill(d.Urgency, prefill)
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
-	missed := s.judgePrefix(r, req, d, took)
 	svc := s.service(req.Service)
 	if svc.avgTTFB == 0 {
 		svc.avgTTFB = took
@@ -144,7 +143,7 @@
 		return
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(d.Expected), minLatencyRatio), maxLatencyRatio)
-	if !missed {
+	if !s.judgePrefix(r, req, d, d.Expected, took) {
 		s.learnLatency(req, d, took)
 	}
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
--- a/dispatch/prefixestimate.go
+++ b/dispatch/prefixestimate.go
@@ -25,7 +25,7 @@
 // usesPresentLoad reports whether the service's replicas state how slow they work at
 // present, because they share their machines. The estimate of their caches is used for
 // such services only.
-func (svc *service) usesPresentLoad() bool { return svc.presentLoad }
+func (svc *service) usesPresentLoad() bool { return svc.statesSlowness }
 
 // prefixAverages are moving averages of a service for the estimate.
 type prefixAverages struct {
@@ -47,7 +47,7 @@
 // PrefixCounts counts what became of the estimate of replicas' caches.
 type PrefixCounts struct {
 	Parts       int // entries of the estimate: pairs of a part and a replica
-	Believed    int // sends to a replica that was believed to hold shared parts
+	Believed    int // decisions for a replica that was believed to hold shared parts
 	Hits        int // of these, answers as early as with the parts
 	Misses      int // and as late as without them
 	Corrections int // corrections of the estimate by late answers
@@ -318,7 +318,8 @@
 // came as early as with the prompt parts that were believed, or as late as without them.
 // An answer that is later than that waited for other work and shows nothing. It reports
 // whether the parts were missed; the number of tokens that were prefilled is not known then.
-func (s *State) judgePrefix(r *replica, req *Request, d Decision, took time.Duration) (missed bool) {
+// expected and took are for a machine that is as slow as usual.
+func (s *State) judgePrefix(r *replica, req *Request, d Decision, expected, took time.Duration) (missed bool) {
 	b := d.believed
 	if b.tokens == 0 || r.cached.id != b.belief.Replica || d.NeedsAdapter || d.PrefixSource != nil ||
 		d.PrefillWork < minOwnPrefillShare*(d.PendingPrefill+d.PrefillWork) {
@@ -326,10 +327,10 @@
 	}
 	perToken := s.LatencyProfile(req.Model).PerToken * r.latencyRatio
 	saving := prefillTime(float64(b.tokens) * perToken)
-	if float64(saving) < max(float64(minJudgedSaving), minJudgedShare*float64(d.Expected)) {
+	if float64(saving) < max(float64(minJudgedSaving), minJudgedShare*float64(expected)) {
 		return false
 	}
-	without := d.Expected + prefillTime(float64(min(d.CachedTokens, b.tokens))*perToken)
+	without := expected + prefillTime(float64(min(d.CachedTokens, b.tokens))*perToken)
 	if took > without+saving {
 		return false
 	}
--- a/dispatch/prefixscore.go
+++ b/dispatch/prefixscore.go
@@ -21,13 +21,13 @@
 	// of a replica lags by some hundred milliseconds.
 	crowdedUtilization, fullUtilization = 0.5, 0.8
 	// sharedGain is the gain of others from a saved prefill, relative to that of the
-	// request itself: prefill delays all requests in the batch of the replica. It counts
-	// only as far as the request has time for it. In replays with gains of 1.5, 3, 5, 8 and
-	// 12, the times to the first byte were shortest with 8.
-	sharedGain = 8.0
+	// request itself: prefill delays all requests in the batch of the replica and all that
+	// wait for it. It counts only as far as the request has time for it. In replays, gains
+	// of 2 to 8 changed little, and more requests were on time with 16 and 32.
+	sharedGain = 32.0
 	// maxSharedCredit limits the credit for the gain of others, and so how much longer a
-	// request waits for it.
-	maxSharedCredit = maxScoreGap
+	// request waits for it. It is about two prompts of average size.
+	maxSharedCredit = 4 * scoreTemperature
 	// tieBreakShare is the share of the prefill time of shared parts, up to maxTieBreak,
 	// that the replica all instances prefer is credited with while no replica with room is
 	// believed to hold them.
@@ -128,7 +128,7 @@
 	if p.estimate == nil || r.cached.generation != p.estimate.prefixes.generation {
 		return credit
 	}
-	saving := float64(prefillTime(r.cached.expected*p.perToken)) * r.latencyRatio
+	saving := float64(prefillTime(r.cached.expected*p.perToken)) * r.timeFactor(p.now)
 	slack := 0.0
 	if p.timeLeft > 0 {
 		slack = min(max(float64(p.timeLeft-score)/float64(p.timeLeft), 0), 1)
@@ -136,3 +136,7 @@
 	forOthers := min(saving*p.gain*slack, float64(maxSharedCredit))
 	return credit + time.Duration((saving+forOthers)*p.headroom(r)-saving)
 }
+
+// timeFactor returns how long work takes on the replica at present, relative to the
+// latency profile of its model. It must be the factor that estimateTTFB applies.
+func (r *replica) timeFactor(time.Time) float64 { return r.latencyRatio }
