dispatch: look cached prompt parts up before any choice

Cause: other ways to choose than chooseReplica would find no estimate. Change: Choose looks the parts up; types of the replay have names of their own. Result: go test ./dispatch passes.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -92,6 +92,7 @@
 		return Decision{Verdict: Refuse, Cause: CauseBlockedPart, RetryAfter: wait, BlockedPart: i}
 	}
 	svc := s.service(req.Service)
+	s.lookUpPrefixes(now, svc, req)
 	if h.PossibleRuns >= req.Route.MaxAttempts {
 		return Decision{Verdict: Refuse, Cause: CauseMaxAttempts}
 	}
@@ -125,7 +126,6 @@
 // if no replica is usable or the expected queueing time is too long. A request
 // that is expected to miss its target gets a less urgent level.
 func (s *State) chooseReplica(now time.Time, svc *service, req *Request, h History) Decision {
-	s.lookUpPrefixes(now, svc, req)
 	usable, cause := s.candidates(now, svc, req, h)
 	if len(usable) == 0 {
 		return s.refuseOrWait(now, req, cause)
--- a/dispatch/prefixreplay_test.go
+++ b/dispatch/prefixreplay_test.go
@@ -21,27 +21,27 @@
 
 	random  *rand.Rand
 	now     time.Time
-	events  []replayEvent // the next one last
+	events  []prefixEvent // the next one last
 	states  []*State
-	engines []*replayEngine
+	engines []*prefixEngine
 
 	served, refused, late int
 	shared, prefilled     int // tokens of shared parts
 	timesToFirstByte      []time.Duration
 }
 
-type replayEvent struct {
+type prefixEvent struct {
 	at  time.Time
 	run func()
 }
 
 func (p *prefixReplay) after(d time.Duration, run func()) {
 	at := p.now.Add(d)
-	i, _ := slices.BinarySearchFunc(p.events, at, func(e replayEvent, at time.Time) int { return at.Compare(e.at) })
-	p.events = slices.Insert(p.events, i, replayEvent{at, run})
+	i, _ := slices.BinarySearchFunc(p.events, at, func(e prefixEvent, at time.Time) int { return at.Compare(e.at) })
+	p.events = slices.Insert(p.events, i, prefixEvent{at, run})
 }
 
-type replayJob struct {
+type prefixJob struct {
 	req      *Request
 	decision Decision
 	prefill  float64
@@ -49,19 +49,19 @@
 	state    *State
 }
 
-// replayEngine is one replica of a replay.
-type replayEngine struct {
+// prefixEngine is one replica of a replay.
+type prefixEngine struct {
 	p          *prefixReplay
 	info       *catalog.Replica
 	speed      float64
 	cache      replayedCache
 	running    int
 	prefilling bool
-	queue      []*replayJob
+	queue      []*prefixJob
 }
 
 // start prefills the next prompt if there is a slot for it.
-func (e *replayEngine) start() {
+func (e *prefixEngine) start() {
 	const cachedParts = 80
 	if e.prefilling || len(e.queue) == 0 || e.running >= e.info.Slots {
 		return
@@ -84,7 +84,7 @@
 }
 
 // begin ends the prefill of a prompt.
-func (e *replayEngine) begin(j *replayJob) {
+func (e *prefixEngine) begin(j *prefixJob) {
 	const step = 10 * time.Millisecond
 	p := e.p
 	e.prefilling = false
@@ -148,8 +148,8 @@
 		p.refused++
 		return
 	}
-	j := &replayJob{req: req, decision: d, prefill: s.RecordSend(p.now, req, d), sentAt: p.now, state: s}
-	e := p.engines[slices.IndexFunc(p.engines, func(e *replayEngine) bool { return e.info.ID == d.Replica.ID })]
+	j := &prefixJob{req: req, decision: d, prefill: s.RecordSend(p.now, req, d), sentAt: p.now, state: s}
+	e := p.engines[slices.IndexFunc(p.engines, func(e *prefixEngine) bool { return e.info.ID == d.Replica.ID })]
 	p.after(time.Millisecond, func() {
 		e.queue = append(e.queue, j)
 		e.start()
@@ -174,7 +174,7 @@
 	for r := range p.replicas {
 		info := engineReplica(fmt.Sprint("r", r), holds[r]...)
 		info.Slots = 48
-		p.engines = append(p.engines, &replayEngine{p: p, info: info, speed: []float64{0.7, 0.7, 1.7}[r%3], cache: replayedCache{lastUse: make(map[uint64]time.Time)}})
+		p.engines = append(p.engines, &prefixEngine{p: p, info: info, speed: []float64{0.7, 0.7, 1.7}[r%3], cache: replayedCache{lastUse: make(map[uint64]time.Time)}})
 	}
 	for i := range p.instances {
 		s := newState()
