--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -90,6 +90,7 @@
 	malformedReports int       // since the last line about them
 	malformedAt      time.Time // time of that line
 	quotas           quotas
+	prefixes         prefixExport
 }
 
 func newCore(node nodeconfig.Node, logger *log.Logger, registry *metrics.Registry, bus *kernel.Bus, now time.Time) *core {
@@ -148,6 +149,7 @@
 	c.metrics.Gauge("ordering").Set(ordering)
 	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
 	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.ModelChanges(now))))
+	c.exportPrefixes(now)
 }
 
 // configVersion returns the version of the config, or 0 if there is none.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -199,6 +199,7 @@
 type service struct {
 	replicas []*replica
 	budget   *retry.Budget
+	prefixAverages
 	// avgTTFB is the moving average of the time to the first byte, used for
 	// services without models.
 	avgTTFB time.Duration
@@ -209,7 +210,6 @@
 	// statesSlowness is set once a replica of the service has stated its slowness, which
 	// means that the replicas share their machines with other work.
 	statesSlowness bool
-	prefixAverages
 }
 
 // New returns a State without replicas.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -136,7 +136,6 @@
 	}
 	r.finishPrefill(d.Urgency, prefill)
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
-	missed := s.judgePrefix(r, req, d, took)
 	svc := s.service(req.Service)
 	expected := d.Expected
 	if d.Slowness > 0 {
@@ -152,7 +151,7 @@
 		return
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(expected), minLatencyRatio), maxLatencyRatio)
-	if !missed {
+	if !s.judgePrefix(r, req, d, expected, took) {
 		s.learnLatency(req, d, took)
 	}
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
