dispatch, controlplane: queue requests in the instance and refuse early

For services whose replicas state their slowness, requests wait in the instance while no replica would begin them soon, ordered by rank, prospects and customer share; they are refused at once when they can't begin before their caller leaves; late ones keep their urgency. Sends to plain services are paced by rejections, use freed slots at once, and rejected requests go to replicas again within the retry budget. Other services are decided as before.

Tests: go test -race of dispatch, controlplane, platform; edge and ingress pass.

--- a/controlplane/controlplane.go
+++ b/controlplane/controlplane.go
@@ -101,6 +101,8 @@
 	defer close(s.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	wake := time.NewTimer(tickInterval) // for the waiting requests
+	defer wake.Stop()
 	for {
 		select {
 		case ev := <-s.events:
@@ -109,9 +111,14 @@
 			now := time.Now()
 			s.metrics.Histogram("control_delay").Observe(now.Sub(due))
 			c.tick(now, bootclock.Now())
+		case <-wake.C:
+			c.serveAllWaiters(time.Now())
 		case <-s.stop:
 			return
 		}
+		if at, ok := c.nextServeTime(); ok {
+			wake.Reset(max(time.Until(at), minServePause))
+		}
 	}
 }
 
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -87,6 +87,8 @@
 	undirected     map[adapterKey]bool      // adapters that were requested while the holder was not known
 	modelWaiters   map[string][]modelWaiter // waiting requests, by model
 
+	servedAt time.Time // last pass over the requests that wait in the queues of services
+
 	malformedReports int       // since the last line about them
 	malformedAt      time.Time // time of that line
 }
@@ -144,6 +146,7 @@
 	c.metrics.Gauge("config_version").Set(c.configVersion())
 	c.metrics.Gauge("ordering").Set(ordering)
 	c.metrics.Gauge("peers").Set(int64(len(c.peers)))
+	c.metrics.Gauge("requests_queued").Set(int64(c.dispatch.Waiters()))
 	c.metrics.Gauge("replicas_moving").Set(int64(len(c.plan.ModelChanges(now))))
 }
 
@@ -203,4 +206,7 @@
 	c.plan.SetReplica(now, id, info)
 	c.plan.SetBackoff(id, c.dispatch.BackoffUntil(id))
 	c.wakeModelWaiters(info)
+	if info != nil {
+		c.serveWaiters(now, info.Service)
+	}
 }
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -55,7 +55,7 @@
 	switch {
 	case d.Cause == dispatch.CauseNotLoaded:
 		m.waitRatio += notLoadedWaitRatio
-	case d.Verdict == dispatch.Send && req.Route.LatencyTarget > 0:
+	case (d.Verdict == dispatch.Send || d.Cause == dispatch.CauseFull) && req.Route.LatencyTarget > 0:
 		m.waitRatio += min(notLoadedWaitRatio, float64(d.Expected)/float64(req.Route.LatencyTarget))
 	}
 }
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -178,11 +178,12 @@
 // whose answer has not begun are given up.
 type Stopping struct{ Until time.Time }
 
-func (e Stopping) apply(c *core, _ time.Time) {
+func (e Stopping) apply(c *core, now time.Time) {
 	c.stopping = true
 	c.leader.Stop()
 	c.dispatch.SetStopTime(e.Until)
 	c.wakeAllModelWaiters()
+	c.serveAllWaiters(now)
 	c.publishSnapshot()
 }
 
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -9,9 +9,7 @@
 	"github.com/hyssophaven/hyssophaven/bootclock"
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
-	"github.com/hyssophaven/hyssophaven/nodeconfig"
 	"github.com/hyssophaven/hyssophaven/residency"
-	"github.com/hyssophaven/hyssophaven/retry"
 	"github.com/hyssophaven/hyssophaven/rowstore"
 	"github.com/hyssophaven/hyssophaven/suspect"
 )
@@ -288,26 +286,6 @@
 	c.fleet = others
 }
 
-// setInstances sets the number of instances among which the slack of the retry
-// budget is divided.
-func (c *core) setInstances(n int) {
-	if n != c.instanceCount {
-		c.instanceCount = n
-		c.dispatch.SetRetryLimits(retryLimits(c.node.Bounds, n))
-	}
-}
-
-// retryLimits returns one instance's share of the fleet's retry budget. Half of its
-// share of the slack is a rate and half is a burst. At least assumedInstances are
-// assumed, because an instance that has just started does not know the number.
-func retryLimits(b nodeconfig.Bounds, instances int) retry.Limits {
-	part := b.RetrySlack / 2 / float64(max(instances, assumedInstances))
-	return retry.Limits{
-		Window: b.RetryWindow, Ratio: retryRatioShare * b.RetryRatio,
-		MinPerSecond: part / b.RetryWindow.Seconds(), Burst: part,
-	}
-}
-
 // setPeerLoads gives dispatch the load of the other instances on every replica.
 func (c *core) setPeerLoads(now time.Time, sum map[string]dispatch.Load) {
 	for _, r := range c.replicaList.Replicas() {
@@ -397,4 +375,5 @@
 	c.dispatch.SetFullReplicas(e.State.FullReplicas)
 	c.dispatch.AdoptLatencyProfiles(e.State.LatencyProfiles)
 	c.dispatch.SetPeerCrashes(e.State.Crashes)
+	c.serveAllWaiters(now)
 }
--- a/controlplane/reports.go
+++ b/controlplane/reports.go
@@ -32,6 +32,7 @@
 func (e reportSeen) apply(c *core, now time.Time) {
 	if e.err == nil {
 		c.dispatch.SetReport(now, e.from.ID, *e.report)
+		c.serveWaiters(now, e.from.Service)
 		return
 	}
 	c.metrics.Counter(malformedReportsMetric).Add(1)
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -37,34 +37,49 @@
 	// a replica may have started to run.
 	Tried                   []string
 	Delivered, PossibleRuns int
+	// Rejected holds those of Tried that answered that they have not run the request.
+	Rejected []string
 	// Waited is set if an earlier decision made the request wait.
 	Waited bool
 	// FromSilent is set if the request is to be taken over from a silent replica.
 	FromSilent bool
 }
 
+// isFirst reports whether no decision has been made on the request yet.
+func (r AdmissionRequest) isFirst() bool { return len(r.Tried) == 0 && !r.Waited }
+
+func (r AdmissionRequest) history() dispatch.History {
+	return dispatch.History{Tried: r.Tried, Delivered: r.Delivered, PossibleRuns: r.PossibleRuns, FromSilent: r.FromSilent, Rejected: r.Rejected}
+}
+
 // Admission is the answer to an AdmissionRequest. Flight is nil unless the request
 // is to be sent.
 type Admission struct {
 	Decision dispatch.Decision
 	Flight   *Flight
+	// Waited is how long the request waited in the queue of its service, and WaitCause why.
+	Waited    time.Duration
+	WaitCause dispatch.Cause
 }
 
 type admit struct {
 	ctx     context.Context // of the caller of Admit
 	request AdmissionRequest
 	answer  chan<- Admission
+	waiter  *dispatch.Waiter // nil unless the request is in the queue; owned by the control goroutine
 }
 
 // Admit decides whether and where a request is sent, and counts a sent request as in
-// flight on its replica. The end of the flight must be reported with Finish.
+// flight on its replica. A request that waits in the queue of its service is answered when it
+// is sent or refused. The end of the flight must be reported with Finish.
 //
 // If ctx ends while the control goroutine decides, the request can count as in flight.
 // Its flight is then finished in the background.
 func (s *Service) Admit(ctx context.Context, r AdmissionRequest) (Admission, error) {
 	answer := make(chan Admission, 1)
+	e := &admit{ctx: ctx, request: r, answer: answer}
 	select {
-	case s.events <- admit{ctx: ctx, request: r, answer: answer}:
+	case s.events <- e:
 	case <-ctx.Done():
 		return Admission{}, ctx.Err()
 	case <-s.ended:
@@ -74,7 +89,7 @@
 	case a := <-answer:
 		return a, nil
 	case <-ctx.Done():
-		go s.finishUnused(answer)
+		go s.finishUnused(e, answer)
 		return Admission{}, ctx.Err()
 	case <-s.ended:
 		return Admission{}, context.Canceled
@@ -82,7 +97,8 @@
 }
 
 // finishUnused finishes the flight of an admission that nobody waits for.
-func (s *Service) finishUnused(answer <-chan Admission) {
+func (s *Service) finishUnused(e *admit, answer <-chan Admission) {
+	s.post(withdraw{admit: e})
 	select {
 	case a := <-answer:
 		if a.Flight != nil {
@@ -92,32 +108,40 @@
 	}
 }
 
-func (e admit) apply(c *core, now time.Time) {
+func (e *admit) apply(c *core, now time.Time) {
 	if e.ctx.Err() != nil {
 		e.answer <- Admission{} // nobody waits for it
 		return
 	}
-	req := e.request.Request
-	first := len(e.request.Tried) == 0 && !e.request.Waited
+	req, first := e.request.Request, e.request.isFirst()
 	if first {
 		c.dispatch.RecordArrival(now, req)
 	}
-	d := c.dispatch.Choose(now, req, dispatch.History{Tried: e.request.Tried, Delivered: e.request.Delivered, PossibleRuns: e.request.PossibleRuns, FromSilent: e.request.FromSilent})
+	if c.dispatch.HoldsRequests(req.Service) && !e.request.FromSilent {
+		c.submit(now, e)
+		return
+	}
+	e.answer <- c.admission(now, e.request, c.dispatch.Choose(now, req, e.request.history()), first)
+}
+
+// admission carries out the decision on a request. first is set if it is to be counted in the
+// demand for its model.
+func (c *core) admission(now time.Time, r AdmissionRequest, d dispatch.Decision, first bool) Admission {
+	req := r.Request
 	if first {
 		c.countDemand(req, d)
 	}
-	if e.request.Delivered > 0 {
+	if r.Delivered > 0 {
 		c.countRetry(d)
 	}
 	if d.Verdict != dispatch.Send {
-		e.answer <- Admission{Decision: d}
-		return
+		return Admission{Decision: d}
 	}
 	prefillWork := c.dispatch.RecordSend(now, req, d)
 	if req.Adapter != "" {
 		c.plan.MarkAdapterUsed(now, d.Replica.ID, req.Model, req.Adapter)
 	}
-	e.answer <- Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, PrefillWork: prefillWork, SentAt: now}}
+	return Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, PrefillWork: prefillWork, SentAt: now}}
 }
 
 // countRetry counts the decision on a request that has already reached a replica.
@@ -151,6 +175,7 @@
 	}
 	c.dispatch.RecordFirstByte(now, f.Request, f.Decision, f.PrefillWork, e.elapsed)
 	f.PrefillWork, f.begunAt = 0, now
+	c.serveWaiters(now, f.Request.Service)
 }
 
 type silence struct {
@@ -217,4 +242,5 @@
 		c.metrics.Counter("replicas_put_aside", "outcome", e.outcome.String()).Add(1)
 		c.log.Warn("replica put aside", "replica", id, "request", f.Request.ID, "outcome", e.outcome.String(), "load_age", f.Decision.LoadAge)
 	}
+	c.serveWaiters(now, f.Request.Service)
 }
--- a/controlplane/requests_test.go
+++ b/controlplane/requests_test.go
@@ -89,3 +89,39 @@
 	index, _ = c.dispatch.Suspects().Blocked(now, []suspect.Part{sound})
 	is.Equal(index, -1)
 }
+
+// Guards against waiting requests whose callers have left, that take the room of others when
+// it comes, and against requests that are never answered because no news wakes them.
+func TestQueuedAdmissions(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t)
+	r := &catalog.Replica{ID: "r", Service: "s", Address: "a:1", StartMillis: 1, Slots: 4, Models: []catalog.LoadedModel{{Name: "m"}}}
+	ReplicasRead{Table: "replicas", Entries: []catalog.Entry{{ID: "r", Version: 1, Replica: r}}, Version: 1}.apply(c, epoch)
+	reportSeen{from: r, report: &dispatch.Report{Slots: 4, Slowness: 1}}.apply(c, epoch)
+	full := dispatch.Load{Requests: 1}
+	full.PendingPrefill[0] = 20_000
+	FleetSeen{State: FleetState{Loads: map[string]dispatch.Load{"r": full}}}.apply(c, epoch)
+	submit := func(ctx context.Context, id string) (*admit, chan Admission) {
+		answer := make(chan Admission, 1)
+		route := &catalog.Route{Kind: catalog.Stream, LatencyTarget: time.Second, MaxAttempts: 1}
+		e := &admit{ctx: ctx, answer: answer, request: AdmissionRequest{Request: &dispatch.Request{ID: id, Route: route, Service: "s", Model: "m", PromptTokens: 500, Arrived: epoch, Deadline: epoch.Add(5 * time.Second)}}}
+		e.apply(c, epoch)
+		return e, answer
+	}
+	_, first := submit(t.Context(), "first")
+	left, second := submit(t.Context(), "second")
+	is.Equal(len(first)+len(second), 0)
+	at, waiting := c.nextServeTime()
+	is.True(waiting && at.After(epoch) && at.Before(epoch.Add(200*time.Millisecond)))
+	withdraw{admit: left}.apply(c, epoch)
+	is.Equal((<-second).Flight, nil)
+	FleetSeen{State: FleetState{}}.apply(c, epoch.Add(300*time.Millisecond))
+	a := <-first
+	is.Equal(a.Flight.Request.ID, "first")
+	is.Equal(a.Waited, 300*time.Millisecond)
+	is.Equal(a.WaitCause, dispatch.CauseFull)
+	is.Equal(c.metrics.Counter(waitsMetric, "cause", string(dispatch.CauseFull)).Value(), int64(1))
+	_, waiting = c.nextServeTime()
+	is.True(!waiting)
+	is.Equal(c.dispatch.OwnLoad()["r"].Requests, 1)
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -79,6 +79,10 @@
 	Tried        []string // IDs of the replicas that were chosen
 	Delivered    int      // sends that reached a replica
 	PossibleRuns int      // replicas that may have run the request
+	// Rejected holds those of Tried that answered that they have not run the request. A
+	// service that states its slowness can get it again, as a slot of a replica that was full
+	// can be free.
+	Rejected []string
 	// FromSilent is set if the request is to be taken over from a replica that is only
 	// silent. Others that are silent too can't help.
 	FromSilent bool
@@ -100,14 +104,22 @@
 	if h.PossibleRuns >= req.Route.MaxAttempts {
 		return Decision{Verdict: Refuse, Cause: CauseMaxAttempts}
 	}
-	d := s.chooseReplica(now, svc, req, h)
+	var d Decision
+	if svc.statesSlowness {
+		d = s.chooseShared(now, svc, req, h)
+	} else {
+		d = s.chooseReplica(now, svc, req, h)
+	}
 	if s.endsAfterStop(now, d) {
 		return Decision{Verdict: Refuse, Cause: CauseStopping, RetryAfter: StoppingRetryAfter, Expected: d.Expected}
 	}
-	if d.Verdict == Refuse {
+	if d.Verdict == Refuse || (d.Verdict == Wait && svc.statesSlowness) {
 		return d
 	}
 	if h.Delivered > 0 && !s.retryBudget(svc, now).AllowRetry(now) {
+		if svc.statesSlowness && h.PossibleRuns == 0 {
+			return Decision{Verdict: Wait, Cause: CauseRetryBudget, RetryAfter: s.spread(maxRecheck)}
+		}
 		return Decision{Verdict: Refuse, Cause: CauseRetryBudget, RetryAfter: refusedRetryAfter}
 	}
 	return d
@@ -240,58 +252,6 @@
 	return usable[slices.Index(scores, lowest)]
 }
 
-// refuseOrWait returns a wait for a request that can be sent soon enough, and
-// otherwise a refusal with the time after which the caller should try again.
-func (s *State) refuseOrWait(now time.Time, req *Request, cause Cause) Decision {
-	d := Decision{Verdict: Refuse, Cause: cause, RetryAfter: refusedRetryAfter}
-	wait, known := time.Duration(0), false
-	switch cause {
-	case CauseNotLoaded, CauseUnloading:
-		d.RetryAfter = loadingRetryAfter
-		if at, ok := s.modelArrivals[req.Model]; ok {
-			wait, known = at.Sub(now)+arrivalMargin, true
-		}
-	case CauseOrdersUnavailable:
-		wait, known = s.ordersAvailableIn, true
-	case CauseBackoff:
-		d.RetryAfter = s.shortestBackoff(now, req)
-	case CauseAdapterBlocked:
-		wait, known = s.timeUntilOrders(now, req)
-	}
-	if !known {
-		return d
-	}
-	d.RetryAfter = max(refusedRetryAfter, wait)
-	// An arrival that is overdue has a wait below zero.
-	if wait = max(wait, minWait); now.Add(wait).Before(req.Arrived.Add(maxWait(req))) {
-		d.Verdict, d.RetryAfter = Wait, wait
-	}
-	return d
-}
-
-// maxWait returns how long after its arrival a request can wait for its model or
-// adapter: a share of its target, or half of the caller's patience up to
-// maxLateWait, whichever is longer.
-func maxWait(req *Request) time.Duration {
-	return max(req.Route.LatencyTarget*maxWaitTargetPercent/100, min(Patience(req)/2, maxLateWait))
-}
-
-// timeUntilOrders returns the shortest time until a replica that holds the request's
-// model and currently loads or unloads another accepts orders again, and false if
-// there is none.
-func (s *State) timeUntilOrders(now time.Time, req *Request) (time.Duration, bool) {
-	wait, known := time.Duration(0), false
-	for _, r := range s.service(req.Service).replicas {
-		if r.info.Leaving || !r.changingModel || !r.info.Holds(req.Model) || slices.Contains(r.unloading, req.Model) {
-			continue
-		}
-		if left := max(0, r.changingModelUntil.Sub(now), r.backoffUntil.Sub(now)) + arrivalMargin; !known || left < wait {
-			wait, known = left, true
-		}
-	}
-	return wait, known
-}
-
 // score returns the estimated time to the first byte plus the penalties for
 // another data centre and for an adapter that is not loaded.
 func (s *State) score(now time.Time, svc *service, r *replica, req *Request, level int) time.Duration {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -94,7 +94,7 @@
 )
 
 // WaitCauses are the causes for which a request can wait instead of being refused.
-var WaitCauses = []Cause{CauseNotLoaded, CauseUnloading, CauseAdapterBlocked, CauseOrdersUnavailable}
+var WaitCauses = []Cause{CauseNotLoaded, CauseUnloading, CauseAdapterBlocked, CauseOrdersUnavailable, CauseBackoff, CauseFull, CauseRetryBudget}
 
 // Decision is the outcome of Choose.
 type Decision struct {
@@ -190,6 +190,10 @@
 	// zero unless it is stopping.
 	stopTime time.Time
 	random   *rand.Rand
+	// instances is the number of instances that share the replicas; 0 if unknown.
+	instances int
+	// meanQuota is the weight in the wait queue of customers without a limit.
+	meanQuota float64
 }
 
 // service holds the replicas, the retry budget and the averages of one service.
@@ -206,19 +210,21 @@
 	// statesSlowness is set once a replica of the service has stated its slowness, which
 	// means that the replicas share their machines with other work.
 	statesSlowness bool
+	queue          waitQueue
+	pace           pace // of a plain service that states its slowness
 }
 
 // New returns a State without replicas.
 func New(options Options) *State {
 	return &State{
 		options: options, replicas: make(map[string]*replica), services: make(map[string]*service), notices: make(map[string]notices),
-		crashes: make(crashes), suspects: suspect.New(options.Seed), profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
+		crashes: make(crashes), suspects: suspect.New(options.Seed), meanQuota: 1, profiles: newLatencyProfiles(), random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
 
 // SetConfig replaces the config.
 func (s *State) SetConfig(c *catalog.Config) {
-	s.config = c
+	s.config, s.meanQuota = c, meanQuota(c)
 	s.profiles.setConfig(c)
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -91,6 +91,13 @@
 	if req.Adapter != "" {
 		r.adapterRequests[adapterKey(req.Model, req.Adapter)]++
 	}
+	if svc := s.service(req.Service); req.Model == "" && svc.statesSlowness {
+		if r.hasFreedSlot(now) {
+			r.freedAt = time.Time{}
+		} else {
+			svc.pace.recordSend(now)
+		}
+	}
 	s.suspects.RecordSend(req.SharedParts)
 	r.ownLoad.Requests++
 	r.sentSinceReport++
@@ -138,6 +145,9 @@
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
 	svc := s.service(req.Service)
 	expected := d.Expected
+	if req.Model == "" && svc.statesSlowness {
+		svc.pace.recordAnswer(s.fairGap(now, svc))
+	}
 	if d.Slowness > 0 {
 		slowness := r.slowness(now)
 		expected = time.Duration(float64(expected) / d.Slowness)
@@ -190,6 +200,7 @@
 	switch outcome {
 	case Answered:
 		r.recordSuccess()
+		r.freedAt = now
 	case TimedOut:
 		if r.lastAnswerAt.After(sentAt) {
 			return false // it has answered another request since the send: it is busy, or hangs sometimes
@@ -201,6 +212,9 @@
 		return r.recordFailure(now, true)
 	case NotExecuted, Misdirected, Canceled:
 		r.probing = false
+		if svc := s.service(req.Service); outcome == NotExecuted && req.Model == "" && svc.statesSlowness {
+			svc.pace.recordRejection(s.fairGap(now, svc))
+		}
 		if outcome == Misdirected && req.Adapter != "" {
 			r.setAdapter(req.Model, req.Adapter, false)
 		}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -80,6 +80,7 @@
 	peerLoadAt      time.Time
 	report          Report
 	reportAt        time.Time
+	freedAt         time.Time // when an answer of a plain replica ended, until its slot is used
 	// sentSinceReport is the number of own requests sent since reportAt.
 	sentSinceReport int
 	// latencyRatio is the moving average of the ratio of measured to estimated time
--- /dev/null
+++ b/dispatch/shared.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hyssophaven/hyssophaven/catalog"
+)
+
+// This file decides on requests for services whose replicas share their machines with other
+// work, and therefore state how slow these are now. The load pattern is spells of more
+// demand than capacity and replicas of unequal, changing speed: requests that are sent at
+// once pile up at replicas, where they are rejected or starve until their callers leave.
+//
+// Invariant: a request is sent only to a replica that is expected to begin it within
+// maxReplicaWait, and is refused as soon as no replica is expected to begin it before its
+// caller leaves.
+
+const (
+	// maxReplicaWait is the expected wait at a replica up to which requests are sent to it.
+	// It is about the age of what instances know of each other's sends, so that the replica
+	// has work until they learn that it needs more.
+	maxReplicaWait = 400 * time.Millisecond
+	// maxLateReplicaWait is the same for a request that has missed its target: it uses what
+	// others leave.
+	maxLateReplicaWait = 100 * time.Millisecond
+	// maxRecheck is the longest time between two decisions on a waiting request, and
+	// minRecheck the shortest one.
+	maxRecheck = 100 * time.Millisecond
+	minRecheck = 5 * time.Millisecond
+	// maxRejections is the number of replicas that can reject a request before it is
+	// refused.
+	maxRejections = 4
+	// minFullRetryAfter and maxFullRetryAfter bound the retry time of a request that is
+	// refused because all replicas are full. Callers use a third of their time for it.
+	minFullRetryAfter = 200 * time.Millisecond
+	maxFullRetryAfter = 4 * time.Second
+	// defaultPlainTTFB is used for plain services before the first answer.
+	defaultPlainTTFB = 20 * time.Millisecond
+)
+
+// CauseFull is the cause of waits for replicas that would not begin a request soon.
+const CauseFull Cause = "replicas-full"
+
+// HoldsRequests reports whether requests for a service wait in the queue of this instance,
+// because its replicas state their slowness: without it, the time until a replica begins a
+// request is too uncertain to hold the request back.
+func (s *State) HoldsRequests(service string) bool {
+	svc, ok := s.services[service]
+	return ok && svc.statesSlowness
+}
+
+// leaveTime returns when the caller of a request leaves unless its answer has begun. The
+// caller of a request that may have begun at a replica could have received events, and so
+// waits until the deadline at most.
+func leaveTime(req *Request, h History) time.Time {
+	leave := req.Deadline
+	if req.Route.Kind == catalog.Stream && h.PossibleRuns == 0 {
+		if at := req.Arrived.Add(Patience(req)); at.Before(leave) {
+			leave = at
+		}
+	}
+	return leave
+}
+
+// minTTFB returns the least time that an answer takes to begin.
+func (svc *service) minTTFB(req *Request) time.Duration {
+	if req.Model != "" {
+		return defaultBaseLatency
+	}
+	if svc.avgTTFB == 0 {
+		return defaultPlainTTFB
+	}
+	return svc.avgTTFB
+}
+
+// chooseShared selects a replica for a request, or makes it wait or refuses it.
+func (s *State) chooseShared(now time.Time, svc *service, req *Request, h History) Decision {
+	if len(h.Rejected) >= maxRejections {
+		return s.refuseFull(Decision{Cause: CauseAllTried})
+	}
+	failed := h
+	failed.Tried = slices.DeleteFunc(slices.Clone(h.Tried), func(id string) bool { return slices.Contains(h.Rejected, id) })
+	usable, cause := s.candidates(now, svc, req, failed)
+	if len(usable) == 0 {
+		return s.refuseOrWait(now, req, cause)
+	}
+	if other := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return slices.Contains(h.Rejected, r.info.ID) }); len(other) > 0 {
+		usable = other
+	}
+	if req.Model == "" {
+		return s.choosePaced(now, svc, req, usable)
+	}
+	return s.chooseEngine(now, svc, req, h, usable)
+}
+
+// choosePaced sends a request for a plain service when the service's pace allows, or to a
+// replica of which an answer to this instance has just ended: its slot is free. A request
+// that has missed its target leaves such slots to others.
+func (s *State) choosePaced(now time.Time, svc *service, req *Request, usable []*replica) Decision {
+	level := urgencyLevel(req, false)
+	late, next := missesTarget(now.Add(svc.minTTFB(req)), req), svc.pace.next()
+	if late {
+		next = next.Add(lateGaps * svc.pace.gap)
+	}
+	if now.Before(next) {
+		i := slices.IndexFunc(usable, func(r *replica) bool { return r.hasFreedSlot(now) })
+		if late || i < 0 {
+			return Decision{Verdict: Wait, Cause: CauseFull, RetryAfter: max(next.Sub(now), minRecheck)}
+		}
+		usable = usable[i : i+1]
+	}
+	chosen := s.sampleReplica(now, svc, usable, req, level)
+	return s.sendTo(now, svc, chosen, req, level, s.estimateTTFB(now, svc, chosen, req, level))
+}
+
+// missesTarget reports whether an answer that begins at the given time misses the target of
+// its request.
+func missesTarget(begin time.Time, req *Request) bool {
+	return req.Route.LatencyTarget > 0 && begin.After(req.Arrived.Add(req.Route.LatencyTarget))
+}
+
+// chooseEngine selects a replica for a request to a model among those that are expected to
+// begin it soon.
+func (s *State) chooseEngine(now time.Time, svc *service, req *Request, h History, usable []*replica) Decision {
+	level, limit := urgencyLevel(req, false), maxReplicaWait
+	if missesTarget(now.Add(svc.minTTFB(req)), req) {
+		limit = maxLateReplicaWait
+	}
+	open, least, soonest := make([]*replica, 0, len(usable)), time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
+	for _, r := range usable {
+		wait := s.queueWait(now, svc, r, level)
+		if wait <= limit {
+			open = append(open, r)
+		}
+		least, soonest = min(least, wait), min(soonest, s.estimateTTFB(now, svc, r, req, level))
+	}
+	switch {
+	case now.Add(soonest).After(leaveTime(req, h)):
+		return s.refuseFull(Decision{Cause: CauseOverload, RetryAfter: least, Expected: soonest})
+	case len(open) == 0 && h.PossibleRuns == 0:
+		return Decision{Verdict: Wait, Cause: CauseFull, RetryAfter: s.spread(min(max(least-limit, minRecheck), maxRecheck)), Expected: soonest}
+	case len(open) == 0:
+		open = usable // its caller may be reading a stream that has stopped
+	}
+	chosen := s.sampleReplica(now, svc, open, req, level)
+	return s.sendTo(now, svc, chosen, req, level, s.estimateTTFB(now, svc, chosen, req, level))
+}
+
+// queueWait returns the expected time until a replica begins to work on a new request.
+func (s *State) queueWait(now time.Time, svc *service, r *replica, level int) time.Duration {
+	wait := prefillTime(r.pendingPrefill(now, level, svc.avgPrefill))
+	if excess := r.inFlight(now) + 1 - s.concurrency(svc, r); excess > 0 {
+		wait += time.Duration(excess) * slotWait
+	}
+	return time.Duration(float64(wait) * r.latencyRatio * r.slowness(now))
+}
+
+// refuseFull returns the refusal of a request that can't be served in time. Its retry time
+// is the time after which d expects room, spread so that callers do not return together.
+func (s *State) refuseFull(d Decision) Decision {
+	cause := d.Cause
+	if cause == CauseFull || cause == CauseNone {
+		cause = CauseOverload
+	}
+	after := s.spread(min(max(d.RetryAfter, minFullRetryAfter), maxFullRetryAfter))
+	return Decision{Verdict: Refuse, Cause: cause, RetryAfter: after, Expected: d.Expected}
+}
+
+// spread returns a random time around d, from three quarters to five quarters of it.
+func (s *State) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*s.random.Float64()))
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -39,6 +39,9 @@
 	arrived    time.Time
 
 	waited       bool             // the request has waited for its model or adapter
+	queued       time.Duration    // time in the queue of the service
+	queueCause   dispatch.Cause   // why the request was queued last
+	rejected     []string         // those of tried that answered that they have not run the request
 	tried        []string         // ids of the replicas that were tried
 	delivered    int              // sends that reached a replica
 	possibleRuns int              // replicas that may have run the request
@@ -123,6 +126,10 @@
 			x.giveUp(ctx, "no-decision", 0)
 			return nil
 		}
+		if admission.Waited > 0 {
+			x.waited, x.queueCause = true, admission.WaitCause
+			x.queued += admission.Waited
+		}
 		switch d := admission.Decision; d.Verdict {
 		case dispatch.Refuse:
 			if d.Cause == dispatch.CauseBlockedPart {
@@ -144,8 +151,11 @@
 // countSend adds a send that has ended to the history of the request.
 func (x *exchange) countSend(f *controlplane.Flight, outcome dispatch.Outcome) {
 	x.tried, x.lastOutcome = append(x.tried, f.Decision.Replica.ID), outcome
-	if outcome.MayHaveRun() {
+	switch {
+	case outcome.MayHaveRun():
 		x.possibleRuns++
+	case outcome == dispatch.NotExecuted:
+		x.rejected = append(x.rejected, f.Decision.Replica.ID)
 	}
 }
 
@@ -162,7 +172,7 @@
 
 // query returns the request and the history of its attempts for the control goroutine.
 func (x *exchange) query() controlplane.AdmissionRequest {
-	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Waited: x.waited}
+	return controlplane.AdmissionRequest{Request: x.request, Tried: x.tried, Delivered: x.delivered, PossibleRuns: x.possibleRuns, Rejected: x.rejected, Waited: x.waited}
 }
 
 // newUpstreamRequest returns the request for the chosen replica.
