--- a/controlplane/quotas.go
+++ b/controlplane/quotas.go
@@ -30,7 +30,7 @@
 }
 
 type quotaWaiter struct {
-	admit admit
+	admit *admit
 	since time.Time
 }
 
@@ -126,7 +126,7 @@
 
 // takeQuota takes the tokens of a request that has arrived. It returns false if the request
 // is refused or waits for tokens.
-func (c *core) takeQuota(now time.Time, e admit) bool {
+func (c *core) takeQuota(now time.Time, e *admit) bool {
 	customer := e.request.Request.Customer
 	if customer == nil || !customer.Quota.Limited() {
 		return true
@@ -145,7 +145,7 @@
 }
 
 // concludeQuota counts the decision on a request and refuses it if it exceeds the limit.
-func (c *core) concludeQuota(e admit, verdict ratelimit.Verdict, retryAfter time.Duration) bool {
+func (c *core) concludeQuota(e *admit, verdict ratelimit.Verdict, retryAfter time.Duration) bool {
 	admitted := verdict == ratelimit.Admit
 	if counter := c.quotas.counters[quotaResult{admitted, c.quotas.client.HasOwner()}]; counter != nil {
 		counter.Add(1)
--- a/dispatch/prefixscore.go
+++ b/dispatch/prefixscore.go
@@ -139,4 +139,4 @@
 
 // timeFactor returns how long work takes on the replica at present, relative to the
 // latency profile of its model. It must be the factor that estimateTTFB applies.
-func (r *replica) timeFactor(time.Time) float64 { return r.latencyRatio }
+func (r *replica) timeFactor(now time.Time) float64 { return r.latencyRatio * r.slowness(now) }
