dispatch: choose the better one of two replicas drawn at random

Instances share load figures that are some hundred milliseconds old, and most of them chose the replica that looked best. For services whose replicas state their slowness, a request for a model goes to the better one of two replicas that are drawn at random among those that would begin it soon.

--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -144,10 +144,37 @@
 	case len(open) == 0:
 		open = usable // its caller may be reading a stream that has stopped
 	}
-	chosen := s.sampleReplica(now, svc, open, req, level)
+	chosen := s.sampleTwo(now, svc, open, req, level)
 	return s.sendTo(now, svc, chosen, req, level, s.estimateTTFB(now, svc, chosen, req, level))
 }
 
+// sampleTwo returns the better one of two replicas that are drawn at random, of those that
+// have the request's adapter if there are any. Instances that share out-of-date knowledge
+// of the load all find the same replica the best one, but they do not all draw it.
+func (s *State) sampleTwo(now time.Time, svc *service, usable []*replica, req *Request, level int) *replica {
+	if req.Adapter != "" {
+		if with := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return !r.hasAdapter(req.Model, req.Adapter) }); len(with) > 0 {
+			usable = with
+		}
+	}
+	first := s.random.IntN(len(usable))
+	if len(usable) == 1 {
+		return usable[first]
+	}
+	second := (first + 1 + s.random.IntN(len(usable)-1)) % len(usable)
+	preferredID, bonus := s.prefixAffinity(now, svc, req)
+	score := func(r *replica) time.Duration {
+		if r.info.ID == preferredID {
+			return s.score(now, svc, r, req, level) - bonus
+		}
+		return s.score(now, svc, r, req, level)
+	}
+	if score(usable[second]) < score(usable[first]) {
+		return usable[second]
+	}
+	return usable[first]
+}
+
 // queueWait returns the expected time until a replica begins to work on a new request.
 func (s *State) queueWait(now time.Time, svc *service, r *replica, level int) time.Duration {
 	wait := prefillTime(r.pendingPrefill(now, level, svc.avgPrefill))
