residency: expect demand to move while a slow store loads

Cause: at a weight store whose loads take 9 s, copies for a model whose demand rises came when the demand had moved on.

--- a/residency/balance.go
+++ b/residency/balance.go
@@ -20,7 +20,7 @@
 	}
 	var models []modelWork
 	for model := range view.copies {
-		if work := view.state.demand[model].utilization(); work > 0 {
+		if work := view.forecast(model).utilization; work > 0 {
 			models = append(models, modelWork{model, work})
 		}
 	}
