ratelimit: pool shares of a limit at a deputy of its owner

Cause: without the owner each instance went by its own share of a limit. At 86 instances a share of a small customer is less than one request, so that 94 % of its requests were refused for as long as the owner was lost.

Change: the owner names an instance as its deputy. Instances that can't reach the owner leave their shares and their credit to the deputy, which grants the sum of them. The owner counts an instance that has come back as absent until the deputy no longer hears it.

--- a/controlplane/quotas.go
+++ b/controlplane/quotas.go
@@ -21,6 +21,11 @@
 	client *ratelimit.Client
 	owner  *ratelimit.Owner // nil unless this instance holds the order lease
 	epoch  uint64           // epoch of the lease for which owner was created
+	deputy *ratelimit.Owner // nil unless other instances have asked this one as the deputy
+	// failedAt is when the owner was last found to be unreachable, and failedHolder the
+	// sequence of the holder of the lease then.
+	failedAt     time.Time
+	failedHolder uint64
 	// sent holds the requests that wait for the pending answer of the owner, and waiting
 	// those that came after its request.
 	sent, waiting []quotaWaiter
@@ -51,8 +56,10 @@
 func (c *core) setCustomers(now time.Time, customers []*catalog.Customer) {
 	q := &c.quotas
 	q.client.SetCustomers(now, customers)
-	if q.owner != nil {
-		q.owner.SetCustomers(now, customers)
+	for _, o := range []*ratelimit.Owner{q.owner, q.deputy} {
+		if o != nil {
+			o.SetCustomers(now, customers)
+		}
 	}
 	if q.client.Limits() && q.counters == nil {
 		q.counters = quotaCounters(c.metrics)
@@ -78,10 +85,11 @@
 // tickQuotas asks the owner for tokens in advance and updates the state of the owner.
 func (c *core) tickQuotas(now time.Time, boot bootclock.Time) {
 	q := &c.quotas
-	if !q.client.Limits() && q.owner == nil {
+	if !q.client.Limits() && q.owner == nil && q.deputy == nil {
 		return
 	}
 	c.updateQuotaOwner(now, boot)
+	c.updateDeputy(now)
 	q.client.SetInstances(c.instanceCount)
 	if sequence := q.client.Overdue(now); sequence > 0 {
 		c.failQuotaRequest(now, sequence)
@@ -92,12 +100,12 @@
 	c.askQuotaOwner(now)
 	if uses := q.client.Limits() && q.client.UsesShares(now); uses != q.usesShares {
 		q.usesShares = uses
-		c.log.Info("owner of the limits", "reachable", !uses, "holder", c.leader.Row().Holder)
+		c.log.Info("owner of the limits", "reachable", !uses, "holder", c.leader.Row().Holder, "deputy", q.client.Deputy())
 	}
 }
 
 // updateQuotaOwner makes this instance the owner of the limits while it holds the order
-// lease, and logs the customers whose limiting has begun or ended.
+// lease.
 func (c *core) updateQuotaOwner(now time.Time, boot bootclock.Time) {
 	q := &c.quotas
 	if !c.leader.Held() {
@@ -105,23 +113,62 @@
 		return
 	}
 	if q.owner == nil || q.epoch != c.leader.Epoch() {
+		q.deputy = nil
 		q.owner, q.epoch, q.grants = ratelimit.NewOwner(now, quotaBounds(c.node.Bounds)), c.leader.Epoch(), 0
 		if c.config != nil {
 			q.owner.SetCustomers(now, c.config.Customers())
 		}
 	}
 	q.owner.SetExclusive(c.leader.WithinTerm(boot))
-	for _, l := range q.owner.Tick(now) {
+	c.logLimiting(q.owner.Tick(now))
+	if grants := q.owner.Grants(); grants != q.grants {
+		c.metrics.Counter(quotaGrantsMetric).Add(grants - q.grants)
+		q.grants = grants
+	}
+}
+
+// updateDeputy drops the state of the deputy once no instance asks it, and goes back to the
+// owner once there is a new one or the last one has answered something else.
+func (c *core) updateDeputy(now time.Time) {
+	q := &c.quotas
+	if q.deputy != nil {
+		c.logLimiting(q.deputy.Tick(now))
+		if q.deputy.Idle() {
+			q.deputy = nil
+		}
+	}
+	if q.client.Delegated() && (q.owner != nil || c.holderSeenAt.After(q.failedAt) || c.holder.Sequence != q.failedHolder) {
+		q.client.UseDeputy(false)
+		c.log.Debug("limits are shared by their owner again", "holder", c.leader.Row().Holder)
+	}
+}
+
+// deputyOwner returns the state of this instance as the deputy of the owner. It returns nil
+// if this instance is the owner itself.
+func (c *core) deputyOwner(now time.Time) *ratelimit.Owner {
+	q := &c.quotas
+	if q.owner != nil {
+		return nil
+	}
+	if q.deputy == nil {
+		q.deputy = ratelimit.NewDeputy(now, quotaBounds(c.node.Bounds))
+		if c.config != nil {
+			q.deputy.SetCustomers(now, c.config.Customers())
+		}
+		c.log.Info("limits are shared by this instance", "reason", "other instances can't reach their owner")
+	}
+	return q.deputy
+}
+
+// logLimiting logs the customers whose limiting has begun or ended.
+func (c *core) logLimiting(changes []ratelimit.Limiting) {
+	for _, l := range changes {
 		message := "customer is limited"
 		if !l.Limited {
 			message = "customer is no longer limited"
 		}
 		c.log.Info(message, "customer", l.Customer, "use", math.Round(100*l.Use)/100)
 	}
-	if grants := q.owner.Grants(); grants != q.grants {
-		c.metrics.Counter(quotaGrantsMetric).Add(grants - q.grants)
-		q.grants = grants
-	}
 }
 
 // takeQuota takes the tokens of a request that has arrived. It returns false if the request
@@ -163,18 +210,19 @@
 	}
 }
 
-// RequestQuota is published to ask the holder of the order lease for tokens. It can be
-// delivered before the HolderChanged that Holder repeats.
+// RequestQuota is published to ask the holder of the order lease for tokens, or its deputy
+// if Deputy is not empty. It can be delivered before the HolderChanged that Holder repeats.
 type RequestQuota struct {
 	Holder  HolderChanged
+	Deputy  string // address
 	Request ratelimit.Request
 }
 
-// askQuotaOwner sends the request to the owner that is due.
+// askQuotaOwner sends the request to the owner that is due, or to its deputy.
 func (c *core) askQuotaOwner(now time.Time) {
 	q := &c.quotas
 	elsewhere := c.orderedElsewhere()
-	if q.owner == nil && !elsewhere && c.leader.HolderExpected(bootclock.Now()) {
+	if q.owner == nil && !elsewhere && !q.client.Delegated() && c.leader.HolderExpected(bootclock.Now()) {
 		return
 	}
 	request, due := q.client.Due(now)
@@ -182,18 +230,31 @@
 		return
 	}
 	q.sent, q.waiting = append(q.sent, q.waiting...), nil
-	switch {
-	case q.owner != nil:
-		if answer, ok := q.owner.Handle(now, request); ok {
+	self := c.node.PeerAddress()
+	if q.owner == nil && !c.stopping && !c.node.AvoidLease() {
+		request.Address = self
+	}
+	switch deputy := q.client.Deputy(); {
+	case request.Delegated && deputy != self:
+		c.publishEvent(RequestQuota{Holder: c.holder, Deputy: deputy, Request: request})
+	case request.Delegated:
+		c.answerQuota(now, c.deputyOwner(now), request)
+	case q.owner == nil && elsewhere:
+		c.publishEvent(RequestQuota{Holder: c.holder, Request: request})
+	default:
+		c.answerQuota(now, q.owner, request)
+	}
+}
+
+// answerQuota has the request of this instance answered by its own owner, which may be nil.
+func (c *core) answerQuota(now time.Time, owner *ratelimit.Owner, request ratelimit.Request) {
+	if owner != nil {
+		if answer, ok := owner.Handle(now, request); ok {
 			c.adoptQuotas(now, answer)
 			return
 		}
-		c.failQuotaRequest(now, request.Sequence)
-	case elsewhere:
-		c.publishEvent(RequestQuota{Holder: c.holder, Request: request})
-	default:
-		c.failQuotaRequest(now, request.Sequence)
 	}
+	c.failQuotaRequest(now, request.Sequence)
 }
 
 // QuotaAnswered reports the answer of the owner to the request with the given sequence. Err
@@ -223,9 +284,23 @@
 	c.askQuotaOwner(now)
 }
 
+// failQuotaRequest asks the deputy if the owner does not answer, and otherwise decides about
+// the requests that wait without an owner.
 func (c *core) failQuotaRequest(now time.Time, sequence uint64) {
-	if c.quotas.client.Fail(sequence) {
+	q := &c.quotas
+	switch {
+	case !q.client.Fail(sequence):
+	case q.client.Delegated() || q.client.Deputy() == "":
 		c.settleQuotas(now, true)
+	default:
+		q.client.UseDeputy(true)
+		q.failedAt, q.failedHolder = now, c.holder.Sequence
+		q.waiting, q.sent = append(q.sent, q.waiting...), nil
+		for _, w := range q.waiting {
+			r := w.admit.request.Request
+			q.client.Requeue(r.Customer.Name, quotaCost(r))
+		}
+		c.askQuotaOwner(now)
 	}
 }
 
@@ -267,7 +342,7 @@
 var errNotOwner = errors.New("not the owner of the limits, or request is out of order")
 
 // ServeQuota grants tokens to another instance. It fails if this instance is not the owner
-// of the limits.
+// of the limits and is not asked as its deputy.
 func (s *Service) ServeQuota(ctx context.Context, r ratelimit.Request) (ratelimit.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, ratelimit.AnswerTimeout)
 	defer cancel()
@@ -280,10 +355,14 @@
 }
 
 func (e serveQuota) apply(c *core, now time.Time) {
-	if c.quotas.owner == nil || !c.leader.Held() {
+	owner := c.quotas.owner
+	if e.request.Delegated {
+		owner = c.deputyOwner(now)
+	}
+	if owner == nil || !e.request.Delegated && !c.leader.Held() {
 		e.answer <- quotaAnswer{}
 		return
 	}
-	answer, ok := c.quotas.owner.Handle(now, e.request)
+	answer, ok := owner.Handle(now, e.request)
 	e.answer <- quotaAnswer{answer: answer, ok: ok}
 }
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -75,6 +75,8 @@
 	holder         string     // address of the holder; empty if it is this instance or none is known
 	holderSequence uint64     // sequence of the last adopted change of the holder
 	holderConn     *jsonrpc2.Conn
+	deputy         string // address to which deputyConn leads
+	deputyConn     *jsonrpc2.Conn
 	peerConns      map[*jsonrpc2.Conn]bool
 
 	// Time and destination of the last state that was sent, and the time between two
@@ -121,6 +123,7 @@
 	err := s.listener.Close()
 	s.mu.Lock()
 	s.setHolder("")
+	s.closeDeputyConn()
 	for c := range s.peerConns {
 		_ = c.Close()
 	}
--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -42,11 +42,18 @@
 	active   []*account // accounts with news for the owner
 	leaving  bool
 
-	owner     int64
+	owner  int64
+	deputy string // address of the owner's deputy
+	// delegated is set while requests are for the deputy.
+	delegated bool
 	sequence  uint64
 	pending   bool      // the last request is not answered
 	sentAt    time.Time // when the last request was sent
 	contactAt time.Time // when the last answered request was sent
+	// ownerAt is contactAt without the requests to deputies. pooled is set once the deputy
+	// knows the client's shares.
+	ownerAt time.Time
+	pooled  bool
 	// lost is set if the last request was not answered. The client has then no owner.
 	lost bool
 }
@@ -113,6 +120,34 @@
 	c.accounts = next
 }
 
+func (c *Client) activateAll() {
+	for _, a := range c.accounts {
+		c.activate(a)
+	}
+}
+
+// Deputy returns the address of the instance to ask if the owner can't be reached, or "".
+func (c *Client) Deputy() string { return c.deputy }
+
+// Delegated reports whether the next requests are for the deputy.
+func (c *Client) Delegated() bool { return c.delegated }
+
+// UseDeputy sets whether the next requests are for the deputy.
+func (c *Client) UseDeputy(use bool) {
+	if use != c.delegated {
+		c.delegated, c.pooled, c.sentAt = use, false, time.Time{} // a request is due
+	}
+}
+
+// Requeue makes the next request to the owner contain a request that waits.
+func (c *Client) Requeue(customer string, cost float64) {
+	if a := c.accounts[customer]; a != nil {
+		a.needed += cost
+		a.largest = max(a.largest, cost)
+		c.activate(a)
+	}
+}
+
 // SetInstances sets the number of instances. A client that has never had an owner uses an
 // even share of the limits.
 func (c *Client) SetInstances(n int) {
@@ -209,6 +244,10 @@
 	if c.pending || len(c.accounts) == 0 {
 		return Request{}, false
 	}
+	if c.delegated && !c.pooled && now.Sub(c.ownerAt) > fallbackDelay {
+		c.activateAll()
+		c.pooled = true
+	}
 	interval := contactInterval
 	if c.lost {
 		interval = AnswerTimeout
@@ -226,9 +265,13 @@
 	}
 	c.sequence++
 	c.pending, c.sentAt = true, now
-	r := Request{Instance: c.instance, Start: c.start, Sequence: c.sequence, Owner: c.owner, Leaving: c.leaving}
+	r := Request{Instance: c.instance, Start: c.start, Sequence: c.sequence, Owner: c.owner, Leaving: c.leaving, Delegated: c.delegated}
 	for _, a := range c.active {
-		r.Items = append(r.Items, a.item(now, c.owner))
+		item := a.item(now, c.owner)
+		if r.Delegated {
+			item.Share, item.Deposit = c.pooledShare(now, a), a.fallback.deposit()
+		}
+		r.Items = append(r.Items, item)
 	}
 	c.active = c.active[:0]
 	return r, true
@@ -275,11 +318,12 @@
 		return false
 	}
 	if c.owner != answer.Owner {
-		for _, a := range c.accounts {
-			c.activate(a) // the owner learns the share of the instance
-		}
+		c.activateAll() // the owner learns the shares of the instance
 	}
 	c.pending, c.lost, c.contactAt, c.owner = false, false, c.sentAt, answer.Owner
+	if !answer.Delegated {
+		c.ownerAt, c.deputy = c.sentAt, answer.Deputy
+	}
 	for _, item := range answer.Items {
 		a := c.accounts[item.Customer]
 		if a == nil || a.quota.CountsTokens != item.CountsTokens {
@@ -291,12 +335,12 @@
 		if item.RoomAfter > 0 {
 			a.blockedUntil, a.returnAt, a.blockedCost = now.Add(item.RoomAfter), now.Add(item.ReturnAfter), a.asked
 		}
-		if !c.leaving {
+		if !c.leaving && !answer.Delegated {
 			a.fallback.share, a.fallback.assigned = item.Share, item.Assigned
 		}
 	}
 	for _, a := range c.accounts {
-		a.fallback.keep(now, a.quota, c.bounds)
+		a.fallback.keep(now, a.quota, c.bounds, answer.Delegated)
 	}
 	return true
 }
@@ -309,8 +353,9 @@
 		return false
 	}
 	c.pending, c.lost = false, true
-	for _, a := range c.active {
+	for _, a := range c.accounts {
 		a.needed, a.largest = 0, 0
+		a.fallback.withdraw()
 	}
 	return true
 }
--- a/ratelimit/fallback.go
+++ b/ratelimit/fallback.go
@@ -17,17 +17,33 @@
 	assigned float64 // sum of the shares of all instances
 	level    float64
 	filledAt time.Time
+	// deposited is the credit that the pending request leaves to a deputy.
+	deposited float64
 }
 
-// keep refills the credit while the client has an owner.
-func (f *fallback) keep(now time.Time, q catalog.Quota, b Bounds) {
+// keep refills the credit while the client has an owner. One that has a deputy gets none.
+func (f *fallback) keep(now time.Time, q catalog.Quota, b Bounds, delegated bool) {
+	f.deposited = 0
+	if delegated {
+		f.filledAt = now
+		return
+	}
 	credit := f.share * creditPart * b.margin(q)
 	f.level = min(f.level+credit*now.Sub(f.filledAt).Seconds()/creditTime.Seconds(), credit)
 	f.filledAt = now
 }
 
+// deposit empties the credit for a request to a deputy, and withdraw restores it if the
+// request fails. A deputy that has received it and answers late has its grants ignored.
+func (f *fallback) deposit() float64 {
+	f.deposited, f.level = f.deposited+f.level, 0
+	return f.deposited
+}
+
+func (f *fallback) withdraw() { f.level, f.deposited = f.level+f.deposited, 0 }
+
 // refill adds the share of the rate since the time from which the owner reserves it.
-func (f *fallback) refill(now, contactAt time.Time, q catalog.Quota, b Bounds) {
+func (f *fallback) refill(now, contactAt, ownerAt time.Time, q catalog.Quota, b Bounds) {
 	from := contactAt.Add(fallbackDelay)
 	if from.Before(f.filledAt) {
 		from = f.filledAt
@@ -38,12 +54,25 @@
 		return
 	}
 	rate := f.share * q.PerSecond
-	if !contactAt.IsZero() && now.Sub(contactAt) > reservationTime {
+	if !ownerAt.IsZero() && now.Sub(ownerAt) > reservationTime {
 		rate *= lateFallbackRatio
 	}
 	f.level = min(f.level+rate*elapsed.Seconds(), f.limit(q, b))
 }
 
+// pooledShare returns the share that the client leaves to a deputy: none before the owner
+// reserves it.
+func (c *Client) pooledShare(now time.Time, a *account) float64 {
+	switch silent := now.Sub(c.ownerAt); {
+	case silent <= fallbackDelay || c.leaving:
+		return 0
+	case silent > reservationTime:
+		return a.fallback.share * lateFallbackRatio
+	default:
+		return a.fallback.share
+	}
+}
+
 // limit returns the largest level.
 func (f *fallback) limit(q catalog.Quota, b Bounds) float64 {
 	return f.share * (q.Burst + creditPart*b.margin(q))
@@ -65,7 +94,7 @@
 // the share on average, whereas the share itself would admit nothing.
 func (c *Client) takeWithoutOwner(now time.Time, a *account, cost float64) (Verdict, time.Duration) {
 	f := &a.fallback
-	f.refill(now, c.contactAt, a.quota, c.bounds)
+	f.refill(now, c.contactAt, c.ownerAt, a.quota, c.bounds)
 	switch limit := f.limit(a.quota, c.bounds); {
 	case f.level >= cost:
 		f.level -= cost
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -30,6 +30,9 @@
 	// exclusive is set while no other instance can be the owner. Otherwise the owner
 	// grants only the shares of the instances that are in contact with it.
 	exclusive bool
+	// delegated is set for a deputy. It changes no shares.
+	delegated bool
+	deputy    string // address of the deputy
 	members   map[string]*member
 	reachable int // members in contact
 	buckets   map[string]*bucket
@@ -41,6 +44,15 @@
 	start    int64
 	sequence uint64
 	heardAt  time.Time
+	address  string
+	// presentAt is when the shares of an instance that has come back are no longer pooled at
+	// a deputy.
+	presentAt time.Time
+}
+
+// silent reports whether the shares of the instance have to be reserved.
+func (m *member) silent(now time.Time) bool {
+	return now.Sub(m.heardAt) > silenceTime || now.Before(m.presentAt)
 }
 
 // bucket is the state of one customer.
@@ -64,6 +76,17 @@
 	return &Owner{id: now.UnixNano(), bounds: bounds, startedAt: now, exclusive: true, members: make(map[string]*member), buckets: make(map[string]*bucket)}
 }
 
+// NewDeputy returns an owner that grants the shares of the instances that ask it while they
+// can't reach the owner.
+func NewDeputy(now time.Time, bounds Bounds) *Owner {
+	o := NewOwner(now, bounds)
+	o.exclusive, o.delegated = false, true
+	return o
+}
+
+// Idle reports whether no instance has asked lately.
+func (o *Owner) Idle() bool { return o.reachable == 0 }
+
 // SetCustomers adopts the quotas of a config. A bucket keeps its level up to the new burst
 // unless its unit changes.
 func (o *Owner) SetCustomers(now time.Time, customers []*catalog.Customer) {
@@ -104,14 +127,19 @@
 // 100 ms.
 func (o *Owner) Tick(now time.Time) []Limiting {
 	o.reachable = 0
+	deputy := ""
 	for name, m := range o.members {
 		switch silent := now.Sub(m.heardAt); {
 		case silent > reservationTime+fallbackDelay:
 			o.forget(name)
 		case silent <= silenceTime:
 			o.reachable++
+			if m.address != "" && (deputy == "" || m.address == o.deputy || m.address < deputy && deputy != o.deputy) {
+				deputy = m.address
+			}
 		}
 	}
+	o.deputy = deputy
 	var changed []Limiting
 	for name, b := range o.buckets {
 		o.refill(now, b)
@@ -169,8 +197,11 @@
 		m.start = r.Start
 		o.members[r.Instance] = m
 	}
-	m.sequence, m.heardAt = r.Sequence, now
-	answer := Answer{Owner: o.id, Sequence: r.Sequence}
+	if !o.delegated && now.Sub(m.heardAt) > silenceTime && r.Owner != 0 { // it may have used its shares
+		m.presentAt = now.Add(poolTime)
+	}
+	m.sequence, m.heardAt, m.address = r.Sequence, now, r.Address
+	answer := Answer{Owner: o.id, Sequence: r.Sequence, Delegated: o.delegated, Deputy: o.deputy}
 	for _, item := range r.Items {
 		item.sanitize(r.Owner == o.id)
 		b := o.buckets[item.Customer]
@@ -179,8 +210,12 @@
 		}
 		o.refill(now, b)
 		granted := o.grant(now, b, r.Instance, item)
-		granted.Share = b.shares.assign(now, now.Sub(o.startedAt), r.Instance, item, o.reachable, r.Leaving)
-		granted.Assigned = roundShare(b.shares.assigned)
+		if o.delegated {
+			b.shares.pool(now, r.Instance, item.Share)
+		} else {
+			granted.Share = b.shares.assign(now, now.Sub(o.startedAt), r.Instance, item, o.reachable, r.Leaving)
+			granted.Assigned = roundShare(b.shares.assigned)
+		}
 		answer.Items = append(answer.Items, granted)
 	}
 	return answer, true
@@ -189,7 +224,7 @@
 // sanitize replaces values that a client of this version does not send. Tokens of another
 // owner can't be returned.
 func (i *RequestItem) sanitize(ownTokens bool) {
-	for _, v := range []*float64{&i.Needed, &i.Wanted, &i.Returned, &i.Left, &i.Demand, &i.Share, &i.Assigned} {
+	for _, v := range []*float64{&i.Needed, &i.Wanted, &i.Returned, &i.Deposit, &i.Left, &i.Demand, &i.Share, &i.Assigned} {
 		*v = max(*v, 0)
 	}
 	i.Share, i.Assigned = min(i.Share, 1), min(i.Assigned, 1)
@@ -199,6 +234,7 @@
 	if !ownTokens {
 		i.Returned = 0
 	}
+	i.Returned += i.Deposit
 }
 
 // grant takes what the item needs, and what it wants in advance, out of the bucket.
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -10,10 +10,11 @@
 // Invariant: in any window, over all instances, at most (rate × window + burst) ×
 // (1 + excess) + slack tokens are used. The buckets grant at most rate × window + burst and
 // a part of the rest, the margin of Bounds; another part covers what was granted before the
-// window and is used in it. An instance without an owner uses at most its share of the rate, and the
-// owner grants less by the shares of instances that it does not hear. Requests that cost
-// more than a share can hold are admitted at random there, so that this part of the bound
-// holds on average.
+// window and is used in it. An instance without an owner uses at most its share of the
+// rate, and the owner grants less by the shares of instances that it does not hear.
+// Instances pool their shares at a deputy of the owner if they can reach it. A request that
+// costs more than the share of an instance without a deputy can hold is admitted at random,
+// so that this part of the bound holds on average.
 package ratelimit
 
 import (
@@ -30,15 +31,18 @@
 	// that lack tokens wait as long.
 	AnswerTimeout = 150 * time.Millisecond
 	// contactInterval is the longest time between two messages of a client.
-	contactInterval = 300 * time.Millisecond
+	contactInterval = 200 * time.Millisecond
 	// itemInterval is the longest time after which a message contains a customer, so that
 	// the client's share of its limit follows the demand.
 	itemInterval = 2 * time.Second
 	// silenceTime is the time after which the owner reserves the shares of an instance
 	// that it does not hear. The instance uses them after fallbackDelay, which is longer
 	// by AnswerTimeout and one tick of the owner.
-	silenceTime   = 800 * time.Millisecond
-	fallbackDelay = 1100 * time.Millisecond
+	silenceTime   = 500 * time.Millisecond
+	fallbackDelay = 800 * time.Millisecond
+	// poolTime is the time for which a deputy grants the share of an instance that it no
+	// longer hears: silenceTime and one tick.
+	poolTime = silenceTime + 100*time.Millisecond
 	// reservationTime is the time without contact after which a client uses only
 	// lateFallbackRatio of its shares, and after which the owner no longer reserves them.
 	reservationTime   = 20 * time.Second
@@ -94,6 +98,10 @@
 	Sequence uint64
 	// Owner is the owner that the client heard last. Returned tokens are its grants.
 	Owner int64
+	// Address is where the instance can be asked as the deputy of the owner, or empty.
+	Address string
+	// Delegated is set if the request is for a deputy.
+	Delegated bool
 	// Leaving is set if the process stops: it will not use its shares.
 	Leaving bool
 	Items   []RequestItem
@@ -110,6 +118,7 @@
 	Returned     float64 // granted tokens that the client gives back
 	Left         float64 // granted tokens that the client still has
 	Demand       float64 // by all requests since the last item
+	Deposit      float64 // credit that the client leaves to a deputy
 	Share        float64 // of the rate, as the client knows it
 	Assigned     float64 // sum of the shares of all instances, as the client knows it
 }
@@ -118,7 +127,11 @@
 type Answer struct {
 	Owner    int64 // differs between any two owners
 	Sequence uint64
-	Items    []AnswerItem
+	// Delegated is set if a deputy answers, and Deputy is the address of the instance that
+	// is to be asked if the owner can't be reached.
+	Delegated bool
+	Deputy    string
+	Items     []AnswerItem
 }
 
 // AnswerItem is the part of an Answer about one customer.
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -114,6 +115,43 @@
 	is.Equal(next.buckets["a"].level, 0.0)
 }
 
+// Guards against an owner that grants the shares that instances use which it does not hear:
+// silent ones, ones that are still heard by a deputy, and, after a change of the owner, ones
+// that it has never heard; and against a deputy that grants more than the shares of the
+// instances that ask it.
+func TestSharesOfUnheardInstancesAreReserved(t *testing.T) {
+	is := is.New(t)
+	ask := func(o *Owner, now time.Time, instance string, sequence uint64, share, assigned float64) AnswerItem {
+		answer, ok := o.Handle(now, Request{Instance: instance, Start: 1, Sequence: sequence, Owner: 1, Items: []RequestItem{
+			{Customer: "a", CountsTokens: true, Demand: 1000, Share: share, Assigned: assigned},
+		}})
+		is.True(ok)
+		return answer.Items[0]
+	}
+	part := func(o *Owner, now time.Time) float64 {
+		o.Tick(now)
+		return math.Round(100 * o.grantedPart(now, o.buckets["a"]))
+	}
+	owner, deputy := NewOwner(epoch, Bounds{}), NewDeputy(epoch, Bounds{})
+	owner.SetCustomers(epoch, customers(10_000, true))
+	deputy.SetCustomers(epoch, customers(10_000, true))
+	is.True(ask(owner, epoch, "i", 1, 0.3, 0.9).Share <= 0.4) // 0.6 can be in use elsewhere
+	is.Equal(part(owner, epoch), 0.0)                         // and the rest at a deputy
+	now := epoch.Add(poolTime)
+	ask(owner, epoch.Add(silenceTime), "i", 2, 0.4, 0.9)
+	ask(owner, now, "i", 3, 0.4, 0.9)
+	is.Equal(part(owner, now), 40.0)
+	ask(deputy, now, "i", 1, 0.3, 0)
+	ask(deputy, now, "j", 1, 0.2, 0)
+	is.Equal(part(deputy, now), 50.0)
+	now = now.Add(silenceTime + 1)
+	is.Equal(part(owner, now), 0.0)
+	is.Equal(part(deputy, now), 0.0)
+	is.True(deputy.Idle())
+	now = now.Add(reservationTime + fallbackDelay)
+	is.Equal(part(owner, now), 100.0)
+}
+
 // The time of a decision on the request path must stay under 500 ns, without allocation.
 func BenchmarkTake(b *testing.B) {
 	c := NewClient("i", 1, testBounds, 1)
--- a/ratelimit/replay_test.go
+++ b/ratelimit/replay_test.go
@@ -60,28 +60,34 @@
 	below, refused := make(map[string]int), make(map[string]int)
 	t.Run("replays", func(t *testing.T) {
 		for _, instances := range []int{6, 86, 420} {
-			for _, cutShare := range []float64{0.1, 0.5} {
-				for _, overload := range []float64{1, 5} {
-					seed := rand.Uint64()
-					t.Run(fmt.Sprintf("%d instances, %.0f%% cut off, demand %.0f", instances, 100*cutShare, overload), func(t *testing.T) {
-						t.Parallel()
-						r := runReplay(seed, instances, overload, cutShare)
-						t.Logf("seed %d, %d messages", seed, r.messages)
-						mu.Lock()
-						defer mu.Unlock()
-						for _, c := range r.customers {
-							worst, at := c.worstWindow()
-							total, tooMany := c.belowLimit()
-							below[c.size] += total
-							refused[c.size] += tooMany
-							t.Logf("%-9s passed %.2f of the bound (window from %v), %.2f of the demand, %.2f without owner; below the limit %d of %d refused",
-								c.Name, worst, at, c.admitted/c.offered, c.lostAdmitted/c.lostOffered, tooMany, total)
-							if worst > 1 {
-								t.Errorf("%s: more than the bound passed", c.Name)
-							}
+			for _, s := range []scenario{
+				{instances, 0.1, 38 * time.Second, 1, false},
+				{instances, 0.5, 38 * time.Second, 1, false},
+				{instances, 0.1, 38 * time.Second, 5, false},
+				{instances, 0.5, 38 * time.Second, 5, false},
+				{instances, 0.1, 38 * time.Second, 1, true},
+				{instances, 0.5, 38 * time.Second, 5, true},
+				{instances, 0.5, ownerFound - time.Second, 5, false}, // a new owner does not hear all instances
+			} {
+				seed := rand.Uint64()
+				t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
+					t.Parallel()
+					r := runReplay(seed, s)
+					t.Logf("seed %d, %+v: %d messages", seed, s, r.messages)
+					mu.Lock()
+					defer mu.Unlock()
+					for _, c := range r.customers {
+						worst, at := c.worstWindow()
+						total, tooMany := c.belowLimit()
+						below[c.size] += total
+						refused[c.size] += tooMany
+						t.Logf("%-10s passed %.2f of the bound (window from %v), %.2f of the demand, %.2f without owner; below the limit %d of %d refused",
+							c.Name, worst, at.Round(time.Millisecond), c.admitted/c.offered, c.lostAdmitted/c.lostOffered, tooMany, total)
+						if worst > 1 {
+							t.Errorf("%s: more than the bound passed", c.Name)
 						}
-					})
-				}
+					}
+				})
 			}
 		}
 	})
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -61,7 +61,7 @@
 		s.assigned += k.share
 		s.demand += k.demand
 		s.unused += k.unused
-		if m := members[name]; m == nil || now.Sub(m.heardAt) > silenceTime {
+		if m := members[name]; m == nil || m.silent(now) {
 			s.silent += k.share
 		}
 	}
@@ -141,5 +141,12 @@
 	return next
 }
 
+// pool records the share that an instance leaves to a deputy.
+func (s *shares) pool(now time.Time, instance string, share float64) {
+	k := s.stake(now, instance)
+	s.assigned += share - k.share
+	k.share = share
+}
+
 // roundShare rounds a share down to a ten-thousandth, which keeps messages short.
 func roundShare(share float64) float64 { return math.Floor(share*1e4) / 1e4 }
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -19,8 +19,7 @@
 	warmUp     = 2 * time.Second
 	ownerLost  = 26 * time.Second
 	ownerFound = 32 * time.Second
-	cutFrom    = 38 * time.Second
-	cutUntil   = 42 * time.Second
+	cutTime    = 4 * time.Second
 	addAt      = 45 * time.Second
 	lowerAt    = 48 * time.Second
 	configTime = 3 * time.Second
@@ -35,9 +34,8 @@
 // replayCustomer is a customer with the demand of a replay and what was measured.
 type replayCustomer struct {
 	catalog.Customer
-	size     string
-	weights  []float64 // of the instances in the demand
-	overload float64   // demand while the owner is lost and instances are cut off, times the usual one
+	size    string
+	weights []float64 // of the instances in the demand
 	// reference is the level of an ideal bucket with the same demand, and over the times at
 	// which it refused requests.
 	reference         float64
@@ -69,12 +67,23 @@
 	owner     *Owner // nil while it is lost
 	customers []*replayCustomer
 	messages  int
+	scenario
+}
+
+// scenario is what differs between replays.
+type scenario struct {
+	instances  int
+	cutShare   float64       // part of the instances that is cut off from the others
+	cutFrom    time.Duration // for cutTime
+	overload   float64       // demand while the owner is lost and instances are cut off, times the usual one
+	deputyLost bool          // the deputy is lost together with the owner
 }
 
 type replayInstance struct {
 	client        *Client
 	cut           bool
 	cutUntil      time.Duration
+	deputy        *Owner
 	waiting, sent []waiter
 }
 
@@ -139,42 +148,92 @@
 	i := &replayInstance{client: NewClient(fmt.Sprint("i", len(r.instances)), 1, testBounds, r.rand.Uint64())}
 	i.client.SetCustomers(r.time(), r.quotas())
 	r.instances = append(r.instances, i)
-	r.every(100*time.Millisecond, func() { r.send(i) })
+	r.every(100*time.Millisecond, func() {
+		if i.deputy != nil {
+			i.deputy.Tick(r.time())
+		}
+		r.send(i)
+	})
+	r.every(250*time.Millisecond, func() { // the exchange of states
+		if r.owner != nil && !i.cut {
+			i.client.UseDeputy(false)
+		}
+	})
 	for _, c := range r.customers {
 		c.weights = append(c.weights, 0)
 	}
 }
 
-// send sends the request of an instance that is due. The owner's instance is among the
-// ones that can be cut off only for the others.
+// send sends the request of an instance that is due, to the owner or its deputy.
 func (r *replay) send(i *replayInstance) {
 	request, due := i.client.Due(r.time())
 	if !due {
 		return
 	}
+	request.Address = i.client.instance
+	if r.instances[0] == i {
+		request.Address = "" // it holds the order lease
+	}
 	r.messages++
 	i.sent, i.waiting = append(i.sent, i.waiting...), nil
 	r.after(AnswerTimeout, func() {
 		if i.client.Fail(request.Sequence) {
-			r.settle(i)
+			r.fail(i, request)
 		}
 	})
+	deputy := i.client.Deputy()
 	r.after(r.delay(), func() {
-		if r.owner == nil || i.cut {
+		owner := r.owner
+		if request.Delegated {
+			owner = r.deputy(i, deputy)
+		} else if i.cut {
+			owner = nil
+		}
+		if owner == nil {
 			return
 		}
-		answer, ok := r.owner.Handle(r.time(), request)
+		answer, ok := owner.Handle(r.time(), request)
 		if !ok {
 			return
 		}
 		r.after(r.delay(), func() {
-			if !i.cut && i.client.Adopt(r.time(), answer) {
+			if (request.Delegated || !i.cut) && i.client.Adopt(r.time(), answer) {
 				r.settle(i)
 			}
 		})
 	})
 }
 
+// deputy returns the deputy if it can be reached from an instance.
+func (r *replay) deputy(from *replayInstance, name string) *Owner {
+	for _, i := range r.instances {
+		if i.client.instance != name || i.cut != from.cut || r.owner == nil && r.deputyLost {
+			continue
+		}
+		if i.deputy == nil {
+			i.deputy = NewDeputy(r.time(), testBounds)
+			i.deputy.SetCustomers(r.time(), r.quotas())
+		}
+		return i.deputy
+	}
+	return nil
+}
+
+// fail asks the deputy if the owner has not answered.
+func (r *replay) fail(i *replayInstance, request Request) {
+	if request.Delegated || i.client.Deputy() == "" {
+		r.settle(i)
+		return
+	}
+	i.client.UseDeputy(true)
+	i.waiting = append(i.sent, i.waiting...)
+	i.sent = nil
+	for _, w := range i.waiting {
+		i.client.Requeue(w.customer.Name, w.cost)
+	}
+	r.send(i)
+}
+
 func (r *replay) settle(i *replayInstance) {
 	if !i.client.HasOwner() {
 		i.sent, i.waiting = append(i.sent, i.waiting...), nil
@@ -231,14 +290,14 @@
 // factor is the demand of a customer divided by its usual one.
 func (r *replay) factor(c *replayCustomer) float64 {
 	lost := r.now > ownerLost-2*time.Second && r.now < ownerFound+2*time.Second
-	cut := r.now > cutFrom-2*time.Second && r.now < cutUntil+2*time.Second
+	cut := r.now > r.cutFrom-2*time.Second && r.now < r.cutFrom+cutTime+2*time.Second
 	switch {
 	case r.now > 10*time.Second && r.now < 13*time.Second:
 		return 5
 	case r.now > 18*time.Second && r.now < 20*time.Second:
 		return 7.5
 	case lost || cut:
-		return c.overload
+		return r.overload
 	case r.now > 54*time.Second && r.now < 56*time.Second:
 		return 7.2 // four times the limit
 	}
@@ -284,16 +343,16 @@
 	r.owner.SetCustomers(r.time(), r.quotas())
 }
 
-func runReplay(seed uint64, instances int, overload, cutShare float64) *replay {
-	r := &replay{rand: rand.New(rand.NewPCG(seed, 1))}
+func runReplay(seed uint64, s scenario) *replay {
+	r := &replay{rand: rand.New(rand.NewPCG(seed, 1)), scenario: s}
 	for n, c := range []struct {
 		size string
 		rate float64
 	}{{"largest", 578_000}, {"middle", 60_000}, {"small", 9_000}, {"small", 9_000}, {"small", 9_000}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}, {"smallest", 4_200}} {
 		quota := catalog.Quota{PerSecond: c.rate, Burst: c.rate, CountsTokens: true}
-		r.customers = append(r.customers, &replayCustomer{size: c.size, Customer: catalog.Customer{Name: fmt.Sprint(c.size, n), Quota: quota}, overload: overload})
+		r.customers = append(r.customers, &replayCustomer{size: c.size, Customer: catalog.Customer{Name: fmt.Sprint(c.size, n), Quota: quota}})
 	}
-	for range instances {
+	for range s.instances {
 		r.addInstance()
 	}
 	r.moveDemand()
@@ -316,15 +375,15 @@
 	r.after(ownerFound, r.newOwner)
 	setCut := func(cut bool) func() {
 		return func() {
-			for n := range int(cutShare * float64(instances)) {
+			for n := range int(s.cutShare * float64(s.instances)) {
 				r.instances[n].cut, r.instances[n].cutUntil = cut, r.now
 			}
 		}
 	}
-	r.after(cutFrom, setCut(true))
-	r.after(cutUntil, setCut(false))
+	r.after(s.cutFrom, setCut(true))
+	r.after(s.cutFrom+cutTime, setCut(false))
 	r.after(addAt, func() {
-		for range instances/5 + 1 {
+		for range s.instances/5 + 1 {
 			r.addInstance()
 		}
 		r.moveDemand()
