ratelimit: choose a deputy in another data centre

Cause: a deputy in the data centre of the owner is lost with it.

Change: requests for tokens name the data centre of the instance.

--- a/controlplane/quotas.go
+++ b/controlplane/quotas.go
@@ -114,7 +114,7 @@
 	}
 	if q.owner == nil || q.epoch != c.leader.Epoch() {
 		q.deputy = nil
-		q.owner, q.epoch, q.grants = ratelimit.NewOwner(now, quotaBounds(c.node.Bounds)), c.leader.Epoch(), 0
+		q.owner, q.epoch, q.grants = ratelimit.NewOwner(now, c.node.DataCentre, quotaBounds(c.node.Bounds)), c.leader.Epoch(), 0
 		if c.config != nil {
 			q.owner.SetCustomers(now, c.config.Customers())
 		}
@@ -232,7 +232,7 @@
 	q.sent, q.waiting = append(q.sent, q.waiting...), nil
 	self := c.node.PeerAddress()
 	if q.owner == nil && !c.stopping && !c.node.AvoidLease() {
-		request.Address = self
+		request.Address, request.DataCentre = self, c.node.DataCentre
 	}
 	switch deputy := q.client.Deputy(); {
 	case request.Delegated && deputy != self:
--- a/controlplane/quotas_test.go
+++ b/controlplane/quotas_test.go
@@ -68,7 +68,7 @@
 	c := newQuotaCore(t, 10)
 	now := epoch.Add(10 * time.Second)
 	customers := []*catalog.Customer{c.customer}
-	owner, deputy := ratelimit.NewOwner(epoch, ratelimit.Bounds{}), ratelimit.NewDeputy(epoch, ratelimit.Bounds{})
+	owner, deputy := ratelimit.NewOwner(epoch, "z", ratelimit.Bounds{}), ratelimit.NewDeputy(epoch, ratelimit.Bounds{})
 	owner.SetCustomers(epoch, customers)
 	deputy.SetCustomers(epoch, customers)
 	serve := func(o *ratelimit.Owner, r RequestQuota) {
--- a/peering/quota.go
+++ b/peering/quota.go
@@ -32,14 +32,15 @@
 
 // quotaMessage is the JSON form of a ratelimit.Request.
 type quotaMessage struct {
-	Instance  string             `json:"instance"`
-	Start     int64              `json:"start"`
-	Sequence  uint64             `json:"sequence"`
-	Owner     int64              `json:"owner,omitempty"`
-	Address   string             `json:"address,omitempty"`
-	Delegated bool               `json:"delegated,omitempty"`
-	Leaving   bool               `json:"leaving,omitempty"`
-	Items     []quotaItemMessage `json:"items,omitempty"`
+	Instance   string             `json:"instance"`
+	Start      int64              `json:"start"`
+	Sequence   uint64             `json:"sequence"`
+	Owner      int64              `json:"owner,omitempty"`
+	Address    string             `json:"address,omitempty"`
+	DataCentre string             `json:"data_centre,omitempty"`
+	Delegated  bool               `json:"delegated,omitempty"`
+	Leaving    bool               `json:"leaving,omitempty"`
+	Items      []quotaItemMessage `json:"items,omitempty"`
 }
 
 // grantItemMessage is the JSON form of a ratelimit.AnswerItem, with times in milliseconds.
@@ -63,7 +64,7 @@
 }
 
 func encodeQuota(r ratelimit.Request) quotaMessage {
-	m := quotaMessage{Instance: r.Instance, Start: r.Start, Sequence: r.Sequence, Owner: r.Owner, Address: r.Address, Delegated: r.Delegated, Leaving: r.Leaving}
+	m := quotaMessage{Instance: r.Instance, Start: r.Start, Sequence: r.Sequence, Owner: r.Owner, Address: r.Address, DataCentre: r.DataCentre, Delegated: r.Delegated, Leaving: r.Leaving}
 	for _, item := range r.Items {
 		item.Demand = roundToHundredths(item.Demand)
 		m.Items = append(m.Items, quotaItemMessage(item))
@@ -72,7 +73,7 @@
 }
 
 func decodeQuota(m quotaMessage) ratelimit.Request {
-	r := ratelimit.Request{Instance: m.Instance, Start: m.Start, Sequence: m.Sequence, Owner: m.Owner, Address: m.Address, Delegated: m.Delegated, Leaving: m.Leaving}
+	r := ratelimit.Request{Instance: m.Instance, Start: m.Start, Sequence: m.Sequence, Owner: m.Owner, Address: m.Address, DataCentre: m.DataCentre, Delegated: m.Delegated, Leaving: m.Leaving}
 	for _, item := range m.Items {
 		r.Items = append(r.Items, ratelimit.RequestItem(item))
 	}
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -33,18 +33,22 @@
 	// delegated is set for a deputy. It changes no shares.
 	delegated bool
 	deputy    string // address of the deputy
-	members   map[string]*member
-	reachable int // members in contact
-	buckets   map[string]*bucket
-	grants    int64
+	// dataCentre is that of the owner. A deputy in another one can be reached if the data
+	// centre of the owner can't.
+	dataCentre string
+	members    map[string]*member
+	reachable  int // members in contact
+	buckets    map[string]*bucket
+	grants     int64
 }
 
 // member is an instance as the owner knows it.
 type member struct {
-	start    int64
-	sequence uint64
-	heardAt  time.Time
-	address  string
+	start     int64
+	sequence  uint64
+	heardAt   time.Time
+	address   string
+	elsewhere bool // in another data centre than the owner
 	// presentAt is when the shares of an instance that has come back are no longer pooled at
 	// a deputy.
 	presentAt time.Time
@@ -71,15 +75,15 @@
 	limited   bool
 }
 
-// NewOwner returns an owner without customers.
-func NewOwner(now time.Time, bounds Bounds) *Owner {
-	return &Owner{id: now.UnixNano(), bounds: bounds, startedAt: now, exclusive: true, members: make(map[string]*member), buckets: make(map[string]*bucket)}
+// NewOwner returns an owner without customers in a data centre.
+func NewOwner(now time.Time, dataCentre string, bounds Bounds) *Owner {
+	return &Owner{id: now.UnixNano(), dataCentre: dataCentre, bounds: bounds, startedAt: now, exclusive: true, members: make(map[string]*member), buckets: make(map[string]*bucket)}
 }
 
 // NewDeputy returns an owner that grants the shares of the instances that ask it while they
 // can't reach the owner.
 func NewDeputy(now time.Time, bounds Bounds) *Owner {
-	o := NewOwner(now, bounds)
+	o := NewOwner(now, "", bounds)
 	o.exclusive, o.delegated = false, true
 	return o
 }
@@ -127,19 +131,22 @@
 // 100 ms.
 func (o *Owner) Tick(now time.Time) []Limiting {
 	o.reachable = 0
-	deputy := ""
+	var deputy *member
 	for name, m := range o.members {
 		switch silent := now.Sub(m.heardAt); {
 		case silent > reservationTime+fallbackDelay:
 			o.forget(name)
 		case silent <= silenceTime:
 			o.reachable++
-			if m.address != "" && (deputy == "" || m.address == o.deputy || m.address < deputy && deputy != o.deputy) {
-				deputy = m.address
+			if m.address != "" && (deputy == nil || o.prefersDeputy(m, deputy)) {
+				deputy = m
 			}
 		}
 	}
-	o.deputy = deputy
+	o.deputy = ""
+	if deputy != nil {
+		o.deputy = deputy.address
+	}
 	var changed []Limiting
 	for name, b := range o.buckets {
 		o.refill(now, b)
@@ -152,6 +159,19 @@
 	return changed
 }
 
+// prefersDeputy reports whether m is a better deputy than other: in another data centre,
+// then the present one, then the one with the lower address.
+func (o *Owner) prefersDeputy(m, other *member) bool {
+	switch {
+	case m.elsewhere != other.elsewhere:
+		return m.elsewhere
+	case m.address == o.deputy || other.address == o.deputy:
+		return m.address == o.deputy
+	default:
+		return m.address < other.address
+	}
+}
+
 // forget drops an instance and its shares.
 func (o *Owner) forget(name string) {
 	delete(o.members, name)
@@ -200,7 +220,7 @@
 	if !o.delegated && now.Sub(m.heardAt) > silenceTime && r.Owner != 0 { // it may have used its shares
 		m.presentAt = now.Add(poolTime)
 	}
-	m.sequence, m.heardAt, m.address = r.Sequence, now, r.Address
+	m.sequence, m.heardAt, m.address, m.elsewhere = r.Sequence, now, r.Address, r.DataCentre != o.dataCentre
 	answer := Answer{Owner: o.id, Sequence: r.Sequence, Delegated: o.delegated, Deputy: o.deputy}
 	for _, item := range r.Items {
 		item.sanitize(r.Owner == o.id)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -99,7 +99,7 @@
 	// Owner is the owner that the client heard last. Returned tokens are its grants.
 	Owner int64
 	// Address is where the instance can be asked as the deputy of the owner, or empty.
-	Address string
+	Address, DataCentre string
 	// Delegated is set if the request is for a deputy.
 	Delegated bool
 	// Leaving is set if the process stops: it will not use its shares.
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -16,7 +16,7 @@
 
 // newPair returns an owner whose bucket is full and a client that has its first answer.
 func newPair(is *is.I, perSecond float64) (*Owner, *Client, time.Time) {
-	o, c := NewOwner(epoch, testBounds), NewClient("i", 1, testBounds, 1)
+	o, c := NewOwner(epoch, "z", testBounds), NewClient("i", 1, testBounds, 1)
 	o.SetCustomers(epoch, customers(perSecond, true))
 	c.SetCustomers(epoch, customers(perSecond, true))
 	now := epoch.Add(10 * time.Second)
@@ -109,7 +109,7 @@
 	}
 	is.True(len(seen) > 10)
 
-	next := NewOwner(now, testBounds)
+	next := NewOwner(now, "z", testBounds)
 	next.SetCustomers(now, customers(4000, true))
 	_, _ = next.Handle(now, Request{Instance: "i", Start: 1, Sequence: 1, Owner: o.id, Items: []RequestItem{{Customer: "a", CountsTokens: true, Returned: 4000}}})
 	is.Equal(next.buckets["a"].level, 0.0)
@@ -132,7 +132,7 @@
 		o.Tick(now)
 		return math.Round(100 * o.grantedPart(now, o.buckets["a"]))
 	}
-	owner, deputy := NewOwner(epoch, Bounds{}), NewDeputy(epoch, Bounds{})
+	owner, deputy := NewOwner(epoch, "z", Bounds{}), NewDeputy(epoch, Bounds{})
 	owner.SetCustomers(epoch, customers(10_000, true))
 	deputy.SetCustomers(epoch, customers(10_000, true))
 	is.True(ask(owner, epoch, "i", 1, 0.3, 0.9).Share <= 0.4) // 0.6 can be in use elsewhere
@@ -152,6 +152,23 @@
 	is.Equal(part(owner, now), 100.0)
 }
 
+// Guards against a deputy that is lost with the data centre of the owner, and against one
+// that changes although it can be reached.
+func TestDeputyIsInOtherDataCentre(t *testing.T) {
+	is := is.New(t)
+	o := NewOwner(epoch, "z1", testBounds)
+	for i, r := range []struct{ address, dataCentre, deputy string }{
+		{"", "z2", ""}, {"b:1", "z1", "b:1"}, {"a:1", "z1", "b:1"}, {"d:1", "z2", "d:1"}, {"c:1", "z2", "d:1"},
+	} {
+		_, ok := o.Handle(epoch, Request{Instance: r.address, Start: 1, Sequence: uint64(i + 1), Address: r.address, DataCentre: r.dataCentre})
+		is.True(ok)
+		o.Tick(epoch)
+		is.Equal(o.deputy, r.deputy)
+	}
+	o.Tick(epoch.Add(silenceTime + 1))
+	is.Equal(o.deputy, "")
+}
+
 // The time of a decision on the request path must stay under 500 ns, without allocation.
 func BenchmarkTake(b *testing.B) {
 	c := NewClient("i", 1, testBounds, 1)
@@ -171,7 +188,7 @@
 
 // The time in which the owner handles one request of an instance.
 func BenchmarkHandle(b *testing.B) {
-	o := NewOwner(epoch, testBounds)
+	o := NewOwner(epoch, "z", testBounds)
 	o.SetCustomers(epoch, customers(1e9, true))
 	r := Request{Instance: "i", Start: 1, Items: []RequestItem{{Customer: "a", CountsTokens: true, Needed: 2000, Largest: 2000, Demand: 2000}}}
 	now := epoch
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -339,7 +339,7 @@
 }
 
 func (r *replay) newOwner() {
-	r.owner = NewOwner(r.time(), testBounds)
+	r.owner = NewOwner(r.time(), "z", testBounds)
 	r.owner.SetCustomers(r.time(), r.quotas())
 }
 
