--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -30,17 +30,33 @@
 	// exclusive is set while no other instance can be the owner. Otherwise the owner
 	// grants only the shares of the instances that are in contact with it.
 	exclusive bool
-	members   map[string]*member
-	reachable int // members in contact
-	buckets   map[string]*bucket
-	grants    int64
+	// delegated is set for a deputy. It changes no shares.
+	delegated bool
+	deputy    string // address of the deputy
+	// dataCentre is that of the owner. A deputy in another one can be reached if the data
+	// centre of the owner can't.
+	dataCentre string
+	members    map[string]*member
+	reachable  int // members in contact
+	buckets    map[string]*bucket
+	grants     int64
 }
 
 // member is an instance as the owner knows it.
 type member struct {
-	start    int64
-	sequence uint64
-	heardAt  time.Time
+	start     int64
+	sequence  uint64
+	heardAt   time.Time
+	address   string
+	elsewhere bool // in another data centre than the owner
+	// presentAt is when the shares of an instance that has come back are no longer pooled at
+	// a deputy.
+	presentAt time.Time
+}
+
+// silent reports whether the shares of the instance have to be reserved.
+func (m *member) silent(now time.Time) bool {
+	return now.Sub(m.heardAt) > silenceTime || now.Before(m.presentAt)
 }
 
 // bucket is the state of one customer.
@@ -59,11 +75,22 @@
 	limited   bool
 }
 
-// NewOwner returns an owner without customers.
-func NewOwner(now time.Time, bounds Bounds) *Owner {
-	return &Owner{id: now.UnixNano(), bounds: bounds, startedAt: now, exclusive: true, members: make(map[string]*member), buckets: make(map[string]*bucket)}
+// NewOwner returns an owner without customers in a data centre.
+func NewOwner(now time.Time, dataCentre string, bounds Bounds) *Owner {
+	return &Owner{id: now.UnixNano(), dataCentre: dataCentre, bounds: bounds, startedAt: now, exclusive: true, members: make(map[string]*member), buckets: make(map[string]*bucket)}
+}
+
+// NewDeputy returns an owner that grants the shares of the instances that ask it while they
+// can't reach the owner.
+func NewDeputy(now time.Time, bounds Bounds) *Owner {
+	o := NewOwner(now, "", bounds)
+	o.exclusive, o.delegated = false, true
+	return o
 }
 
+// Idle reports whether no instance has asked lately.
+func (o *Owner) Idle() bool { return o.reachable == 0 }
+
 // SetCustomers adopts the quotas of a config. A bucket keeps its level up to the new burst
 // unless its unit changes.
 func (o *Owner) SetCustomers(now time.Time, customers []*catalog.Customer) {
@@ -104,14 +131,22 @@
 // 100 ms.
 func (o *Owner) Tick(now time.Time) []Limiting {
 	o.reachable = 0
+	var deputy *member
 	for name, m := range o.members {
 		switch silent := now.Sub(m.heardAt); {
 		case silent > reservationTime+fallbackDelay:
 			o.forget(name)
 		case silent <= silenceTime:
 			o.reachable++
+			if m.address != "" && (deputy == nil || o.prefersDeputy(m, deputy)) {
+				deputy = m
+			}
 		}
 	}
+	o.deputy = ""
+	if deputy != nil {
+		o.deputy = deputy.address
+	}
 	var changed []Limiting
 	for name, b := range o.buckets {
 		o.refill(now, b)
@@ -124,6 +159,19 @@
 	return changed
 }
 
+// prefersDeputy reports whether m is a better deputy than other: in another data centre,
+// then the present one, then the one with the lower address.
+func (o *Owner) prefersDeputy(m, other *member) bool {
+	switch {
+	case m.elsewhere != other.elsewhere:
+		return m.elsewhere
+	case m.address == o.deputy || other.address == o.deputy:
+		return m.address == o.deputy
+	default:
+		return m.address < other.address
+	}
+}
+
 // forget drops an instance and its shares.
 func (o *Owner) forget(name string) {
 	delete(o.members, name)
@@ -169,8 +217,11 @@
 		m.start = r.Start
 		o.members[r.Instance] = m
 	}
-	m.sequence, m.heardAt = r.Sequence, now
-	answer := Answer{Owner: o.id, Sequence: r.Sequence}
+	if !o.delegated && now.Sub(m.heardAt) > silenceTime && r.Owner != 0 { // it may have used its shares
+		m.presentAt = now.Add(poolTime)
+	}
+	m.sequence, m.heardAt, m.address, m.elsewhere = r.Sequence, now, r.Address, r.DataCentre != o.dataCentre
+	answer := Answer{Owner: o.id, Sequence: r.Sequence, Delegated: o.delegated, Deputy: o.deputy}
 	for _, item := range r.Items {
 		item.sanitize(r.Owner == o.id)
 		b := o.buckets[item.Customer]
@@ -179,8 +230,12 @@
 		}
 		o.refill(now, b)
 		granted := o.grant(now, b, r.Instance, item)
-		granted.Share = b.shares.assign(now, now.Sub(o.startedAt), r.Instance, item, o.reachable, r.Leaving)
-		granted.Assigned = roundShare(b.shares.assigned)
+		if o.delegated {
+			b.shares.pool(now, r.Instance, item.Share)
+		} else {
+			granted.Share = b.shares.assign(now, now.Sub(o.startedAt), r.Instance, item, o.reachable, r.Leaving)
+			granted.Assigned = roundShare(b.shares.assigned)
+		}
 		answer.Items = append(answer.Items, granted)
 	}
 	return answer, true
@@ -189,7 +244,7 @@
 // sanitize replaces values that a client of this version does not send. Tokens of another
 // owner can't be returned.
 func (i *RequestItem) sanitize(ownTokens bool) {
-	for _, v := range []*float64{&i.Needed, &i.Wanted, &i.Returned, &i.Left, &i.Demand, &i.Share, &i.Assigned} {
+	for _, v := range []*float64{&i.Needed, &i.Wanted, &i.Returned, &i.Deposit, &i.Left, &i.Demand, &i.Share, &i.Assigned} {
 		*v = max(*v, 0)
 	}
 	i.Share, i.Assigned = min(i.Share, 1), min(i.Assigned, 1)
@@ -199,6 +254,7 @@
 	if !ownTokens {
 		i.Returned = 0
 	}
+	i.Returned += i.Deposit
 }
 
 // grant takes what the item needs, and what it wants in advance, out of the bucket.
