memorybudget: let new connections replace silent ones

Connections whose last answer has been written, and the oldest ones without a byte when descriptors are short, are now closed first, and at once.

The read limit of a body also holds while the server reads on after a refusal.

--- a/boundedlisten/boundedlisten.go
+++ b/boundedlisten/boundedlisten.go
@@ -63,5 +63,5 @@
 	return err
 }
 
-// evict makes the user of the connection close it, because reads and writes fail.
-func (c *Conn) evict() { _ = c.SetDeadline(time.Unix(1, 0)) }
+// evict closes the connection.
+func (c *Conn) evict() { _ = c.Close() }
--- a/heldbytes/heldbytes.go
+++ b/heldbytes/heldbytes.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/memorybudget"
@@ -24,8 +25,26 @@
 	maxPieceBytes = 256 << 10
 )
 
+// freePieces holds pieces of maxPieceBytes of bodies that were not read to their end. Clients
+// that send many of them would otherwise leave more garbage than is collected in time.
+var freePieces = sync.Pool{New: func() any { return new([maxPieceBytes]byte) }}
+
 // ReadPieces reads a body of a request to its end. The announced length is -1 if unknown.
+// After an error it returns no pieces.
 func ReadPieces(r io.Reader, length int64, m *memorybudget.Reservation) (first []byte, rest [][]byte, err error) {
+	first, rest, err = readPieces(r, length, m)
+	if err == nil {
+		return first, rest, nil
+	}
+	for _, piece := range rest {
+		if cap(piece) == maxPieceBytes {
+			freePieces.Put((*[maxPieceBytes]byte)(piece[:maxPieceBytes]))
+		}
+	}
+	return nil, nil, err
+}
+
+func readPieces(r io.Reader, length int64, m *memorybudget.Reservation) (first []byte, rest [][]byte, err error) {
 	size := int64(memorybudget.BufferBytes)
 	if length >= 0 && length <= wholeBytes {
 		size = length
@@ -51,7 +70,11 @@
 
 // readPiece reads until size bytes have arrived or the body has ended.
 func readPiece(r io.Reader, size int64) (piece []byte, ended bool, err error) {
-	piece = make([]byte, 0, size)
+	if size == maxPieceBytes {
+		piece = freePieces.Get().(*[maxPieceBytes]byte)[:0]
+	} else {
+		piece = make([]byte, 0, size)
+	}
 	for len(piece) < cap(piece) {
 		n, err := r.Read(piece[len(piece):cap(piece)])
 		piece = piece[:len(piece)+n]
--- a/ingress/connmemory.go
+++ b/ingress/connmemory.go
@@ -32,13 +32,19 @@
 	return nil
 }
 
-// evict ends the read of a connection whose memory or descriptor is needed. If a head or a
-// body is being read, the request is refused.
+// evict ends a connection whose memory or descriptor is needed. If a head or a body is being
+// read, the read fails and the request is refused. Otherwise it is closed at once.
 func (c *trackedConn) evict() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.evicted = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	reading := !c.halfClosed && (c.state == connReadingHead || c.state == connHandling)
+	c.mu.Unlock()
+	if reading {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Conn.Close()
+	c.account.Close()
 }
 
 // reserveHead reserves memory for n bytes of a head that were read, and for what is decoded
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -177,10 +177,13 @@
 	requests   int       // requests that have begun
 	closeCause closeCause
 
-	account   memorybudget.Account
-	evicted   bool                     // the account was evicted; reads fail
-	head      memorybudget.Reservation // of the head of the request
-	headBytes int                      // bytes read of it; only the goroutine that reads it uses this
+	account memorybudget.Account
+	evicted bool // the account was evicted; reads fail
+	// halfClosed is set once the last answer has been written. The server waits then until
+	// the caller has read it.
+	halfClosed bool
+	head       memorybudget.Reservation // of the head of the request
+	headBytes  int                      // bytes read of it; only the goroutine that reads it uses this
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
@@ -270,6 +273,10 @@
 // CloseWrite half-closes the connection. The server uses it to let a caller read the
 // answer to a request that was not read completely.
 func (c *trackedConn) CloseWrite() error {
+	c.mu.Lock()
+	c.halfClosed = true
+	c.mu.Unlock()
+	c.account.Finish()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -23,7 +23,7 @@
 	// after the head, but a lossy link needs a few retransmissions.
 	bodyTimeout = 10 * time.Second
 	// maxDrainBytes and drainTimeout limit how much of a body that is too large is read
-	// before the refusal.
+	// before the refusal. drainTimeout also limits the reads after the refusal of a body.
 	maxDrainBytes = 1 << 20
 	drainTimeout  = time.Second
 	// noConfigRetry is the time after which a caller should retry at an instance
@@ -40,6 +40,10 @@
 	x := &exchange{service: s, w: w, r: r, head: head, arrived: arrived}
 	x.memory.Account = accountOf(r.Context())
 	defer x.memory.Release()
+	if r.ContentLength != 0 {
+		// The server reads on after a refusal, so the limit holds for refused requests too.
+		_ = http.NewResponseController(w).SetReadDeadline(arrived.Add(bodyTimeout))
+	}
 	x.setConnectionHeaders()
 	x.countOpen()
 	defer x.countClosed()
@@ -114,18 +118,18 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	rc := http.NewResponseController(x.w)
-	_ = rc.SetReadDeadline(x.arrived.Add(bodyTimeout))
 	reader := io.Reader(x.r.Body)
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(x.w, x.r.Body, limits.MaxBodyBytes)
 	}
 	var err error
 	x.body, x.bodyRest, err = heldbytes.ReadPieces(reader, x.r.ContentLength, &x.memory)
-	_ = rc.SetReadDeadline(time.Time{})
+	rc := http.NewResponseController(x.w)
 	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
 		return true
 	}
+	_ = rc.SetReadDeadline(time.Now().Add(drainTimeout))
 	x.body, x.bodyRest = nil, nil
 	x.memory.Release()
 	var tooLarge *http.MaxBytesError
--- a/memorybudget/descriptors.go
+++ b/memorybudget/descriptors.go
@@ -21,6 +21,6 @@
 	}
 	sockets := max(maxDescriptors-fileDescriptors, maxDescriptors/2)
 	return Shares{
-		Callers: max(sockets*3/8, 1), IdleReplicas: max(sockets/16, 1), Peers: max(sockets/8, 1), Checks: max(sockets/32, 2),
+		Callers: max(sockets*5/16, 1), IdleReplicas: max(sockets/16, 1), Peers: max(sockets/4, 1), Checks: max(sockets/32, 2),
 	}
 }
--- a/memorybudget/evict.go
+++ b/memorybudget/evict.go
@@ -33,24 +33,53 @@
 // candidate is an account that can be evicted.
 type candidate struct {
 	account  *Account
+	order    order
 	progress float64
 }
 
+// order tells which accounts are evicted first.
+type order uint8
+
+const (
+	finished order = iota // the last answer has been written
+	silent                // no byte has arrived, and another connection needs the place
+	stalled               // too little progress
+	kept                  // is not evicted
+)
+
+// orderOf returns the order of an account when bytes, or connections of g, are needed. A
+// new connection gives its place to another one as soon as it is the oldest without a
+// byte, because clients that only connect would keep all others out otherwise; for bytes
+// it has the time of progressHalfLife to send some.
+func (a *Account) orderOf(progress float64, g *Group) order {
+	switch {
+	case a.protected || a.evicted || g != nil && a.group != g:
+		return kept
+	case a.finished:
+		return finished
+	case g != nil && !a.arrived:
+		return silent
+	case progress < stalledProgress:
+		return stalled
+	}
+	return kept
+}
+
 // evictFor marks accounts as evicted, those with the least progress per byte first, until
 // enough returns true. It takes only accounts of g, unless that is nil, and none that are
-// protected or not stalled. If none is stalled, requests that ask for more are refused
-// instead. b.mu must be held.
+// protected or make progress. If all do, requests that ask for more are refused instead.
+// b.mu must be held.
 func (b *Budget) evictFor(now time.Time, asker *Account, g *Group, enough func() bool) []*Account {
 	var found []candidate
 	for _, a := range b.accounts {
-		if a == asker || a.protected || a.evicted || g != nil && a.group != g {
-			continue
-		}
-		if p := a.progress(now); p < stalledProgress {
-			found = append(found, candidate{account: a, progress: p})
+		progress := a.progress(now)
+		if o := a.orderOf(progress, g); o != kept && a != asker {
+			found = append(found, candidate{account: a, order: o, progress: progress})
 		}
 	}
-	slices.SortFunc(found, func(x, y candidate) int { return cmp.Compare(x.progress, y.progress) })
+	slices.SortFunc(found, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.order, y.order), cmp.Compare(x.progress, y.progress))
+	})
 	var out []*Account
 	for _, c := range found {
 		if enough() {
--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -31,7 +31,7 @@
 	// memoryShare is the divisor of a process's memory that gives the limit of its budget.
 	// The runtime's soft memory limit is 0.6 of the memory; the rest of that is for control
 	// state, stacks, and garbage that has not been collected.
-	memoryShare = 4
+	memoryShare = 5
 	// reservedShare is the divisor of the limit that gives the part that bodies of requests
 	// can't use, so that connections, heads and answers still find room.
 	reservedShare = 4
@@ -141,6 +141,8 @@
 	held      int64
 	moved     float64 // bytes that have arrived, the older ones counted less
 	movedAt   time.Time
+	arrived   bool // a byte has arrived
+	finished  bool
 	protected bool
 	evicted   bool
 	closed    bool
@@ -155,21 +157,21 @@
 	}
 	b := g.budget
 	b.mu.Lock()
-	a.group, a.evict, a.movedAt, a.moved = g, evict, now, ConnectionBytes
-	fits := (g.max == 0 || g.open < g.max) && b.fits(ConnectionBytes, Other)
-	if fits {
-		g.open++
-		a.index = len(b.accounts)
-		b.accounts = append(b.accounts, a)
-		a.add(ConnectionBytes)
-	} else {
-		b.counts.Turned++
-		a.group = nil
-	}
 	out := b.makeRoom(now, a, g, Other)
 	b.mu.Unlock()
 	evictAll(out)
-	return fits
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g.max > 0 && g.open >= g.max || !b.fits(ConnectionBytes, Other) {
+		b.counts.Turned++
+		return false
+	}
+	a.group, a.evict, a.movedAt, a.moved = g, evict, now, ConnectionBytes
+	g.open++
+	a.index = len(b.accounts)
+	b.accounts = append(b.accounts, a)
+	a.add(ConnectionBytes)
+	return true
 }
 
 // Grow reserves n more bytes for p. It returns false, and reserves nothing, if there is no
@@ -236,7 +238,19 @@
 	b := a.group.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a.moved, a.movedAt = a.movedBy(now)+float64(n), now
+	a.moved, a.movedAt, a.arrived = a.movedBy(now)+float64(n), now, true
+}
+
+// Finish records that the last answer of the connection has been written, so that it can be
+// closed at any time. It ends the effect of Protect.
+func (a *Account) Finish() {
+	if a == nil || a.group == nil {
+		return
+	}
+	b := a.group.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.finished, a.protected = true, false
 }
 
 // Protect keeps the account from being evicted until Unprotect. It returns false if it was
@@ -280,15 +294,15 @@
 	}
 }
 
-// makeRoom marks accounts as evicted if little room is left for p, or for connections of g
-// unless it is nil, and returns them. b.mu must be held.
+// makeRoom marks accounts as evicted if little room is left for p, or for one more
+// connection of g unless it is nil, and returns them. b.mu must be held.
 func (b *Budget) makeRoom(now time.Time, asker *Account, g *Group, p Purpose) []*Account {
 	var out []*Account
 	if limit := b.limitOf(p); b.limit > 0 && b.held-b.leaving > limit-limit/roomShare {
 		out = b.evictFor(now, asker, nil, func() bool { return b.held-b.leaving <= limit-limit/roomShare })
 	}
-	if g != nil && g.max > 0 && g.open-g.leaving > g.max-g.max/roomShare {
-		out = append(out, b.evictFor(now, asker, g, func() bool { return g.open-g.leaving <= g.max-g.max/roomShare })...)
+	if g != nil && g.max > 0 && g.open-g.leaving >= g.max-g.max/roomShare {
+		out = append(out, b.evictFor(now, asker, g, func() bool { return g.open-g.leaving < g.max-g.max/roomShare })...)
 	}
 	return out
 }
