--- a/memorybudget/memorybudget_test.go
+++ b/memorybudget/memorybudget_test.go
@@ -118,6 +118,36 @@
 	is.Equal(peer.evictions, 0) // its group has room
 }
 
+// Guards against clients that only connect and thereby keep all others out, against closing
+// a connection that sends for one that has sent nothing, and against keeping one whose last
+// answer has been written.
+func TestOrderOfEvictionForConnections(t *testing.T) {
+	is := is.New(t)
+	g := New(0).NewGroup(8)
+	var clients []*client
+	for i := range 7 {
+		c, ok := open(g, start.Add(time.Duration(i)*time.Millisecond))
+		is.True(ok)
+		clients = append(clients, c)
+	}
+	now := start.Add(10 * time.Millisecond)
+	clients[0].Moved(now, ConnectionBytes) // sends a request
+	clients[2].Moved(now, 1)
+	clients[2].Protect()
+	clients[2].Finish()
+	for n, want := range []int{2, 1, 3, 4} { // the finished one, then the oldest silent ones
+		_, ok := open(g, now)
+		is.True(ok)
+		is.Equal(clients[want].evictions, 1)
+		clients[want].leave()
+		total := 0
+		for _, c := range clients {
+			total += c.evictions
+		}
+		is.Equal(total, n+1)
+	}
+}
+
 // Guards against bytes that are given back twice or never, against bytes and connections
 // beyond the limits, and against a second eviction.
 func TestReservationsAtRandom(t *testing.T) {
@@ -137,7 +167,9 @@
 			}
 			i := rng.IntN(len(clients))
 			c := clients[i]
-			switch rng.IntN(6) {
+			switch rng.IntN(7) {
+			case 6:
+				c.Finish()
 			case 0:
 				c.memory.Grow(now, rng.Int64N(300<<10), Purpose(rng.IntN(2)))
 			case 1:
