memorybudget: close connections without a request first

A client that sends the beginning of a head kept its place for two half-lives, one that sends nothing did not. Both now come before connections that have had a request when descriptors are short.

--- a/boundedlisten/boundedlisten.go
+++ b/boundedlisten/boundedlisten.go
@@ -41,6 +41,7 @@
 type Conn struct {
 	net.Conn
 	account memorybudget.Account
+	begun   bool // only the goroutine that reads uses it
 	once    sync.Once
 }
 
@@ -52,6 +53,10 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.account.Moved(time.Now(), n)
+		if !c.begun {
+			c.begun = true
+			c.account.Begin()
+		}
 	}
 	return n, err
 }
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -226,9 +226,13 @@
 // beginHandling records that the server has read the head of a request.
 func (c *trackedConn) beginHandling() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.requests++
 	c.enter(connHandling)
+	first := c.requests == 1
+	c.mu.Unlock()
+	if first {
+		c.account.Begin()
+	}
 }
 
 // endHandling records that the last request has been answered. The server reads one byte
--- a/memorybudget/evict.go
+++ b/memorybudget/evict.go
@@ -42,23 +42,24 @@
 
 const (
 	finished order = iota // the last answer has been written
-	silent                // no byte has arrived, and another connection needs the place
+	unused                // no request has begun, and another connection needs the place
 	stalled               // too little progress
 	kept                  // is not evicted
 )
 
 // orderOf returns the order of an account when bytes, or connections of g, are needed. A
-// new connection gives its place to another one as soon as it is the oldest without a
-// byte, because clients that only connect would keep all others out otherwise; for bytes
-// it has the time of progressHalfLife to send some.
+// new connection gives its place to another one as soon as it is the one with the least
+// progress among those without a request, because clients that only connect, or send a head
+// without end, would keep all others out otherwise; for bytes it has the time of two
+// half-lives to send some.
 func (a *Account) orderOf(progress float64, g *Group) order {
 	switch {
 	case a.protected || a.evicted || g != nil && a.group != g:
 		return kept
 	case a.finished:
 		return finished
-	case g != nil && !a.arrived:
-		return silent
+	case g != nil && !a.begun:
+		return unused
 	case progress < stalledProgress:
 		return stalled
 	}
--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -141,7 +141,7 @@
 	held      int64
 	moved     float64 // bytes that have arrived, the older ones counted less
 	movedAt   time.Time
-	arrived   bool // a byte has arrived
+	begun     bool // a request, or another message, has begun
 	finished  bool
 	protected bool
 	evicted   bool
@@ -238,7 +238,19 @@
 	b := a.group.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a.moved, a.movedAt, a.arrived = a.movedBy(now)+float64(n), now, true
+	a.moved, a.movedAt = a.movedBy(now)+float64(n), now
+}
+
+// Begin records that the first request of the connection has begun, that is, that its head
+// has been read. Until then it is one of the first to be closed.
+func (a *Account) Begin() {
+	if a == nil || a.group == nil {
+		return
+	}
+	b := a.group.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.begun = true
 }
 
 // Finish records that the last answer of the connection has been written, so that it can be
