--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -177,10 +177,13 @@
 	requests   int       // requests that have begun
 	closeCause closeCause
 
-	account   memorybudget.Account
-	evicted   bool                     // the account was evicted; reads fail
-	head      memorybudget.Reservation // of the head of the request
-	headBytes int                      // bytes read of it; only the goroutine that reads it uses this
+	account memorybudget.Account
+	evicted bool // the account was evicted; reads fail
+	// halfClosed is set once the last answer has been written. The server waits then until
+	// the caller has read it.
+	halfClosed bool
+	head       memorybudget.Reservation // of the head of the request
+	headBytes  int                      // bytes read of it; only the goroutine that reads it uses this
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
@@ -223,9 +226,13 @@
 // beginHandling records that the server has read the head of a request.
 func (c *trackedConn) beginHandling() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.requests++
 	c.enter(connHandling)
+	first := c.requests == 1
+	c.mu.Unlock()
+	if first {
+		c.account.Begin()
+	}
 }
 
 // endHandling records that the last request has been answered. The server reads one byte
@@ -270,6 +277,10 @@
 // CloseWrite half-closes the connection. The server uses it to let a caller read the
 // answer to a request that was not read completely.
 func (c *trackedConn) CloseWrite() error {
+	c.mu.Lock()
+	c.halfClosed = true
+	c.mu.Unlock()
+	c.account.Finish()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
