dispatch: queue requests where customers compete as well

Cause: the queue, the early refusal and the estimate of cached prompt parts were on only for services whose replicas state how slow they are. The replicas of a deployment whose customers compete don't state it.

Change: a service is contended if its replicas state their slowness or the config names customers; all rules of the queue follow from that.

Result: go test ./dispatch ./controlplane passes.

--- a/controlplane/quotas_test.go
+++ b/controlplane/quotas_test.go
@@ -57,7 +57,7 @@
 func (c *quotaCore) admit(now time.Time, service string) <-chan Admission {
 	answer := make(chan Admission, 1)
 	req := &dispatch.Request{ID: "q", Route: &catalog.Route{MaxAttempts: 2}, Service: service, Customer: c.customer, Arrived: now, Deadline: now.Add(time.Second)}
-	admit{ctx: context.Background(), request: AdmissionRequest{Request: req}, answer: answer}.apply(c.core, now)
+	(&admit{ctx: context.Background(), request: AdmissionRequest{Request: req}, answer: answer}).apply(c.core, now)
 	return answer
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -101,7 +101,7 @@
 		return Decision{Verdict: Refuse, Cause: CauseMaxAttempts}
 	}
 	var d Decision
-	if svc.statesSlowness {
+	if svc.isContended() {
 		d = s.chooseShared(now, svc, req, h)
 	} else {
 		d = s.chooseReplica(now, svc, req, h)
@@ -109,11 +109,11 @@
 	if s.endsAfterStop(now, d) {
 		return Decision{Verdict: Refuse, Cause: CauseStopping, RetryAfter: StoppingRetryAfter, Expected: d.Expected}
 	}
-	if d.Verdict == Refuse || (d.Verdict == Wait && svc.statesSlowness) {
+	if d.Verdict == Refuse || (d.Verdict == Wait && svc.isContended()) {
 		return d
 	}
 	if h.Delivered > 0 && !s.retryBudget(svc, now).AllowRetry(now) {
-		if svc.statesSlowness && h.PossibleRuns == 0 {
+		if svc.isContended() && h.PossibleRuns == 0 {
 			return Decision{Verdict: Wait, Cause: CauseRetryBudget, RetryAfter: s.spread(maxRecheck)}
 		}
 		return Decision{Verdict: Refuse, Cause: CauseRetryBudget, RetryAfter: refusedRetryAfter}
@@ -164,7 +164,7 @@
 		PrefixSource: s.prefixSource(now, svc, chosen, req),
 		CachedTokens: s.cachedTokens(chosen, req), believed: s.believedPrefix(now, svc, chosen, req), LoadAge: now.Sub(chosen.reportAt), Running: chosen.inFlight(now),
 	}
-	if svc.statesSlowness {
+	if svc.isContended() {
 		d.Slowness = chosen.slowness(now)
 	}
 	return d
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -214,8 +214,11 @@
 	// statesSlowness is set once a replica of the service has stated its slowness, which
 	// means that the replicas share their machines with other work.
 	statesSlowness bool
-	queue          waitQueue
-	pace           pace // of a plain service that states its slowness
+	// hasCustomers is set if the config names customers, whose requests compete for the
+	// replicas of the service.
+	hasCustomers bool
+	queue        waitQueue
+	pace         pace // of a plain service that states its slowness
 }
 
 // New returns a State without replicas.
@@ -230,6 +233,9 @@
 func (s *State) SetConfig(c *catalog.Config) {
 	s.config, s.meanQuota = c, meanQuota(c)
 	s.profiles.setConfig(c)
+	for _, svc := range s.services {
+		svc.hasCustomers = c.HasCustomers()
+	}
 }
 
 // SetReplica adds or updates a replica; a nil info removes it. A replica that
@@ -274,7 +280,7 @@
 func (s *State) service(name string) *service {
 	svc, ok := s.services[name]
 	if !ok {
-		svc = &service{}
+		svc = &service{hasCustomers: s.config != nil && s.config.HasCustomers()}
 		s.services[name] = svc
 	}
 	return svc
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -91,7 +91,7 @@
 	if req.Adapter != "" {
 		r.adapterRequests[adapterKey(req.Model, req.Adapter)]++
 	}
-	if svc := s.service(req.Service); req.Model == "" && svc.statesSlowness {
+	if svc := s.service(req.Service); req.Model == "" && svc.isContended() {
 		if r.hasFreedSlot(now) {
 			r.freedAt = time.Time{}
 		} else {
@@ -145,7 +145,7 @@
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
 	svc := s.service(req.Service)
 	expected := d.Expected
-	if req.Model == "" && svc.statesSlowness {
+	if req.Model == "" && svc.isContended() {
 		svc.pace.recordAnswer(s.fairGap(now, svc))
 	}
 	if d.Slowness > 0 {
@@ -215,7 +215,7 @@
 		return r.recordFailure(now, true)
 	case NotExecuted, Misdirected, Canceled:
 		r.probing = false
-		if svc := s.service(req.Service); outcome == NotExecuted && req.Model == "" && svc.statesSlowness {
+		if svc := s.service(req.Service); outcome == NotExecuted && req.Model == "" && svc.isContended() {
 			svc.pace.recordRejection(s.fairGap(now, svc))
 		}
 		if outcome == Misdirected && req.Adapter != "" {
--- a/dispatch/prefixestimate.go
+++ b/dispatch/prefixestimate.go
@@ -9,8 +9,7 @@
 )
 
 // This file feeds the estimate of what replicas hold in their KV caches. It is used for
-// services whose machines are shared with others (usesPresentLoad); for all others,
-// prefixes is used as before.
+// services for which isContended is true; for all others, prefixes is used as before.
 
 const (
 	// defaultRunTime is the time that a request runs, until one has ended.
@@ -22,11 +21,6 @@
 	minJudgedSaving, minJudgedShare = 8 * time.Millisecond, 0.15
 )
 
-// usesPresentLoad reports whether the service's replicas state how slow they work at
-// present, because they share their machines. The estimate of their caches is used for
-// such services only.
-func (svc *service) usesPresentLoad() bool { return svc.statesSlowness }
-
 // prefixAverages are moving averages of a service for the estimate.
 type prefixAverages struct {
 	avgNewTokens float64 // per request: prompt tokens that are not cached, and output tokens
@@ -109,7 +103,7 @@
 func (s *State) lookUpPrefixes(now time.Time, svc *service, req *Request) {
 	e := &s.prefixes
 	e.generation++
-	e.lookedUp, e.active = req, svc.usesPresentLoad()
+	e.lookedUp, e.active = req, svc.isContended()
 	if req.Model == "" || !e.active {
 		return
 	}
@@ -150,7 +144,7 @@
 	e := &s.prefixes
 	active := e.active
 	if e.lookedUp != req {
-		active = s.service(req.Service).usesPresentLoad()
+		active = s.service(req.Service).isContended()
 	}
 	switch {
 	case !active:
@@ -163,7 +157,7 @@
 
 // believedPrefix returns what is believed of the shared parts of a prompt on a replica.
 func (s *State) believedPrefix(now time.Time, svc *service, r *replica, req *Request) believedPrefix {
-	if req.Model == "" || !svc.usesPresentLoad() || r.cached.id == 0 || len(req.Parts) < 2 {
+	if req.Model == "" || !svc.isContended() || r.cached.id == 0 || len(req.Parts) < 2 {
 		return believedPrefix{}
 	}
 	shared := req.Parts[:len(req.Parts)-1]
@@ -181,7 +175,7 @@
 // lastPrefixUse returns the Unix time in nanoseconds at which the replica last processed a
 // request's last shared part, as far as this instance knows, and 0 if it does not.
 func (s *State) lastPrefixUse(r *replica, req *Request) int64 {
-	if !s.service(req.Service).usesPresentLoad() {
+	if !s.service(req.Service).isContended() {
 		if part, ok := r.prefixes.parts[req.Parts[len(req.Parts)-2].Key]; ok {
 			return part.lastUsed.UnixNano()
 		}
@@ -204,7 +198,7 @@
 // recordPrefixSend records that a replica processes a prompt.
 func (s *State) recordPrefixSend(now time.Time, r *replica, req *Request) {
 	svc := s.service(req.Service)
-	if !svc.usesPresentLoad() {
+	if !svc.isContended() {
 		r.prefixes.add(now, req.Parts)
 		return
 	}
@@ -225,7 +219,7 @@
 // reached, or fails repeatedly, has probably crashed and lost its cache.
 func (s *State) recordPrefixEnd(now, sentAt time.Time, r *replica, req *Request, outcome Outcome) {
 	svc := s.service(req.Service)
-	if req.Model == "" || r.cached.id == 0 || !svc.usesPresentLoad() {
+	if req.Model == "" || r.cached.id == 0 || !svc.isContended() {
 		return
 	}
 	t, id := s.prefixes.table, r.cached.id
@@ -271,7 +265,7 @@
 // since their load was last recorded: each of their requests runs for the average time.
 func (s *State) countPeerWork(now time.Time, r *replica, load Load) {
 	svc := s.service(r.info.Service)
-	if r.cached.id == 0 || !svc.usesPresentLoad() {
+	if r.cached.id == 0 || !svc.isContended() {
 		return
 	}
 	runTime := svc.avgRunTime
@@ -285,7 +279,7 @@
 // updateCacheRoom updates how many tokens a replica can hold beside its running requests.
 func (s *State) updateCacheRoom(now time.Time, r *replica) {
 	svc := s.service(r.info.Service)
-	if r.cached.id == 0 || !svc.usesPresentLoad() {
+	if r.cached.id == 0 || !svc.isContended() {
 		return
 	}
 	s.prefixes.table.SetRoom(r.cached.id, s.cacheRoom(now, svc, r))
--- a/dispatch/prefixscore.go
+++ b/dispatch/prefixscore.go
@@ -53,7 +53,7 @@
 
 // prefixPreference returns the preference for a request among usable replicas.
 func (s *State) prefixPreference(now time.Time, svc *service, usable []*replica, req *Request) prefixPreference {
-	if !svc.usesPresentLoad() {
+	if !svc.isContended() {
 		id, bonus := s.prefixAffinity(now, svc, req)
 		return prefixPreference{preferredID: id, bonus: bonus}
 	}
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -43,12 +43,15 @@
 // CauseFull is the cause of waits for replicas that would not begin a request soon.
 const CauseFull Cause = "replicas-full"
 
-// HoldsRequests reports whether requests for a service wait in the queue of this instance,
-// because its replicas state their slowness: without it, the time until a replica begins a
-// request is too uncertain to hold the request back.
+// isContended reports whether the requests for a service compete for its replicas with other
+// work on their machines, of which the replicas state how slow it makes them, or with those
+// of other customers.
+func (svc *service) isContended() bool { return svc.statesSlowness || svc.hasCustomers }
+
+// HoldsRequests reports whether requests for a service wait in the queue of this instance.
 func (s *State) HoldsRequests(service string) bool {
 	svc, ok := s.services[service]
-	return ok && svc.statesSlowness
+	return ok && svc.isContended()
 }
 
 // leaveTime returns when the caller of a request leaves unless its answer has begun. The
