dispatch: let requests wait up to 800 ms at replicas, by class

With a limit of 400 ms of expected wait, replicas run out of work before the instances learn of it, and late requests of rank 1 had a lower limit than those of rank 2 in time, which took the room for which they waited. The limit is 800 ms, half of that from rank 2 on and again for late requests.

--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -13,18 +13,18 @@
 // demand than capacity and replicas of unequal, changing speed: requests that are sent at
 // once pile up at replicas, where they are rejected or starve until their callers leave.
 //
-// Invariant: a request is sent only to a replica that is expected to begin it within
-// maxReplicaWait, and is refused as soon as no replica is expected to begin it before its
+// Invariant: a request is sent only to a replica that is expected to begin it within waitLimit,
+// and is refused as soon as no replica is expected to begin it before its
 // caller leaves.
 
 const (
 	// maxReplicaWait is the expected wait at a replica up to which requests are sent to it.
-	// It is about the age of what instances know of each other's sends, so that the replica
-	// has work until they learn that it needs more.
-	maxReplicaWait = 400 * time.Millisecond
-	// maxLateReplicaWait is the same for a request that has missed its target: it uses what
-	// others leave.
-	maxLateReplicaWait = 100 * time.Millisecond
+	// Instances learn of each other's sends after up to 500 ms, and a replica needs work until
+	// they learn that it has little left.
+	maxReplicaWait = 800 * time.Millisecond
+	// maxPromptRank is the last rank with this limit. It is halved for later ranks, and for
+	// requests that have missed their target.
+	maxPromptRank = 1
 	// maxRecheck is the longest time between two decisions on a waiting request, and
 	// minRecheck the shortest one.
 	maxRecheck = 100 * time.Millisecond
@@ -124,10 +124,7 @@
 // chooseEngine selects a replica for a request to a model among those that are expected to
 // begin it soon.
 func (s *State) chooseEngine(now time.Time, svc *service, req *Request, h History, usable []*replica) Decision {
-	level, limit := urgencyLevel(req, false), maxReplicaWait
-	if missesTarget(now.Add(svc.minTTFB(req)), req) {
-		limit = maxLateReplicaWait
-	}
+	level, limit := urgencyLevel(req, false), waitLimit(req, missesTarget(now.Add(svc.minTTFB(req)), req))
 	open, least, soonest := make([]*replica, 0, len(usable)), time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, r := range usable {
 		wait := s.queueWait(now, svc, r, level)
@@ -148,6 +145,20 @@
 	return s.sendTo(now, svc, chosen, req, level, s.estimateTTFB(now, svc, chosen, req, level))
 }
 
+// waitLimit returns the expected wait at a replica up to which a request is sent to it. It
+// never grows from one class of the queue to the next, so that the less urgent class does not
+// get the room for which the more urgent one waits.
+func waitLimit(req *Request, late bool) time.Duration {
+	limit := maxReplicaWait
+	if req.Rank() > maxPromptRank {
+		limit /= 2
+	}
+	if late {
+		limit /= 2
+	}
+	return limit
+}
+
 // sampleTwo returns the better one of two replicas that are drawn at random, of those that
 // have the request's adapter if there are any. Instances that share out-of-date knowledge
 // of the load all find the same replica the best one, but they do not all draw it.
