dispatch: learn the speed of a replica from its first answers

An instance among many gets an answer of a replica every ten seconds or so, and needed some ten answers to learn how fast it is. For services whose replicas state their slowness, the n-th answer counts 1/(n+1), 15 % at least.

--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -162,7 +162,14 @@
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(expected), minLatencyRatio), maxLatencyRatio)
 	s.learnLatency(req, d, took)
-	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
+	weight := latencyRatioWeight
+	if d.Slowness > 0 {
+		// With many instances, one gets an answer of a replica every 10 s or so: the first
+		// answers must tell most of its speed.
+		r.answers++
+		weight = max(weight, 1/float64(r.answers+1))
+	}
+	r.latencyRatio = math.Exp((1-weight)*math.Log(r.latencyRatio) + weight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
 // RecordSettled records that an answer, which began at begun, has gone on long enough
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -64,7 +64,7 @@
 	rate := 0.0 // requests per second
 	for _, r := range svc.replicas {
 		if !r.info.Leaving && r.ejectionTime == 0 {
-			work := svc.minTTFB(&Request{}).Seconds() * r.latencyRatio * r.slowness(now)
+			work := svc.plainTTFB().Seconds() * r.latencyRatio * r.slowness(now)
 			rate += float64(r.info.Slots) / work
 		}
 	}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -86,6 +86,7 @@
 	// latencyRatio is the moving average of the ratio of measured to estimated time
 	// to the first byte.
 	latencyRatio        float64
+	answers             int       // that latencyRatio has learned from, of a service that states its slowness
 	lastAnswerAt        time.Time // when the last answer to this instance began
 	silentAt            time.Time // when an answer was last reported as silent; zero after a sign of life
 	consecutiveFailures int
--- a/dispatch/report_test.go
+++ b/dispatch/report_test.go
@@ -45,3 +45,25 @@
 	is.True(s.replicas["a"].latencyRatio > 0.95 && s.replicas["a"].latencyRatio < 1.05)
 	is.True(s.LatencyProfile("small").PerToken > 0.95 && s.LatencyProfile("small").PerToken < 1.05)
 }
+
+// Guards against an instance that needs minutes to learn which replicas are fast, because it
+// sends to each of them only every few seconds.
+func TestSpeedIsLearnedFromFirstAnswers(t *testing.T) {
+	is := is.New(t)
+	ratio := func(states bool) float64 {
+		s := newState(engineReplica("a", "m"))
+		for range 3 {
+			if states {
+				s.SetReport(epoch, "a", Report{Slots: 8, Slowness: 1})
+			}
+			req := streamRequest("r", 0)
+			d := s.Choose(epoch, req, History{})
+			prefill := s.RecordSend(epoch, req, d)
+			s.RecordFirstByte(epoch, req, d, prefill, 2*(defaultBaseLatency+prefillTime(1000)))
+			s.RecordEnd(epoch, epoch, req, d, Answered, 0)
+		}
+		return s.replicas["a"].latencyRatio
+	}
+	is.True(ratio(true) > 1.6)
+	is.True(ratio(false) < 1.4) // as before
+}
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -64,11 +64,16 @@
 	return leave
 }
 
-// minTTFB returns the least time that an answer takes to begin.
-func (svc *service) minTTFB(req *Request) time.Duration {
+// minTTFB returns the least time to the first byte of an answer.
+func (s *State) minTTFB(svc *service, req *Request) time.Duration {
 	if req.Model != "" {
-		return defaultBaseLatency
+		return s.LatencyProfile(req.Model).Base
 	}
+	return svc.plainTTFB()
+}
+
+// plainTTFB returns the usual time to the first byte of a plain service.
+func (svc *service) plainTTFB() time.Duration {
 	if svc.avgTTFB == 0 {
 		return defaultPlainTTFB
 	}
@@ -84,7 +89,11 @@
 	failed.Tried = slices.DeleteFunc(slices.Clone(h.Tried), func(id string) bool { return slices.Contains(h.Rejected, id) })
 	usable, cause := s.candidates(now, svc, req, failed)
 	if len(usable) == 0 {
-		return s.refuseOrWait(now, req, cause)
+		d := s.refuseOrWait(now, req, cause)
+		if d.Verdict == Refuse {
+			d.RetryAfter = time.Duration(float64(d.RetryAfter) * (1 + 0.5*s.random.Float64()))
+		}
+		return d
 	}
 	if other := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return slices.Contains(h.Rejected, r.info.ID) }); len(other) > 0 {
 		usable = other
@@ -100,7 +109,7 @@
 // that has missed its target leaves such slots to others.
 func (s *State) choosePaced(now time.Time, svc *service, req *Request, usable []*replica) Decision {
 	level := urgencyLevel(req, false)
-	late, next := missesTarget(now.Add(svc.minTTFB(req)), req), svc.pace.next()
+	late, next := missesTarget(now.Add(s.minTTFB(svc, req)), req), svc.pace.next()
 	if late {
 		next = next.Add(lateGaps * svc.pace.gap)
 	}
@@ -124,7 +133,7 @@
 // chooseEngine selects a replica for a request to a model among those that are expected to
 // begin it soon.
 func (s *State) chooseEngine(now time.Time, svc *service, req *Request, h History, usable []*replica) Decision {
-	level, limit := urgencyLevel(req, false), waitLimit(req, missesTarget(now.Add(svc.minTTFB(req)), req))
+	level, limit := urgencyLevel(req, false), waitLimit(req, missesTarget(now.Add(s.minTTFB(svc, req)), req))
 	open, least, soonest := make([]*replica, 0, len(usable)), time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, r := range usable {
 		wait := s.queueWait(now, svc, r, level)
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -146,7 +146,7 @@
 	if len(q.waiters) == 0 {
 		return
 	}
-	q.sort(now, svc)
+	s.sortWaiters(now, svc)
 	waiters := q.waiters
 	q.waiters = nil
 	full := make(map[string]*Waiter) // first waiter of each model that finds its replicas full
@@ -158,7 +158,7 @@
 		} else {
 			d = Decision{Verdict: Wait, Cause: CauseFull, RetryAfter: maxRecheck, Expected: first.Expected}
 		}
-		if d.Verdict == Wait && (i >= maxWaiters || waitsTooLong(now.Add(d.RetryAfter), svc, w, first)) {
+		if d.Verdict == Wait && (i >= maxWaiters || s.waitsTooLong(now.Add(d.RetryAfter), svc, w, first)) {
 			d = s.refuseFull(d)
 		}
 		if d.Verdict != Wait {
@@ -181,10 +181,11 @@
 	}
 }
 
-// sort puts the waiters in the order in which they are served.
-func (q *waitQueue) sort(now time.Time, svc *service) {
+// sortWaiters puts the waiters in the order in which they are served.
+func (s *State) sortWaiters(now time.Time, svc *service) {
+	q := &svc.queue
 	for _, w := range q.waiters {
-		w.late = missesTarget(now.Add(svc.minTTFB(w.Request)), w.Request)
+		w.late = missesTarget(now.Add(s.minTTFB(svc, w.Request)), w.Request)
 	}
 	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
 		if c := cmp.Compare(a.Request.Rank(), b.Request.Rank()); c != 0 {
@@ -203,8 +204,8 @@
 // waitsTooLong reports whether a waiting request is not expected to begin before its caller
 // leaves. The request first, which is served before it, has waited for the same room: a
 // request that joins the same class waits at least as long.
-func waitsTooLong(now time.Time, svc *service, w, first *Waiter) bool {
-	begin := now.Add(svc.minTTFB(w.Request))
+func (s *State) waitsTooLong(now time.Time, svc *service, w, first *Waiter) bool {
+	begin := now.Add(s.minTTFB(svc, w.Request))
 	if first != nil && first.late == w.late && first.Request.Rank() == w.Request.Rank() {
 		begin = begin.Add(now.Sub(first.classSince()))
 	}
