--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -13,18 +13,18 @@
 // demand than capacity and replicas of unequal, changing speed: requests that are sent at
 // once pile up at replicas, where they are rejected or starve until their callers leave.
 //
-// Invariant: a request is sent only to a replica that is expected to begin it within
-// maxReplicaWait, and is refused as soon as no replica is expected to begin it before its
+// Invariant: a request is sent only to a replica that is expected to begin it within waitLimit,
+// and is refused as soon as no replica is expected to begin it before its
 // caller leaves.
 
 const (
 	// maxReplicaWait is the expected wait at a replica up to which requests are sent to it.
-	// It is about the age of what instances know of each other's sends, so that the replica
-	// has work until they learn that it needs more.
-	maxReplicaWait = 400 * time.Millisecond
-	// maxLateReplicaWait is the same for a request that has missed its target: it uses what
-	// others leave.
-	maxLateReplicaWait = 100 * time.Millisecond
+	// Instances learn of each other's sends after up to 500 ms, and a replica needs work until
+	// they learn that it has little left.
+	maxReplicaWait = 800 * time.Millisecond
+	// maxPromptRank is the last rank with this limit. It is halved for later ranks, and for
+	// requests that have missed their target.
+	maxPromptRank = 1
 	// maxRecheck is the longest time between two decisions on a waiting request, and
 	// minRecheck the shortest one.
 	maxRecheck = 100 * time.Millisecond
@@ -67,11 +67,16 @@
 	return leave
 }
 
-// minTTFB returns the least time that an answer takes to begin.
-func (svc *service) minTTFB(req *Request) time.Duration {
+// minTTFB returns the least time to the first byte of an answer.
+func (s *State) minTTFB(svc *service, req *Request) time.Duration {
 	if req.Model != "" {
-		return defaultBaseLatency
+		return s.LatencyProfile(req.Model).Base
 	}
+	return svc.plainTTFB()
+}
+
+// plainTTFB returns the usual time to the first byte of a plain service.
+func (svc *service) plainTTFB() time.Duration {
 	if svc.avgTTFB == 0 {
 		return defaultPlainTTFB
 	}
@@ -87,7 +92,11 @@
 	failed.Tried = slices.DeleteFunc(slices.Clone(h.Tried), func(id string) bool { return slices.Contains(h.Rejected, id) })
 	usable, cause := s.candidates(now, svc, req, failed)
 	if len(usable) == 0 {
-		return s.refuseOrWait(now, req, cause)
+		d := s.refuseOrWait(now, req, cause)
+		if d.Verdict == Refuse {
+			d.RetryAfter = time.Duration(float64(d.RetryAfter) * (1 + 0.5*s.random.Float64()))
+		}
+		return d
 	}
 	if other := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return slices.Contains(h.Rejected, r.info.ID) }); len(other) > 0 {
 		usable = other
@@ -103,7 +112,7 @@
 // that has missed its target leaves such slots to others.
 func (s *State) choosePaced(now time.Time, svc *service, req *Request, usable []*replica) Decision {
 	level := urgencyLevel(req, false)
-	late, next := missesTarget(now.Add(svc.minTTFB(req)), req), svc.pace.next()
+	late, next := missesTarget(now.Add(s.minTTFB(svc, req)), req), svc.pace.next()
 	if late {
 		next = next.Add(lateGaps * svc.pace.gap)
 	}
@@ -127,10 +136,7 @@
 // chooseEngine selects a replica for a request to a model among those that are expected to
 // begin it soon.
 func (s *State) chooseEngine(now time.Time, svc *service, req *Request, h History, usable []*replica) Decision {
-	level, limit := urgencyLevel(req, false), maxReplicaWait
-	if missesTarget(now.Add(svc.minTTFB(req)), req) {
-		limit = maxLateReplicaWait
-	}
+	level, limit := urgencyLevel(req, false), waitLimit(req, missesTarget(now.Add(s.minTTFB(svc, req)), req))
 	open, least, soonest := make([]*replica, 0, len(usable)), time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, r := range usable {
 		wait := s.queueWait(now, svc, r, level)
@@ -151,6 +157,20 @@
 	return s.sendTo(now, svc, chosen, req, level, s.estimateTTFB(now, svc, chosen, req, level))
 }
 
+// waitLimit returns the expected wait at a replica up to which a request is sent to it. It
+// never grows from one class of the queue to the next, so that the less urgent class does not
+// get the room for which the more urgent one waits.
+func waitLimit(req *Request, late bool) time.Duration {
+	limit := maxReplicaWait
+	if req.Rank() > maxPromptRank {
+		limit /= 2
+	}
+	if late {
+		limit /= 2
+	}
+	return limit
+}
+
 // sampleTwo returns the better one of two replicas that are drawn at random, of those that
 // have the request's adapter if there are any. Instances that share out-of-date knowledge
 // of the load all find the same replica the best one, but they do not all draw it.
