dispatch: prefer replicas of the own data centre, refuse in time

For services with a queue: one of the two replicas is drawn from the instance's data centre, and another one costs 15 % of the latency target; reports of waiting requests count for 0.5 s, less the work done since; a request behind others is refused when the expected wait exceeds the time until its caller leaves, less 150 ms for the refusal.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -244,9 +244,9 @@
 		known = false
 	}
 	if !known {
-		r := newReplica(info)
-		s.replicas[id] = r
 		svc := s.service(info.Service)
+		r := newReplica(info, svc)
+		s.replicas[id] = r
 		svc.replicas = append(svc.replicas, r)
 		s.restoreNotices(r)
 		return
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -24,9 +24,9 @@
 	until     time.Time
 	kinds     []*replayKind
 
-	sends, rejected, left, refused int
-	causes                         map[Cause]int
-	busy                           map[string]float64
+	sends, remote, rejected, left, refused int
+	causes                                 map[Cause]int
+	busy                                   map[string]float64
 }
 
 type replayEvent struct {
@@ -83,6 +83,9 @@
 	end      func()
 }
 
+// dataCentre returns the data centre of the n-th instance or replica.
+func dataCentre(n int) string { return fmt.Sprint("z", n%4) }
+
 const replayLatency = 3 * time.Millisecond
 
 func (p *replay) after(d time.Duration, run func()) {
@@ -205,6 +208,9 @@
 	}
 	r, req := p.replicas[d.Replica.ID], w.Request
 	p.sends++
+	if d.Replica.DataCentre != s.options.DataCentre {
+		p.remote++
+	}
 	prefill, sent, canceled, begun, over := s.RecordSend(p.now, req, d), p.now, false, false, false
 	end := func(o Outcome) {
 		if !over {
--- a/dispatch/replaycases_test.go
+++ b/dispatch/replaycases_test.go
@@ -25,7 +25,7 @@
 func replayBookings(seed uint64, instances int, states bool, high float64) *replay {
 	var infos []*catalog.Replica
 	for i := range 4 {
-		infos = append(infos, &catalog.Replica{ID: fmt.Sprint("p", i), Service: "app", Address: fmt.Sprint("p:", i), DataCentre: "z", Slots: 6})
+		infos = append(infos, &catalog.Replica{ID: fmt.Sprint("p", i), Service: "app", Address: fmt.Sprint("p:", i), DataCentre: dataCentre(i), Slots: 6})
 	}
 	p := newReplay(seed, instances, states, 20*time.Second, infos, []float64{1}, false)
 	for _, k := range []*replayKind{
@@ -70,7 +70,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	infos := make([]*catalog.Replica, replicas)
 	for i := range infos {
-		infos[i] = &catalog.Replica{ID: fmt.Sprint("r", i), Service: "llm", Address: fmt.Sprint("r:", i), DataCentre: "z", Slots: 64}
+		infos[i] = &catalog.Replica{ID: fmt.Sprint("r", i), Service: "llm", Address: fmt.Sprint("r:", i), DataCentre: dataCentre(i), Slots: 64}
 	}
 	place := func(m int) {
 		for range 20 {
@@ -166,6 +166,32 @@
 	is.True(counts["a"] < instances*3/4)
 }
 
+// Guards against requests that go to other data centres although a replica in this one would
+// begin them nearly as soon, and against those that stay here at any price.
+func TestLocalReplicasArePreferred(t *testing.T) {
+	is := is.New(t)
+	remote := func(localWait time.Duration) int {
+		s, n := New(Options{DataCentre: "z", Seed: 1}), 0
+		for i, zone := range []string{"z", "y", "y"} {
+			r := engineReplica(fmt.Sprint("r", i), "m")
+			r.DataCentre = zone
+			s.SetReplica(r.ID, r)
+		}
+		s.SetReport(epoch, "r0", Report{Slots: 8, Slowness: 1})
+		load := Load{Requests: 1}
+		load.PendingPrefill[0] = prefillTokensPerMS * milliseconds(localWait)
+		s.SetPeerLoad(epoch, "r0", load)
+		for range 100 {
+			if s.Choose(epoch, streamRequest("r", 1), History{}).Replica.DataCentre != "z" {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(remote(50*time.Millisecond), 0)
+	is.Equal(remote(200*time.Millisecond), 100)
+}
+
 // BenchmarkDecision measures one decision for a model on 140 replicas, three of which hold
 // it, as it was before and with the queue. The number of instances must not matter.
 func BenchmarkDecision(b *testing.B) {
--- a/dispatch/replayfleet_test.go
+++ b/dispatch/replayfleet_test.go
@@ -30,7 +30,7 @@
 	}
 	sum := make(map[string]Load)
 	for i := range instances {
-		s := New(Options{DataCentre: "z", Seed: seed + uint64(i), RetryLimits: retry.Limits{Window: 10 * time.Second, Ratio: 0.16, MinPerSecond: 0.05, Burst: 1}})
+		s := New(Options{DataCentre: dataCentre(i), Seed: seed + uint64(i), RetryLimits: retry.Limits{Window: 10 * time.Second, Ratio: 0.16, MinPerSecond: 0.05, Burst: 1}})
 		s.SetInstances(instances)
 		for _, info := range infos {
 			s.SetReplica(info.ID, info)
@@ -85,7 +85,7 @@
 }
 
 func (p *replay) String() string {
-	text := fmt.Sprintf("sends %d rejected %.3f refused %d left %d", p.sends, float64(p.rejected)/float64(max(p.sends, 1)), p.refused, p.left)
+	text := fmt.Sprintf("sends %d rejected %.3f remote %.3f refused %d left %d", p.sends, float64(p.rejected)/float64(max(p.sends, 1)), float64(p.remote)/float64(max(p.sends, 1)), p.refused, p.left)
 	for _, k := range p.kinds {
 		text += fmt.Sprintf("; %s value %.3f on time %.3f late %.3f", k.name, k.value(), float64(k.onTime)/float64(k.count), float64(k.late)/float64(k.count))
 	}
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -71,6 +71,7 @@
 // replica holds what this instance knows of one replica.
 type replica struct {
 	info            *catalog.Replica
+	svc             *service
 	idHash          uint64          // rendezvous hash of the replica ID
 	adapters        map[string]bool // loaded adapters, by adapterKey
 	adapterRequests map[string]int  // own requests in flight, by adapterKey
@@ -103,8 +104,8 @@
 	prefixes            prefixes
 }
 
-func newReplica(info *catalog.Replica) *replica {
-	r := &replica{idHash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), adapterRequests: make(map[string]int), modelRequests: make(map[string]int), latencyRatio: 1, prefixes: newPrefixes()}
+func newReplica(info *catalog.Replica, svc *service) *replica {
+	r := &replica{svc: svc, idHash: rendezvous.Hash(info.ID), adapters: make(map[string]bool), adapterRequests: make(map[string]int), modelRequests: make(map[string]int), latencyRatio: 1, prefixes: newPrefixes()}
 	r.update(info)
 	return r
 }
@@ -155,7 +156,11 @@
 	if now.Sub(r.peerLoadAt) < maxPeerLoadAge {
 		n += r.peerLoad.Requests
 	}
-	if now.Sub(r.reportAt) < maxReportAge {
+	maxAge := maxReportAge
+	if r.svc.statesSlowness {
+		maxAge = maxPresentReportAge
+	}
+	if now.Sub(r.reportAt) < maxAge {
 		n = max(n, r.report.Running+r.report.Waiting+r.sentSinceReport)
 	}
 	return n
@@ -165,6 +170,9 @@
 // request of an urgency level; engines admit more urgent requests first.
 // avgPrefill is the average prefill work of a request.
 func (r *replica) pendingPrefill(now time.Time, level int, avgPrefill float64) float64 {
+	if r.svc.statesSlowness {
+		return r.presentPrefill(now, level, avgPrefill)
+	}
 	work := 0.0
 	usePeerLoad := now.Sub(r.peerLoadAt) < maxPeerLoadAge
 	for l := 0; l <= level; l++ {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -43,3 +43,27 @@
 		s.service(r.info.Service).statesSlowness = true
 	}
 }
+
+// maxPresentReportAge is the age up to which the requests in a report count for a service
+// that states its slowness. Its requests are held back while replicas are full, and nothing
+// would correct an older report: no request is sent, so no answer brings a newer one.
+const maxPresentReportAge = 500 * time.Millisecond
+
+// presentPrefill estimates the prefill work that the replica does before a new request of an
+// urgency level: what instances know of their own sends, or the requests that waited at the
+// time of the last report, less what the replica has done since.
+func (r *replica) presentPrefill(now time.Time, level int, avgPrefill float64) float64 {
+	work := 0.0
+	for l := 0; l <= level; l++ {
+		work += r.ownLoad.PendingPrefill[l]
+		if now.Sub(r.peerLoadAt) < maxPeerLoadAge {
+			work += r.peerLoad.PendingPrefill[l]
+		}
+	}
+	age := now.Sub(r.reportAt)
+	if age >= maxPresentReportAge || level < UrgencyLevels-1 && r.hasLessUrgentWork(level) {
+		return work
+	}
+	done := milliseconds(age) * prefillTokensPerMS / (r.latencyRatio * r.slowness(now))
+	return max(work, float64(r.report.Waiting)*avgPrefill-done)
+}
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -36,6 +36,15 @@
 	// refused because all replicas are full. Callers use a third of their time for it.
 	minFullRetryAfter = 200 * time.Millisecond
 	maxFullRetryAfter = 4 * time.Second
+	// leaveMargin is the time before a caller leaves at which an answer must begin or a refusal
+	// be sent, so that it arrives in time.
+	leaveMargin = 150 * time.Millisecond
+	// remotePenaltyShare is the penalty for a replica in another data centre, as a share of
+	// the request's latency target: bytes between data centres are expensive, and a request
+	// with time to spare can as well wait here.
+	remotePenaltyShare = 0.15
+	// maxDrawnGap is the largest distance from the best score at which a replica is drawn.
+	maxDrawnGap = 400 * time.Millisecond
 	// defaultPlainTTFB is used for plain services before the first answer.
 	defaultPlainTTFB = 20 * time.Millisecond
 )
@@ -57,7 +66,7 @@
 func leaveTime(req *Request, h History) time.Time {
 	leave := req.Deadline
 	if req.Route.Kind == catalog.Stream && h.PossibleRuns == 0 {
-		if at := req.Arrived.Add(Patience(req)); at.Before(leave) {
+		if at := req.Arrived.Add(Patience(req) - leaveMargin); at.Before(leave) {
 			leave = at
 		}
 	}
@@ -169,30 +178,54 @@
 }
 
 // sampleTwo returns the better one of two replicas that are drawn at random, of those that
-// have the request's adapter if there are any. Instances that share out-of-date knowledge
-// of the load all find the same replica the best one, but they do not all draw it.
+// have the request's adapter if there are any and are not far worse than the best one. One is
+// drawn from this data centre if there is any. Instances that share out-of-date knowledge of
+// the load all find the same replica the best one, but they do not all draw it.
 func (s *State) sampleTwo(now time.Time, svc *service, usable []*replica, req *Request, level int) *replica {
-	if req.Adapter != "" {
-		if with := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return !r.hasAdapter(req.Model, req.Adapter) }); len(with) > 0 {
-			usable = with
-		}
+	if with := filter(usable, func(r *replica) bool { return r.hasAdapter(req.Model, req.Adapter) }); len(with) > 0 {
+		usable = with
 	}
-	first := s.random.IntN(len(usable))
 	if len(usable) == 1 {
-		return usable[first]
+		return usable[0]
 	}
-	second := (first + 1 + s.random.IntN(len(usable)-1)) % len(usable)
 	preferredID, bonus := s.prefixAffinity(now, svc, req)
-	score := func(r *replica) time.Duration {
+	scores, lowest := make(map[*replica]time.Duration, len(usable)), time.Duration(math.MaxInt64)
+	for _, r := range usable {
+		score := s.estimateTTFB(now, svc, r, req, level)
+		if r.info.DataCentre != s.options.DataCentre {
+			score += max(crossDataCentrePenalty, time.Duration(remotePenaltyShare*float64(req.Route.LatencyTarget)))
+		}
+		if !r.hasAdapter(req.Model, req.Adapter) {
+			score += adapterSlotPenalty
+		}
 		if r.info.ID == preferredID {
-			return s.score(now, svc, r, req, level) - bonus
+			score -= bonus
+		}
+		scores[r], lowest = score, min(lowest, score)
+	}
+	usable = filter(usable, func(r *replica) bool { return scores[r]-lowest <= maxDrawnGap })
+	from := usable
+	if local := filter(usable, func(r *replica) bool { return r.info.DataCentre == s.options.DataCentre }); len(local) > 0 {
+		from = local
+	}
+	first := from[s.random.IntN(len(from))]
+	if others := filter(usable, func(r *replica) bool { return r != first }); len(others) > 0 {
+		if second := others[s.random.IntN(len(others))]; scores[second] < scores[first] {
+			return second
 		}
-		return s.score(now, svc, r, req, level)
 	}
-	if score(usable[second]) < score(usable[first]) {
-		return usable[second]
+	return first
+}
+
+// filter returns the replicas for which keep is true, in a new slice.
+func filter(replicas []*replica, keep func(*replica) bool) []*replica {
+	kept := make([]*replica, 0, len(replicas))
+	for _, r := range replicas {
+		if keep(r) {
+			kept = append(kept, r)
+		}
 	}
-	return usable[first]
+	return kept
 }
 
 // queueWait returns the expected time until a replica begins to work on a new request.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -158,7 +158,7 @@
 		} else {
 			d = Decision{Verdict: Wait, Cause: CauseFull, RetryAfter: maxRecheck, Expected: first.Expected}
 		}
-		if d.Verdict == Wait && (i >= maxWaiters || s.waitsTooLong(now.Add(d.RetryAfter), svc, w, first)) {
+		if d.Verdict == Wait && (i >= maxWaiters || s.waitsTooLong(now.Add(d.RetryAfter), svc, w, first, d.Expected)) {
 			d = s.refuseFull(d)
 		}
 		if d.Verdict != Wait {
@@ -204,8 +204,8 @@
 // waitsTooLong reports whether a waiting request is not expected to begin before its caller
 // leaves. The request first, which is served before it, has waited for the same room: a
 // request that joins the same class waits at least as long.
-func (s *State) waitsTooLong(now time.Time, svc *service, w, first *Waiter) bool {
-	begin := now.Add(s.minTTFB(svc, w.Request))
+func (s *State) waitsTooLong(now time.Time, svc *service, w, first *Waiter, expected time.Duration) bool {
+	begin := now.Add(max(s.minTTFB(svc, w.Request), expected))
 	if first != nil && first.late == w.late && first.Request.Rank() == w.Request.Rank() {
 		begin = begin.Add(now.Sub(first.classSince()))
 	}
