dispatch, controlplane: old reports and late answers mislead no decision

The load in the head of an answer counted as new when the answer ended, seconds later, and would hold requests back. First answers set the learned speed of a replica also if they were late because it had dropped cached prompt parts. Late requests of rank 0 had a lower limit than requests of rank 1 in time.

--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -229,8 +229,8 @@
 func (e finish) apply(c *core, now time.Time) {
 	f := e.flight
 	id := f.Decision.Replica.ID
-	if e.report != nil && e.report.Slowness <= 0 {
-		c.dispatch.SetReport(now, id, *e.report)
+	if e.report != nil && e.report.Slowness <= 0 && (f.begunAt.IsZero() || !c.dispatch.HoldsRequests(f.Request.Service)) {
+		c.dispatch.SetReport(now, id, *e.report) // old by now if the answer has begun, and would hold requests back
 	}
 	switch {
 	case e.outcome == dispatch.Answered:
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -164,14 +164,27 @@
 	s.learnLatency(req, d, took)
 	weight := latencyRatioWeight
 	if d.Slowness > 0 {
-		// With many instances, one gets an answer of a replica every 10 s or so: the first
-		// answers must tell most of its speed.
-		r.answers++
-		weight = max(weight, 1/float64(r.answers+1))
+		weight = r.speedWeight(req, d)
 	}
 	r.latencyRatio = math.Exp((1-weight)*math.Log(r.latencyRatio) + weight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
+// maxCachedShare is the share of cached tokens in a prompt up to which an answer counts in full
+// as evidence of its replica's speed. Above it, a late answer may only show that the replica
+// has dropped the cached parts.
+const maxCachedShare = 0.25
+
+// speedWeight returns the weight of an answer in latencyRatio for a service with a queue. With
+// many instances, one gets an answer of a replica every 10 s or so: the first answers must
+// tell most of its speed.
+func (r *replica) speedWeight(req *Request, d Decision) float64 {
+	if float64(d.CachedTokens) > maxCachedShare*float64(req.PromptTokens) {
+		return latencyRatioWeight
+	}
+	r.answers++
+	return max(latencyRatioWeight, 1/float64(r.answers+1))
+}
+
 // RecordSettled records that an answer, which began at begun, has gone on long enough
 // to clear the parts of its prompt.
 func (s *State) RecordSettled(begun time.Time, req *Request, d Decision) {
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -22,8 +22,8 @@
 	// Instances learn of each other's sends after up to 500 ms, and a replica needs work until
 	// they learn that it has little left.
 	maxReplicaWait = 800 * time.Millisecond
-	// maxPromptRank is the last rank with this limit. It is halved for later ranks, and for
-	// requests that have missed their target.
+	// maxPromptRank is the last rank with this limit. It is halved for later ranks and for
+	// requests of this rank that have missed their target.
 	maxPromptRank = 1
 	// maxRecheck is the longest time between two decisions on a waiting request, and
 	// minRecheck the shortest one.
@@ -167,14 +167,10 @@
 // never grows from one class of the queue to the next, so that the less urgent class does not
 // get the room for which the more urgent one waits.
 func waitLimit(req *Request, late bool) time.Duration {
-	limit := maxReplicaWait
-	if req.Rank() > maxPromptRank {
-		limit /= 2
+	if req.Rank() > maxPromptRank || late && req.Rank() == maxPromptRank {
+		return maxReplicaWait / 2
 	}
-	if late {
-		limit /= 2
-	}
-	return limit
+	return maxReplicaWait
 }
 
 // sampleTwo returns the better one of two replicas that are drawn at random, of those that
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -120,6 +120,20 @@
 	is.Equal(s.Choose(epoch, streamRequest("other", 1), History{}).Verdict, Send)
 }
 
+// Guards against a less urgent class of requests that is sent to a replica for which a more
+// urgent one waits.
+func TestWaitLimitNeverGrowsWithClass(t *testing.T) {
+	is := is.New(t)
+	last := maxReplicaWait
+	for rank := range 4 {
+		for _, late := range []bool{false, true} {
+			limit := waitLimit(streamRequest("r", rank), late)
+			is.True(limit > 0 && limit <= last)
+			last = limit
+		}
+	}
+}
+
 // Guards against a pace of bookings that stays slow after the replicas have room again, and
 // against a freed slot that is not used.
 func TestPaceFollowsRejections(t *testing.T) {
