dispatch: move a request from its adapter's replica when that is busy

Now only replicas with the adapter are drawn while the best one by its score has it, and the penalty for another data centre is at most that of an adapter.

Test: TestAdapterMovesOnlyFromBusyReplica; go test -race ./dispatch passes.

--- a/dispatch/replaycases_test.go
+++ b/dispatch/replaycases_test.go
@@ -192,6 +192,25 @@
 	is.Equal(remote(200*time.Millisecond), 100)
 }
 
+// Guards against loading an adapter again where another replica with it is about as free, and
+// against a queue at the replica that has it while others are free.
+func TestAdapterMovesOnlyFromBusyReplica(t *testing.T) {
+	is := is.New(t)
+	for wait, stays := range map[time.Duration]bool{0: true, 20 * time.Millisecond: true, 300 * time.Millisecond: false} {
+		remote := engineReplica("a", "m")
+		remote.DataCentre = "y"
+		s := newState(remote, engineReplica("b", "m"), engineReplica("c", "m"))
+		s.SetAdapter("a", "m", "a1", true)
+		s.SetReport(epoch, "b", Report{Slots: 8, Slowness: 1})
+		setFull(s, epoch, wait)
+		for range 50 {
+			req := streamRequest("r", 1)
+			req.Adapter, req.Route.LatencyTarget = "a1", time.Second
+			is.Equal(s.Choose(epoch, req, History{}).Replica.ID == "a", stays)
+		}
+	}
+}
+
 // BenchmarkDecision measures one decision for a model on 140 replicas, three of which hold
 // it, as it was before and with the queue. The number of instances must not matter.
 func BenchmarkDecision(b *testing.B) {
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -173,23 +173,21 @@
 	return maxReplicaWait
 }
 
-// sampleTwo returns the better one of two replicas that are drawn at random, of those that
-// have the request's adapter if there are any and are not far worse than the best one. One is
-// drawn from this data centre if there is any. Instances that share out-of-date knowledge of
-// the load all find the same replica the best one, but they do not all draw it.
+// sampleTwo returns the better one of two replicas that are drawn at random, of those that are
+// not far worse than the best one. One is drawn from this data centre if there is any.
+// Instances that share out-of-date knowledge of the load all find the same replica the best
+// one, but they do not all draw it. While the best one has the request's adapter, only those
+// that have it are drawn.
 func (s *State) sampleTwo(now time.Time, svc *service, usable []*replica, req *Request, level int) *replica {
-	if with := filter(usable, func(r *replica) bool { return r.hasAdapter(req.Model, req.Adapter) }); len(with) > 0 {
-		usable = with
-	}
 	if len(usable) == 1 {
 		return usable[0]
 	}
 	preferredID, bonus := s.prefixAffinity(now, svc, req)
-	scores, lowest := make(map[*replica]time.Duration, len(usable)), time.Duration(math.MaxInt64)
+	scores, best := make(map[*replica]time.Duration, len(usable)), usable[0]
 	for _, r := range usable {
 		score := s.estimateTTFB(now, svc, r, req, level)
 		if r.info.DataCentre != s.options.DataCentre {
-			score += max(crossDataCentrePenalty, time.Duration(remotePenaltyShare*float64(req.Route.LatencyTarget)))
+			score += remotePenalty(req)
 		}
 		if !r.hasAdapter(req.Model, req.Adapter) {
 			score += adapterSlotPenalty
@@ -197,9 +195,14 @@
 		if r.info.ID == preferredID {
 			score -= bonus
 		}
-		scores[r], lowest = score, min(lowest, score)
+		if scores[r] = score; score < scores[best] {
+			best = r
+		}
 	}
-	usable = filter(usable, func(r *replica) bool { return scores[r]-lowest <= maxDrawnGap })
+	keepAdapter := best.hasAdapter(req.Model, req.Adapter)
+	usable = filter(usable, func(r *replica) bool {
+		return scores[r]-scores[best] <= maxDrawnGap && (!keepAdapter || r.hasAdapter(req.Model, req.Adapter))
+	})
 	from := usable
 	if local := filter(usable, func(r *replica) bool { return r.info.DataCentre == s.options.DataCentre }); len(local) > 0 {
 		from = local
@@ -213,6 +216,16 @@
 	return first
 }
 
+// remotePenalty returns the penalty for a replica in another data centre. It is less than what
+// an adapter counts that must be loaded, so that adapters stay where they are.
+func remotePenalty(req *Request) time.Duration {
+	penalty := max(crossDataCentrePenalty, time.Duration(remotePenaltyShare*float64(req.Route.LatencyTarget)))
+	if req.Adapter != "" {
+		penalty = min(penalty, adapterSlotPenalty)
+	}
+	return penalty
+}
+
 // filter returns the replicas for which keep is true, in a new slice.
 func filter(replicas []*replica, keep func(*replica) bool) []*replica {
 	kept := make([]*replica, 0, len(replicas))
