dispatch: refuse waiting bookings before their callers leave

Requests for plain services waited until the end of their time, and the refusal reached no caller. They wait for three quarters of it at most.

Test: TestPlainRequestIsRefusedInTime, which fails without; go test -race ./dispatch passes.

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -22,6 +22,10 @@
 // requests per second can't serve more before their callers leave.
 const maxWaiters = 512
 
+// maxPlainWaitPercent is the share of its time that a request for a plain service can wait. A
+// refusal at the end of its time would not reach the caller before it leaves.
+const maxPlainWaitPercent = 75
+
 // Waiter is a request that waits for a decision other than Wait. Only services whose
 // replicas state their slowness have waiters.
 type Waiter struct {
@@ -209,7 +213,11 @@
 	if first != nil && first.late == w.late && first.Request.Rank() == w.Request.Rank() {
 		begin = begin.Add(now.Sub(first.classSince()))
 	}
-	return begin.After(leaveTime(w.Request, w.History))
+	leave := leaveTime(w.Request, w.History)
+	if w.Request.Model == "" {
+		leave = w.Request.Arrived.Add(leave.Sub(w.Request.Arrived) * maxPlainWaitPercent / 100)
+	}
+	return begin.After(leave)
 }
 
 // classSince returns when the request began to wait in its present class.
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -165,3 +165,21 @@
 	}
 	is.Equal(svc.pace.gap, time.Duration(0))
 }
+
+// Guards against a refusal of a booking so late that it does not reach the caller.
+func TestPlainRequestIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	s := newState(plainReplica("p"))
+	s.SetReport(epoch, "p", Report{Slots: 2, Slowness: 1})
+	s.service("app").pace = pace{gap: 20 * time.Millisecond, lastSend: epoch}
+	s.Submit(epoch, &Waiter{Request: plainRequest("r")}) // its caller waits 1 s
+	refusedAfter := time.Duration(0)
+	for after := time.Duration(0); after <= time.Second && refusedAfter == 0; after += 50 * time.Millisecond {
+		s.service("app").pace.lastSend = epoch.Add(after) // others go first
+		s.ServeWaiters(epoch.Add(after), "app", func(_ *Waiter, d Decision) {
+			is.Equal(d.Cause, CauseOverload)
+			refusedAfter = after
+		})
+	}
+	is.True(refusedAfter >= 500*time.Millisecond && refusedAfter <= 800*time.Millisecond)
+}
