ratelimit: hand shares of a limit over without a gap

Cause: instances that went back from the deputy to the owner left their shares unused for half a second, and credit was saved up too slowly.

Change: an instance tells the deputy that it goes back, and only without an answer the owner waits until the deputy no longer hears it. A deputy that becomes the owner answers requests for the deputy. Its bucket as deputy is small. Credit is saved up in 8 s; shares are used 0.65 s after the last contact.

--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -227,6 +227,7 @@
 	c.leaseCallAnswered()
 	c.announceHolder(before)
 	c.directAdapterRequests(now, bootclock.Now())
+	c.tickQuotas(now, bootclock.Now())
 }
 
 // LeaseFailed reports a read or write of the lease that failed or whose effect is
--- a/controlplane/quotas.go
+++ b/controlplane/quotas.go
@@ -143,12 +143,12 @@
 	}
 }
 
-// deputyOwner returns the state of this instance as the deputy of the owner. It returns nil
-// if this instance is the owner itself.
+// deputyOwner returns the state of this instance as the deputy of the owner, or as the owner
+// if it has become that.
 func (c *core) deputyOwner(now time.Time) *ratelimit.Owner {
 	q := &c.quotas
 	if q.owner != nil {
-		return nil
+		return q.owner
 	}
 	if q.deputy == nil {
 		q.deputy = ratelimit.NewDeputy(now, quotaBounds(c.node.Bounds))
@@ -229,7 +229,9 @@
 	if !due {
 		return
 	}
-	q.sent, q.waiting = append(q.sent, q.waiting...), nil
+	if len(request.Items) > 0 { // otherwise it asks for nothing
+		q.sent, q.waiting = append(q.sent, q.waiting...), nil
+	}
 	self := c.node.PeerAddress()
 	if q.owner == nil && !c.stopping && !c.node.AvoidLease() {
 		request.Address, request.DataCentre = self, c.node.DataCentre
--- a/peering/quota.go
+++ b/peering/quota.go
@@ -40,6 +40,7 @@
 	DataCentre string             `json:"data_centre,omitempty"`
 	Delegated  bool               `json:"delegated,omitempty"`
 	Leaving    bool               `json:"leaving,omitempty"`
+	Pooled     bool               `json:"pooled,omitempty"`
 	Items      []quotaItemMessage `json:"items,omitempty"`
 }
 
@@ -64,7 +65,7 @@
 }
 
 func encodeQuota(r ratelimit.Request) quotaMessage {
-	m := quotaMessage{Instance: r.Instance, Start: r.Start, Sequence: r.Sequence, Owner: r.Owner, Address: r.Address, DataCentre: r.DataCentre, Delegated: r.Delegated, Leaving: r.Leaving}
+	m := quotaMessage{Instance: r.Instance, Start: r.Start, Sequence: r.Sequence, Owner: r.Owner, Address: r.Address, DataCentre: r.DataCentre, Delegated: r.Delegated, Leaving: r.Leaving, Pooled: r.Pooled}
 	for _, item := range r.Items {
 		item.Demand = roundToHundredths(item.Demand)
 		m.Items = append(m.Items, quotaItemMessage(item))
@@ -73,7 +74,7 @@
 }
 
 func decodeQuota(m quotaMessage) ratelimit.Request {
-	r := ratelimit.Request{Instance: m.Instance, Start: m.Start, Sequence: m.Sequence, Owner: m.Owner, Address: m.Address, DataCentre: m.DataCentre, Delegated: m.Delegated, Leaving: m.Leaving}
+	r := ratelimit.Request{Instance: m.Instance, Start: m.Start, Sequence: m.Sequence, Owner: m.Owner, Address: m.Address, DataCentre: m.DataCentre, Delegated: m.Delegated, Leaving: m.Leaving, Pooled: m.Pooled}
 	for _, item := range m.Items {
 		r.Items = append(r.Items, ratelimit.RequestItem(item))
 	}
--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -54,6 +54,10 @@
 	// knows the client's shares.
 	ownerAt time.Time
 	pooled  bool
+	// farewell is set while the client tells the deputy that it goes back to the owner.
+	// Without an answer, the deputy can grant the client's shares until pooledUntil.
+	farewell    bool
+	pooledUntil time.Time
 	// lost is set if the last request was not answered. The client has then no owner.
 	lost bool
 }
@@ -132,11 +136,27 @@
 // Delegated reports whether the next requests are for the deputy.
 func (c *Client) Delegated() bool { return c.delegated }
 
-// UseDeputy sets whether the next requests are for the deputy.
+// UseDeputy sets whether the next requests are for the deputy. A client that goes back to
+// the owner tells the deputy first.
 func (c *Client) UseDeputy(use bool) {
-	if use != c.delegated {
-		c.delegated, c.pooled, c.sentAt = use, false, time.Time{} // a request is due
+	switch {
+	case use && !c.delegated:
+		c.delegated, c.pooled, c.sentAt = true, false, time.Time{} // a request is due
+	case !use && c.delegated && c.pooled && !c.lost:
+		c.farewell = true
+	case !use && c.delegated:
+		c.leaveDeputy(false)
 	}
+	c.farewell = c.farewell && !use
+}
+
+// leaveDeputy makes the next requests be for the owner. Unless the deputy has confirmed it,
+// the owner is told that the deputy can still grant the shares of the instance.
+func (c *Client) leaveDeputy(confirmed bool) {
+	if c.pooled && !confirmed {
+		c.pooledUntil = c.contactAt.Add(AnswerTimeout + poolTime)
+	}
+	c.delegated, c.pooled, c.farewell, c.sentAt = false, false, false, time.Time{}
 }
 
 // Requeue makes the next request to the owner contain a request that waits.
@@ -244,15 +264,20 @@
 	if c.pending || len(c.accounts) == 0 {
 		return Request{}, false
 	}
-	if c.delegated && !c.pooled && now.Sub(c.ownerAt) > fallbackDelay {
-		c.activateAll()
-		c.pooled = true
+	if c.farewell {
+		r := c.newRequest(now)
+		r.Leaving = true
+		return r, true
 	}
 	interval := contactInterval
 	if c.lost {
 		interval = AnswerTimeout
 	}
 	contact := now.Sub(c.sentAt) >= interval
+	if c.delegated && !c.pooled && !c.lost && now.Sub(c.ownerAt) > fallbackDelay {
+		c.activateAll()
+		c.pooled, contact = true, true
+	}
 	if !contact && (c.lost || !c.asks(now)) {
 		return Request{}, false
 	}
@@ -263,9 +288,7 @@
 			}
 		}
 	}
-	c.sequence++
-	c.pending, c.sentAt = true, now
-	r := Request{Instance: c.instance, Start: c.start, Sequence: c.sequence, Owner: c.owner, Leaving: c.leaving, Delegated: c.delegated}
+	r := c.newRequest(now)
 	for _, a := range c.active {
 		item := a.item(now, c.owner)
 		if r.Delegated {
@@ -277,6 +300,16 @@
 	return r, true
 }
 
+// newRequest returns a request without items, which is then waited for.
+func (c *Client) newRequest(now time.Time) Request {
+	c.sequence++
+	c.pending, c.sentAt = true, now
+	return Request{
+		Instance: c.instance, Start: c.start, Sequence: c.sequence, Owner: c.owner,
+		Leaving: c.leaving, Delegated: c.delegated, Pooled: !c.delegated && now.Before(c.pooledUntil),
+	}
+}
+
 // asks reports whether any account needs tokens before the next contact.
 func (c *Client) asks(now time.Time) bool {
 	for _, a := range c.active {
@@ -317,6 +350,11 @@
 	if !c.pending || answer.Sequence != c.sequence || now.Sub(c.sentAt) > AnswerTimeout {
 		return false
 	}
+	if c.farewell && answer.Delegated {
+		c.pending = false
+		c.leaveDeputy(true)
+		return true
+	}
 	if c.owner != answer.Owner {
 		c.activateAll() // the owner learns the shares of the instance
 	}
@@ -346,12 +384,17 @@
 }
 
 // Fail records that a request was not answered in time. It returns false if it is not the
-// one that is waited for. Requests that wait must be settled then, also those that came
-// after it.
+// one that is waited for, or if the owner is asked next. Otherwise the requests that wait
+// must be settled, also those that came after it.
 func (c *Client) Fail(sequence uint64) bool {
 	if !c.pending || sequence != c.sequence {
 		return false
 	}
+	if c.farewell {
+		c.pending = false
+		c.leaveDeputy(false)
+		return false
+	}
 	c.pending, c.lost = false, true
 	for _, a := range c.accounts {
 		a.needed, a.largest = 0, 0
--- a/ratelimit/fallback.go
+++ b/ratelimit/fallback.go
@@ -7,8 +7,9 @@
 )
 
 // creditTime is the time in contact after which an instance that has used its credit can
-// use it again. It is two windows, so that links that break often stay within the margin.
-const creditTime = 16 * time.Second
+// use it again. It is the usual window, so that links that break often stay within the
+// margin.
+const creditTime = 8 * time.Second
 
 // fallback is what an instance can use without an owner: its share of a part of the margin
 // at once, and its share of the rate once the owner reserves it.
@@ -75,7 +76,7 @@
 
 // limit returns the largest level.
 func (f *fallback) limit(q catalog.Quota, b Bounds) float64 {
-	return f.share * (q.Burst + creditPart*b.margin(q))
+	return f.share * b.savings(q)
 }
 
 // ownerExpected reports whether the owner has answered shortly before and is asked again,
--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -188,7 +188,21 @@
 		return
 	}
 	b.filledAt = now
-	b.level = min(b.size, b.level+b.quota.PerSecond*elapsed.Seconds()*o.grantedPart(now, b))
+	o.add(b, b.quota.PerSecond*elapsed.Seconds()*o.grantedPart(now, b))
+}
+
+// add adds tokens up to the size of a bucket.
+func (o *Owner) add(b *bucket, amount float64) {
+	b.level = max(b.level, min(b.level+amount, o.size(b)))
+}
+
+// size returns the largest level of a bucket without deposits. That of a deputy has room
+// for one request at least.
+func (o *Owner) size(b *bucket) float64 {
+	if !o.delegated {
+		return b.size
+	}
+	return min(b.size, max(max(b.shares.assigned-b.shares.silent, 0)*o.bounds.savings(b.quota), b.quota.Cost(0, 0)))
 }
 
 // grantedPart returns the part of the rate that the owner can grant.
@@ -217,11 +231,14 @@
 		m.start = r.Start
 		o.members[r.Instance] = m
 	}
-	if !o.delegated && now.Sub(m.heardAt) > silenceTime && r.Owner != 0 { // it may have used its shares
+	if r.Pooled && now.Sub(m.heardAt) > silenceTime {
 		m.presentAt = now.Add(poolTime)
 	}
 	m.sequence, m.heardAt, m.address, m.elsewhere = r.Sequence, now, r.Address, r.DataCentre != o.dataCentre
-	answer := Answer{Owner: o.id, Sequence: r.Sequence, Delegated: o.delegated, Deputy: o.deputy}
+	if o.delegated && r.Leaving {
+		o.forget(r.Instance)
+	}
+	answer := Answer{Owner: o.id, Sequence: r.Sequence, Delegated: r.Delegated, Deputy: o.deputy}
 	for _, item := range r.Items {
 		item.sanitize(r.Owner == o.id)
 		b := o.buckets[item.Customer]
@@ -254,14 +271,14 @@
 	if !ownTokens {
 		i.Returned = 0
 	}
-	i.Returned += i.Deposit
 }
 
 // grant takes what the item needs, and what it wants in advance, out of the bucket.
 func (o *Owner) grant(now time.Time, b *bucket, instance string, item RequestItem) AnswerItem {
 	answer := AnswerItem{Customer: item.Customer, CountsTokens: item.CountsTokens}
 	b.shares.addDemand(now, instance, item.Demand)
-	b.level = min(b.size, b.level+item.Returned)
+	o.add(b, item.Returned)
+	b.level += item.Deposit
 	needed := item.Needed
 	if needed > b.level {
 		// A part of a request is of no use, so whole ones are granted.
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -38,8 +38,8 @@
 	// silenceTime is the time after which the owner reserves the shares of an instance
 	// that it does not hear. The instance uses them after fallbackDelay, which is longer
 	// by AnswerTimeout and one tick of the owner.
-	silenceTime   = 500 * time.Millisecond
-	fallbackDelay = 800 * time.Millisecond
+	silenceTime   = 400 * time.Millisecond
+	fallbackDelay = 650 * time.Millisecond
 	// poolTime is the time for which a deputy grants the share of an instance that it no
 	// longer hears: silenceTime and one tick.
 	poolTime = silenceTime + 100*time.Millisecond
@@ -55,12 +55,14 @@
 
 // The margin of Bounds is divided between a larger bucket, so that requests just below the
 // limit are not refused because of the order in which they reach the owner; grants in
-// advance; what instances use before the owner can notice that they are cut off; and shares
-// of silent instances that are not reserved. The rest covers grants that are on their way.
+// advance; what instances use at once when they are cut off, and what they can save up of
+// their shares then; and shares of silent instances that are not reserved. The rest covers
+// grants that are on their way.
 const (
 	burstPart      = 0.15
-	prefetchPart   = 0.20
-	creditPart     = 0.20
+	prefetchPart   = 0.10
+	creditPart     = 0.35
+	savingsPart    = 0.15
 	unreservedPart = 0.15
 )
 
@@ -80,6 +82,15 @@
 	return m
 }
 
+// savings returns the amount that all instances together can save up without an owner.
+func (b Bounds) savings(q catalog.Quota) float64 {
+	return max((creditPart+savingsPart)*b.margin(q), minSavings*q.Burst)
+}
+
+// minSavings is the part of the burst that can be saved up if the margin is small or not
+// set.
+const minSavings = 0.1
+
 // unreservedShare returns the sum of the shares of silent instances that need not be
 // reserved.
 func (b Bounds) unreservedShare(q catalog.Quota) float64 {
@@ -102,9 +113,12 @@
 	Address, DataCentre string
 	// Delegated is set if the request is for a deputy.
 	Delegated bool
-	// Leaving is set if the process stops: it will not use its shares.
+	// Leaving is set if the instance will not use its shares: its process stops, or it goes
+	// back from a deputy to the owner.
 	Leaving bool
-	Items   []RequestItem
+	// Pooled is set if a deputy can still grant the shares of the instance.
+	Pooled bool
+	Items  []RequestItem
 }
 
 // RequestItem is the part of a Request about one customer. The amounts are in the unit of
