--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -40,10 +40,7 @@
 	x := &exchange{service: s, w: w, r: r, head: head, arrived: arrived}
 	x.memory.Account = accountOf(r.Context())
 	defer x.memory.Release()
-	if r.ContentLength != 0 {
-		// The server reads on after a refusal, so the limit holds for refused requests too.
-		_ = http.NewResponseController(w).SetReadDeadline(arrived.Add(bodyTimeout))
-	}
+	x.limitBodyTime()
 	x.setConnectionHeaders()
 	x.countOpen()
 	defer x.countClosed()
@@ -78,12 +75,7 @@
 			return
 		}
 	}
-	if !x.readBody(snapshot.Limits) {
-		return
-	}
-	if !x.memory.Account.Protect() {
-		closeConnection(w.Header())
-		x.refuse(http.StatusServiceUnavailable, causeNoRoom, noRoomRetry)
+	if !x.readBody(snapshot.Limits) || !x.protect() {
 		return
 	}
 	x.request = x.newRequest()
@@ -103,6 +95,25 @@
 	return size
 }
 
+// limitBodyTime limits the time to read the body. The server reads on after a refusal, so
+// the limit holds for refused requests too.
+func (x *exchange) limitBodyTime() {
+	if x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(x.arrived.Add(bodyTimeout))
+	}
+}
+
+// protect keeps the connection from being closed for its memory, because the request can be
+// sent now. If it was to be closed before, it refuses the request and returns false.
+func (x *exchange) protect() bool {
+	if x.memory.Account.Protect() {
+		return true
+	}
+	closeConnection(x.w.Header())
+	x.refuse(http.StatusServiceUnavailable, causeNoRoom, noRoomRetry)
+	return false
+}
+
 // readBody reads the whole body. If that fails, it answers the caller and returns
 // false.
 func (x *exchange) readBody(limits catalog.Limits) bool {
