--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -158,7 +158,7 @@
 		n += r.peerLoad.Requests
 	}
 	maxAge := maxReportAge
-	if r.svc.statesSlowness {
+	if r.svc.isContended() {
 		maxAge = maxPresentReportAge
 	}
 	if now.Sub(r.reportAt) < maxAge {
@@ -171,7 +171,7 @@
 // request of an urgency level; engines admit more urgent requests first.
 // avgPrefill is the average prefill work of a request.
 func (r *replica) pendingPrefill(now time.Time, level int, avgPrefill float64) float64 {
-	if r.svc.statesSlowness {
+	if r.svc.isContended() {
 		return r.presentPrefill(now, level, avgPrefill)
 	}
 	work := 0.0
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -192,7 +192,7 @@
 	if len(usable) == 1 {
 		return usable[0]
 	}
-	preferredID, bonus := s.prefixAffinity(now, svc, req)
+	preference := s.prefixPreference(now, svc, usable, req)
 	scores, best := make(map[*replica]time.Duration, len(usable)), usable[0]
 	for _, r := range usable {
 		score := s.estimateTTFB(now, svc, r, req, level)
@@ -202,9 +202,7 @@
 		if !r.hasAdapter(req.Model, req.Adapter) {
 			score += adapterSlotPenalty
 		}
-		if r.info.ID == preferredID {
-			score -= bonus
-		}
+		score -= preference.credit(r, score)
 		if scores[r] = score; score < scores[best] {
 			best = r
 		}
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -105,16 +105,16 @@
 	is.Equal(refused, "behind overload")
 }
 
-// Guards against a request that keeps a low urgency because it is late, and starves at its
-// replica behind others until its caller leaves.
-func TestLateRequestKeepsUrgency(t *testing.T) {
+// Guards against a late request that delays those which can still meet their targets: at the
+// replica, where it must be less urgent, and in the queue.
+func TestLateRequestIsLessUrgent(t *testing.T) {
 	is := is.New(t)
 	s := newFullState(0)
 	req := streamRequest("late", 1)
 	req.Arrived = epoch.Add(-600 * time.Millisecond)
 	d := s.Choose(epoch, req, History{})
 	is.Equal(d.Verdict, Send)
-	is.Equal(d.Urgency, urgencyLevel(req, false))
+	is.Equal(d.Urgency, urgencyLevel(req, true))
 	setFull(s, epoch, 500*time.Millisecond) // room for those that are not late
 	is.Equal(s.Choose(epoch, req, History{}).Verdict, Wait)
 	is.Equal(s.Choose(epoch, streamRequest("other", 1), History{}).Verdict, Send)
