--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -21,7 +21,7 @@
 	// together send as many requests as the replicas can do. Below it there is none.
 	firstGapShare, maxGapShare = 0.25, 2.0
 	// lateGaps is the number of gaps more that a request waits which has missed its target.
-	lateGaps = 1
+	lateGaps = 4
 	// freedSlotTime is how long the slot of an answer that has ended is taken for free.
 	freedSlotTime = 5 * time.Millisecond
 	// idleGapTime is the time without sends in which the gap halves.
