--- a/ratelimit/client.go
+++ b/ratelimit/client.go
@@ -130,35 +130,6 @@
 	}
 }
 
-// Deputy returns the address of the instance to ask if the owner can't be reached, or "".
-func (c *Client) Deputy() string { return c.deputy }
-
-// Delegated reports whether the next requests are for the deputy.
-func (c *Client) Delegated() bool { return c.delegated }
-
-// UseDeputy sets whether the next requests are for the deputy. A client that goes back to
-// the owner tells the deputy first.
-func (c *Client) UseDeputy(use bool) {
-	switch {
-	case use && !c.delegated:
-		c.delegated, c.pooled, c.sentAt = true, false, time.Time{} // a request is due
-	case !use && c.delegated && c.pooled && !c.lost:
-		c.farewell = true
-	case !use && c.delegated:
-		c.leaveDeputy(false)
-	}
-	c.farewell = c.farewell && !use
-}
-
-// leaveDeputy makes the next requests be for the owner. Unless the deputy has confirmed it,
-// the owner is told that the deputy can still grant the shares of the instance.
-func (c *Client) leaveDeputy(confirmed bool) {
-	if c.pooled && !confirmed {
-		c.pooledUntil = c.contactAt.Add(AnswerTimeout + poolTime)
-	}
-	c.delegated, c.pooled, c.farewell, c.sentAt = false, false, false, time.Time{}
-}
-
 // Requeue makes the next request to the owner contain a request that waits.
 func (c *Client) Requeue(customer string, cost float64) {
 	if a := c.accounts[customer]; a != nil {
--- a/ratelimit/fallback.go
+++ b/ratelimit/fallback.go
@@ -61,19 +61,6 @@
 	f.level = min(f.level+rate*elapsed.Seconds(), f.limit(q, b))
 }
 
-// pooledShare returns the share that the client leaves to a deputy: none before the owner
-// reserves it.
-func (c *Client) pooledShare(now time.Time, a *account) float64 {
-	switch silent := now.Sub(c.ownerAt); {
-	case silent <= fallbackDelay || c.leaving:
-		return 0
-	case silent > reservationTime:
-		return a.fallback.share * lateFallbackRatio
-	default:
-		return a.fallback.share
-	}
-}
-
 // limit returns the largest level.
 func (f *fallback) limit(q catalog.Quota, b Bounds) float64 {
 	return f.share * b.savings(q)
--- a/ratelimit/replay_test.go
+++ b/ratelimit/replay_test.go
@@ -26,6 +26,21 @@
 	return below, refused
 }
 
+// pick returns a random index by weight.
+func pick(r *rand.Rand, weights []float64) int {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	x := r.Float64() * total
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
 // worstWindow returns the largest ratio of what passed in a window to the bound, and the
 // start of that window.
 func (c *replayCustomer) worstWindow() (float64, time.Duration) {
--- a/ratelimit/simulation_test.go
+++ b/ratelimit/simulation_test.go
@@ -308,20 +308,6 @@
 	return 1
 }
 
-func pick(r *rand.Rand, weights []float64) int {
-	total := 0.0
-	for _, w := range weights {
-		total += w
-	}
-	x := r.Float64() * total
-	for i, w := range weights {
-		if x -= w; x < 0 {
-			return i
-		}
-	}
-	return 0
-}
-
 // moveDemand gives every customer new weights of the instances: a few get most of it.
 func (r *replay) moveDemand() {
 	for _, c := range r.customers {
