residency, controlplane: learn the speeds of replicas for the plan

Cause: replicas that differ in speed by 2.4 times counted as equal, so that slow ones got as many requests of a busy model as the plan thought that they can serve.

Change: instances sum up the logarithms of measured over expected time to the first byte, by replica, and send them to the holder with their state (answer_times; two numbers for each replica that answered). The plan takes their average, relative to the mean of the pool, for the speed of the replica, and distributes work in proportion to speed.

--- a/residency/balance.go
+++ b/residency/balance.go
@@ -40,29 +40,32 @@
 // water-filling.
 func (view *poolView) distributeModelWork(model string, work float64) {
 	copies := view.copies[model]
-	otherLoads := make([]float64, len(copies))
+	others := view.sites(model, nil)
+	level := waterLevel(work, slices.Clone(others))
 	for i, rv := range copies {
-		otherLoads[i] = rv.load - rv.loadByModel[model]
-	}
-	level := waterLevel(work, slices.Clone(otherLoads))
-	for i, rv := range copies {
-		share := max(0, level-otherLoads[i])
-		rv.load, rv.loadByModel[model] = otherLoads[i]+share, share
+		share := max(0, level-others[i].load)
+		rv.load, rv.loadByModel[model] = others[i].load+share, share
 	}
 }
 
-// waterLevel returns the common load to which the least loaded replicas rise
-// when the work is distributed over replicas with the given loads
-// (water-filling). It sorts loads.
-func waterLevel(work float64, loads []float64) float64 {
-	slices.Sort(loads)
-	sum, level := 0.0, 0.0
-	for i, load := range loads {
-		if i > 0 && level <= load {
+// site is a replica over which work is distributed.
+type site struct {
+	load  float64 // utilization by other work
+	speed float64 // relative to the mean of the pool
+}
+
+// waterLevel returns the common load to which the least loaded sites rise when the
+// work is distributed over them (water-filling). It sorts sites.
+func waterLevel(work float64, sites []site) float64 {
+	slices.SortFunc(sites, func(a, b site) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.speed, b.speed)) })
+	sum, capacity, level := 0.0, 0.0, 0.0
+	for i, s := range sites {
+		if i > 0 && level <= s.load {
 			break
 		}
-		sum += load
-		level = (work + sum) / float64(i+1)
+		sum += s.load * s.speed
+		capacity += s.speed
+		level = (work + sum) / capacity
 	}
 	return level
 }
@@ -70,29 +73,29 @@
 // modelWaterLevel returns the load that a model's copies reach with the given
 // work of the model.
 func (view *poolView) modelWaterLevel(model string, work float64) float64 {
-	return waterLevelOrUnserved(work, view.loads(model, nil))
+	return waterLevelOrUnserved(work, view.sites(model, nil))
 }
 
-// loads returns the load of the other models on each replica with a copy of the
-// model, apart from the replica excluded, which can be nil.
-func (view *poolView) loads(model string, excluded *replicaView) []float64 {
+// sites returns the replicas with a copy of the model, apart from the replica excluded,
+// which can be nil. Their loads are those of the other models.
+func (view *poolView) sites(model string, excluded *replicaView) []site {
 	copies := view.copies[model]
-	out := make([]float64, 0, len(copies)+1)
+	out := make([]site, 0, len(copies)+1)
 	for _, rv := range copies {
 		if rv != excluded {
-			out = append(out, rv.load-rv.loadByModel[model])
+			out = append(out, site{rv.load - rv.loadByModel[model], rv.speed})
 		}
 	}
 	return out
 }
 
-// waterLevelOrUnserved returns the water level of the loads, or unservedLevel
+// waterLevelOrUnserved returns the water level of the sites, or unservedLevel
 // if there are none.
-func waterLevelOrUnserved(work float64, loads []float64) float64 {
-	if len(loads) == 0 {
+func waterLevelOrUnserved(work float64, sites []site) float64 {
+	if len(sites) == 0 {
 		return unservedLevel
 	}
-	return waterLevel(work, loads)
+	return waterLevel(work, sites)
 }
 
 const (
--- a/residency/demand_simulation_test.go
+++ b/residency/demand_simulation_test.go
@@ -43,7 +43,7 @@
 type demandSimulation struct {
 	*simulation
 	scenario      demandScenario
-	random        *rand.Rand
+	random, noise *rand.Rand
 	speeds        map[string]float64
 	backlogs      map[string]float64 // seconds of work
 	lateOrders    []lateOrder
@@ -73,7 +73,7 @@
 	e.IndexModels()
 	d := &demandSimulation{
 		simulation: &simulation{state: New(testLimits), engine: e, replicas: make(map[string]*fakeReplica), now: startTime},
-		scenario:   sc, random: rand.New(rand.NewPCG(seed, 1)), speeds: make(map[string]float64), backlogs: make(map[string]float64),
+		scenario:   sc, random: rand.New(rand.NewPCG(seed, 1)), noise: rand.New(rand.NewPCG(seed, 2)), speeds: make(map[string]float64), backlogs: make(map[string]float64),
 		reasons: make(map[string]int), pending: make(map[string]Demand), answered: make(map[string]int), withoutCopy: make(map[string]int),
 	}
 	d.state.SetConfig(catalog.NewConfig(1, catalog.Limits{}, []*catalog.Service{{Name: serviceName, Engine: e}}, nil))
@@ -264,6 +264,7 @@
 	} else if adapter != "" {
 		d.state.MarkAdapterUsed(d.now, best, model, adapter)
 	}
+	d.state.AddAnswerTimes(best, AnswerTimes{Answers: 1, LogRatio: 0.4*d.noise.NormFloat64() - math.Log(d.speeds[best])})
 	d.backlogs[best] += work
 	d.served += kind.weight
 	d.answered[model]++
@@ -282,8 +283,8 @@
 		"still":         {demandScenario{}, 0.88},
 		"rise":          {demandScenario{shift: 5}, 0.87},
 		"from below":    {demandScenario{shift: -5}, 0.68},
-		"uneven speeds": {demandScenario{shift: 5, uneven: true}, 0.86},
-		"late orders":   {demandScenario{shift: 5, uneven: true, late: 0.18}, 0.85},
+		"uneven speeds": {demandScenario{shift: 5, uneven: true}, 0.885},
+		"late orders":   {demandScenario{shift: 5, uneven: true, late: 0.18}, 0.875},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -68,11 +68,11 @@
 }
 
 // missedValue returns the value of the requests for a model that miss their target if
-// its copies are on replicas with the given loads of other models. It sorts loads.
-func (view *poolView) missedValue(f forecast, loads []float64) float64 {
-	missed := f.value * missRate(waterLevelOrUnserved(f.utilization, loads))
+// its copies are on the given sites, which it sorts.
+func (view *poolView) missedValue(f forecast, sites []site) float64 {
+	missed := f.value * missRate(waterLevelOrUnserved(f.utilization, sites))
 	if view.slowStore && f.movedValue > 0 {
-		moved := f.movedValue * missRate(waterLevelOrUnserved(f.movedUtilization, loads))
+		moved := f.movedValue * missRate(waterLevelOrUnserved(f.movedUtilization, sites))
 		missed = (1-moveProbability)*missed + moveProbability*math.Max(missed, moved)
 	}
 	return missed
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -95,7 +95,7 @@
 		m := &view.engine.Models[i]
 		d := s.demand[m.Name]
 		n := neededCopy{model: m, forecast: view.forecast(m.Name), adapterValue: d.adapterValue()}
-		n.gain = view.missedValue(n.forecast, view.loads(m.Name, nil)) + n.adapterValue*view.unplacedShare(m.Name, 0)
+		n.gain = view.missedValue(n.forecast, view.sites(m.Name, nil)) + n.adapterValue*view.unplacedShare(m.Name, 0)
 		n.reason = "requests wait too long"
 		switch len(view.copies[m.Name]) {
 		case 0:
@@ -168,12 +168,12 @@
 	otherValue := 0.0
 	for _, model := range rv.models {
 		if f := view.forecast(model); rv.loadByModel[model] > 0 && !slices.Contains(o.evictions, model) {
-			otherValue += f.value * rv.loadByModel[model] / f.utilization
+			otherValue += f.value * rv.loadByModel[model] * rv.speed / f.utilization
 		}
 	}
-	loads := append(view.loads(n.model.Name, nil), load)
-	level := waterLevelOrUnserved(n.forecast.utilization, loads)
-	gain := n.gain - view.missedValue(n.forecast, loads) - n.adapterValue*view.unplacedShare(n.model.Name, rv.freeAdapterSlots) - otherValue*(missRate(max(level, load))-missRate(load))
+	sites := append(view.sites(n.model.Name, nil), site{load, rv.speed})
+	level := waterLevelOrUnserved(n.forecast.utilization, sites)
+	gain := n.gain - view.missedValue(n.forecast, sites) - n.adapterValue*view.unplacedShare(n.model.Name, rv.freeAdapterSlots) - otherValue*(missRate(max(level, load))-missRate(load))
 	o.value = gain*view.remainingShare(duration) - loss - view.blockedAdapterCost(rv, duration)
 	if !view.hasCopyInDataCentre(n.model.Name, rv.replica.info.DataCentre) {
 		o.value += dataCentreCopyValue
@@ -303,7 +303,7 @@
 	loss := 0.0
 	f := view.forecast(model)
 	if f.value > 0 {
-		loss = view.missedValue(f, view.loads(model, rv)) - view.missedValue(f, view.loads(model, nil))
+		loss = view.missedValue(f, view.sites(model, rv)) - view.missedValue(f, view.sites(model, nil))
 	}
 	switch n := len(view.copies[model]); {
 	case n <= 1:
--- a/residency/poolview.go
+++ b/residency/poolview.go
@@ -38,6 +38,7 @@
 	models      []string
 	loadByModel map[string]float64 // utilization by model
 	load        float64            // sum of loadByModel
+	speed       float64            // relative to the mean of the pool
 	freeMB      float64            // memory available for another model
 	// freeAdapterSlots counts the slots that hold no adapter in use.
 	freeAdapterSlots int
@@ -63,13 +64,14 @@
 		model, _, _ := strings.Cut(key, "/")
 		view.unplacedAdapters[model]++
 	}
+	view.estimateSpeeds()
 	view.forecasts = view.newForecasts()
 	view.distributeWork()
 	return view
 }
 
 func (view *poolView) addReplica(id string, r *replica) {
-	rv := &replicaView{id: id, replica: r, loadByModel: make(map[string]float64), freeMB: view.engine.WeightsMB - view.state.usedMB(r, view.engine)}
+	rv := &replicaView{id: id, replica: r, speed: 1, loadByModel: make(map[string]float64), freeMB: view.engine.WeightsMB - view.state.usedMB(r, view.engine)}
 	view.replicas = append(view.replicas, rv)
 	for _, name := range r.models() {
 		switch {
