residency: know unanswered loads, bound the search of a plan

Cause: a load that was carried out, but whose answer was lost, did not count as an incoming copy until it was loaded: another one was planned, and no request waited for it. One plan at a slow store took 7 ms of processor time (140 replicas, 234 models).

Change, at a slow store only: a busy replica that has accepted one order since an unanswered load is taken to carry out that load. A plan searches each model without a move once, and stops after 30 models that have a copy.

--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -77,3 +77,13 @@
 	}
 	return missed
 }
+
+// missedNow returns the value of the requests for a model that miss their target with the
+// measured demand, or in a pool without a slow store with the forecast.
+func (view *poolView) missedNow(model string) float64 {
+	if !view.slowStore {
+		return math.Inf(1)
+	}
+	d := view.state.demand[model]
+	return d.value() * missRate(view.modelWaterLevel(model, d.utilization()))
+}
--- a/residency/horizon.go
+++ b/residency/horizon.go
@@ -27,6 +27,10 @@
 	// to be made instead if the replica of the best one is busy. Loads from a slow
 	// store keep replicas busy for seconds.
 	minIdleMoveShare = 0.6
+	// maxFruitlessSearches is the number of models with a copy for which one plan
+	// searches a move in vain. The next plan follows 0.2 s later, and a holder with few
+	// resources has other work to do.
+	maxFruitlessSearches = 30
 	// slowStoreModelValue is requestedModelValue at a slow store, where a model that is
 	// evicted may come back only when its callers have left. It is the value of the
 	// requests that a replica serves.
@@ -99,3 +103,17 @@
 	}
 	return requestedModelValue
 }
+
+// skipsSearch reports whether this plan searches no move for a model. First copies are
+// always searched for once.
+func (view *poolView) skipsSearch(model string) bool {
+	return view.slowStore && (view.withoutMove[model] || (len(view.copies[model]) > 0 && view.fruitlessSearches >= maxFruitlessSearches))
+}
+
+// recordFruitlessSearch records that this plan has found no move for a model.
+func (view *poolView) recordFruitlessSearch(model string) {
+	view.withoutMove[model] = true
+	if len(view.copies[model]) > 0 {
+		view.fruitlessSearches++
+	}
+}
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -95,8 +95,12 @@
 		m := &view.engine.Models[i]
 		d := s.demand[m.Name]
 		n := neededCopy{model: m, forecast: view.forecast(m.Name), adapterValue: d.adapterValue()}
-		n.gain = view.missedValue(n.forecast, view.sites(m.Name, nil)) + n.adapterValue*view.unplacedShare(m.Name, 0)
+		unplaced := n.adapterValue * view.unplacedShare(m.Name, 0)
+		n.gain = view.missedValue(n.forecast, view.sites(m.Name, nil)) + unplaced
 		n.reason = "requests wait too long"
+		if view.missedNow(m.Name)+unplaced < n.gain/2 {
+			n.reason = "demand may rise"
+		}
 		switch len(view.copies[m.Name]) {
 		case 0:
 			n.reason = "no copy"
@@ -132,8 +136,11 @@
 		if slices.Contains(rv.models, n.model.Name) || rv.replica.holds(n.model.Name) || rv.replica.loading == unknownModel {
 			continue
 		}
+		if !storeReady && !rv.replica.hasLocalWeights(n.model.Name) {
+			continue
+		}
 		o := s.evaluateMove(view, rv, n, minValue*view.minIdleShare())
-		if o == nil || (o.fromStore && !storeReady) {
+		if o == nil {
 			continue
 		}
 		if o.value > minValue {
@@ -229,6 +236,15 @@
 // blockedAdapterCost returns the cost of the adapter requests that a replica
 // can't serve during a move, when it loads no adapters.
 func (view *poolView) blockedAdapterCost(rv *replicaView, duration time.Duration) float64 {
+	if !rv.lostAdaptersKnown {
+		rv.lostAdapters, rv.lostAdaptersKnown = view.lostAdapterRequests(rv), true
+	}
+	return rv.lostAdapters * replicaSecondsPerRequest * duration.Seconds() / view.horizon.Seconds()
+}
+
+// lostAdapterRequests returns the adapter requests per second that a replica can't serve
+// while it loads no adapters.
+func (view *poolView) lostAdapterRequests(rv *replicaView) float64 {
 	requests := 0.0
 	for _, model := range rv.models {
 		rate := view.state.demand[model].adapterRate()
@@ -238,7 +254,7 @@
 			requests += rate * singleCopyAdapterMissShare
 		}
 	}
-	return requests * replicaSecondsPerRequest * duration.Seconds() / view.horizon.Seconds()
+	return requests
 }
 
 // openCopies returns the number of a model's copies. At a slow store, it counts only
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -88,6 +88,36 @@
 	return r.canReceiveOrder(now) && !r.isChangingModel() && r.move == nil && len(r.adapterRequests) == 0
 }
 
+// RequestAdapter requests an adapter on a replica that holds its model.
+func (s *State) RequestAdapter(now time.Time, id, model, name string) []Action {
+	r, ok := s.replicas[id]
+	if !ok || !r.holds(model) || r.info.Leaving {
+		return []Action{{AdapterResult: &AdapterResult{Replica: id, Model: model, Adapter: name, Reason: "replica lacks the model"}}}
+	}
+	if a := r.adapters[model+"/"+name]; a != nil {
+		a.lastUsed = now
+		return []Action{{AdapterResult: &AdapterResult{Replica: id, Model: model, Adapter: name, OK: true}, Delay: max(0, a.readyAt.Sub(now))}}
+	}
+	for i, req := range r.adapterRequests {
+		if req.model == model && req.adapter == name {
+			r.adapterRequests[i].forRequest = true
+			return nil // the result of the first request answers all
+		}
+	}
+	r.adapterRequests = append(r.adapterRequests, adapterRequest{model: model, adapter: name, deadline: now.Add(adapterRequestTimeout), forRequest: true})
+	return s.nextAdapterOrder(now, id, r)
+}
+
+// MarkAdapterUsed records that an adapter is in use, which protects it from
+// eviction.
+func (s *State) MarkAdapterUsed(now time.Time, id, model, name string) {
+	if r, ok := s.replicas[id]; ok {
+		if a := r.adapters[model+"/"+name]; a != nil {
+			a.lastUsed = now
+		}
+	}
+}
+
 // nextAdapterOrder returns the replica's next adapter order, and the results of
 // adapter requests that are fulfilled or have failed.
 func (s *State) nextAdapterOrder(now time.Time, id string, r *replica) []Action {
@@ -255,7 +285,7 @@
 	if !ok || r.pendingOrder != order {
 		return nil
 	}
-	r.pendingOrder = nil
+	r.pendingOrder, r.unanswered = nil, nil
 	switch outcome {
 	case Accepted:
 		r.acceptedOrders++
@@ -283,7 +313,7 @@
 func (s *State) markUncertain(now time.Time, r *replica, order *Order) []Action {
 	r.ordersKnown = false
 	if order.Operation == Load && order.Adapter == "" {
-		r.loading, r.loadOverdueAt = order.Model, now.Add(loadTimeMargin)
+		r.loading, r.loadOverdueAt, r.unanswered = order.Model, now.Add(loadTimeMargin), order
 	}
 	r.lastUpdate = now
 	return append(r.failAdapterRequest(order), s.requestReport(now, order.Replica, r)...)
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -289,3 +289,75 @@
 		is.Equal(view.forecast("m0").utilization > p.state.demand["m0"].utilization(), evictions > 0)
 	}
 }
+
+// Guards against a copy of a busy model on a slow replica while a fast one is free, and
+// against speeds that matter in a pool without a slow store.
+func TestBusyModelIsOnFastReplica(t *testing.T) {
+	for storeLoad, want := range map[time.Duration]string{planHorizon: "r1", 9 * time.Second: "r2"} {
+		is := is.New(t)
+		p := newTestPool(1, []string{"m0"}, nil, nil)
+		p.state.config.Services[serviceName].Engine.Models[0].StoreLoadTime = storeLoad
+		p.state.config.Services[serviceName].Engine.Models[0].DiskLoadTime = time.Second
+		is.Equal(p.state.LearnsSpeeds(), want == "r2")
+		for id, logRatio := range map[string]float64{"r0": 0.4, "r1": 0.4, "r2": -0.5} {
+			for range 10 {
+				p.state.AddAnswerTimes(id, AnswerTimes{Answers: 2, LogRatio: 2 * logRatio})
+			}
+		}
+		p.addDemand("m0", 1)
+		var first string
+		for _, a := range p.state.Plan(p.now) {
+			if a.Order != nil && first == "" {
+				first = a.Order.Replica
+			}
+		}
+		is.Equal(first, want)
+	}
+}
+
+// Guards against a copy that is loaded twice and that no request waits for, because the
+// order to load it was carried out but not answered, and against taking another load for it.
+func TestUnansweredLoadIsResumed(t *testing.T) {
+	for _, c := range []struct {
+		storeLoad time.Duration
+		accepted  int64
+		arrivals  map[string]time.Duration
+	}{
+		{9 * time.Second, 1, map[string]time.Duration{"m0": 9 * time.Second}},
+		{9 * time.Second, 2, map[string]time.Duration{}},
+		{planHorizon, 1, map[string]time.Duration{}},
+	} {
+		is := is.New(t)
+		p := newTestPool(1, nil)
+		p.state.config.Services[serviceName].Engine.Models[0].StoreLoadTime = c.storeLoad
+		r := p.state.replicas["r0"]
+		r.info.OnDisk = nil
+		order := &Order{Replica: "r0", Operation: Load, Model: "m0", FromStore: true}
+		r.pendingOrder = order
+		p.state.HandleOutcome(p.now, order, Unknown)
+		p.state.HandleReport(p.now, "r0", &Report{StartMillis: 1, Busy: true, AcceptedOrders: c.accepted})
+		is.Equal(p.state.ModelArrivals(p.now), c.arrivals)
+		is.True(!r.idle(p.now))
+	}
+}
+
+// Guards against a busy model that waits for the replica with its weights, which loads
+// another model for seconds, while others are idle.
+func TestMoveOnIdleReplicaAtSlowStore(t *testing.T) {
+	for storeLoad, want := range map[time.Duration]int{planHorizon: 0, 9 * time.Second: 1} {
+		is := is.New(t)
+		p := newTestPool(2, []string{"m0"}, nil, nil)
+		for i := range p.state.config.Services[serviceName].Engine.Models {
+			m := &p.state.config.Services[serviceName].Engine.Models[i]
+			m.StoreLoadTime, m.DiskLoadTime = storeLoad, time.Second
+		}
+		for id, r := range p.state.replicas {
+			r.info.OnDisk = map[string][]string{"r1": {"m0"}}[id]
+		}
+		busy := p.state.replicas["r1"]
+		busy.loading, busy.loadDue, busy.loadOverdueAt = "m1", p.now.Add(3*time.Second), p.now.Add(time.Minute)
+		p.addDemand("m0", 2)
+		loads, _ := p.plan()
+		is.Equal(loads["m0"], want)
+	}
+}
--- a/residency/poolview.go
+++ b/residency/poolview.go
@@ -21,6 +21,10 @@
 	copies     map[string][]*replicaView
 	heldCopies map[string]int
 	forecasts  map[string]*forecast // by model in demand
+	// withoutMove is the set of models for which this plan has found no move, and
+	// fruitlessSearches counts those of them that have a copy.
+	withoutMove       map[string]bool
+	fruitlessSearches int
 	// adapters is the set of adapters that any replica holds or has a request
 	// for, as MODEL/ADAPTER.
 	adapters map[string]bool
@@ -45,13 +49,16 @@
 	// evictionCandidates caches the result of evictionCandidatesOn. It is nil
 	// until computed.
 	evictionCandidates []evictionCandidate
+	// lostAdapters caches the result of lostAdapterRequests.
+	lostAdapters      float64
+	lostAdaptersKnown bool
 }
 
 // newPoolView returns the current view of a service's replicas.
 func (s *State) newPoolView(now time.Time, service *catalog.Service) *poolView {
 	view := &poolView{
 		state: s, now: now, engine: service.Engine,
-		copies: make(map[string][]*replicaView), heldCopies: make(map[string]int), adapters: make(map[string]bool), unplacedAdapters: make(map[string]int), adaptersInUse: make(map[string]int),
+		copies: make(map[string][]*replicaView), heldCopies: make(map[string]int), withoutMove: make(map[string]bool), adapters: make(map[string]bool), unplacedAdapters: make(map[string]int), adaptersInUse: make(map[string]int),
 	}
 	for id, r := range s.replicas {
 		if r.info.Service == service.Name && !r.info.Leaving && !r.unreachable {
@@ -137,7 +144,7 @@
 	rv.freeMB -= m.model.WeightsMB
 	view.distributeWork()
 	for _, other := range view.replicas {
-		other.evictionCandidates = nil
+		other.evictionCandidates, other.lostAdaptersKnown = nil, false
 	}
 }
 
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -144,6 +144,7 @@
 	ordersKnown     bool                  // acceptedOrders is certain; otherwise a report is needed
 	reportPending   bool                  // a report was requested
 	pendingOrder    *Order
+	unanswered      *Order // load of a model that may be carried out
 	retryAt         time.Time
 	backoffUntil    time.Time // the replica wants no orders before this time
 	loading         string    // model that is being loaded
@@ -197,7 +198,7 @@
 	s.storeLoadBucket = newTokenBucket(now)
 	var actions []Action
 	for id, r := range s.replicas {
-		r.ordersKnown, r.pendingOrder, r.loading, r.unloading, r.adapterRequests, r.move = false, nil, "", "", nil, nil
+		r.ordersKnown, r.pendingOrder, r.unanswered, r.loading, r.unloading, r.adapterRequests, r.move = false, nil, nil, "", "", nil, nil
 		actions = append(actions, s.requestReport(now, id, r)...)
 	}
 	return actions
@@ -343,6 +344,7 @@
 		// unknown. It gets no order until a later report shows that it has
 		// finished.
 		r.loading, r.loadOverdueAt = unknownModel, now.Add(retryDelay)
+		s.resumeUnansweredLoad(r)
 	} else {
 		// The reported models count as held until the list shows them.
 		r.loading, r.unloading = "", ""
@@ -373,33 +375,3 @@
 		r.runningRequests = running[id]
 	}
 }
-
-// RequestAdapter requests an adapter on a replica that holds its model.
-func (s *State) RequestAdapter(now time.Time, id, model, name string) []Action {
-	r, ok := s.replicas[id]
-	if !ok || !r.holds(model) || r.info.Leaving {
-		return []Action{{AdapterResult: &AdapterResult{Replica: id, Model: model, Adapter: name, Reason: "replica lacks the model"}}}
-	}
-	if a := r.adapters[model+"/"+name]; a != nil {
-		a.lastUsed = now
-		return []Action{{AdapterResult: &AdapterResult{Replica: id, Model: model, Adapter: name, OK: true}, Delay: max(0, a.readyAt.Sub(now))}}
-	}
-	for i, req := range r.adapterRequests {
-		if req.model == model && req.adapter == name {
-			r.adapterRequests[i].forRequest = true
-			return nil // the result of the first request answers all
-		}
-	}
-	r.adapterRequests = append(r.adapterRequests, adapterRequest{model: model, adapter: name, deadline: now.Add(adapterRequestTimeout), forRequest: true})
-	return s.nextAdapterOrder(now, id, r)
-}
-
-// MarkAdapterUsed records that an adapter is in use, which protects it from
-// eviction.
-func (s *State) MarkAdapterUsed(now time.Time, id, model, name string) {
-	if r, ok := s.replicas[id]; ok {
-		if a := r.adapters[model+"/"+name]; a != nil {
-			a.lastUsed = now
-		}
-	}
-}
--- a/residency/speed.go
+++ b/residency/speed.go
@@ -1,6 +1,9 @@
 package residency
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // The rules in this file address replicas of unequal speed, on which a copy of a busy model
 // is worth what the replica can serve. The plan then has the busy models on fast replicas.
@@ -81,3 +84,20 @@
 		rv.speed = min(max(rv.speed*float64(len(view.replicas))/total, minSpeed), maxSpeed)
 	}
 }
+
+// SpeedRange returns the lowest and the highest speed that the plan assumes of a replica,
+// relative to the mean of its pool. Both are 1 if speeds are not learned.
+func (s *State) SpeedRange(now time.Time) (lowest, highest float64) {
+	lowest, highest = 1, 1
+	if !s.LearnsSpeeds() {
+		return lowest, highest
+	}
+	for _, service := range s.config.Services {
+		if service.Engine != nil {
+			for _, rv := range s.newPoolView(now, service).replicas {
+				lowest, highest = min(lowest, rv.speed), max(highest, rv.speed)
+			}
+		}
+	}
+	return lowest, highest
+}
