--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -361,3 +361,21 @@
 		is.Equal(loads["m0"], want)
 	}
 }
+
+// Guards against second copies of models without demand in a deployment with customers
+// whose memory can't hold two copies of each, and against their absence elsewhere.
+func TestNoSecondCopyWhereMemoryIsScarce(t *testing.T) {
+	for _, c := range []struct {
+		models    int
+		customers bool
+		want      int
+	}{{4, true, 0}, {4, false, 2}, {3, true, 2}} {
+		is := is.New(t)
+		p := newTestPool(c.models, []string{"m0", "m1"}, []string{"m2", "m3"}[:c.models-2])
+		if c.customers {
+			p.state.config.SetCustomers([]*catalog.Customer{{Name: "c", Keys: []string{"k"}}})
+		}
+		loads, _ := p.plan()
+		is.Equal(loads["m0"]+loads["m1"]+loads["m2"], c.want)
+	}
+}
