residency: expect moves of demand with a probability of 0.4

Cause: 0.2 was chosen from a simulation with usual capacity only. Change: 0.4; the tests' bounds follow, so that they fail without it.

--- a/residency/demand_simulation_test.go
+++ b/residency/demand_simulation_test.go
@@ -300,19 +300,19 @@
 
 // Guards against a plan that gives models in demand no copy from a weight store whose
 // loads take 9 s, and fills the replicas with second copies of models without demand.
-// least is above the share of requests that such a plan serves in time (0.73 for demand that stays, 0.65 for models that rise from below).
-// Without copies for moves of demand or without moves on idle replicas, 0.85 and 0.86
-// are served in time of the demand that rises.
+// least is above the share of requests that such a plan serves in time: 0.72 to 0.73, and
+// 0.65 if models rise from below. Without copies for moves of demand, 0.85 of the demand
+// that rises is served in time.
 func TestCopiesFollowDemandAtSlowStore(t *testing.T) {
 	for name, c := range map[string]struct {
 		scenario demandScenario
 		least    float64
 	}{
 		"still":         {demandScenario{}, 0.88},
-		"rise":          {demandScenario{shift: 5}, 0.86},
+		"rise":          {demandScenario{shift: 5}, 0.87},
 		"from below":    {demandScenario{shift: -5}, 0.68},
-		"uneven speeds": {demandScenario{shift: 5, uneven: true}, 0.86},
-		"late orders":   {demandScenario{shift: 5, uneven: true, late: 0.18}, 0.86},
+		"uneven speeds": {demandScenario{shift: 5, uneven: true}, 0.87},
+		"late orders":   {demandScenario{shift: 5, uneven: true, late: 0.18}, 0.87},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -20,7 +20,7 @@
 	// by demand, and moveProbability the probability with which a plan counts that it
 	// does.
 	moveDistance    = 5
-	moveProbability = 0.2
+	moveProbability = 0.4
 )
 
 // forecast is the demand for a model that the plan expects.
