--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/residency"
@@ -73,23 +72,3 @@
 	}
 	return out
 }
-
-// drainAnswerTimes returns the answer times of replicas since the last call, or nil if the
-// load plan does not use them.
-func (c *core) drainAnswerTimes() map[string]dispatch.AnswerTimes {
-	if !c.plan.LearnsSpeeds() {
-		return nil
-	}
-	return c.dispatch.DrainAnswerTimes()
-}
-
-// recordDemand passes the demand and the answer times that an instance measured to the
-// load plan.
-func (c *core) recordDemand(now time.Time, demand map[string]residency.Demand, times map[string]dispatch.AnswerTimes) {
-	for model, d := range demand {
-		c.plan.AddDemand(now, model, d)
-	}
-	for id, t := range times {
-		c.plan.AddAnswerTimes(id, residency.AnswerTimes(t))
-	}
-}
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -60,7 +60,9 @@
 	}
 	if now.Sub(c.plannedAt) >= planInterval {
 		c.plannedAt = now
-		c.recordDemand(now, c.drainDemand(), c.drainAnswerTimes())
+		for model, d := range c.drainDemand() {
+			c.plan.AddDemand(now, model, d)
+		}
 		if ok {
 			c.recordAdapterUse(now, c.dispatch.OwnLoad())
 			c.updateRunning(now)
@@ -126,12 +128,7 @@
 		}
 		fmt.Fprintf(&b, "%s held=%d coming=%d work=%.2f use=%.2f wait=%.2f pace=%.2f; ", m.Model, m.Held, m.Incoming, m.Utilization, m.Load, m.WaitRatio, c.dispatch.LatencyProfile(m.Model).PerToken)
 	}
-	line := []any{"moving", len(c.plan.ModelChanges(now)), "waiting", fmt.Sprint(c.plan.BlockedReplicas(now)), "most_used", b.String()}
-	if c.plan.LearnsSpeeds() {
-		lowest, highest := c.plan.SpeedRange(now)
-		line = append(line, "speeds", fmt.Sprintf("%.2f to %.2f", lowest, highest))
-	}
-	c.log.Info("models", line...)
+	c.log.Info("models", "moving", len(c.plan.ModelChanges(now)), "waiting", fmt.Sprint(c.plan.BlockedReplicas(now)), "most_used", b.String())
 }
 
 // executeActions carries out actions that the load planner returned.
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -47,7 +47,6 @@
 	Instance        string
 	Loads           map[string]dispatch.Load           // load in flight, by replica
 	Demand          map[string]residency.Demand        // demand since the last state, by model
-	AnswerTimes     map[string]dispatch.AnswerTimes    // since the last state, by replica; only if the plan uses them
 	TableVersions   map[string]rowstore.Version        // newest row versions read, by table
 	LatencyProfiles map[string]dispatch.LatencyProfile // by model size
 	// Crashes holds the instance's crash counts, by request fingerprint.
@@ -136,7 +135,7 @@
 }
 
 func (e ownState) apply(c *core, now time.Time) {
-	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), AnswerTimes: c.drainAnswerTimes(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.AppliedVersion(), ConfigVersion: c.configVersion()}
+	e.answer <- PeerState{Instance: c.node.ID, Loads: c.dispatch.OwnLoad(), Demand: c.drainDemand(), TableVersions: maps.Clone(c.tableVersions), LatencyProfiles: c.dispatch.LatencyProfiles(), Crashes: c.dispatch.OwnCrashes(now), Suspects: c.dispatch.Suspects().Report(now), ListVersion: c.replicaList.AppliedVersion(), ConfigVersion: c.configVersion()}
 }
 
 type servePeer struct {
@@ -155,7 +154,9 @@
 		c.log.Info("peer seen", "peer", e.peer.Instance)
 	}
 	c.peers[e.peer.Instance] = &peerState{loads: e.peer.Loads, crashes: e.peer.Crashes, receivedAt: now}
-	c.recordDemand(now, e.peer.Demand, e.peer.AnswerTimes)
+	for model, d := range e.peer.Demand {
+		c.plan.AddDemand(now, model, d)
+	}
 	c.recordAdapterUse(now, e.peer.Loads)
 	c.dispatch.Suspects().Merge(now, e.peer.Instance, e.peer.Suspects)
 	c.dispatch.AdoptLatencyProfiles(e.peer.LatencyProfiles)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -144,7 +144,6 @@
 	}
 	ratio := min(max(float64(took)*r.latencyRatio/float64(d.Expected), minLatencyRatio), maxLatencyRatio)
 	s.learnLatency(req, d, took)
-	r.recordAnswerTime(req, ratio)
 	r.latencyRatio = math.Exp((1-latencyRatioWeight)*math.Log(r.latencyRatio) + latencyRatioWeight*math.Log(ratio) - latencyRatioDecay*math.Log(r.latencyRatio))
 }
 
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -90,9 +90,8 @@
 	// latencyRatio is the moving average of the ratio of measured to estimated time
 	// to the first byte.
 	latencyRatio        float64
-	answerTimes         AnswerTimes // since the last call of DrainAnswerTimes
-	lastAnswerAt        time.Time   // when the last answer to this instance began
-	silentAt            time.Time   // when an answer was last reported as silent; zero after a sign of life
+	lastAnswerAt        time.Time // when the last answer to this instance began
+	silentAt            time.Time // when an answer was last reported as silent; zero after a sign of life
 	consecutiveFailures int
 	unreachable         bool // the last failure was a failed connection attempt
 	failureRatio        float64
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -46,10 +46,6 @@
 	Adapters     map[string]int `json:"a,omitempty"`
 }
 
-// answerTimesMessage holds the number of a replica's answers and the sum of the logarithms
-// of their times in hundredths.
-type answerTimesMessage [2]int
-
 // stateMessage is the state that an instance sends to the holder.
 type stateMessage struct {
 	Instance        string                           `json:"instance"`
@@ -63,7 +59,6 @@
 	TableEras       map[string]uint64                `json:"eras,omitempty"`
 	ListEra         uint64                           `json:"list_era,omitempty"`
 	ConfigVersion   int64                            `json:"config_version,omitempty"`
-	AnswerTimes     map[string]answerTimesMessage    `json:"answer_times,omitempty"`
 }
 
 type loadedModelMessage struct {
@@ -210,20 +205,12 @@
 	}
 }
 
-func encodeAnswerTimes(t dispatch.AnswerTimes) answerTimesMessage {
-	return answerTimesMessage{t.Answers, int(math.Round(100 * t.LogRatio))}
-}
-
-func decodeAnswerTimes(m answerTimesMessage) dispatch.AnswerTimes {
-	return dispatch.AnswerTimes{Answers: m[0], LogRatio: float64(m[1]) / 100}
-}
-
 func encodeState(s controlplane.PeerState) stateMessage {
 	counters, eras := encodeVersions(s.TableVersions)
 	return stateMessage{
 		Instance: s.Instance, Loads: mapValues(s.Loads, encodeOwnLoad), Demand: mapValues(s.Demand, encodeDemand), TableVersions: counters, TableEras: eras,
 		LatencyProfiles: mapValues(s.LatencyProfiles, encodeLatencyProfile), Crashes: s.Crashes, Suspects: encodeSuspects(s.Suspects), ListVersion: s.ListVersion.Counter(), ListEra: s.ListVersion.Era(),
-		ConfigVersion: s.ConfigVersion, AnswerTimes: mapValues(s.AnswerTimes, encodeAnswerTimes),
+		ConfigVersion: s.ConfigVersion,
 	}
 }
 
@@ -231,7 +218,7 @@
 	return controlplane.PeerState{
 		Instance: m.Instance, Loads: mapValues(m.Loads, decodeOwnLoad), Demand: mapValues(m.Demand, decodeDemand), TableVersions: decodeVersions(m.TableVersions, m.TableEras),
 		LatencyProfiles: mapValues(m.LatencyProfiles, decodeLatencyProfile), Crashes: m.Crashes, Suspects: decodeSuspects(m.Suspects), ListVersion: rowstore.NewVersion(m.ListEra, m.ListVersion),
-		ConfigVersion: m.ConfigVersion, AnswerTimes: mapValues(m.AnswerTimes, decodeAnswerTimes),
+		ConfigVersion: m.ConfigVersion,
 	}
 }
 
--- a/residency/balance.go
+++ b/residency/balance.go
@@ -20,7 +20,7 @@
 	}
 	var models []modelWork
 	for model := range view.copies {
-		if work := view.forecast(model).utilization; work > 0 {
+		if work := view.state.demand[model].utilization(); work > 0 {
 			models = append(models, modelWork{model, work})
 		}
 	}
@@ -40,32 +40,29 @@
 // water-filling.
 func (view *poolView) distributeModelWork(model string, work float64) {
 	copies := view.copies[model]
-	others := view.sites(model, nil)
-	level := waterLevel(work, slices.Clone(others))
+	otherLoads := make([]float64, len(copies))
 	for i, rv := range copies {
-		share := max(0, level-others[i].load)
-		rv.load, rv.loadByModel[model] = others[i].load+share, share
+		otherLoads[i] = rv.load - rv.loadByModel[model]
+	}
+	level := waterLevel(work, slices.Clone(otherLoads))
+	for i, rv := range copies {
+		share := max(0, level-otherLoads[i])
+		rv.load, rv.loadByModel[model] = otherLoads[i]+share, share
 	}
 }
 
-// site is a replica over which work is distributed.
-type site struct {
-	load  float64 // utilization by other work
-	speed float64 // relative to the mean of the pool
-}
-
-// waterLevel returns the common load to which the least loaded sites rise when the
-// work is distributed over them (water-filling). It sorts sites.
-func waterLevel(work float64, sites []site) float64 {
-	slices.SortFunc(sites, func(a, b site) int { return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.speed, b.speed)) })
-	sum, capacity, level := 0.0, 0.0, 0.0
-	for i, s := range sites {
-		if i > 0 && level <= s.load {
+// waterLevel returns the common load to which the least loaded replicas rise
+// when the work is distributed over replicas with the given loads
+// (water-filling). It sorts loads.
+func waterLevel(work float64, loads []float64) float64 {
+	slices.Sort(loads)
+	sum, level := 0.0, 0.0
+	for i, load := range loads {
+		if i > 0 && level <= load {
 			break
 		}
-		sum += s.load * s.speed
-		capacity += s.speed
-		level = (work + sum) / capacity
+		sum += load
+		level = (work + sum) / float64(i+1)
 	}
 	return level
 }
@@ -73,29 +70,29 @@
 // modelWaterLevel returns the load that a model's copies reach with the given
 // work of the model.
 func (view *poolView) modelWaterLevel(model string, work float64) float64 {
-	return waterLevelOrUnserved(work, view.sites(model, nil))
+	return waterLevelOrUnserved(work, view.loads(model, nil))
 }
 
-// sites returns the replicas with a copy of the model, apart from the replica excluded,
-// which can be nil. Their loads are those of the other models.
-func (view *poolView) sites(model string, excluded *replicaView) []site {
+// loads returns the load of the other models on each replica with a copy of the
+// model, apart from the replica excluded, which can be nil.
+func (view *poolView) loads(model string, excluded *replicaView) []float64 {
 	copies := view.copies[model]
-	out := make([]site, 0, len(copies)+1)
+	out := make([]float64, 0, len(copies)+1)
 	for _, rv := range copies {
 		if rv != excluded {
-			out = append(out, site{rv.load - rv.loadByModel[model], rv.speed})
+			out = append(out, rv.load-rv.loadByModel[model])
 		}
 	}
 	return out
 }
 
-// waterLevelOrUnserved returns the water level of the sites, or unservedLevel
+// waterLevelOrUnserved returns the water level of the loads, or unservedLevel
 // if there are none.
-func waterLevelOrUnserved(work float64, sites []site) float64 {
-	if len(sites) == 0 {
+func waterLevelOrUnserved(work float64, loads []float64) float64 {
+	if len(loads) == 0 {
 		return unservedLevel
 	}
-	return waterLevel(work, sites)
+	return waterLevel(work, loads)
 }
 
 const (
@@ -107,15 +104,25 @@
 	lowMissLoad      = 0.3
 	fullLoad         = 0.9
 	fullLoadMissRate = 0.5
+	// scarceLowMissLoad and scarceFullLoad are the same in a pool where memory is
+	// scarce, so that busy models share replicas. Prompts that are prefilled beside a
+	// stream delay its events there: at a load of 0.47, a third of the streams with 43
+	// events had a gap above their target.
+	scarceLowMissLoad = 0.1
+	scarceFullLoad    = 0.7
 )
 
 // missRate returns the share of requests that miss their latency target on
 // replicas with the given load. Beyond full load, the number of requests that
 // meet it stays the same as at full load.
-func missRate(load float64) float64 {
-	if load > fullLoad {
-		return 1 - (1-fullLoadMissRate)*fullLoad/load
+func (t poolTraits) missRate(load float64) float64 {
+	low, full := lowMissLoad, fullLoad
+	if t.scarce {
+		low, full = scarceLowMissLoad, scarceFullLoad
+	}
+	if load > full {
+		return 1 - (1-fullLoadMissRate)*full/load
 	}
-	x := max(0, (load-lowMissLoad)/(fullLoad-lowMissLoad))
+	x := max(0, (load-low)/(full-low))
 	return fullLoadMissRate * x * x
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -6,8 +6,6 @@
 	// demandTimeConstant is the time constant of the moving averages of demand.
 	// Demand shifts between models within a few seconds.
 	demandTimeConstant = 2500 * time.Millisecond
-	// recentDemandTimeConstant is the time constant of the average that shows a rise.
-	recentDemandTimeConstant = time.Second
 	// adapterDemandTimeConstant is the time constant of the demand for
 	// adapters. Requests for one adapter are several seconds apart.
 	adapterDemandTimeConstant = 15 * time.Second
@@ -46,7 +44,6 @@
 type modelDemand struct {
 	prefillRate        float64 // prefill work per second
 	valueRate          float64 // value per second
-	recentValueRate    float64 // valueRate with recentDemandTimeConstant
 	adapterRequestRate float64 // requests per second that use an adapter
 	adapterValueRate   float64 // part of valueRate due to requests that use an adapter
 	waitRatio          float64 // average of Demand.WaitRatio
@@ -111,7 +108,6 @@
 	}
 	m.prefillRate += d.PrefillWork / demandTimeConstant.Seconds()
 	m.valueRate += d.Value / demandTimeConstant.Seconds()
-	m.recentValueRate += d.Value / recentDemandTimeConstant.Seconds()
 	m.adapterValueRate += d.AdapterValue / demandTimeConstant.Seconds()
 	weight := min(1, 0.1*float64(d.Requests))
 	m.waitRatio += weight * (d.WaitRatio - m.waitRatio)
@@ -146,7 +142,6 @@
 	for _, d := range s.demand {
 		d.prefillRate *= keep
 		d.valueRate *= keep
-		d.recentValueRate *= max(0, 1-dt.Seconds()/recentDemandTimeConstant.Seconds())
 		d.adapterValueRate *= keep
 		d.adapterRequestRate *= keep
 		if now.Sub(d.lastRequest) > demandTimeConstant {
--- a/residency/horizon.go
+++ b/residency/horizon.go
@@ -22,19 +22,7 @@
 	slowStoreHorizonFactor = 2
 	// maxStoreLoadShare is the part of a pool's replicas that can load from a slow
 	// store at once. They load no adapters meanwhile.
-	maxStoreLoadShare = 0.75
-	// minIdleMoveShare is the part of the value of the best move that a move must have
-	// to be made instead if the replica of the best one is busy. Loads from a slow
-	// store keep replicas busy for seconds.
-	minIdleMoveShare = 0.6
-	// maxFruitlessSearches is the number of models with a copy for which one plan
-	// searches a move in vain. The next plan follows 0.2 s later, and a holder with few
-	// resources has other work to do.
-	maxFruitlessSearches = 30
-	// slowStoreModelValue is requestedModelValue at a slow store, where a model that is
-	// evicted may come back only when its callers have left. It is the value of the
-	// requests that a replica serves.
-	slowStoreModelValue = 1
+	maxStoreLoadShare = 0.5
 )
 
 // poolTraits are the properties of a pool, from the config and the number of its
@@ -86,34 +74,18 @@
 	return secondCopyValue
 }
 
-// minIdleShare returns the part of the value of a move on a busy replica that makes a
-// move on an idle one preferable.
-func (t poolTraits) minIdleShare() float64 {
-	if t.slowStore {
-		return minIdleMoveShare
+// keepsInitialCopies reports whether no model may be evicted because memory is scarce and
+// no request has shown the demand yet. The copies at the start are the only sign of it
+// until then: models that are expected to be busy have several. Evicting these for models
+// that nobody asked for left the busiest model with 3 of its replicas.
+func (view *poolView) keepsInitialCopies() bool {
+	if !view.scarce {
+		return false
 	}
-	return 1
-}
-
-// requestedModelValue returns the value that a recent request adds to the first copy of
-// a model.
-func (t poolTraits) requestedModelValue() float64 {
-	if t.slowStore {
-		return slowStoreModelValue
-	}
-	return requestedModelValue
-}
-
-// skipsSearch reports whether this plan searches no move for a model. First copies are
-// always searched for once.
-func (view *poolView) skipsSearch(model string) bool {
-	return view.slowStore && (view.withoutMove[model] || (len(view.copies[model]) > 0 && view.fruitlessSearches >= maxFruitlessSearches))
-}
-
-// recordFruitlessSearch records that this plan has found no move for a model.
-func (view *poolView) recordFruitlessSearch(model string) {
-	view.withoutMove[model] = true
-	if len(view.copies[model]) > 0 {
-		view.fruitlessSearches++
+	for i := range view.engine.Models {
+		if view.state.demand[view.engine.Models[i].Name].utilization() > 0 {
+			return false
+		}
 	}
+	return true
 }
--- a/residency/moves.go
+++ b/residency/moves.go
@@ -77,8 +77,9 @@
 
 // neededCopy is a model that would gain from one more copy.
 type neededCopy struct {
-	model    *catalog.Model
-	forecast forecast
+	model       *catalog.Model
+	utilization float64
+	value       float64 // value of the model's requests
 	// adapterValue is the value of the requests that use an adapter.
 	adapterValue float64
 	// gain is the value of a copy that serves all requests for the model within
@@ -94,25 +95,21 @@
 	for i := range view.engine.Models {
 		m := &view.engine.Models[i]
 		d := s.demand[m.Name]
-		n := neededCopy{model: m, forecast: view.forecast(m.Name), adapterValue: d.adapterValue()}
-		unplaced := n.adapterValue * view.unplacedShare(m.Name, 0)
-		n.gain = view.missedValue(n.forecast, view.sites(m.Name, nil)) + unplaced
+		n := neededCopy{model: m, utilization: d.utilization(), value: d.value(), adapterValue: d.adapterValue()}
+		n.gain = n.value*view.missRate(view.modelWaterLevel(m.Name, n.utilization)) + n.adapterValue*view.unplacedShare(m.Name, 0)
 		n.reason = "requests wait too long"
-		if view.missedNow(m.Name)+unplaced < n.gain/2 {
-			n.reason = "demand may rise"
-		}
 		switch len(view.copies[m.Name]) {
 		case 0:
 			n.reason = "no copy"
 			n.gain += firstCopyValue
 			if d.requestedWithin(view.now, recentDemandWindow) {
-				n.gain += view.requestedModelValue() + agingValuePerSecond*s.timeWithoutCopy(view.now, m.Name).Seconds()
+				n.gain += requestedModelValue + agingValuePerSecond*s.timeWithoutCopy(view.now, m.Name).Seconds()
 			}
 		case 1:
 			if n.gain < minMoveValue {
 				n.reason = "single copy"
 			}
-			n.gain += view.secondCopyValue() + singleCopyLossShare*n.forecast.value
+			n.gain += view.secondCopyValue() + singleCopyLossShare*n.value
 		}
 		if n.gain >= minMoveValue {
 			out = append(out, n)
@@ -126,11 +123,9 @@
 
 // bestMove returns the most valuable move for a needed copy. It returns nil if
 // there is none, or if the replica of that move is busy: waiting for it is then
-// worth more than any other move. At a slow store, a replica that can begin now is
-// chosen if its move is worth minIdleMoveShare of the best. storeReady permits loads
-// from the weight store.
+// worth more than any other move. storeReady permits loads from the weight store.
 func (s *State) bestMove(view *poolView, n neededCopy, storeReady bool) *moveOption {
-	var best, bestIdle *moveOption
+	var best *moveOption
 	minValue := minMoveValue
 	for _, rv := range view.replicas {
 		if slices.Contains(rv.models, n.model.Name) || rv.replica.holds(n.model.Name) || rv.replica.loading == unknownModel {
@@ -139,24 +134,14 @@
 		if !storeReady && !rv.replica.hasLocalWeights(n.model.Name) {
 			continue
 		}
-		o := s.evaluateMove(view, rv, n, minValue*view.minIdleShare())
-		if o == nil {
-			continue
-		}
-		if o.value > minValue {
+		if o := s.evaluateMove(view, rv, n, minValue); o != nil {
 			best, minValue = o, o.value
 		}
-		if rv.replica.idle(view.now) && (bestIdle == nil || o.value > bestIdle.value) {
-			bestIdle = o
-		}
 	}
-	if best == nil || best.target.replica.idle(view.now) {
-		return best
-	}
-	if bestIdle != nil && bestIdle.value > max(minMoveValue, view.minIdleShare()*best.value) {
-		return bestIdle
+	if best == nil || !best.target.replica.idle(view.now) {
+		return nil
 	}
-	return nil
+	return best
 }
 
 // evaluateMove returns the move that loads a needed copy on one replica, or nil
@@ -168,19 +153,18 @@
 		return nil
 	}
 	load, loss, drainTime, ok := view.planEvictions(o, n)
-	if !ok {
+	if !ok || len(o.evictions) > 0 && view.keepsInitialCopies() {
 		return nil
 	}
 	duration += drainTime
 	otherValue := 0.0
 	for _, model := range rv.models {
-		if f := view.forecast(model); rv.loadByModel[model] > 0 && !slices.Contains(o.evictions, model) {
-			otherValue += f.value * rv.loadByModel[model] * rv.speed / f.utilization
+		if d := s.demand[model]; rv.loadByModel[model] > 0 && !slices.Contains(o.evictions, model) {
+			otherValue += d.value() * rv.loadByModel[model] / d.utilization()
 		}
 	}
-	sites := append(view.sites(n.model.Name, nil), site{load, rv.speed})
-	level := waterLevelOrUnserved(n.forecast.utilization, sites)
-	gain := n.gain - view.missedValue(n.forecast, sites) - n.adapterValue*view.unplacedShare(n.model.Name, rv.freeAdapterSlots) - otherValue*(missRate(max(level, load))-missRate(load))
+	level := waterLevelOrUnserved(n.utilization, append(view.loads(n.model.Name, nil), load))
+	gain := n.gain - n.value*view.missRate(level) - n.adapterValue*view.unplacedShare(n.model.Name, rv.freeAdapterSlots) - otherValue*(view.missRate(max(level, load))-view.missRate(load))
 	o.value = gain*view.remainingShare(duration) - loss - view.blockedAdapterCost(rv, duration)
 	if !view.hasCopyInDataCentre(n.model.Name, rv.replica.info.DataCentre) {
 		o.value += dataCentreCopyValue
@@ -236,41 +220,16 @@
 // blockedAdapterCost returns the cost of the adapter requests that a replica
 // can't serve during a move, when it loads no adapters.
 func (view *poolView) blockedAdapterCost(rv *replicaView, duration time.Duration) float64 {
-	if !rv.lostAdaptersKnown {
-		rv.lostAdapters, rv.lostAdaptersKnown = view.lostAdapterRequests(rv), true
-	}
-	return rv.lostAdapters * replicaSecondsPerRequest * duration.Seconds() / view.horizon.Seconds()
-}
-
-// lostAdapterRequests returns the adapter requests per second that a replica can't serve
-// while it loads no adapters.
-func (view *poolView) lostAdapterRequests(rv *replicaView) float64 {
 	requests := 0.0
 	for _, model := range rv.models {
 		rate := view.state.demand[model].adapterRate()
-		if n := view.openCopies(model); n > 1 {
+		if n := len(view.copies[model]); n > 1 {
 			requests += rate / float64(n) * adapterMissShare
 		} else {
 			requests += rate * singleCopyAdapterMissShare
 		}
 	}
-	return requests
-}
-
-// openCopies returns the number of a model's copies. At a slow store, it counts only
-// those on replicas that load no model and can therefore load adapters.
-func (view *poolView) openCopies(model string) int {
-	copies := view.copies[model]
-	if !view.slowStore {
-		return len(copies)
-	}
-	n := 0
-	for _, rv := range copies {
-		if rv.replica.loading == "" && rv.replica.move == nil {
-			n++
-		}
-	}
-	return n
+	return requests * replicaSecondsPerRequest * duration.Seconds() / view.horizon.Seconds()
 }
 
 func (view *poolView) hasCopyInDataCentre(model, dataCentre string) bool {
@@ -303,7 +262,7 @@
 			v.drainTime += min(time.Duration(running)*drainTimePerRequest, maxDrainTime)
 		}
 		// While a copy drains, it serves no new requests.
-		share := view.forecast(model).value / float64(max(1, len(view.copies[model])))
+		share := view.state.demand[model].value() / float64(max(1, len(view.copies[model])))
 		v.loss += share * v.drainTime.Seconds() / view.horizon.Seconds() * drainLossShare
 		rv.evictionCandidates = append(rv.evictionCandidates, v)
 	}
@@ -317,18 +276,17 @@
 func (view *poolView) evictionLoss(rv *replicaView, model string) float64 {
 	d := view.state.demand[model]
 	loss := 0.0
-	f := view.forecast(model)
-	if f.value > 0 {
-		loss = view.missedValue(f, view.sites(model, rv)) - view.missedValue(f, view.sites(model, nil))
+	if d.value() > 0 {
+		loss = d.value() * (view.missRate(waterLevelOrUnserved(d.utilization(), view.loads(model, rv))) - view.missRate(view.modelWaterLevel(model, d.utilization())))
 	}
 	switch n := len(view.copies[model]); {
 	case n <= 1:
 		loss += firstCopyValue + secondCopyValue
 		if d.requestedWithin(view.now, recentDemandWindow) {
-			loss += view.requestedModelValue()
+			loss += requestedModelValue
 		}
 	case n == 2:
-		loss += view.secondCopyValue() + singleCopyLossShare*f.value
+		loss += view.secondCopyValue() + singleCopyLossShare*d.value()
 	default:
 		loss += secondCopyValue / float64(n*n)
 	}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -110,12 +110,8 @@
 // returns false if none has.
 func (s *State) startBestMove(now time.Time, view *poolView) ([]Action, bool) {
 	for _, n := range s.neededCopies(view) {
-		if view.skipsSearch(n.model.Name) {
-			continue
-		}
 		o := s.bestMove(view, n, s.canStartStoreLoad(now, view))
 		if o == nil {
-			view.recordFruitlessSearch(n.model.Name)
 			continue
 		}
 		rv := o.target
--- a/residency/poolview.go
+++ b/residency/poolview.go
@@ -20,11 +20,6 @@
 	// copies lists the replicas that hold a model or will hold it, by model.
 	copies     map[string][]*replicaView
 	heldCopies map[string]int
-	forecasts  map[string]*forecast // by model in demand
-	// withoutMove is the set of models for which this plan has found no move, and
-	// fruitlessSearches counts those of them that have a copy.
-	withoutMove       map[string]bool
-	fruitlessSearches int
 	// adapters is the set of adapters that any replica holds or has a request
 	// for, as MODEL/ADAPTER.
 	adapters map[string]bool
@@ -42,23 +37,19 @@
 	models      []string
 	loadByModel map[string]float64 // utilization by model
 	load        float64            // sum of loadByModel
-	speed       float64            // relative to the mean of the pool
 	freeMB      float64            // memory available for another model
 	// freeAdapterSlots counts the slots that hold no adapter in use.
 	freeAdapterSlots int
 	// evictionCandidates caches the result of evictionCandidatesOn. It is nil
 	// until computed.
 	evictionCandidates []evictionCandidate
-	// lostAdapters caches the result of lostAdapterRequests.
-	lostAdapters      float64
-	lostAdaptersKnown bool
 }
 
 // newPoolView returns the current view of a service's replicas.
 func (s *State) newPoolView(now time.Time, service *catalog.Service) *poolView {
 	view := &poolView{
 		state: s, now: now, engine: service.Engine,
-		copies: make(map[string][]*replicaView), heldCopies: make(map[string]int), withoutMove: make(map[string]bool), adapters: make(map[string]bool), unplacedAdapters: make(map[string]int), adaptersInUse: make(map[string]int),
+		copies: make(map[string][]*replicaView), heldCopies: make(map[string]int), adapters: make(map[string]bool), unplacedAdapters: make(map[string]int), adaptersInUse: make(map[string]int),
 	}
 	for id, r := range s.replicas {
 		if r.info.Service == service.Name && !r.info.Leaving && !r.unreachable {
@@ -71,14 +62,12 @@
 		model, _, _ := strings.Cut(key, "/")
 		view.unplacedAdapters[model]++
 	}
-	view.estimateSpeeds()
-	view.forecasts = view.newForecasts()
 	view.distributeWork()
 	return view
 }
 
 func (view *poolView) addReplica(id string, r *replica) {
-	rv := &replicaView{id: id, replica: r, speed: 1, loadByModel: make(map[string]float64), freeMB: view.engine.WeightsMB - view.state.usedMB(r, view.engine)}
+	rv := &replicaView{id: id, replica: r, loadByModel: make(map[string]float64), freeMB: view.engine.WeightsMB - view.state.usedMB(r, view.engine)}
 	view.replicas = append(view.replicas, rv)
 	for _, name := range r.models() {
 		switch {
@@ -144,7 +133,7 @@
 	rv.freeMB -= m.model.WeightsMB
 	view.distributeWork()
 	for _, other := range view.replicas {
-		other.evictionCandidates, other.lostAdaptersKnown = nil, false
+		other.evictionCandidates = nil
 	}
 }
 
--- a/residency/residency.go
+++ b/residency/residency.go
@@ -158,7 +158,6 @@
 	adapterRequests []adapterRequest
 	unreachable     bool           // instances can't connect to it
 	runningRequests map[string]int // requests in progress from all instances, by model
-	speed           speedEstimate
 }
 
 type adapter struct {
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -50,6 +50,23 @@
 	fail  func(format string, args ...any)
 }
 
+// loadTime returns the time of a load, and records its weights as local.
+func (f *fakeReplica) loadTime(c *catalog.Engine, model string) time.Duration {
+	took := time.Second
+	if i := slices.Index(f.local, model); f.local != nil {
+		took = c.Model(model).StoreLoadTime
+		switch {
+		case i >= localMemory:
+			took = c.Model(model).DiskLoadTime
+		case i >= 0:
+			took = c.Model(model).MemoryLoadTime
+		}
+		others := slices.DeleteFunc(slices.Clone(f.local), func(m string) bool { return m == model })
+		f.local = append([]string{model}, others[:min(len(others), localModels-1)]...)
+	}
+	return took
+}
+
 func (f *fakeReplica) usedMB(c *catalog.Engine) float64 {
 	mb := 0.0
 	for m := range f.models {
