--- a/residency/moves.go
+++ b/residency/moves.go
@@ -131,7 +131,10 @@
 		if slices.Contains(rv.models, n.model.Name) || rv.replica.holds(n.model.Name) || rv.replica.loading == unknownModel {
 			continue
 		}
-		if o := s.evaluateMove(view, rv, n, minValue); o != nil && (storeReady || !o.fromStore) {
+		if !storeReady && !rv.replica.hasLocalWeights(n.model.Name) {
+			continue
+		}
+		if o := s.evaluateMove(view, rv, n, minValue); o != nil {
 			best, minValue = o, o.value
 		}
 	}
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -264,3 +264,47 @@
 	p.now = until
 	is.Equal(reports(p.state.Plan(p.now)), 1)
 }
+
+// Guards against a copy that is loaded twice and that no request waits for, because the
+// order to load it was carried out but not answered, and against taking another load for it.
+func TestUnansweredLoadIsResumed(t *testing.T) {
+	for _, c := range []struct {
+		storeLoad time.Duration
+		accepted  int64
+		arrivals  map[string]time.Duration
+	}{
+		{9 * time.Second, 1, map[string]time.Duration{"m0": 9 * time.Second}},
+		{9 * time.Second, 2, map[string]time.Duration{}},
+		{planHorizon, 1, map[string]time.Duration{}},
+	} {
+		is := is.New(t)
+		p := newTestPool(1, nil)
+		p.state.config.Services[serviceName].Engine.Models[0].StoreLoadTime = c.storeLoad
+		r := p.state.replicas["r0"]
+		r.info.OnDisk = nil
+		order := &Order{Replica: "r0", Operation: Load, Model: "m0", FromStore: true}
+		r.pendingOrder = order
+		p.state.HandleOutcome(p.now, order, Unknown)
+		p.state.HandleReport(p.now, "r0", &Report{StartMillis: 1, Busy: true, AcceptedOrders: c.accepted})
+		is.Equal(p.state.ModelArrivals(p.now), c.arrivals)
+		is.True(!r.idle(p.now))
+	}
+}
+
+// Guards against second copies of models without demand in a deployment with customers
+// whose memory can't hold two copies of each, and against their absence elsewhere.
+func TestNoSecondCopyWhereMemoryIsScarce(t *testing.T) {
+	for _, c := range []struct {
+		models    int
+		customers bool
+		want      int
+	}{{4, true, 0}, {4, false, 2}, {3, true, 2}} {
+		is := is.New(t)
+		p := newTestPool(c.models, []string{"m0", "m1"}, []string{"m2", "m3"}[:c.models-2])
+		if c.customers {
+			p.state.config.SetCustomers([]*catalog.Customer{{Name: "c", Keys: []string{"k"}}})
+		}
+		loads, _ := p.plan()
+		is.Equal(loads["m0"]+loads["m1"]+loads["m2"], c.want)
+	}
+}
