platform: check a config before it is sent

Operators could see problems of a config only in the log of an instance that had taken it over. Nothing that instances accept is rejected.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/platform/platformtest"
 )
 
 func run(t *testing.T, args ...string) (code int, stdout, stderr string) {
@@ -28,6 +31,7 @@
 		{[]string{"frobnicate"}, ExitBadUsage},
 		{[]string{"version", "--frobnicate"}, ExitBadUsage},
 		{[]string{"check"}, ExitBadUsage},
+		{[]string{"check", "--in-force", "old.json"}, ExitBadUsage},
 		{[]string{"serve", "--config", "missing.toml"}, ExitFailure},
 		{[]string{"dev", "--deployment", "nowhere"}, ExitFailure},
 	} {
@@ -81,6 +85,33 @@
 	is.True(strings.Contains(out, file+":2:"))
 }
 
+// Guards against findings about the config that the tests of instances use, against
+// differences that count as findings, and against output that is not one JSON object.
+func TestCheckPlatformConfig(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	write := func(name string, config []byte) string {
+		path := filepath.Join(dir, name)
+		is.NoErr(os.WriteFile(path, config, 0o600))
+		return path
+	}
+	old, next := write("old.json", platformtest.Config(1, "")), write("new.json", platformtest.Config(2, ""))
+	code, out, _ := run(t, "check", "--platform-config", next, "--in-force", old)
+	is.Equal(code, ExitOK)
+	is.Equal(out, "no findings\nversion changed from 1 to 2\n")
+	code, out, _ = run(t, "check", "--platform-config", old, "--in-force", next, "--json")
+	is.Equal(code, ExitFailure)
+	var result struct {
+		Findings    []findingRecord
+		Differences []string
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &result))
+	is.Equal(result.Differences, []string{"version changed from 2 to 1"})
+	is.Equal(len(result.Findings), 1)
+	is.Equal(result.Findings[0].Key, "version")
+	is.Equal(result.Findings[0].Line, 1)
+}
+
 // Guards against deploy files that pass the check although they start another
 // program or name a metrics address that the processes don't serve.
 func TestCheckDeployFile(t *testing.T) {
