--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -90,6 +90,7 @@
 func New(o Options) *Service {
 	initWaitCounters(o.Metrics)
 	o.Metrics.Counter(prefixFetchesMetric)
+	o.Metrics.Counter(keysRejectedMetric)
 	s := &Service{
 		node: o.Node, readinessPath: o.ReadinessPath, protocol: o.Protocol, pool: o.Pool, log: o.Log, metrics: o.Metrics,
 		recorder: newRecorder(o.Log, o.Metrics), group: worker.NewGroup(),
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -26,6 +26,8 @@
 	// before the refusal. drainTimeout also limits the reads after the refusal of a body.
 	maxDrainBytes = 1 << 20
 	drainTimeout  = time.Second
+	// keysRejectedMetric counts requests without the key of a customer.
+	keysRejectedMetric = "keys_rejected"
 	// noConfigRetry is the time after which a caller should retry at an instance
 	// that has no config yet.
 	noConfigRetry = 500 * time.Millisecond
@@ -70,7 +72,7 @@
 	}
 	if x.byCustomer = config.HasCustomers(); x.byCustomer && !x.route.Public {
 		if x.customer = config.FindCustomer(head.Key); x.customer == nil {
-			s.metrics.Counter("keys_rejected").Add(1)
+			s.metrics.Counter(keysRejectedMetric).Add(1)
 			x.refuse(http.StatusUnauthorized, "unknown-key", 0)
 			return
 		}
