--- a/controlplane/queue.go
+++ b/controlplane/queue.go
@@ -7,7 +7,7 @@
 )
 
 // waitsMetric is the counter of requests that waited, by cause. Package ingress counts those
-// of services whose replicas do not state their slowness.
+// of services that are not contended.
 const waitsMetric = "waits"
 
 // serveTimePerWaiter is the least time between two passes over the waiting requests of all
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -75,7 +75,7 @@
 	Delivered    int      // sends that reached a replica
 	PossibleRuns int      // replicas that may have run the request
 	// Rejected holds those of Tried that answered that they have not run the request. A
-	// service that states its slowness can get it again, as a slot of a replica that was full
+	// contended service can get it again, as a slot of a replica that was full
 	// can be free.
 	Rejected []string
 	// FromSilent is set if the request is to be taken over from a replica that is only
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -218,7 +218,7 @@
 	// replicas of the service.
 	hasCustomers bool
 	queue        waitQueue
-	pace         pace // of a plain service that states its slowness
+	pace         pace // of a contended plain service
 }
 
 // New returns a State without replicas.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -46,7 +46,7 @@
 }
 
 // maxPresentReportAge is the age up to which the requests in a report count for a service
-// that states its slowness. Its requests are held back while replicas are full, and nothing
+// that is contended. Its requests are held back while replicas are full, and nothing
 // would correct an older report: no request is sent, so no answer brings a newer one.
 const maxPresentReportAge = 500 * time.Millisecond
 
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -8,8 +8,9 @@
 	"github.com/hyssophaven/hyssophaven/catalog"
 )
 
-// This file decides on requests for services whose replicas share their machines with other
-// work, and therefore state how slow these are now. The load pattern is spells of more
+// This file decides on requests for contended services: their replicas share their machines
+// with other work, and therefore state how slow these are now, or customers compete for the
+// replicas. The load pattern is spells of more
 // demand than capacity and replicas of unequal, changing speed: requests that are sent at
 // once pile up at replicas, where they are rejected or starve until their callers leave.
 //
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -26,8 +26,8 @@
 // refusal at the end of its time would not reach the caller before it leaves.
 const maxPlainWaitPercent = 75
 
-// Waiter is a request that waits for a decision other than Wait. Only services whose
-// replicas state their slowness have waiters.
+// Waiter is a request that waits for a decision other than Wait. Only contended
+// services have waiters.
 type Waiter struct {
 	Request *Request
 	History History
