--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -183,3 +183,15 @@
 	}
 	is.True(refusedAfter >= 500*time.Millisecond && refusedAfter <= 800*time.Millisecond)
 }
+
+// Guards against refusing a request to a model because of an estimate that is a little above
+// what its caller waits: estimates are often twice too long, and the caller comes back.
+func TestModelRequestIsRefusedOnlyWithoutProspect(t *testing.T) {
+	for factor, verdict := range map[float64]Verdict{0.5: Wait, 1.5: Wait, 3: Refuse} {
+		is := is.New(t)
+		req := streamRequest("r", 1)
+		leaves := leaveTime(req, History{}).Sub(req.Arrived)
+		s := newFullState(time.Duration(factor * float64(leaves)))
+		is.Equal(s.Choose(epoch, req, History{}).Verdict, verdict)
+	}
+}
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -308,3 +308,29 @@
 		is.Equal(loads["m0"]+loads["m1"]+loads["m2"], c.want)
 	}
 }
+
+// Guards against evicting copies of the models that are expected to be busy, before any
+// request has come, for a model that nobody asked for.
+func TestInitialCopiesStayUntilFirstRequestWhereMemoryIsScarce(t *testing.T) {
+	for _, c := range []struct{ customers, requests, evicts bool }{{true, false, false}, {true, true, true}, {false, false, true}} {
+		is := is.New(t)
+		p := newTestPool(6, []string{"m0", "m1", "m2"}, []string{"m0", "m3", "m4"})
+		if c.customers {
+			p.state.config.SetCustomers([]*catalog.Customer{{Name: "c", Keys: []string{"k"}}})
+		}
+		if c.requests {
+			p.addDemand("m1", 0.1)
+		}
+		_, unloading := p.plan()
+		is.Equal(unloading["m0"] > 0, c.evicts) // makes room for m5, which has no copy
+	}
+}
+
+// Guards against a busy model that gets no further copy at a load at which prompts already
+// delay the events of streams beyond their target.
+func TestMissRateRisesEarlierWhereMemoryIsScarce(t *testing.T) {
+	is := is.New(t)
+	is.Equal(poolTraits{}.missRate(0.3), 0.0)
+	is.True(poolTraits{scarce: true}.missRate(0.3) > 0.05)
+	is.True(poolTraits{scarce: true}.missRate(0.47) > 3*poolTraits{}.missRate(0.47))
+}
