leader: record the epochs of each era of the store

After a restore of the store, versions are given out again. An instance that was suspended across it wrote the lease on the condition of a version of the earlier era. The condition held by accident, the writer dropped the answer, but its record had replaced that of the present holder, and the next epoch was computed from the row alone.

Each acquisition now stores its epoch in the epoch record of the store's era, in the same transaction; there is a row for each era, so a write of another era can't change it. Each write of the lease also requires that the next era has no epoch record, so that a holder of that era keeps its row.

--- a/actuator/actuator.go
+++ b/actuator/actuator.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,7 +19,6 @@
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/kernel"
-	"github.com/hyssophaven/hyssophaven/leader"
 	"github.com/hyssophaven/hyssophaven/residency"
 	"github.com/hyssophaven/hyssophaven/rowstore"
 	"github.com/hyssophaven/hyssophaven/upstream"
@@ -31,9 +29,6 @@
 const ServiceName = "actuator"
 
 const (
-	// leaseTable and leaseKey identify the row of the order lease in the store.
-	leaseTable = "hyssophaven-lease"
-	leaseKey   = "orders"
 	// answerTimeout limits the wait for the answer to an order or a report request,
 	// which takes one round trip. The outcome of an order without an answer within
 	// this time is unknown.
@@ -177,59 +172,3 @@
 	notice, err := s.codec.Notice(answer.Status, answer.Header)
 	s.control.PostNotice(&catalog.Replica{ID: replica, Address: address}, notice, err)
 }
-
-func (s *Service) accessLease(ctx context.Context, e controlplane.AccessLease) {
-	if e.Action == leader.ReadLease {
-		s.readLease(ctx)
-		return
-	}
-	value, err := json.Marshal(e.Write.Lease)
-	if err != nil {
-		s.control.Post(controlplane.LeaseFailed{Err: err})
-		return
-	}
-	conditions := []rowstore.Condition{{Table: leaseTable, Key: leaseKey, Version: e.Write.Version}}
-	if e.Config != nil {
-		conditions = append(conditions, rowstore.Condition{Table: e.Config.Table, Key: e.Config.Key, Version: e.Config.Version})
-	}
-	version, err := s.store.Write(ctx, conditions, []rowstore.Row{{Table: leaseTable, Key: leaseKey, Value: value}})
-	if row, ok := changedConfig(e, err); ok {
-		s.control.Post(controlplane.LeaseRejected{Config: row})
-		return
-	}
-	if err != nil {
-		s.control.Post(controlplane.LeaseFailed{Conflict: errors.Is(err, rowstore.ErrConflict), Err: err})
-		return
-	}
-	s.control.Post(controlplane.LeaseWritten{Version: version})
-}
-
-// changedConfig returns the row of the config if it is the only reason why a write of the
-// lease was rejected.
-func changedConfig(e controlplane.AccessLease, err error) (rowstore.Row, bool) {
-	var conflict *rowstore.ConflictError
-	if e.Config == nil || !errors.As(err, &conflict) || conflict.Row(leaseTable, leaseKey).Version != e.Write.Version {
-		return rowstore.Row{}, false
-	}
-	row := conflict.Row(e.Config.Table, e.Config.Key)
-	return row, row.Version != e.Config.Version
-}
-
-func (s *Service) readLease(ctx context.Context) {
-	page, err := s.store.Read(ctx, leaseTable)
-	if err != nil {
-		s.control.Post(controlplane.LeaseFailed{Err: err})
-		return
-	}
-	row := leader.Row{Version: rowstore.NewVersion(page.Version.Era(), 0)}
-	for _, r := range page.Rows {
-		if r.Key != leaseKey {
-			continue
-		}
-		if err := json.Unmarshal(r.Value, &row.Lease); err != nil {
-			s.log.Error("cannot decode order lease", "version", r.Version, "error", err)
-		}
-		row.Version = r.Version
-	}
-	s.control.Post(controlplane.LeaseRead{Row: row})
-}
--- a/actuator/actuator_test.go
+++ b/actuator/actuator_test.go
@@ -82,6 +82,12 @@
 	write := controlplane.AccessLease{Action: leader.WriteLease, Write: leader.Write{Version: version(3)}, Config: &controlplane.ConfigRow{Table: "config", Key: "key", Version: version(2)}}
 	first := write
 	first.Write.Version = version(0)
+	epochs := func(n uint64) rowstore.Row {
+		return rowstore.Row{Table: leaseTable, Key: epochsKey(1), Version: version(n)}
+	}
+	nextEra := rowstore.Row{Table: leaseTable, Key: epochsKey(2), Version: version(7)}
+	acquisition := write
+	acquisition.Write.GivesEpoch, acquisition.Write.Lease.Era, acquisition.Write.EpochsVersion = true, 1, version(4)
 	unconditional := write
 	unconditional.Config = nil
 	conflict := func(rows ...rowstore.Row) error {
@@ -99,6 +105,9 @@
 		"lease written":               {write, conflict(lease(7), config(2)), false, 0},
 		"both changed":                {write, conflict(lease(7), config(8)), false, 0},
 		"lease removed":               {write, conflict(config(8)), false, 0},
+		"config changed, acquisition": {acquisition, conflict(lease(3), epochs(4), config(8)), true, version(8)},
+		"epoch given out in next era": {write, conflict(lease(3), nextEra, config(8)), false, 0},
+		"epoch given out":             {acquisition, conflict(lease(3), epochs(5), config(8)), false, 0},
 		"no condition":                {unconditional, conflict(lease(3), config(8)), false, 0},
 		"rows unknown":                {write, rowstore.ErrConflict, false, 0},
 		"no answer":                   {write, rowstore.ErrUnknownOutcome, false, 0},
--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -24,6 +25,75 @@
 	})
 }
 
+// Guards against an epoch that two instances order with, and against a lower epoch after a
+// higher one: a write of an instance that missed a restore of the store, or one that takes
+// effect late, replaces the row of the lease because its version was given out again.
+func TestEpochsAreUniqueAcrossRestores(t *testing.T) {
+	for range 10 {
+		rapid.Check(t, runWithMissedRestores)
+	}
+}
+
+// runWithMissedRestores restores the store from copies that lack its last transactions, each
+// time while an instance does not learn of it. In some restores the instance is back as soon
+// as the row of the lease has the version again that it knows.
+func runWithMissedRestores(t *rapid.T) {
+	c := newCluster(3)
+	c.store.era = 1
+	c.store.row.Version = rowstore.NewVersion(1, 0)
+	c.store.keepsHistory = true
+	steps := func(most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(t, "steps")) * stepTime
+	}
+	now := c.advance(0, Term)
+	for range rapid.IntRange(1, 4).Draw(t, "restores") {
+		now = c.advance(now, steps(200))
+		k := rapid.IntRange(0, 2).Draw(t, "instance")
+		i := c.instances[k]
+		if rapid.Bool().Draw(t, "late write") {
+			for end := now + renewInterval; now < end; now += stepTime {
+				c.stepWithLateCalls(now, k)
+			}
+		}
+		suspended := rapid.Bool().Draw(t, "suspended")
+		i.partitioned = !suspended
+		if suspended {
+			i.frozenUntil = math.MaxInt64
+		}
+		now = c.advance(now, steps(10))
+		lost := rapid.IntRange(0, min(6, len(c.store.copies)-1)).Draw(t, "lost")
+		c.store.restore(len(c.store.copies) - 1 - lost)
+		for range rapid.IntRange(0, 3).Draw(t, "other transactions") {
+			c.store.commit()
+		}
+		matches := rapid.Bool().Draw(t, "version matches")
+		for end := now + steps(60); now < end || matches && now < end+Term; now += stepTime {
+			if matches && c.store.row.Version.Counter() == i.state.row.Version.Counter() {
+				break
+			}
+			c.step(now)
+		}
+		c.store.applyDelayedWrites()
+		i.partitioned, i.frozenUntil = false, 0
+		now = c.advance(now, steps(160))
+	}
+	c.advance(now, 2*(orderWindow+maxOrderDelay+handoverGap))
+	c.checkOrders(t)
+}
+
+// stepWithLateCalls is step, but calls of instance k to the store get no answer and take
+// effect late.
+func (c *cluster) stepWithLateCalls(now time.Duration, k int) {
+	for n := range c.instances {
+		callResult := ""
+		if n == k {
+			callResult = "late"
+		}
+		c.tick(now, n, callResult)
+	}
+	c.sendContacts(now)
+}
+
 // Guards against a successor that takes a restored record, or a missing one, for the state
 // of the lease: that of another holder which it still has to wait for, or of one that
 // released it. The last holder orders until its term ends, because it reaches neither the
@@ -54,7 +124,7 @@
 					step()
 				}
 			}
-			c.store.copies = []storeCopy{{Row{Lease: test.copied, Version: rowstore.NewVersion(1, test.version)}, test.version}}
+			c.store.copies = []storeCopy{{row: Row{Lease: test.copied, Version: rowstore.NewVersion(1, test.version)}, counter: test.version}}
 			c.store.restore(0)
 			c.instances[test.holder].partitioned = true
 			successor := 1 - test.holder
@@ -65,7 +135,7 @@
 			for c.orders[len(c.orders)-1].by == test.holder {
 				step()
 			}
-			c.checkOrderGaps(t)
+			c.checkOrders(t)
 		})
 	}
 }
@@ -80,14 +150,14 @@
 		for end := now + outage; now < end; {
 			now = c.step(now)
 		}
-		c.store.copies = []storeCopy{{held, c.store.counter}}
+		c.store.copies = []storeCopy{{row: held, counter: c.store.counter}}
 		c.store.restore(0)
 		c.instances[0].storeUnreachable, c.instances[1].storeUnreachable = false, true
 		for end := now + 3*(Term+handoverGap); now < end; now += 50 * time.Millisecond {
 			c.tick(now, 0, "") // the instances don't reach each other
 			c.tick(now, 1, "")
 		}
-		c.checkOrderGaps(t)
+		c.checkOrders(t)
 	}
 }
 
@@ -97,7 +167,7 @@
 	c, now := newClusterWithHolder()
 	step := func() { now = c.step(now) }
 	delayed := Write{Lease: c.store.row.Lease}
-	c.store.copies = []storeCopy{{Row{}, 0}}
+	c.store.copies = []storeCopy{{}}
 	c.store.restore(0)
 	old := c.instances[0]
 	old.state.RecordEra(old.now(now), c.store.era) // a peer tells it of the restore
@@ -111,7 +181,7 @@
 	for end := now + 2*Term + 2*handoverGap; now < end; {
 		step()
 	}
-	c.checkOrderGaps(t)
+	c.checkOrders(t)
 }
 
 // Guards against orders that stop for long after a restore of the store: the holder goes
--- a/leader/lateorders_test.go
+++ b/leader/lateorders_test.go
@@ -89,5 +89,5 @@
 	}
 	delay = 0
 	c.advance(now, 2*(orderWindow+maxOrderDelay+handoverGap))
-	c.checkOrderGaps(t)
+	c.checkOrders(t)
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -17,8 +17,13 @@
 // lost or old. Each record therefore contains the era in which it was written; a record
 // of an earlier era says nothing about the last holder, nor does a missing one. The
 // successor then waits as it does for a holder that renewed the lease just now. Only the
-// last holder goes on without waiting, if no successor can order before it stops. Epochs
-// contain the era, so none is given out twice.
+// last holder goes on without waiting, if no successor can order before it stops.
+//
+// Invariant: an epoch belongs to one acquisition, and a later one has a higher epoch. Epochs
+// contain the era. Within an era the row of the lease does not show which epochs were given
+// out: versions of the earlier era are given out again, so an instance that missed the
+// restore can replace the row with a record of the earlier era. Each acquisition therefore
+// also writes the epoch record of its era, which has a row for each era.
 package leader
 
 import (
@@ -200,9 +205,9 @@
 		}
 		next := s.self
 		next.Era = s.row.Version.Era()
-		next.Epoch = max(s.row.Epoch, next.Era*epochsPerEra) + 1
+		next.Epoch = max(s.row.Epoch, s.row.Epochs.Last, next.Era*epochsPerEra) + 1
 		next.HandoverDone = s.writtenBySelf() && s.row.HandoverDone || s.resumesLease() && now >= s.orderFrom
-		return s.startWrite(now, next)
+		return s.startWrite(now, Write{Lease: next, GivesEpoch: true, EpochsVersion: s.row.Epochs.Version})
 	}
 	s.nextRead = now.Add(readRetryInterval)
 	return s.startCall(now, ReadLease)
@@ -227,7 +232,7 @@
 	case s.stopping:
 		next.Released = true
 	}
-	return s.startWrite(now, next)
+	return s.startWrite(now, Write{Lease: next})
 }
 
 func (s *State) startCall(now bootclock.Time, a Action) Action {
@@ -235,8 +240,9 @@
 	return a
 }
 
-func (s *State) startWrite(now bootclock.Time, lease Lease) Action {
-	s.nextWrite = Write{Lease: lease, Version: s.row.Version}
+func (s *State) startWrite(now bootclock.Time, w Write) Action {
+	w.Version = s.row.Version
+	s.nextWrite = w
 	return s.startCall(now, WriteLease)
 }
 
@@ -307,9 +313,13 @@
 		s.held, s.rowKnown, s.nextRead = false, false, now
 		return
 	}
+	row := Row{Lease: s.nextWrite.Lease, Version: version, Epochs: s.row.Epochs}
+	if s.nextWrite.GivesEpoch {
+		row.Epochs = EpochRecord{Last: row.Epoch, Version: version}
+	}
 	if s.nextWrite.Lease.Released {
 		s.held = false
-		s.row = Row{Lease: s.nextWrite.Lease, Version: version}
+		s.row = row
 		return
 	}
 	if !s.held {
@@ -318,7 +328,7 @@
 			s.orders.waitUntil(ordersArriveBy(s.rowSince))
 		}
 	}
-	s.row, s.rowKnown, s.rowSince = Row{Lease: s.nextWrite.Lease, Version: version}, true, now
+	s.row, s.rowKnown, s.rowSince = row, true, now
 	s.held, s.heldUntil, s.renewAt, s.resumes = true, sent.Add(Term), sent.Add(renewInterval), false
 	s.handoverDone = s.nextWrite.Lease.HandoverDone
 	if s.stopping {
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/bits"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -20,35 +20,74 @@
 // that take effect late.
 type store struct {
 	row           Row
+	epochs        map[uint64]EpochRecord // by era
 	delayedWrites []Write
 	counter, era  uint64 // of the last transaction
 	copies        []storeCopy
+	// keepsHistory makes each transaction leave a copy.
+	keepsHistory bool
 }
 
 // storeCopy is a copy from which a store can be restored.
 type storeCopy struct {
 	row     Row
 	counter uint64
+	epochs  map[uint64]EpochRecord
+}
+
+// read returns the row of the lease with the epoch record of the store's era.
+func (s *store) read() Row {
+	row := s.row
+	row.Epochs = s.epochs[s.era]
+	row.Epochs.Version = rowstore.NewVersion(s.era, row.Epochs.Version.Counter())
+	return row
 }
 
 // putIfVersion compares counters only, as the store does.
 func (s *store) putIfVersion(w Write) bool {
-	if s.row.Version.Counter() != w.Version.Counter() {
+	_, laterEra := s.epochs[w.Version.Era()+1]
+	if s.row.Version.Counter() != w.Version.Counter() || laterEra {
 		return false
 	}
-	s.counter++
+	if w.GivesEpoch && s.epochs[w.Lease.Era].Version.Counter() != w.EpochsVersion.Counter() {
+		return false
+	}
+	s.commit()
 	s.row = Row{Lease: w.Lease, Version: rowstore.NewVersion(s.era, s.counter)}
+	if w.GivesEpoch {
+		s.epochs = maps.Clone(s.epochs)
+		if s.epochs == nil {
+			s.epochs = make(map[uint64]EpochRecord)
+		}
+		s.epochs[w.Lease.Era] = EpochRecord{Last: w.Lease.Epoch, Version: s.row.Version}
+	}
 	return true
 }
 
-func (s *store) copy() { s.copies = append(s.copies, storeCopy{s.row, s.counter}) }
+// applyDelayedWrites executes the writes that were delayed, if their conditions hold.
+func (s *store) applyDelayedWrites() {
+	for _, late := range s.delayedWrites {
+		s.putIfVersion(late)
+	}
+	s.delayedWrites = nil
+}
+
+// commit counts a transaction, which need not concern the lease.
+func (s *store) commit() {
+	if s.keepsHistory {
+		s.copy()
+	}
+	s.counter++
+}
+
+func (s *store) copy() { s.copies = append(s.copies, storeCopy{s.row, s.counter, s.epochs}) }
 
 // restore begins a new era with the n-th copy.
 func (s *store) restore(n int) {
 	c := s.copies[n]
 	s.copies = s.copies[:n+1]
 	s.era++
-	s.counter = c.counter
+	s.counter, s.epochs = c.counter, c.epochs
 	s.row = Row{Lease: c.row.Lease, Version: rowstore.NewVersion(s.era, c.row.Version.Counter())}
 }
 
@@ -69,6 +108,7 @@
 // sentOrder is an order that arrives at a replica, and is answered, delay after it was sent.
 type sentOrder struct {
 	by        int
+	epoch     uint64
 	at, delay time.Duration
 }
 
@@ -83,13 +123,12 @@
 	store     store
 	instances []*instance
 	orders    []sentOrder
-	epochs    map[uint64]int // instance that ordered with an epoch
 	// orderDelay returns the delay of the next order; nil stands for no delay.
 	orderDelay func() time.Duration
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{epochs: make(map[uint64]int)}
+	c := &cluster{}
 	for k := range n {
 		i := &instance{offset: time.Duration(k) * time.Hour}
 		i.state = newState(k, Options{FirstStart: true, StartedAt: i.now(0)})
@@ -118,17 +157,16 @@
 			i.state.RecordFailure(i.now(t), false)
 			return
 		}
-		i.state.RecordRead(i.now(t), c.store.row)
+		i.state.RecordRead(i.now(t), c.store.read())
 	case WriteLease:
 		c.write(t, i, callResult)
 	}
 	if _, ok := i.state.OrderUntil(i.now(t)); ok {
-		o := sentOrder{by: k, at: t}
+		o := sentOrder{by: k, epoch: i.state.Epoch(), at: t}
 		if c.orderDelay != nil {
 			o.delay = c.orderDelay()
 		}
 		c.orders = append(c.orders, o)
-		c.epochs[i.state.Epoch()] |= 1 << k
 		i.state.RecordOrderSent()
 		i.unanswered = append(i.unanswered, o)
 		i.recordOutcomes(t)
@@ -223,10 +261,7 @@
 		case 4:
 			c.instances[k].storeUnreachable = !c.instances[k].storeUnreachable
 		case 2:
-			for _, late := range c.store.delayedWrites {
-				c.store.putIfVersion(late)
-			}
-			c.store.delayedWrites = nil
+			c.store.applyDelayedWrites()
 		case 3:
 			c.tick(now, k, rapid.SampledFrom([]string{"late", "lost", "rejected"}).Draw(t, "fate"))
 		case 5:
@@ -249,15 +284,12 @@
 			c.sendContacts(now)
 		}
 	}
-	c.checkOrderGaps(t)
-	for epoch, holders := range c.epochs {
-		if bits.OnesCount(uint(holders)) > 1 {
-			t.Fatalf("epoch %d was given out to several instances: bits %b", epoch, holders)
-		}
-	}
+	c.checkOrders(t)
 }
 
-func (c *cluster) checkOrderGaps(t interface{ Fatalf(string, ...any) }) {
+// checkOrders fails if the orders of two instances arrive within the handover gap, have one
+// epoch, or if a later holder has a lower epoch.
+func (c *cluster) checkOrders(t interface{ Fatalf(string, ...any) }) {
 	arrived := slices.SortedStableFunc(slices.Values(c.orders), func(a, b sentOrder) int { return cmp.Compare(a.arrival(), b.arrival()) })
 	for n := 1; n < len(arrived); n++ {
 		a, b := arrived[n-1], arrived[n]
@@ -265,6 +297,16 @@
 			t.Fatalf("an order of instance %d, sent at %s, arrives %s after one of instance %d, sent at %s", b.by, b.at, gap, a.by, a.at)
 		}
 	}
+	holders := make(map[uint64]int)
+	for n, o := range arrived {
+		if by, ok := holders[o.epoch]; ok && by != o.by {
+			t.Fatalf("instances %d and %d order with epoch %d", by, o.by, o.epoch)
+		}
+		holders[o.epoch] = o.by
+		if n > 0 && o.by != arrived[n-1].by && o.epoch < arrived[n-1].epoch {
+			t.Fatalf("an order of instance %d with epoch %d, sent at %s, arrives after one of instance %d with epoch %d", o.by, o.epoch, o.at, arrived[n-1].by, arrived[n-1].epoch)
+		}
+	}
 }
 
 // Guards against a lease that is never renewed because an instance retries a
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -23,6 +23,15 @@
 type Row struct {
 	Lease
 	Version rowstore.Version
+	// Epochs is the record of the epochs that were given out in the era of Version.
+	Epochs EpochRecord
+}
+
+// EpochRecord is the stored record of the epochs of one era. There is a row for each era, so
+// a write that was made in another era can't change it.
+type EpochRecord struct {
+	Last    uint64           // highest epoch that was given out
+	Version rowstore.Version // of the row; counter 0 if it does not exist
 }
 
 func (r Row) exists() bool { return r.Version.Counter() != 0 }
@@ -40,8 +49,15 @@
 	WriteLease
 )
 
-// Write is a write of the lease that is conditional on the version of its row.
+// Write is a write of the lease that is conditional on the version of its row. Since versions
+// of an earlier era can be given out again, it also requires that the era after that of
+// Version has no epoch record: a holder of that era keeps its row.
 type Write struct {
 	Lease   Lease
 	Version rowstore.Version // required version of the row
+	// GivesEpoch is set if the lease is acquired under a new epoch. The same transaction then
+	// stores Lease.Epoch in the epoch record of Lease.Era, whose required version is
+	// EpochsVersion.
+	GivesEpoch    bool
+	EpochsVersion rowstore.Version
 }
