leader: resume after a restore only as the last to order

Replicas could get orders of two holders less than the handover gap apart. After a restore of the store the last holder goes on without a wait. An instance that had acquired the lease and still waited for its predecessor did so too, although the predecessor had gone on in an era that this instance missed; and so did one whose delayed renewal had replaced the record of an acquisition in the present era.

Only an instance whose handover was done resumes now, and only while the era has no epoch record.

--- a/leader/era.go
+++ b/leader/era.go
@@ -22,9 +22,12 @@
 // can have acquired the lease. One that acquires it later and loses it in the restore
 // orders for a Term after that at most, but not before the handover gap is over, if the
 // orders of this instance were the last ones.
+//
+// A holder that still waits for its predecessor can't go on: the predecessor may have done
+// so in an era that this instance has missed.
 func (s *State) resumeUntil() bootclock.Time {
 	if s.heldUntil == 0 || !s.handoverDone {
-		return s.heldUntil
+		return 0
 	}
 	return s.heldUntil.Add(max(0, s.options.HandoverGap+handoverMargin-Term))
 }
@@ -39,6 +42,9 @@
 func (s *State) released() bool { return s.row.current() && s.row.Released }
 
 // resumesLease reports whether this instance can go on as the holder, because no instance
-// can have ordered since the store was restored. A record of the earlier era alone does
-// not show this: a delayed write can have replaced a newer one.
-func (s *State) resumesLease() bool { return s.resumes && !s.row.current() }
+// has acquired the lease in this era, nor can have ordered since the store was restored. A
+// record of the earlier era alone does not show this: a delayed write can have replaced a
+// newer one.
+func (s *State) resumesLease() bool {
+	return s.resumes && !s.row.current() && s.row.Epochs.Version.Counter() == 0
+}
--- a/leader/era_test.go
+++ b/leader/era_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/hyssophaven/hyssophaven/bootclock"
 	"github.com/hyssophaven/hyssophaven/rowstore"
 )
 
@@ -184,6 +185,54 @@
 	c.checkOrders(t)
 }
 
+// Guards against a holder that goes on after a restore without a wait, although it still
+// waited for its predecessor: the predecessor has gone on in an era that this instance
+// missed and that a second restore has ended.
+func TestWaitingHolderDoesNotResume(t *testing.T) {
+	c, now := newClusterWithHolder()
+	first, second := c.instances[0], c.instances[1]
+	held := c.store.copyNow()
+	first.storeUnreachable = true
+	for c.store.row.Holder != "b" {
+		now = c.step(now)
+	}
+	second.partitioned = true
+	c.store.restoreFrom(held)
+	first.storeUnreachable = false
+	for end := now + 800*time.Millisecond; now < end; {
+		now = c.step(now)
+	}
+	c.store.restoreFrom(held)
+	first.partitioned, second.partitioned = true, false
+	for end := now + 2*(Term+maxOrderDelay+handoverGap); now < end; {
+		now = c.step(now)
+	}
+	c.checkOrders(t)
+}
+
+// Guards against a holder that goes on after a restore because the row of the lease is of the
+// earlier era, although another instance has acquired the lease in this one.
+func TestHolderDoesNotResumeAfterAcquisitionInEra(t *testing.T) {
+	is := is.New(t)
+	s := New("a", "a:1", 1, Options{FirstStart: true})
+	now := bootclock.Time(time.Second)
+	is.Equal(s.Tick(now), ReadLease)
+	s.RecordRead(now, Row{Version: rowstore.NewVersion(1, 0)})
+	is.Equal(s.Tick(now), WriteLease)
+	s.RecordWritten(now, rowstore.NewVersion(1, 1))
+	now = now.Add(renewInterval)
+	is.Equal(s.Tick(now), WriteLease)
+	s.RecordFailure(now, true)
+	is.Equal(s.Tick(now), ReadLease)
+	stale := s.Row()
+	stale.Version = rowstore.NewVersion(2, 5)
+	stale.Epochs = EpochRecord{Last: 2*epochsPerEra + 1, Version: rowstore.NewVersion(2, 4)}
+	s.RecordRead(now, stale)
+	for end := now.Add(Term); now < end; now = now.Add(stepTime) {
+		is.True(s.Tick(now) != WriteLease)
+	}
+}
+
 // Guards against orders that stop for long after a restore of the store: the holder goes
 // on if its term has not ended, and has a successor otherwise.
 func TestOrdersResumeAfterRestore(t *testing.T) {
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -80,12 +80,18 @@
 	s.counter++
 }
 
-func (s *store) copy() { s.copies = append(s.copies, storeCopy{s.row, s.counter, s.epochs}) }
+func (s *store) copyNow() storeCopy { return storeCopy{s.row, s.counter, s.epochs} }
+
+func (s *store) copy() { s.copies = append(s.copies, s.copyNow()) }
 
 // restore begins a new era with the n-th copy.
 func (s *store) restore(n int) {
 	c := s.copies[n]
 	s.copies = s.copies[:n+1]
+	s.restoreFrom(c)
+}
+
+func (s *store) restoreFrom(c storeCopy) {
 	s.era++
 	s.counter, s.epochs = c.counter, c.epochs
 	s.row = Row{Lease: c.row.Lease, Version: rowstore.NewVersion(s.era, c.row.Version.Counter())}
