controlplane: hand removals that the holder keeps on to its peers

Callers saw requests sent to a replica up to 3.5 s after the store had acknowledged that it is gone, until the replica ended (DRAIN). An instance without evidence of the list for two heartbeats keeps removed entries for 2 s, because they can have lapsed. The holder of the order lease hands its list to the others, so all kept such a replica although they had read the store meanwhile; and the end of the grace period had the version of the list that they knew, so it was not handed on.

The holder now hands its pending removals on, and each instance keeps them only if it had such a gap itself. Sends are logged with the source and the age of the list, and a request to a replica whose entry is gone always has its line.

TestPeersDropReplicaThatHolderKeeps fails before the change.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -122,10 +122,10 @@
 // is outdated, and the store has dropped it if the replica has left.
 type ReplicaList struct {
 	entries map[string]Entry
-	// pendingRemovals maps the ids of entries that disappeared from the store to the
-	// time at which they are dropped unless they reappear. It is used while entries
-	// can have lapsed because the store was unavailable.
-	pendingRemovals map[string]time.Time
+	// pendingRemovals holds the entries, by id, that disappeared from the store and are
+	// dropped later unless they reappear. It is used while entries can have lapsed because
+	// the store was unavailable.
+	pendingRemovals map[string]pendingRemoval
 	version         rowstore.Version
 	// held holds the rows that are taken for copies.
 	held map[string]heldRow
@@ -134,6 +134,12 @@
 	firstVersion rowstore.Version
 }
 
+// pendingRemoval is the removal of an entry that is dropped at dropAt.
+type pendingRemoval struct {
+	version rowstore.Version // of the removal, or of the list that lacks the entry
+	dropAt  time.Time
+}
+
 // heldRow is a row that is held back. releaseAt is zero until the next ReleaseHeld.
 type heldRow struct {
 	entry     Entry
@@ -142,7 +148,7 @@
 
 // NewReplicaList returns an empty list.
 func NewReplicaList() *ReplicaList {
-	return &ReplicaList{entries: make(map[string]Entry), pendingRemovals: make(map[string]time.Time), held: make(map[string]heldRow)}
+	return &ReplicaList{entries: make(map[string]Entry), pendingRemovals: make(map[string]pendingRemoval), held: make(map[string]heldRow)}
 }
 
 // Replicas returns the known replicas in unspecified order.
@@ -174,6 +180,26 @@
 	return version
 }
 
+// PendingRemovals returns the ids of the entries that are kept although they disappeared from
+// the store, with the versions of their removals. Entries that the first list after a restore
+// of the store lacks are left out.
+func (r *ReplicaList) PendingRemovals() []Entry {
+	var out []Entry
+	for id, p := range r.pendingRemovals {
+		if r.entries[id].Version.Era() == r.version.Era() {
+			out = append(out, Entry{ID: id, Version: p.version})
+		}
+	}
+	return out
+}
+
+// RemovalPending reports whether the entry with the given id is kept although it disappeared
+// from the store.
+func (r *ReplicaList) RemovalPending(id string) bool {
+	_, pending := r.pendingRemovals[id]
+	return pending
+}
+
 // ChangedSince returns the entries that changed after version, including removed
 // ones. Entries that are missing since the store was restored are left out.
 func (r *ReplicaList) ChangedSince(version rowstore.Version) []Entry {
@@ -283,7 +309,7 @@
 			continue // a read that follows within the grace period lacks it as well
 		}
 		if !dropAt.IsZero() {
-			r.pendingRemovals[id] = dropAt
+			r.pendingRemovals[id] = pendingRemoval{version: version, dropAt: dropAt}
 			continue
 		}
 		r.entries[id] = Entry{ID: id, Version: version, last: e.Replica}
@@ -305,7 +331,7 @@
 	}
 	delete(r.held, id)
 	if !dropAt.IsZero() {
-		r.pendingRemovals[id] = dropAt
+		r.pendingRemovals[id] = pendingRemoval{version: version, dropAt: dropAt}
 		r.version = max(r.version, version)
 		return false
 	}
@@ -327,8 +353,8 @@
 // Expire drops the entries whose removal is due at now and returns their ids.
 func (r *ReplicaList) Expire(now time.Time) []string {
 	var dropped []string
-	for id, at := range r.pendingRemovals {
-		if now.Before(at) {
+	for id, p := range r.pendingRemovals {
+		if now.Before(p.dropAt) {
 			continue
 		}
 		delete(r.pendingRemovals, id)
@@ -366,9 +392,9 @@
 // zero time if no removal is pending.
 func (r *ReplicaList) NextExpiry() time.Time {
 	var next time.Time
-	for _, at := range r.pendingRemovals {
-		if next.IsZero() || at.Before(next) {
-			next = at
+	for _, p := range r.pendingRemovals {
+		if next.IsZero() || p.dropAt.Before(next) {
+			next = p.dropAt
 		}
 	}
 	return next
--- a/controlplane/events.go
+++ b/controlplane/events.go
@@ -101,13 +101,7 @@
 func (e ReplicasChanged) apply(c *core, now time.Time) {
 	c.recordList(e.CurrentAt)
 	c.updateReplicas(now, c.replicaList.Apply(e.Entries, e.Version), e.Entries)
-	dropAt := c.graceAfterGap(now)
-	for _, r := range e.Removed {
-		if c.replicaList.Remove(r.ID, r.Version, dropAt) {
-			c.log.Info("replica dropped", "replica", r.ID, "reason", "entry removed", "version", r.Version)
-			c.updateReplica(now, r.ID, nil)
-		}
-	}
+	c.removeReplicas(now, e.Removed)
 }
 
 // updateReplicas passes the replicas whose ids are in changed on, as they are now in the
--- a/controlplane/list.go
+++ b/controlplane/list.go
@@ -102,6 +102,18 @@
 	Pause  time.Duration
 }
 
+// ListEvidence is where the belief that a replica is listed comes from.
+type ListEvidence struct {
+	Source ListSource
+	Age    time.Duration // since the list was known to be current
+	// RemovalPending is set if the entry is gone and the replica is kept for the grace period.
+	RemovalPending bool
+}
+
+func (c *core) listEvidence(now time.Time, replica string) ListEvidence {
+	return ListEvidence{Source: c.listSource, Age: now.Sub(c.listCurrentAt), RemovalPending: c.replicaList.RemovalPending(replica)}
+}
+
 // listSince returns the changes to the list of replicas after a version, or the whole list
 // if this instance does not know all of them.
 func (c *core) listSince(version rowstore.Version) (entries []catalog.Entry, whole bool) {
@@ -129,6 +141,7 @@
 		changed = c.replicaList.Apply(state.List, state.ListVersion)
 	}
 	c.updateReplicas(now, changed, state.List)
+	c.removeReplicas(now, state.PendingRemovals)
 	if c.listTable != "" {
 		c.tableVersions[c.listTable] = max(c.tableVersions[c.listTable], state.TableVersions[c.listTable])
 	}
@@ -157,6 +170,18 @@
 	c.log.Info("list of replicas is current again", "gap", gap)
 }
 
+// removeReplicas applies the removal of entries. Replicas whose entries can have lapsed are
+// kept for the grace period.
+func (c *core) removeReplicas(now time.Time, removed []catalog.Entry) {
+	dropAt := c.graceAfterGap(now)
+	for _, r := range removed {
+		if c.replicaList.Remove(r.ID, r.Version, dropAt) {
+			c.log.Info("replica dropped", "replica", r.ID, "reason", "entry removed", "version", r.Version, "list_source", c.listSource.String(), "list_age", now.Sub(c.listCurrentAt))
+			c.updateReplica(now, r.ID, nil)
+		}
+	}
+}
+
 // graceAfterGap returns the time until which replicas are kept whose entries were removed,
 // or the zero time if they are dropped at once.
 func (c *core) graceAfterGap(now time.Time) time.Time {
--- a/controlplane/listgap_test.go
+++ b/controlplane/listgap_test.go
@@ -74,6 +74,7 @@
 			learned := back.Add(test.learnedAt)
 			ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: learned}.apply(c, learned)
 			is.Equal(c.replicaList.Replica("r") != nil, test.keptUntil > 0)
+			is.Equal(c.listEvidence(learned, "r").RemovalPending, test.keptUntil > 0)
 			if test.keptUntil > 0 {
 				c.tick(back.Add(test.keptUntil-time.Millisecond), 0)
 				is.True(c.replicaList.Replica("r") != nil)
@@ -109,6 +110,61 @@
 	is.True(cut.replicaList.Replica("other") != nil)
 }
 
+// Guards against instances that go on sending requests to a removed replica because the holder
+// of the order lease keeps it for the grace period: the holder was paused, and these instances
+// saw no gap in which the entry can have lapsed. The holder's list does not show the end of the
+// grace period to a peer that knows all rows.
+func TestPeersDropReplicaThatHolderKeeps(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		peerGap time.Duration
+		kept    bool // by the peer, until its own grace period ends
+	}{
+		{"peer has read the list meanwhile", time.Second, false},
+		{"peer has not reached the store either", 5 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			holder, peer := newTestCore(t), newTestCore(t)
+			holder.leader = heldLease()
+			for _, c := range []*core{holder, peer} {
+				ReplicasRead{Table: "replicas", Entries: []catalog.Entry{listedReplica("r", 1), listedReplica("other", 1)}, Version: 1, CurrentAt: epoch}.apply(c, epoch)
+			}
+			exchange := func(now time.Time) {
+				answer := make(chan PeerState, 1)
+				ownState{answer: answer}.apply(peer, now)
+				FleetSeen{State: holder.fleetState(now, <-answer), SentAt: now}.apply(peer, now)
+			}
+			const gap = 5 * time.Second
+			back := epoch.Add(gap)
+			for at := epoch; !at.After(back.Add(-test.peerGap)); at = at.Add(time.Second) {
+				ReplicasChanged{Version: 1, CurrentAt: at}.apply(peer, at)
+			}
+			ReplicasChanged{Removed: []catalog.Entry{{ID: "r", Version: 2}}, Version: 2, CurrentAt: back}.apply(holder, back)
+			is.True(holder.replicaList.Replica("r") != nil)
+			exchange(back)
+			is.Equal(peer.replicaList.Replica("r") != nil, test.kept)
+			end := back.Add(recoveryGrace)
+			holder.tick(end, 0)
+			peer.tick(end, 0)
+			exchange(end)
+			is.True(holder.replicaList.Replica("r") == nil)
+			is.True(peer.replicaList.Replica("r") == nil)
+			is.True(peer.replicaList.Replica("other") != nil)
+		})
+	}
+}
+
+// heldLease returns the state of an instance that holds the order lease.
+func heldLease() *leader.State {
+	s := leader.New("self", "a:1", 1, leader.Options{FirstStart: true, StartedAt: bootclock.Now()})
+	s.Tick(bootclock.Now())
+	s.RecordRead(bootclock.Now(), leader.Row{})
+	s.Tick(bootclock.Now())
+	s.RecordWritten(bootclock.Now(), 1)
+	return s
+}
+
 // Guards against replicas that are dropped after the store was away, because the holder of
 // the order lease reached it first and its list hid the gap from this instance.
 func TestListOfHolderAfterGapStartsGrace(t *testing.T) {
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -105,6 +105,10 @@
 	ListIsWhole bool
 	// ListVersion is the version of the holder's list.
 	ListVersion rowstore.Version
+	// PendingRemovals holds the ids and versions of the removed entries that the holder keeps
+	// because they can have lapsed while it did not reach the store. Whether a peer keeps
+	// them follows from its own gap.
+	PendingRemovals []catalog.Entry
 	// Config is the row of the holder's config if it is newer than the peer's. A restored
 	// store shows an older one until the operator writes it again.
 	Config []byte
@@ -177,7 +181,7 @@
 		state.ModelChanges, state.UnloadingModels, state.ModelArrivals = c.plan.ModelChanges(now), c.plan.UnloadingModels(), c.plan.ModelArrivals(now)
 		state.FullReplicas = c.plan.FullReplicas(now)
 		state.List, state.ListIsWhole = c.listSince(peer.ListVersion)
-		state.ListVersion = c.replicaList.Version()
+		state.ListVersion, state.PendingRemovals = c.replicaList.Version(), c.replicaList.PendingRemovals()
 		state.ListAge = now.Sub(c.listCurrentAt)
 		state.ConfigVersion, state.ConfigAge = c.configVersion(), c.configState.age(now)
 		if peer.ConfigVersion > 0 && peer.ConfigVersion < c.configVersion() {
--- a/controlplane/requests.go
+++ b/controlplane/requests.go
@@ -15,6 +15,8 @@
 	// replica. It is 0 after the first byte.
 	PrefillWork float64
 	SentAt      time.Time
+	// List is the evidence that the replica was listed when the request was sent.
+	List ListEvidence
 	// HeadSeen is set by traffic, before Finish, if the head of an answer has arrived.
 	HeadSeen bool
 	// EventsBegun is set by traffic, before Finish, if the first bytes of a stream's events
@@ -154,7 +156,7 @@
 	if req.Adapter != "" {
 		c.plan.MarkAdapterUsed(now, d.Replica.ID, req.Model, req.Adapter)
 	}
-	return Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, PrefillWork: prefillWork, SentAt: now}}
+	return Admission{Decision: d, Flight: &Flight{Request: req, Decision: d, PrefillWork: prefillWork, SentAt: now, List: c.listEvidence(now, d.Replica.ID)}}
 }
 
 // countRetry counts the decision on a request that has already reached a replica.
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,7 @@
 	adapterLoaded   bool          // the adapter had to be loaded first
 	endedAfter      time.Duration // from the arrival of the request
 	sentAfter       time.Duration // from the arrival of the request
+	list            controlplane.ListEvidence
 }
 
 // String returns the attempt as key=value pairs for the log.
@@ -60,6 +62,10 @@
 	if s.prefixSource != "" {
 		text += " prefix_source=" + s.prefixSource
 	}
+	text += fmt.Sprintf(" list_source=%s list_age=%s", s.list.Source, min(s.list.Age, time.Hour).Round(time.Millisecond))
+	if s.list.RemovalPending {
+		text += " entry_removed=true"
+	}
 	if s.err != nil {
 		text += fmt.Sprintf(" error=%q", s.err.Error())
 	}
@@ -71,7 +77,7 @@
 	d := f.Decision
 	x.attempts = append(x.attempts, attempt{
 		replica: d.Replica.ID, outcome: outcome, err: err, expected: d.Expected, loadAge: min(d.LoadAge, time.Hour), running: d.Running, slowness: d.Slowness, urgency: d.Urgency, timeToFirstByte: x.timeToFirstByte,
-		cachedTokens: d.CachedTokens, prefixSource: prefixSourceID(d), adapterLoaded: d.NeedsAdapter, endedAfter: time.Since(x.arrived), sentAfter: f.SentAt.Sub(x.arrived),
+		cachedTokens: d.CachedTokens, prefixSource: prefixSourceID(d), adapterLoaded: d.NeedsAdapter, endedAfter: time.Since(x.arrived), sentAfter: f.SentAt.Sub(x.arrived), list: f.List,
 	})
 	var limit *upstream.LimitError
 	if errors.As(err, &limit) {
@@ -146,7 +152,8 @@
 	}
 	late := x.route != nil && (x.route.LatencyTarget > 0 && timeToFirstByte > x.route.LatencyTarget ||
 		x.route.EventGapTarget > 0 && x.longestGap > x.route.EventGapTarget)
-	noteworthy := cause != "" || status >= 400 || len(x.attempts) > 1 || late
+	removed := slices.ContainsFunc(x.attempts, func(s attempt) bool { return s.list.RemovalPending })
+	noteworthy := cause != "" || status >= 400 || len(x.attempts) > 1 || late || removed
 	if !noteworthy && x.service.recorder.ordinary.Add(1)%sampleInterval != 0 {
 		return
 	}
--- a/peering/messages.go
+++ b/peering/messages.go
@@ -107,6 +107,7 @@
 	ModelArrivals   map[string]int64                 `json:"coming,omitempty"`
 	List            []entryMessage                   `json:"list,omitempty"`
 	ListIsWhole     bool                             `json:"list_whole,omitempty"`
+	PendingRemovals []entryMessage                   `json:"list_removing,omitempty"`
 	ListVersion     uint64                           `json:"list_version"`
 	LeaseEra        uint64                           `json:"lease_era,omitempty"`
 	TableEras       map[string]uint64                `json:"eras,omitempty"`
@@ -263,6 +264,9 @@
 	for _, e := range s.List {
 		m.List = append(m.List, encodeEntry(e))
 	}
+	for _, e := range s.PendingRemovals {
+		m.PendingRemovals = append(m.PendingRemovals, encodeEntry(e))
+	}
 	return m
 }
 
@@ -279,6 +283,9 @@
 	for _, e := range m.List {
 		s.List = append(s.List, decodeEntry(e))
 	}
+	for _, e := range m.PendingRemovals {
+		s.PendingRemovals = append(s.PendingRemovals, catalog.Entry{ID: e.ID, Version: rowstore.NewVersion(e.Era, e.Version)})
+	}
 	return s
 }
 
--- a/peering/messages_test.go
+++ b/peering/messages_test.go
@@ -51,8 +51,9 @@
 		Holder: "h", Epoch: 3, LeaseVersion: rowstore.NewVersion(3, 8), TimeUntilOrders: time.Second, ReleasedBy: "h", Interval: 500 * time.Millisecond, Instances: 7, Loads: map[string]dispatch.Load{"r": sum},
 		TableVersions: map[string]rowstore.Version{"t": rowstore.NewVersion(3, 4)}, LatencyProfiles: profiles, Crashes: map[uint64]int{7: 1}, ModelChanges: map[string]time.Duration{"r": time.Second},
 		UnloadingModels: map[string][]string{"r": {"m"}}, FullReplicas: map[string][]string{"r": {"m/a1"}}, ModelArrivals: map[string]time.Duration{"m": 2 * time.Second},
-		List:        []catalog.Entry{{ID: "r", Version: rowstore.NewVersion(3, 6), Replica: &replica, Partial: true}, {ID: "gone", Version: 7, Partial: true}},
-		ListVersion: rowstore.NewVersion(3, 7), Config: []byte("c"), ListAge: 300 * time.Millisecond,
+		List:            []catalog.Entry{{ID: "r", Version: rowstore.NewVersion(3, 6), Replica: &replica, Partial: true}, {ID: "gone", Version: 7, Partial: true}},
+		PendingRemovals: []catalog.Entry{{ID: "kept", Version: rowstore.NewVersion(3, 7)}},
+		ListVersion:     rowstore.NewVersion(3, 7), Config: []byte("c"), ListAge: 300 * time.Millisecond,
 	}
 	is.Equal(decodeFleet(roundTrip(t, encodeFleet(fleet))), fleet)
 }
