upstream, gateway: reject statuses that HTTP does not have

The clients rejected codes below 100 and 101 only, and net/http passes on every code of three digits.

A final answer now needs a status of 200 to 599. TestInvalidStatusOfServiceIsNotRelayed is part of TestMalformedAnswerOfServiceIsNotRelayed now, with the same checks.

--- a/gateway/rawanswer_test.go
+++ b/gateway/rawanswer_test.go
@@ -43,13 +43,19 @@
 	}
 }
 
-// Guards against a call without an answer after a service's answer with a status that
-// HTTP does not have.
-func TestInvalidStatusOfServiceIsNotRelayed(t *testing.T) {
-	r, _ := newRawGateway(t, func(c net.Conn, _ int64) {
-		_, _ = io.WriteString(c, "HTTP/1.1 042 Odd\r\nContent-Length: 2\r\n\r\nok")
-	})
-	a := r.call("POST", "/services/booking/x", "", HeaderIdempotencyKey, "key")
-	r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
-	r.is.Equal(a.executed, "unknown")
+// Guards against a call without an answer, one whose answer has a status that HTTP does not
+// have, and one that is said not to have run, after an answer of a service with such a status
+// or without its whole head or body.
+func TestMalformedAnswerOfServiceIsNotRelayed(t *testing.T) {
+	for _, malformed := range rawservertest.MalformedAnswers("ok") {
+		t.Run(malformed.Name, func(t *testing.T) {
+			r, _ := newRawGateway(t, func(c net.Conn, _ int64) {
+				_, _ = io.WriteString(c, malformed.Render(""))
+				_ = c.Close()
+			})
+			a := r.call("POST", "/services/booking/x", "", HeaderIdempotencyKey, "key")
+			r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
+			r.is.Equal(a.executed, "unknown")
+		})
+	}
 }
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophaven/hyssophaven/admission"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/heldbytes"
+	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/openai"
 )
@@ -102,8 +103,7 @@
 		return nil, c.lostFailure(grant, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode < http.StatusOK {
-		// http.Transport accepts a status below 100, and http.ResponseWriter panics.
+	if !httpstatus.IsFinal(resp.StatusCode) {
 		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
 	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
--- /dev/null
+++ b/internal/rawservertest/malformed.go
@@ -0,0 +1,64 @@
+package rawservertest
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// MalformedAnswer is an answer that no HTTP server may send.
+type MalformedAnswer struct {
+	Name       string
+	statusLine string
+	body       string
+	repeated   int  // number of times that the status line and an empty head come first
+	cutHead    bool // the answer ends within its head
+	cutBody    bool // the answer ends within its body
+}
+
+// maxRepeatedInterim is the number of interim answers of a MalformedAnswer. It is above
+// the limit of every client.
+const maxRepeatedInterim = 1000
+
+// MalformedAnswers returns answers with a status that HTTP does not have, with interim answers
+// without end, with a switch of the protocol that nobody asked for, and with a sound status
+// but without their whole head or body. body is a sound body.
+func MalformedAnswers(body string) []MalformedAnswer {
+	var out []MalformedAnswer
+	for _, status := range []string{"000", "042", "099", "+42", "-42", "-20", " 42", "20", "2", "2000", "0200", "20x", "2 0", "", "600", "999", "101"} {
+		out = append(out, MalformedAnswer{Name: "status " + status, statusLine: "HTTP/1.1 " + status + " Reason\r\n", body: body})
+	}
+	return append(out,
+		MalformedAnswer{Name: "interim answers without end", statusLine: "HTTP/1.1 103 Early Hints\r\n", repeated: maxRepeatedInterim, body: body},
+		MalformedAnswer{Name: "head cut", statusLine: "HTTP/1.1 200 OK\r\n", cutHead: true},
+		MalformedAnswer{Name: "body cut", statusLine: "HTTP/1.1 200 OK\r\n", body: body, cutBody: true},
+	)
+}
+
+// Render returns the bytes of the answer. headers are further lines of the head.
+func (a MalformedAnswer) Render(headers string) string {
+	interim := strings.Repeat(a.statusLine+"\r\n", a.repeated)
+	if a.cutHead {
+		return a.statusLine + headers + "Content-Len"
+	}
+	length := len(a.body)
+	if a.cutBody {
+		length++
+	}
+	return interim + a.statusLine + headers + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", length, a.body)
+}
+
+// Handler answers each request with the malformed answer. header returns further lines of the
+// head.
+func (a MalformedAnswer) Handler(header func(*http.Request) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, a.Render(header(r)))
+		_ = c.Close()
+	}
+}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 )
 
 // ReadHead waits for the head of the answer, for timeout until its first byte and as
@@ -54,8 +56,8 @@
 // answers (status 1xx). All heads together have at most maxHeadBytes.
 func (a *Answer) parseHead() error {
 	request := &http.Request{Method: a.method}
-	for interim := 0; ; interim++ {
-		if interim > maxInterimAnswers {
+	for skipped := 0; ; skipped++ {
+		if skipped > maxInterimAnswers {
 			return a.LimitExceeded("interim answers", maxInterimAnswers)
 		}
 		if err := a.awaitWholeHead(); err != nil {
@@ -69,10 +71,12 @@
 		if err != nil {
 			return a.readError(err)
 		}
-		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
-			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, response.StatusCode))
+		status := response.StatusCode
+		interim := status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+		if !interim && !httpstatus.IsFinal(status) {
+			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, status))
 		}
-		if response.StatusCode < 200 {
+		if interim {
 			continue
 		}
 		a.Status, a.Header, a.Length, a.body = response.StatusCode, response.Header, response.ContentLength, response.Body
