enginehttp, backinghttp, platform: only an error status proves a refusal

In serve, an engine's answer with status 000, 042, 099, +42, 600 or 999 and a refusal in its body counted as not run, so a caller could be told "not executed", or a second engine get the request, on the word of a server in trouble. The table service and the object store had the same with "nothing was written", the platform's store with any status.

--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -167,7 +167,7 @@
 // codes of the protocol, or Executed "no", prove that nothing was written. Any
 // other answer can come from an intermediary between client and platform.
 func (r call) refusalError(status int, body []byte) error {
-	e, ok := jsonhttp.ParseError(body)
+	e, ok := jsonhttp.ParseError(status, body)
 	if !ok {
 		return r.lostAnswerError(fmt.Errorf("status %d without an error code", status))
 	}
--- a/backing/backinghttp/client_test.go
+++ b/backing/backinghttp/client_test.go
@@ -20,6 +20,7 @@
 	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/backing/backinghttp"
 	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
 	standinplatform "github.com/hyssophaven/hyssophaven/standin/platform"
 )
 
@@ -128,6 +129,24 @@
 	}
 }
 
+// Guards against an answer with a status that HTTP does not have, or without its whole head or
+// body, that is taken for a success or for a proof that nothing was written.
+func TestMalformedAnswerProvesNothing(t *testing.T) {
+	for _, malformed := range rawservertest.MalformedAnswers(`{"error":{"code":"unavailable","message":"m","executed":"no"}}`) {
+		t.Run(malformed.Name, func(t *testing.T) {
+			is := is.New(t)
+			handler := malformed.Handler(func(*http.Request) string { return "Store-Era: 2\r\n" })
+			reads, writes := platformCalls(newClient(t, handler, backinghttp.Options{Timeout: time.Second}))
+			for _, do := range reads {
+				is.True(errors.Is(do(t.Context()), backing.ErrUnavailable))
+			}
+			for _, do := range writes {
+				is.True(errors.Is(do(t.Context()), backing.ErrUnknownOutcome))
+			}
+		})
+	}
+}
+
 // Guards against reporting a refused connection as an unknown outcome, which would
 // cause a read to check for a write that was never sent.
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -225,7 +225,7 @@
 // format of the protocol and states that the request did not run. Without the ID, it can be
 // a second copy of an earlier response on the connection.
 func parseRefusal(status int, body []byte, hasCallID bool) error {
-	e, ok := jsonhttp.ParseError(body)
+	e, ok := jsonhttp.ParseError(status, body)
 	if !ok {
 		return &engine.Error{Kind: engine.Malformed, Err: fmt.Errorf("status %d without an error code", status)}
 	}
--- a/engine/enginehttp/client_test.go
+++ b/engine/enginehttp/client_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
 )
 
 func newTestClient(tb testing.TB, h http.Handler) *Client {
@@ -109,6 +110,27 @@
 	}
 }
 
+// Guards against an answer with a status that HTTP does not have, or without its whole head or
+// body, that is taken for a success, or for a refusal that proves that nothing has run.
+func TestMalformedAnswerOfEngineProvesNothing(t *testing.T) {
+	for _, malformed := range rawservertest.MalformedAnswers(`{"error":{"code":"refused","message":"m","executed":"no"}}`) {
+		t.Run(malformed.Name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestClient(t, malformed.Handler(func(r *http.Request) string {
+				return headerCallID + ": " + r.Header.Get(headerCallID) + "\r\n"
+			}))
+			_, generated := readAll(c.Generate(t.Context(), testRequest))
+			_, ordered := c.Order(t.Context(), engine.Order{ID: "o", Name: "m"})
+			_, state := c.State(t.Context())
+			for _, err := range []error{generated, ordered, state} {
+				var e *engine.Error
+				is.True(errors.As(err, &e))
+				is.Equal(e.Executed, engine.ExecutedUnknown)
+			}
+		})
+	}
+}
+
 // Guards against a request to an unreachable engine counting as possibly executed.
 func TestRefusedConnectionHasNotExecuted(t *testing.T) {
 	is := is.New(t)
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -13,6 +13,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 )
 
 // Error describes a failed request. Every unsuccessful answer carries it in its
@@ -96,9 +98,13 @@
 }
 
 // ParseError decodes the body of an unsuccessful answer. It returns false if the
-// body is not in the error format.
-func ParseError(body []byte) (Error, bool) {
+// body is not in the error format, or if the status is none of an error: such an answer
+// comes from a faulty server and proves nothing.
+func ParseError(status int, body []byte) (Error, bool) {
 	var e envelope
+	if !httpstatus.IsError(status) {
+		return Error{}, false
+	}
 	if json.Unmarshal(body, &e) != nil || e.Error == nil || e.Error.Code == "" {
 		return Error{}, false
 	}
