upstream: reject heads with a second status line

The request counted as refused and went to another replica (TWICE). Other beginnings made a failure a success, or a run request a refused one.

A head whose reason or header value holds a further status line is no answer now, in every client that takes a status from HTTP; the request counts as one that may have run.

--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
+	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 )
 
@@ -129,6 +130,9 @@
 		return nil, nil, r.lostAnswerError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := httpstatus.CheckHead(res); err != nil {
+		return nil, nil, r.lostAnswerError(err)
+	}
 	body, err := jsonhttp.ReadBody(res.Body, maxBodyBytes)
 	if err != nil {
 		return nil, nil, r.lostAnswerError(err)
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
+	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 )
 
@@ -184,6 +185,10 @@
 	if err != nil {
 		return nil, sendError(ctx, tracker, err)
 	}
+	if err := httpstatus.CheckHead(res); err != nil {
+		_ = res.Body.Close()
+		return nil, readError(ctx, err, engine.ExecutedUnknown)
+	}
 	if res.StatusCode == http.StatusOK {
 		return res, nil
 	}
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -106,6 +106,9 @@
 	if !httpstatus.IsFinal(resp.StatusCode) {
 		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
 	}
+	if err := httpstatus.CheckHead(resp); err != nil {
+		return nil, c.lostFailure(grant, err)
+	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
 	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength, limit+1, c.memory.held(), memorybudget.Other)
 	if errors.Is(err, heldbytes.ErrNoRoom) {
--- a/internal/rawservertest/malformed.go
+++ b/internal/rawservertest/malformed.go
@@ -22,8 +22,9 @@
 const maxRepeatedInterim = 1000
 
 // MalformedAnswers returns answers with a status that HTTP does not have, with interim answers
-// without end, with a switch of the protocol that nobody asked for, and with a sound status
-// but without their whole head or body. body is a sound body.
+// without end, with a switch of the protocol that nobody asked for, with the beginning of
+// another answer before the status line, and with a sound status but without their whole head
+// or body. body is a sound body.
 func MalformedAnswers(body string) []MalformedAnswer {
 	var out []MalformedAnswer
 	for _, status := range []string{"000", "042", "099", "+42", "-42", "-20", " 42", "20", "2", "2000", "0200", "20x", "2 0", "", "600", "999", "101"} {
@@ -31,6 +32,7 @@
 	}
 	return append(out,
 		MalformedAnswer{Name: "interim answers without end", statusLine: "HTTP/1.1 103 Early Hints\r\n", repeated: maxRepeatedInterim, body: body},
+		MalformedAnswer{Name: "second status line", statusLine: "HTTP/1.1 200 HTTP/1.1 500 Internal Server Error\r\n", body: body},
 		MalformedAnswer{Name: "head cut", statusLine: "HTTP/1.1 200 OK\r\n", cutHead: true},
 		MalformedAnswer{Name: "body cut", statusLine: "HTTP/1.1 200 OK\r\n", body: body, cutBody: true},
 	)
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -71,6 +71,9 @@
 		if err != nil {
 			return a.readError(err)
 		}
+		if err := httpstatus.CheckHead(response); err != nil {
+			return a.readError(err)
+		}
 		status := response.StatusCode
 		interim := status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
 		if !interim && !httpstatus.IsFinal(status) {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -115,6 +115,29 @@
 	is.Equal(p.ConnectionsOpened(), int64(2)) // the connection with the copy is not kept
 }
 
+// Guards against a request that has run and counts as refused, or the other way round, because
+// the beginning of an additional answer was read together with the answer to the request.
+func TestBeginningOfAnotherAnswerIsNoStatus(t *testing.T) {
+	for _, beginning := range []string{"HTTP/1.1 421 ", "HTTP/1.1 421 Misdirected", "HTTP/1.1 503 Full\r\nX-Reason: ", "HTTP/1.1 200 OK\r\nContent-Type: text/plain", "HTTP/1.1 4", "HTTP/1.1 421 Misdirected Request\r\n"} {
+		t.Run(fmt.Sprintf("%q", beginning), func(t *testing.T) {
+			is := is.New(t)
+			e := startEchoing(t, func(c net.Conn, n int, id string) {
+				if n == 1 {
+					_, _ = io.WriteString(c, beginning)
+				}
+				_, _ = io.WriteString(c, answerTo(id, 200, id))
+			})
+			p := newEchoPool()
+			got, err := send(p, e, "first")
+			is.NoErr(err)
+			is.Equal(got, "200 first")
+			_, err = send(p, e, "second")
+			is.True(errors.Is(err, ErrConnectionBroken)) // it may have run
+			is.Equal(p.IdleConnections(), int64(0))
+		})
+	}
+}
+
 // Guards against a connection that is kept while the answer to its request is owed, because
 // an extra answer was read to its end.
 func TestConnectionWithOwedAnswerIsNotReused(t *testing.T) {
