netdial: give callers 30 s to open their window

TCP_USER_TIMEOUT was 2.5 s on connections of callers too, and Linux counts the time for which the window is closed although the remote end acknowledges each probe.

The listener for callers has 30 s now; peers, replicas and the store keep 2.5 s.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -113,7 +113,7 @@
 	if s.control, err = kernel.Lookup[*controlplane.Service](k, controlplane.ServiceName); err != nil {
 		return err
 	}
-	callers, err := netdial.ListenConfig().Listen(ctx, "tcp", s.node.Callers)
+	callers, err := netdial.CallerListenConfig().Listen(ctx, "tcp", s.node.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
--- a/netdial/netdial.go
+++ b/netdial/netdial.go
@@ -15,6 +15,10 @@
 	// userTimeout limits how long sent data can stay unacknowledged before the
 	// connection fails. Retransmissions on a lossy link need far less.
 	userTimeout = 2500 * time.Millisecond
+	// callerTimeout is userTimeout for connections of callers. Linux also ends a connection
+	// whose remote end acknowledges each probe but keeps its window closed for so long, as a
+	// caller does that reads slowly: its window opens again when most of its buffer is read.
+	callerTimeout = 30 * time.Second
 	// probeIdle, probeInterval and probeCount detect an unresponsive remote end
 	// of an idle dialled connection within 2.5 s, which is less than the 3 s within
 	// which an instance must be reconnected after a network fault.
@@ -45,10 +49,16 @@
 
 // ListenConfig returns the configuration of listeners whose accepted connections
 // fail when the remote end stops responding.
-func ListenConfig() *net.ListenConfig {
+func ListenConfig() *net.ListenConfig { return listenConfig(userTimeout) }
+
+// CallerListenConfig is ListenConfig for a listener for callers, who may read an answer
+// slowly.
+func CallerListenConfig() *net.ListenConfig { return listenConfig(callerTimeout) }
+
+func listenConfig(unacknowledged time.Duration) *net.ListenConfig {
 	return &net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unacknowledged) },
 	}
 }
 
--- a/netdial/netdial_test.go
+++ b/netdial/netdial_test.go
@@ -48,3 +48,39 @@
 		})
 	}
 }
+
+// Guards against an answer that is cut off because its caller reads it slowly: the caller's
+// window stays closed for longer than sent data may be unacknowledged elsewhere.
+func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	const size = 1 << 20
+	for name, test := range map[string]struct {
+		config *net.ListenConfig
+		whole  bool
+	}{
+		"caller": {CallerListenConfig(), true},
+		"peer":   {ListenConfig(), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			l, err := test.config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			is.NoErr(caller.(*net.TCPConn).SetReadBuffer(32 << 10))
+			c, err := l.Accept()
+			is.NoErr(err)
+			is.NoErr(c.(*net.TCPConn).SetWriteBuffer(4 * size))
+			_, err = c.Write(make([]byte, size))
+			is.NoErr(err)
+			time.Sleep(3 * userTimeout)
+			is.NoErr(caller.SetReadDeadline(time.Now().Add(20 * time.Second)))
+			received, err := io.CopyN(io.Discard, caller, size)
+			is.Equal(err == nil, test.whole)
+			is.Equal(received == size, test.whole)
+			is.NoErr(c.Close())
+		})
+	}
+}
