ingress: reserve memory for the lines of a head

A head reserved twice its bytes; net/http keeps each line in a map, so that 65,238 bytes take 893,312.

A head now reserves 256 bytes for each line beyond 64 as well.

--- a/ingress/connmemory.go
+++ b/ingress/connmemory.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"os"
@@ -47,20 +48,30 @@
 	c.account.Close()
 }
 
-// reserveHead reserves memory for n bytes of a head that were read, and for what is decoded
+const (
+	// headLineBytes is what package net/http takes for a line of a head besides its bytes:
+	// the key, the value and their places in a map that grows.
+	headLineBytes = 256
+	// usualHeadLines is the number of lines that need no reservation.
+	usualHeadLines = 64
+)
+
+// reserveHead reserves memory for bytes of a head that were read, and for what is decoded
 // from them. The usual head needs no reservation.
-func (c *trackedConn) reserveHead(now time.Time, n int) bool {
-	free := max(memorybudget.BufferBytes-c.headBytes, 0)
-	c.headBytes += n
-	if more := n - free; more > 0 {
-		return c.head.Grow(now, 2*int64(more), memorybudget.Other)
-	}
-	return true
+func (c *trackedConn) reserveHead(now time.Time, b []byte) bool {
+	bytesBefore, linesBefore := c.headBytes, c.headLines
+	c.headBytes += len(b)
+	c.headLines += bytes.Count(b, []byte{'\n'})
+	more := 2*int64(beyond(memorybudget.BufferBytes, bytesBefore, c.headBytes)) + headLineBytes*int64(beyond(usualHeadLines, linesBefore, c.headLines))
+	return more == 0 || c.head.Grow(now, more, memorybudget.Other)
 }
 
+// beyond returns by how much the part of a count above limit grows.
+func beyond(limit, before, after int) int { return max(after-limit, 0) - max(before-limit, 0) }
+
 // releaseHead gives back the memory of a head.
 func (c *trackedConn) releaseHead() {
-	c.headBytes = 0
+	c.headBytes, c.headLines = 0, 0
 	c.head.Release()
 }
 
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -183,7 +183,8 @@
 	// the caller has read it.
 	halfClosed bool
 	head       memorybudget.Reservation // of the head of the request
-	headBytes  int                      // bytes read of it; only the goroutine that reads it uses this
+	// headBytes and headLines have been read of it. Only the goroutine that reads it uses them.
+	headBytes, headLines int
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
@@ -200,7 +201,7 @@
 		now := time.Now()
 		inHead := c.recordRead(now, len(b) == 1)
 		c.account.Moved(now, n)
-		if inHead && !c.reserveHead(now, n) {
+		if inHead && !c.reserveHead(now, b[:n]) {
 			return 0, c.refuseHead()
 		}
 		return n, err
--- a/integration/crowds_test.go
+++ b/integration/crowds_test.go
@@ -125,6 +125,17 @@
 	repeat(c, []byte(crowdField))
 }
 
+// shortLines sends a head of many short lines, as large as the server reads, and stops before
+// its end.
+func shortLines(c net.Conn) {
+	writeHead(c, "GET /look/x")
+	var b strings.Builder
+	for n := 0; b.Len() < 60<<10; n++ {
+		_, _ = fmt.Fprintf(&b, "%x:\r\n", n)
+	}
+	_, _ = io.WriteString(c, b.String())
+}
+
 // emptyLinesWithoutEnd sends empty lines until the connection is closed.
 func emptyLinesWithoutEnd(c net.Conn) { repeat(c, bytes.Repeat([]byte("\r\n"), 32)) }
 
@@ -280,6 +291,7 @@
 	}{
 		{name: "HeadsOverTheLimit", crowd: crowd{clients: 300, ports: everyPort, misbehave: headOverLimit}},
 		{name: "HeadsWithoutEnd", crowd: crowd{clients: 40, ports: everyPort, misbehave: headWithoutEnd}},
+		{name: "HeadsOfShortLines", crowd: crowd{clients: 200, misbehave: shortLines}},
 		{name: "EmptyLinesWithoutEnd", crowd: crowd{clients: 40, ports: everyPort, misbehave: emptyLinesWithoutEnd}},
 		{name: "LargeChunks", crowd: crowd{clients: 60, misbehave: largeChunks}},
 		{name: "SmallChunks", crowd: crowd{clients: 60, misbehave: smallChunks}},
