controlplane: keep demand only for declared models and adapters

Demand was counted by whatever name a request gave, and never removed, at the instance and at the holder of the lease.

Names of models and adapters are remembered only if the config declares them, and orders for other adapters are refused at once.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -43,7 +43,8 @@
 	Services     map[string]*Service
 	routesByHost map[string][]*Route // by host name, longest prefix first
 	routes       []*Route
-	customers    *customers // nil if the config names no customers
+	customers    *customers        // nil if the config names no customers
+	models       map[string]*Model // of all engines
 	// Findings are the problems of entries that are ignored or ambiguous.
 	Findings []finding.Finding
 }
@@ -52,10 +53,16 @@
 func NewConfig(version int64, limits Limits, services []*Service, routes []*Route) *Config {
 	c := &Config{
 		Version: version, Limits: limits, Services: make(map[string]*Service, len(services)),
-		routesByHost: make(map[string][]*Route), routes: routes,
+		routesByHost: make(map[string][]*Route), routes: routes, models: make(map[string]*Model),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
+		if s.Engine == nil {
+			continue
+		}
+		for i := range s.Engine.Models {
+			c.models[s.Engine.Models[i].Name] = &s.Engine.Models[i]
+		}
 	}
 	for _, r := range routes {
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
@@ -83,6 +90,9 @@
 	return nil
 }
 
+// FindModel returns a model that an engine of the config serves, or nil if none does.
+func (c *Config) FindModel(name string) *Model { return c.models[name] }
+
 // Limits bounds what a caller can send and how slowly. A zero field sets no limit.
 type Limits struct {
 	MaxHeaderBytes int
@@ -213,3 +223,6 @@
 	Adapters       []string
 	AdapterMB      float64
 }
+
+// HasAdapter reports whether an adapter of the model is declared.
+func (m *Model) HasAdapter(name string) bool { return slices.Contains(m.Adapters, name) }
--- a/controlplane/adapters.go
+++ b/controlplane/adapters.go
@@ -64,6 +64,10 @@
 }
 
 func (e adapterRequest) apply(c *core, now time.Time) {
+	if declared := c.declaredModel(e.key.model); declared != nil && !declared.HasAdapter(e.key.adapter) {
+		e.answer <- residency.AdapterResult{Replica: e.key.replica, Model: e.key.model, Adapter: e.key.adapter, Reason: "the config declares no such adapter"}
+		return
+	}
 	waiting := c.adapterWaiters[e.key]
 	c.adapterWaiters[e.key] = append(waiting, adapterWaiter{answer: e.answer, deadline: now.Add(adapterTimeout), forwarded: e.forwarded})
 	switch {
--- a/controlplane/demand.go
+++ b/controlplane/demand.go
@@ -1,8 +1,11 @@
 package controlplane
 
 import (
+	"maps"
 	"math"
+	"time"
 
+	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/residency"
 )
@@ -27,10 +30,21 @@
 	adapters      map[string]int // requests, by adapter
 }
 
+// declaredModel returns the model with the given name if the config declares it, or nil.
+// Callers can ask for any name: what this instance remembers by the name of a model or an
+// adapter is limited to those of the config.
+func (c *core) declaredModel(name string) *catalog.Model {
+	if c.config == nil {
+		return nil
+	}
+	return c.config.FindModel(name)
+}
+
 // countDemand adds a request and the first decision on it to the demand for its
-// model. Requests without a model are not counted.
+// model. Requests without a model that the config declares are not counted.
 func (c *core) countDemand(req *dispatch.Request, d dispatch.Decision) {
-	if req.Model == "" {
+	declared := c.declaredModel(req.Model)
+	if declared == nil {
 		return
 	}
 	m, ok := c.demand[req.Model]
@@ -40,7 +54,7 @@
 	}
 	m.requests++
 	m.weight += rankWeight(req.Rank())
-	if req.Adapter != "" {
+	if declared.HasAdapter(req.Adapter) {
 		if m.adapters == nil {
 			m.adapters = make(map[string]int)
 		}
@@ -60,15 +74,24 @@
 	}
 }
 
+// addDemand adds the demand at this instance or a peer to that of the fleet.
+func (c *core) addDemand(now time.Time, demand map[string]residency.Demand) {
+	for model, d := range demand {
+		declared := c.declaredModel(model)
+		if declared == nil {
+			continue
+		}
+		maps.DeleteFunc(d.Adapters, func(name string, _ int) bool { return !declared.HasAdapter(name) })
+		c.plan.AddDemand(now, model, d)
+	}
+}
+
 // drainDemand returns the demand since the last call and resets it.
 func (c *core) drainDemand() map[string]residency.Demand {
 	out := make(map[string]residency.Demand, len(c.demand))
 	for model, m := range c.demand {
-		if m.requests == 0 {
-			continue
-		}
 		out[model] = residency.Demand{Requests: m.requests, Value: m.weight, AdapterValue: m.adapterWeight, PrefillWork: m.prefillWork, WaitRatio: m.waitRatio / float64(m.requests), Adapters: m.adapters}
-		*m = modelDemand{}
 	}
+	clear(c.demand)
 	return out
 }
--- a/controlplane/orders.go
+++ b/controlplane/orders.go
@@ -60,9 +60,7 @@
 	}
 	if now.Sub(c.plannedAt) >= planInterval {
 		c.plannedAt = now
-		for model, d := range c.drainDemand() {
-			c.plan.AddDemand(now, model, d)
-		}
+		c.addDemand(now, c.drainDemand())
 		if ok {
 			c.recordAdapterUse(now, c.dispatch.OwnLoad())
 			c.updateRunning(now)
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -156,9 +156,7 @@
 		c.log.Info("peer seen", "peer", e.peer.Instance)
 	}
 	c.peers[e.peer.Instance] = &peerState{loads: e.peer.Loads, crashes: e.peer.Crashes, receivedAt: now}
-	for model, d := range e.peer.Demand {
-		c.plan.AddDemand(now, model, d)
-	}
+	c.addDemand(now, e.peer.Demand)
 	c.recordAdapterUse(now, e.peer.Loads)
 	c.dispatch.Suspects().Merge(now, e.peer.Instance, e.peer.Suspects)
 	c.dispatch.AdoptLatencyProfiles(e.peer.LatencyProfiles)
--- a/dispatch/prefixestimate.go
+++ b/dispatch/prefixestimate.go
@@ -176,8 +176,8 @@
 // request's last shared part, as far as this instance knows, and 0 if it does not.
 func (s *State) lastPrefixUse(r *replica, req *Request) int64 {
 	if !s.service(req.Service).isContended() {
-		if part, ok := r.prefixes.parts[req.Parts[len(req.Parts)-2].Key]; ok {
-			return part.lastUsed.UnixNano()
+		if at, ok := r.prefixes.lastUsed(req.Parts[len(req.Parts)-2].Key); ok {
+			return at.UnixNano()
 		}
 		return 0
 	}
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -117,10 +117,16 @@
 	}
 }
 
+// maxLoggedName limits the bytes of a name from the head of a request in a log line.
+const maxLoggedName = 128
+
+// shorten cuts a name that a caller chose.
+func shorten(name string) string { return name[:min(len(name), maxLoggedName)] }
+
 // logWait logs and counts that the request waits for its model or adapter.
 func (x *exchange) logWait(d dispatch.Decision) {
 	x.service.metrics.Counter(waitsMetric, "cause", string(d.Cause)).Add(1)
-	x.service.log.Info("request waits", "request", x.head.ID, "model", x.head.Model, "adapter", x.head.Adapter, "cause", string(d.Cause),
+	x.service.log.Info("request waits", "request", x.head.ID, "model", shorten(x.head.Model), "adapter", shorten(x.head.Adapter), "cause", string(d.Cause),
 		"wait", d.RetryAfter.Round(time.Millisecond), "elapsed", time.Since(x.arrived).Round(time.Millisecond))
 }
 
@@ -157,8 +163,8 @@
 	if !noteworthy && x.service.recorder.ordinary.Add(1)%sampleInterval != 0 {
 		return
 	}
-	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "customer", customer, "model", x.head.Model,
-		"adapter", x.head.Adapter, "status", status, "cause", outcome, "late", late, "first_byte", timeToFirstByte.Round(time.Millisecond),
+	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "customer", customer, "model", shorten(x.head.Model),
+		"adapter", shorten(x.head.Adapter), "status", status, "cause", outcome, "late", late, "first_byte", timeToFirstByte.Round(time.Millisecond),
 		"longest_gap", x.longestGap.Round(time.Millisecond), "took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "queued", x.queued.Round(time.Millisecond), "queue_cause", string(x.queueCause), "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "blocked_part", x.blockedPart, "sends", x.formatAttempts())
 }
 
--- a/integration/crowds_test.go
+++ b/integration/crowds_test.go
@@ -3,6 +3,7 @@
 package integration
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -178,6 +179,32 @@
 	_, _ = c.Write(make([]byte, crowdBodyBytes))
 }
 
+// unknownNames asks for models, adapters and prompt parts that don't exist, each time for
+// others with names as long as a head can be, until the connection is closed.
+func unknownNames(c net.Conn) {
+	answers := bufio.NewReader(c)
+	for {
+		n := promptCounter.Add(1)
+		name := fmt.Sprintf("%d-%s", n, strings.Repeat("n", 12_000))
+		if n%3 == 0 {
+			name = "m1/" + name
+		}
+		writeHead(c, "POST /chat/x")
+		_, _ = fmt.Fprintf(c, "X-Hyssophaven-Model: %s\r\nX-Hyssophaven-Token-Count: 100,10\r\nX-Hyssophaven-Prompt-Prefix: ", name)
+		for part := range 100 {
+			_, _ = fmt.Fprintf(c, "%x:0,", n<<8+int64(part))
+		}
+		_, _ = io.WriteString(c, "ff:1\r\nContent-Length: 0\r\n\r\n")
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			return
+		}
+	}
+}
+
 // plainRequest sends a request without a body.
 func plainRequest(c net.Conn) {
 	writeHead(c, "GET /look/x")
@@ -311,6 +338,7 @@
 				r.SetRawAnswer(answerHeadWithoutEnd)
 			}
 		}},
+		{name: "UnknownNames", crowd: crowd{clients: 12, misbehave: unknownNames}},
 		{name: "SilentConnections", crowd: crowd{clients: 700, misbehave: silent}},
 		{name: "SilentConnectionsToAllPorts", crowd: crowd{clients: 700, ports: everyPort, misbehave: silent}},
 	} {
