--- a/netdial/netdial.go
+++ b/netdial/netdial.go
@@ -18,7 +18,9 @@
 	// callerTimeout is userTimeout for connections of callers. Linux also ends a connection
 	// whose remote end acknowledges each probe but keeps its window closed for so long, as a
 	// caller does that reads slowly: its window opens again when most of its buffer is read.
-	callerTimeout = 30 * time.Second
+	// Until then a caller that does not read at all keeps its place at a replica, if its
+	// answer is larger than the buffers.
+	callerTimeout = 10 * time.Second
 	// probeIdle, probeInterval and probeCount detect an unresponsive remote end
 	// of an idle dialled connection within 2.5 s, which is less than the 3 s within
 	// which an instance must be reconnected after a network fault.
