stricthttp: reject answers of net/http whose upload was reset

Cause: http.Transport writes a request and reads its answer in two goroutines, too. It closes a connection whose write failed, which hides most of these answers, but the read can get its plain end of file before that.

--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -14,6 +14,7 @@
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
 	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // Options configure a Client. A field that is 0 gets its default.
@@ -45,12 +46,12 @@
 		token:   o.BearerToken,
 		timeout: o.Timeout,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: stricthttp.NewTransport(&http.Transport{
 				MaxConnsPerHost:        o.MaxConcurrent,
 				MaxIdleConnsPerHost:    o.MaxConcurrent,
 				IdleConnTimeout:        90 * time.Second,
 				MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/backing/backinghttp/limits_test.go
+++ b/backing/backinghttp/limits_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/hyssophaven/hyssophaven/backing"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // Guards against an instance that runs out of memory because the platform sends a head
@@ -37,7 +37,7 @@
 			})
 			var taken atomic.Int64
 			c := NewClient(server.Address, Options{Timeout: 20 * time.Second})
-			c.http.Transport.(*http.Transport).DialContext = rawservertest.CountingDial(&taken)
+			c.http.Transport.(*stricthttp.Transport).SetDial(rawservertest.CountingDial(&taken))
 			_, err := c.Tables().Read(t.Context(), backing.Query{Prefix: "k"})
 			is.True(errors.Is(err, backing.ErrUnavailable))
 			is.True(taken.Load() <= test.limit+readAhead)
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -18,6 +18,7 @@
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
 	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // NewHTTPClient returns an HTTP client that keeps up to idlePerEngine idle
@@ -28,7 +29,7 @@
 		idlePerEngine = 512
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: stricthttp.NewTransport(&http.Transport{
 			// Without a timeout, a dial to a host that drops packets takes minutes.
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idlePerEngine,
@@ -39,7 +40,7 @@
 			ReadBufferSize:         2 << 10,
 			WriteBufferSize:        2 << 10,
 			MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/engine/enginehttp/limits_test.go
+++ b/engine/enginehttp/limits_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // Guards against an instance that runs out of memory because an engine sends a head,
@@ -53,7 +53,7 @@
 			})
 			var taken atomic.Int64
 			httpClient := NewHTTPClient(0)
-			httpClient.Transport.(*http.Transport).DialContext = rawservertest.CountingDial(&taken)
+			httpClient.Transport.(*stricthttp.Transport).SetDial(rawservertest.CountingDial(&taken))
 			c := NewClient(server.Address, Options{HTTP: httpClient, ReadTimeout: 20 * time.Second})
 			err := test.call(t.Context(), c)
 			var e *engine.Error
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/headlimits"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // Limits bounds the memory and time that one caller or endpoint can take from an
@@ -51,9 +52,9 @@
 const connectTimeout = 2 * time.Second
 
 // newTransport returns the default transport for requests to plain services.
-func newTransport(l Limits) *http.Transport {
+func newTransport(l Limits) *stricthttp.Transport {
 	d := net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext:         d.DialContext,
 		DisableCompression:  true, // answers are relayed unchanged
 		MaxIdleConnsPerHost: 64,
@@ -61,7 +62,7 @@
 		// connection just as a request is sent on it.
 		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: int64(l.MaxHeaderBytes),
-	}
+	})
 }
 
 // sleep waits for d. It reports false if ctx ended first.
--- a/gateway/rawanswer_test.go
+++ b/gateway/rawanswer_test.go
@@ -2,23 +2,30 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/hyssophaven/hyssophaven/fleet"
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // newRawGateway returns a gateway with one plain service, which answers with raw bytes.
 // taken counts the bytes that the gateway reads from its connections.
 func newRawGateway(t *testing.T, answer func(c net.Conn, n int64)) (r *testGateway, taken *atomic.Int64) {
+	return newRawGatewayBefore(t, rawservertest.Start(t, answer))
+}
+
+// newRawGatewayBefore is newRawGateway with the given server as the service.
+func newRawGatewayBefore(t *testing.T, server *rawservertest.Server) (r *testGateway, taken *atomic.Int64) {
 	taken = new(atomic.Int64)
-	server := rawservertest.Start(t, answer)
 	r = newTestGateway(t, func(c *Config) { c.Limits.MaxAnswerBytes = 1 << 20 })
-	r.services.(*http.Transport).DialContext = rawservertest.CountingDial(taken)
+	r.services.(*stricthttp.Transport).SetDial(rawservertest.CountingDial(taken))
 	r.control.endpoints = append(r.control.endpoints, fleet.Endpoint{ID: "raw", Pool: "desk", Address: server.Address})
 	return r, taken
 }
@@ -59,3 +66,17 @@
 		})
 	}
 }
+
+// Guards against the part of an answer that reaches the caller of a plain service as the whole
+// one, because the service reset the connection while the request was being written.
+func TestServiceAnswerResetDuringUploadIsAFailure(t *testing.T) {
+	r, _ := newRawGatewayBefore(t, rawservertest.StartEarly(t, func(c net.Conn, _ int64) {
+		rawservertest.AnswerAndReset(c, "HTTP/1.1 200 OK\r\n\r\npart")
+	}))
+	upload := strings.Repeat("b", 4<<20)
+	for n := range 300 { // net/http reads one in ten to twenty answers to its end
+		a := r.call("POST", "/services/booking/bookings", upload, HeaderIdempotencyKey, fmt.Sprint("key-", n))
+		r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
+		r.is.Equal(a.executed, "unknown")
+	}
+}
--- a/load/client.go
+++ b/load/client.go
@@ -16,6 +16,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 const (
@@ -76,14 +77,14 @@
 }
 
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: jsonhttp.MaxHeadBytes,
-	}}
+	})}
 }
 
 // send sends one request and reads its answer. It measures latencies from due, the
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 	"github.com/hyssophaven/hyssophaven/table"
 	"github.com/hyssophaven/hyssophaven/table/tablecodec"
 	"github.com/hyssophaven/hyssophaven/tablestore"
@@ -39,7 +40,7 @@
 }
 
 // defaultTransport returns the transport of all clients that are not given another
-// one: http.DefaultTransport with a limit for heads.
+// one: http.DefaultTransport with checks and a limit for heads.
 var defaultTransport = sync.OnceValue(func() http.RoundTripper {
 	t, ok := http.DefaultTransport.(*http.Transport)
 	if !ok {
@@ -47,7 +48,7 @@
 	}
 	t = t.Clone()
 	t.MaxResponseHeaderBytes = jsonhttp.MaxHeadBytes
-	return t
+	return stricthttp.NewTransport(t)
 })
 
 // Table returns the current table from the store.
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 
@@ -11,6 +10,7 @@
 
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
 
 // Guards against a client that reads a head of any size, or takes the beginning of an
@@ -33,8 +33,8 @@
 			})
 			var taken atomic.Int64
 			client := NewClient("http://"+server.Address, "token", nil)
-			transport := client.http.Transport.(*http.Transport).Clone()
-			transport.DialContext = rawservertest.CountingDial(&taken)
+			transport := stricthttp.NewTransport(client.http.Transport.(*stricthttp.Transport).Clone())
+			transport.SetDial(rawservertest.CountingDial(&taken))
 			client.http.Transport = transport
 			_, err := client.Status(t.Context())
 			is.True(err != nil)
