--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/backing"
+	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
-	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
@@ -131,7 +131,7 @@
 		return nil, nil, r.lostAnswerError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := httpstatus.CheckHead(res); err != nil {
+	if err := answerhead.Check(res); err != nil {
 		return nil, nil, r.lostAnswerError(err)
 	}
 	body, err := jsonhttp.ReadBody(res.Body, maxBodyBytes)
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -15,8 +15,8 @@
 
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
+	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
-	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
 )
@@ -186,7 +186,7 @@
 	if err != nil {
 		return nil, sendError(ctx, tracker, err)
 	}
-	if err := httpstatus.CheckHead(res); err != nil {
+	if err := answerhead.Check(res); err != nil {
 		_ = res.Body.Close()
 		return nil, readError(ctx, err, engine.ExecutedUnknown)
 	}
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -14,7 +14,7 @@
 	"github.com/hyssophaven/hyssophaven/admission"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/heldbytes"
-	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
+	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/openai"
 )
@@ -103,10 +103,10 @@
 		return nil, c.lostFailure(grant, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !httpstatus.IsFinal(resp.StatusCode) {
+	if !answerhead.IsFinal(resp.StatusCode) {
 		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
 	}
-	if err := httpstatus.CheckHead(resp); err != nil {
+	if err := answerhead.Check(resp); err != nil {
 		return nil, c.lostFailure(grant, err)
 	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/answerhead/answerhead.go
@@ -1,6 +1,6 @@
-// Package httpstatus tells which statuses an answer can have. Package net/http also passes on
-// codes that HTTP does not have, and any text as the reason.
-package httpstatus
+// Package answerhead tells which heads an answer can have. Package net/http also passes on
+// statuses that HTTP does not have, and any text as the reason.
+package answerhead
 
 import (
 	"errors"
@@ -22,9 +22,9 @@
 // that of either.
 var ErrSecondStatusLine = errors.New("head of the answer has a second status line")
 
-// CheckHead returns ErrSecondStatusLine if the head of an answer begins with a part of another
+// Check returns ErrSecondStatusLine if the head of an answer begins with a part of another
 // one.
-func CheckHead(r *http.Response) error {
+func Check(r *http.Response) error {
 	if containsStatusLine(r.Status) {
 		return ErrSecondStatusLine
 	}
--- a/internal/httpstatus/httpstatus_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -1,4 +1,4 @@
-package httpstatus
+package answerhead
 
 import (
 	"bufio"
@@ -19,11 +19,11 @@
 		if err != nil {
 			continue
 		}
-		if merged := CheckHead(response) != nil; merged != (n > 0) {
+		if merged := Check(response) != nil; merged != (n > 0) {
 			t.Errorf("first %d bytes %q: second status line %t", n, first[:n], merged)
 		}
 	}
 	is := is.New(t)
 	sound := http.Header{"Via": {"HTTP/1.1 proxy", "1.1 HTTP/2"}, "Upgrade": {"HTTP/2.0"}, "X": {"HTTP/", "HTTP/1.1 20"}}
-	is.NoErr(CheckHead(&http.Response{Status: "200 OK", Header: sound}))
+	is.NoErr(Check(&http.Response{Status: "200 OK", Header: sound}))
 }
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -14,7 +14,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
+	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 )
 
 // Error describes a failed request. Every unsuccessful answer carries it in its
@@ -102,7 +102,7 @@
 // comes from a faulty server and proves nothing.
 func ParseError(status int, body []byte) (Error, bool) {
 	var e envelope
-	if !httpstatus.IsError(status) {
+	if !answerhead.IsError(status) {
 		return Error{}, false
 	}
 	if json.Unmarshal(body, &e) != nil || e.Error == nil || e.Error.Code == "" {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -11,7 +11,7 @@
 	"os"
 	"time"
 
-	"github.com/hyssophaven/hyssophaven/internal/httpstatus"
+	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 )
 
 // ReadHead waits for the head of the answer, for timeout until its first byte and as
@@ -71,12 +71,12 @@
 		if err != nil {
 			return a.readError(err)
 		}
-		if err := httpstatus.CheckHead(response); err != nil {
+		if err := answerhead.Check(response); err != nil {
 			return a.readError(err)
 		}
 		status := response.StatusCode
 		interim := status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
-		if !interim && !httpstatus.IsFinal(status) {
+		if !interim && !answerhead.IsFinal(status) {
 			return a.readError(fmt.Errorf("%w %d", errInvalidStatus, status))
 		}
 		if interim {
