stricthttp: check the statuses of all clients of net/http

What callers saw: nothing. The load tool counted answers with the statuses 000, 042, 099, +42 and 101 as whole ones, and the load tool and the operators' client took a head with a second status line for a sound one. The other clients reject both.

Cause: each client called the checks of answerhead by itself, and two did not.

Change: stricthttp.Transport makes both checks for every answer; an answer that fails one is an error, like one that breaks off.

Evidence: load.TestMalformedAnswerIsAFailure failed before in six of 21 cases and operator.TestMalformedAnswerIsAnError in one.

--- a/backing/backinghttp/client.go
+++ b/backing/backinghttp/client.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/backing"
-	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
@@ -131,9 +130,6 @@
 		return nil, nil, r.lostAnswerError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := answerhead.Check(res); err != nil {
-		return nil, nil, r.lostAnswerError(err)
-	}
 	body, err := jsonhttp.ReadBody(res.Body, maxBodyBytes)
 	if err != nil {
 		return nil, nil, r.lostAnswerError(err)
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -15,7 +15,6 @@
 
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/fleet"
-	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/internal/delivery"
 	"github.com/hyssophaven/hyssophaven/internal/jsonhttp"
 	"github.com/hyssophaven/hyssophaven/internal/stricthttp"
@@ -186,10 +185,6 @@
 	if err != nil {
 		return nil, sendError(ctx, tracker, err)
 	}
-	if err := answerhead.Check(res); err != nil {
-		_ = res.Body.Close()
-		return nil, readError(ctx, err, engine.ExecutedUnknown)
-	}
 	if res.StatusCode == http.StatusOK {
 		return res, nil
 	}
--- a/gateway/roundtrip.go
+++ b/gateway/roundtrip.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/hyssophaven/hyssophaven/admission"
 	"github.com/hyssophaven/hyssophaven/engine"
 	"github.com/hyssophaven/hyssophaven/heldbytes"
-	"github.com/hyssophaven/hyssophaven/internal/answerhead"
 	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/openai"
 )
@@ -103,12 +101,6 @@
 		return nil, c.lostFailure(grant, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if !answerhead.IsFinal(resp.StatusCode) {
-		return nil, c.lostFailure(grant, fmt.Errorf("answer has the invalid status %d", resp.StatusCode))
-	}
-	if err := answerhead.Check(resp); err != nil {
-		return nil, c.lostFailure(grant, err)
-	}
 	limit := c.g.cfg.Limits.MaxAnswerBytes
 	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength, limit+1, c.memory.held(), memorybudget.Other)
 	if errors.Is(err, heldbytes.ErrNoRoom) {
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
@@ -68,3 +69,55 @@
 		})
 	}
 }
+
+// Guards against a broken answer that is taken for a sound one, and against a request that
+// http.Transport sends again after it, which can be a second run.
+func TestMalformedAnswerIsAnError(t *testing.T) {
+	for _, malformed := range rawservertest.MalformedAnswers("ok") {
+		t.Run(malformed.Name, func(t *testing.T) {
+			is := is.New(t)
+			e := rawservertest.Start(t, func(c net.Conn, n int64) {
+				if n == 1 {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					return
+				}
+				_, _ = io.WriteString(c, malformed.Render(""))
+				_ = c.Close()
+			})
+			c := &http.Client{Transport: NewTransport(&http.Transport{})}
+			_, err := get(c, e.Address)
+			is.NoErr(err)
+			_, err = get(c, e.Address)
+			is.True(err != nil)
+			is.Equal(e.Requests.Load(), int64(2))
+			is.Equal(e.Connections.Load(), int64(1))
+		})
+	}
+}
+
+// get sends a request that http.Transport may send again and returns the body of the answer.
+func get(c *http.Client, address string) (string, error) {
+	resp, err := c.Get("http://" + address)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return string(answer), err
+}
+
+// Guards against checks that fail where answers come over TLS, whose bytes they can't read.
+func TestAnswerOverTLSIsRead(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	c := &http.Client{Transport: NewTransport(server.Client().Transport.(*http.Transport).Clone())}
+	for range 2 {
+		resp, err := c.Get(server.URL)
+		is.NoErr(err)
+		answer, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(answer), "ok")
+		is.NoErr(resp.Body.Close())
+	}
+}
--- /dev/null
+++ b/load/client_test.go
@@ -0,0 +1,27 @@
+package load
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hyssophaven/hyssophaven/internal/rawservertest"
+)
+
+// Guards against a broken answer that the generator counts as a whole one.
+func TestMalformedAnswerIsAFailure(t *testing.T) {
+	for _, malformed := range rawservertest.MalformedAnswers("ok") {
+		t.Run(malformed.Name, func(t *testing.T) {
+			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
+				_, _ = io.WriteString(c, malformed.Render(""))
+				_ = c.Close()
+			})
+			request := Request{Instance: "http://" + server.Address, Marker: "m"}
+			a := send(t.Context(), newClient(), &Stream{Call: &Call{Method: "POST", Path: "/x"}}, request, time.Now())
+			is.New(t).True(a.Code != "")
+		})
+	}
+}
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -42,3 +43,18 @@
 		})
 	}
 }
+
+// Guards against a broken answer that the client takes for a sound one.
+func TestMalformedAnswerIsAnError(t *testing.T) {
+	const body = `{"Revision":7}`
+	for _, malformed := range rawservertest.MalformedAnswers(body) {
+		t.Run(malformed.Name, func(t *testing.T) {
+			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
+				_, _ = io.WriteString(c, malformed.Render(""))
+				_ = c.Close()
+			})
+			_, err := NewClient("http://"+server.Address, "token", nil).Status(t.Context())
+			is.New(t).True(err != nil)
+		})
+	}
+}
