edge, gateway: test malformed statuses during a long upload

Status 000, 099 and 600 in an answer that has no length and comes before the upload is written, whole and followed by a reset, for plain services and streams.

--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -148,3 +148,27 @@
 		})
 	}
 }
+
+// Guards against an answer with a status that HTTP does not have, and without a length, that
+// reaches the caller while the request is still being written.
+func TestMalformedStatusDuringUploadIsAFailure(t *testing.T) {
+	for name, end := range map[string]func(c net.Conn, answer string){"whole": rawservertest.AnswerAndHalfClose, "reset": rawservertest.AnswerAndReset} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := startUploads(t, func(c net.Conn, head string, _ int) {
+				_, status, _ := strings.Cut(attemptID(head), "-")
+				end(c, strings.Replace(head, " 200 ", " "+status+" ", 1)+streamHead+firstEvent)
+			}, allReplicas)
+			for _, status := range []string{"000", "099", "600"} {
+				for _, r := range []request{{Path: "/book/"}, {Path: "/once/", Model: "m1"}} {
+					id := fmt.Sprint(r.Model, "-", status)
+					got := d.upload(r.Path, id, r.Model)
+					is.NoErr(got.Err)
+					is.Equal(got.Status, http.StatusBadGateway)
+					is.Equal(len(d.Runs(id)), 1)
+				}
+			}
+		})
+	}
+}
--- a/gateway/rawanswer_test.go
+++ b/gateway/rawanswer_test.go
@@ -80,3 +80,19 @@
 		r.is.Equal(a.executed, "unknown")
 	}
 }
+
+// Guards against an answer with a status that HTTP does not have, and without a length, that is
+// relayed while the request is still being written.
+func TestMalformedStatusDuringUploadIsNotRelayed(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		t.Run(status, func(t *testing.T) {
+			r, _ := newRawGatewayBefore(t, rawservertest.StartEarly(t, func(c net.Conn, _ int64) {
+				rawservertest.AnswerAndHalfClose(c, "HTTP/1.1 "+status+" OK\r\n\r\nwhole")
+				_, _ = io.Copy(io.Discard, c)
+			}))
+			a := r.call("POST", "/services/booking/bookings", strings.Repeat("b", 4<<20), HeaderIdempotencyKey, "key")
+			r.is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable)
+			r.is.Equal(a.executed, "unknown")
+		})
+	}
+}
