platform, enginehttp, backinghttp, operator: test answers cut in order

These clients read JSON, engines' streams have an end marker, and small requests are written before the answer is read, so that a part of an answer without a length is no answer there, however its connection ends. The tests cut an answer after each byte and needed no change of the product.

--- a/backing/backinghttp/client_test.go
+++ b/backing/backinghttp/client_test.go
@@ -133,7 +133,9 @@
 // body, or with a malformed line, that is taken for a success or for a proof that nothing was written.
 func TestMalformedAnswerProvesNothing(t *testing.T) {
 	const refusal = `{"error":{"code":"unavailable","message":"m","executed":"no"}}`
-	for _, malformed := range append(rawservertest.MalformedAnswers(refusal), rawservertest.MalformedLines("503 Service Unavailable", refusal)...) {
+	malformedAnswers := slices.Concat(rawservertest.MalformedAnswers(refusal), rawservertest.MalformedLines("503 Service Unavailable", refusal),
+		rawservertest.CutAnswers("503 Service Unavailable", refusal), rawservertest.CutAnswers("200 OK", "{}"))
+	for _, malformed := range malformedAnswers {
 		t.Run(malformed.Name, func(t *testing.T) {
 			is := is.New(t)
 			handler := malformed.Handler(func(*http.Request) string { return "Store-Era: 2\r\n" })
--- a/engine/enginehttp/client_test.go
+++ b/engine/enginehttp/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -114,7 +115,9 @@
 // body, or with a malformed line, that is taken for a success, or for a refusal that proves that nothing has run.
 func TestMalformedAnswerOfEngineProvesNothing(t *testing.T) {
 	const refusal = `{"error":{"code":"refused","message":"m","executed":"no"}}`
-	for _, malformed := range append(rawservertest.MalformedAnswers(refusal), rawservertest.MalformedLines("503 Service Unavailable", refusal)...) {
+	malformedAnswers := slices.Concat(rawservertest.MalformedAnswers(refusal), rawservertest.MalformedLines("503 Service Unavailable", refusal),
+		rawservertest.CutAnswers("503 Service Unavailable", refusal), rawservertest.CutAnswers("200 OK", "{}"))
+	for _, malformed := range malformedAnswers {
 		t.Run(malformed.Name, func(t *testing.T) {
 			is := is.New(t)
 			c := newTestClient(t, malformed.Handler(func(r *http.Request) string {
--- a/internal/rawservertest/malformed.go
+++ b/internal/rawservertest/malformed.go
@@ -70,6 +70,15 @@
 	return out
 }
 
+// CutAnswers returns answers without a length that end in order before the end of body.
+func CutAnswers(status, body string) []MalformedAnswer {
+	var out []MalformedAnswer
+	for n := range body {
+		out = append(out, MalformedAnswer{Name: fmt.Sprintf("body ends after %d bytes", n), statusLine: "HTTP/1.1 " + status + "\r\n", rest: "\r\n" + body[:n]})
+	}
+	return out
+}
+
 // invalidNameBytes returns the control bytes, and some bytes that are not ASCII.
 func invalidNameBytes() []string {
 	out := []string{"\x7f", "\x80", "\xc3", "\xff", "é"}
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -47,7 +48,7 @@
 // Guards against a broken answer that the client takes for a sound one.
 func TestMalformedAnswerIsAnError(t *testing.T) {
 	const body = `{"Revision":7}`
-	for _, malformed := range append(rawservertest.MalformedAnswers(body), rawservertest.MalformedLines("200 OK", body)...) {
+	for _, malformed := range slices.Concat(rawservertest.MalformedAnswers(body), rawservertest.MalformedLines("200 OK", body), rawservertest.CutAnswers("200 OK", body)) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
 				_, _ = io.WriteString(c, malformed.Render(""))
--- a/upstream/upload_test.go
+++ b/upstream/upload_test.go
@@ -39,21 +39,25 @@
 // Guards against the part of an answer without a length that is taken for the whole, because
 // the write of the request, and not the read, got the error of the connection.
 func TestResetDuringUploadIsNoEndOfAnswer(t *testing.T) {
-	e := rawservertest.StartEarly(t, func(c net.Conn, _ int64) { rawservertest.AnswerAndReset(c, unboundedHead+partOfAnswer) })
-	p, upload := newPool(), make([]byte, longUpload)
-	whole := 0
-	for range 300 {
-		_, err := readUpload(t, p, e.Address, upload)
-		if err == nil {
-			whole++
-		} else if !errors.Is(err, ErrConnectionBroken) || errors.Is(err, ErrNotSent) {
-			t.Errorf("error %v", err)
-		}
-	}
-	if whole > 0 {
-		t.Errorf("%d answers were taken for whole ones", whole)
+	for name, size := range map[string]int{"written before the read": maxSyncWriteBytes / 2, "written meanwhile": longUpload} {
+		t.Run(name, func(t *testing.T) {
+			e := rawservertest.StartEarly(t, func(c net.Conn, _ int64) { rawservertest.AnswerAndReset(c, unboundedHead+partOfAnswer) })
+			p, upload := newPool(), make([]byte, size)
+			whole := 0
+			for range 300 {
+				_, err := readUpload(t, p, e.Address, upload)
+				if err == nil {
+					whole++
+				} else if !errors.Is(err, ErrConnectionBroken) || errors.Is(err, ErrNotSent) {
+					t.Errorf("error %v", err)
+				}
+			}
+			if whole > 0 {
+				t.Errorf("%d answers were taken for whole ones", whole)
+			}
+			is.New(t).Equal(p.IdleConnections(), int64(0))
+		})
 	}
-	is.New(t).Equal(p.IdleConnections(), int64(0))
 }
 
 // Guards against the part of an answer without a length that is taken for the whole, because
