--- a/actuator/malformed_test.go
+++ b/actuator/malformed_test.go
@@ -22,10 +22,7 @@
 	for _, malformed := range append(rawservertest.MalformedAnswers("{}"), rawservertest.MalformedLines("200 OK", "{}")...) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			is := is.New(t)
-			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
-				_, _ = io.WriteString(c, malformed.Render(""))
-				_ = c.Close()
-			})
+			server := malformed.Start(t, "")
 			s := New(nil, upstream.NewDedicated((&net.Dialer{}).DialContext), fakeCodec{}, log.New(io.Discard))
 			outcome, err := s.deliverOrder(t.Context(), controlplane.SendOrder{Order: &residency.Order{Address: server.Address}, Until: bootclock.Now().Add(time.Hour)})
 			is.True(err != nil)
--- a/internal/rawservertest/malformed.go
+++ b/internal/rawservertest/malformed.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"testing"
 )
 
 // MalformedAnswer is an answer that no HTTP server may send.
@@ -104,6 +106,16 @@
 	return interim + a.statusLine + headers + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", length, a.body)
 }
 
+// Start starts a server that answers each request with the malformed answer and closes the
+// connection. headers are further lines of the head.
+func (a MalformedAnswer) Start(t testing.TB, headers string) *Server {
+	t.Helper()
+	return Start(t, func(c net.Conn, _ int64) {
+		_, _ = io.WriteString(c, a.Render(headers))
+		_ = c.Close()
+	})
+}
+
 // Handler answers each request with the malformed answer. header returns further lines of the
 // head.
 func (a MalformedAnswer) Handler(header func(*http.Request) string) http.HandlerFunc {
--- a/internal/stricthttp/stricthttp_test.go
+++ b/internal/stricthttp/stricthttp_test.go
@@ -20,9 +20,14 @@
 	unboundedHead = "HTTP/1.1 200 OK\r\n\r\n" // neither a length nor chunks
 )
 
-// post sends a request and returns the body of the answer.
-func post(c *http.Client, address string, body []byte) (string, error) {
-	resp, err := c.Post("http://"+address, "", bytes.NewReader(body))
+// fetch sends a request and returns the body of the answer. http.Transport may send the request
+// again if it is a GET.
+func fetch(c *http.Client, method, url string, body []byte) (string, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	resp, err := c.Do(req)
 	if err != nil {
 		return "", err
 	}
@@ -38,7 +43,7 @@
 	c := &http.Client{Transport: NewTransport(&http.Transport{})}
 	upload, whole := make([]byte, longUpload), 0
 	for range 2000 { // net/http reads one in ten to twenty answers to its end
-		if _, err := post(c, e.Address, upload); err == nil {
+		if _, err := fetch(c, "POST", "http://"+e.Address, upload); err == nil {
 			whole++
 		}
 	}
@@ -62,7 +67,7 @@
 			c := &http.Client{Transport: NewTransport(&http.Transport{})}
 			upload := make([]byte, longUpload)
 			for range 100 {
-				answer, err := post(c, e.Address, upload)
+				answer, err := fetch(c, "POST", "http://"+e.Address, upload)
 				is.NoErr(err)
 				is.Equal(answer, "whole")
 			}
@@ -85,9 +90,9 @@
 				_ = c.Close()
 			})
 			c := &http.Client{Transport: NewTransport(&http.Transport{})}
-			_, err := get(c, e.Address)
+			_, err := fetch(c, "GET", "http://"+e.Address, nil)
 			is.NoErr(err)
-			_, err = get(c, e.Address)
+			_, err = fetch(c, "GET", "http://"+e.Address, nil)
 			is.True(err != nil)
 			is.Equal(e.Requests.Load(), int64(2))
 			is.Equal(e.Connections.Load(), int64(1))
@@ -95,17 +100,6 @@
 	}
 }
 
-// get sends a request that http.Transport may send again and returns the body of the answer.
-func get(c *http.Client, address string) (string, error) {
-	resp, err := c.Get("http://" + address)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	return string(answer), err
-}
-
 // Guards against checks that fail where answers come over TLS, whose bytes they can't read.
 func TestAnswerOverTLSIsRead(t *testing.T) {
 	is := is.New(t)
@@ -113,11 +107,8 @@
 	defer server.Close()
 	c := &http.Client{Transport: NewTransport(server.Client().Transport.(*http.Transport).Clone())}
 	for range 2 {
-		resp, err := c.Get(server.URL)
-		is.NoErr(err)
-		answer, err := io.ReadAll(resp.Body)
+		answer, err := fetch(c, "GET", server.URL, nil)
 		is.NoErr(err)
-		is.Equal(string(answer), "ok")
-		is.NoErr(resp.Body.Close())
+		is.Equal(answer, "ok")
 	}
 }
--- a/load/client_test.go
+++ b/load/client_test.go
@@ -1,8 +1,6 @@
 package load
 
 import (
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -15,10 +13,7 @@
 func TestMalformedAnswerIsAFailure(t *testing.T) {
 	for _, malformed := range append(rawservertest.MalformedAnswers("ok"), rawservertest.MalformedLines("200 OK", "ok")...) {
 		t.Run(malformed.Name, func(t *testing.T) {
-			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
-				_, _ = io.WriteString(c, malformed.Render(""))
-				_ = c.Close()
-			})
+			server := malformed.Start(t, "")
 			request := Request{Instance: "http://" + server.Address, Marker: "m"}
 			a := send(t.Context(), newClient(), &Stream{Call: &Call{Method: "POST", Path: "/x"}}, request, time.Now())
 			is.New(t).True(a.Code != "")
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -50,10 +49,7 @@
 	const body = `{"Revision":7}`
 	for _, malformed := range slices.Concat(rawservertest.MalformedAnswers(body), rawservertest.MalformedLines("200 OK", body), rawservertest.CutAnswers("200 OK", body)) {
 		t.Run(malformed.Name, func(t *testing.T) {
-			server := rawservertest.Start(t, func(c net.Conn, _ int64) {
-				_, _ = io.WriteString(c, malformed.Render(""))
-				_ = c.Close()
-			})
+			server := malformed.Start(t, "")
 			_, err := NewClient("http://"+server.Address, "token", nil).Status(t.Context())
 			is.New(t).True(err != nil)
 		})
