failover, ingress: end a plain answer that breaks off

On idempotent routes the request ran a second time for an answer that was thrown away.

Cause: headSent said that some head had been relayed. relayLarge set it for a plain answer, and run sent the request again as if events had begun.

Package failover decides what follows the end of a send, from what has been relayed: nothing, events, or a plain answer, which no other replica can continue. run does what it says. The line "request ended" has the new fields relayed and not_sent_again.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/controlplane"
+	"github.com/hyssophaven/hyssophaven/failover"
 )
 
 const (
@@ -77,15 +78,15 @@
 
 // beginAnswer must be called before the head of an answer is relayed if its body has not
 // been read completely. It fails if the drain has ended.
-func (x *exchange) beginAnswer() error {
+func (x *exchange) beginAnswer(relayed failover.Progress) error {
 	if !x.outliveDrain() {
 		return errStopping
 	}
-	x.headSent, x.firstByte = true, time.Now()
+	x.relayed, x.firstByte = relayed, time.Now()
 	return nil
 }
 
 // cutByDrain reports whether the end of the drain has canceled the request.
 func (x *exchange) cutByDrain() bool {
-	return !x.headSent && x.service.drained.Err() != nil
+	return x.relayed == failover.Nothing && x.service.drained.Err() != nil
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/failover"
 	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
@@ -54,10 +55,11 @@
 	possibleRuns int              // replicas that may have run the request
 	status       int              // status of the relayed answer
 	lastOutcome  dispatch.Outcome // outcome of the last send
-	// headSent is set once the head of an answer is relayed to the caller.
-	headSent  bool
-	firstByte time.Time // time at which the answer to the caller began
-	lastEvent string    // id of the last relayed event that has one
+	// relayed is what the caller has got of an answer that is relayed while it is being read.
+	relayed      failover.Progress
+	notSentAgain failover.Reason // why the request ended without a whole answer, if a send ended it
+	firstByte    time.Time       // time at which the answer to the caller began
+	lastEvent    string          // id of the last relayed event that has one
 	// eventAt is the time at which the last event was relayed, and longestGap the longest
 	// time between two events.
 	eventAt    time.Time
@@ -113,13 +115,21 @@
 			}
 			next = x.open(ctx, f)
 		}
-		outcome, done := x.relaySend(ctx, next)
-		if done {
+		outcome, complete := x.relaySend(ctx, next)
+		if !complete {
+			x.countSend(next.flight, outcome)
+		}
+		action, reason := failover.Next(failover.Request{
+			Progress: x.relayed, Complete: complete, Outcome: outcome, MayHaveRun: x.possibleRuns > 0,
+			Repeatable: x.route.Repeatable(), Unnumbered: x.unresumable, Expired: ctx.Err() != nil,
+		})
+		switch action {
+		case failover.SendAgain:
+		case failover.Finish:
 			x.finish(x.status, "")
 			return
-		}
-		x.countSend(next.flight, outcome)
-		if ctx.Err() != nil || x.unresumable || (x.possibleRuns > 0 && !x.route.Repeatable()) {
+		case failover.BreakOff, failover.Fail:
+			x.notSentAgain = reason
 			x.dropSuccessor()
 			x.giveUp(ctx, outcome.String(), 0)
 			return
@@ -279,7 +289,7 @@
 	case x.r.Context().Err() != nil:
 		x.finish(0, x.lostConnectionCause())
 		panic(http.ErrAbortHandler)
-	case x.headSent:
+	case x.relayed != failover.Nothing:
 		x.finish(0, "broken-off: "+cause)
 		x.abort()
 	case x.failedAnswer != nil:
--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/failover"
 	"github.com/hyssophaven/hyssophaven/upstream"
 )
 
@@ -169,7 +170,7 @@
 	switch {
 	case s.err != nil || s.head.NotExecuted || s.head.Misdirected || s.answer.Status >= 500:
 		return false
-	case x.headSent && s.answer.Status != http.StatusOK:
+	case x.relayed != failover.Nothing && s.answer.Status != http.StatusOK:
 		return false
 	}
 	return x.checkHead(s) == nil
--- a/ingress/record.go
+++ b/ingress/record.go
@@ -165,7 +165,7 @@
 	}
 	x.service.log.Info("request ended", "request", x.head.ID, "route", route, "kind", kind, "rank", rank, "customer", customer, "model", shorten(x.head.Model),
 		"adapter", shorten(x.head.Adapter), "status", status, "cause", outcome, "late", late, "first_byte", timeToFirstByte.Round(time.Millisecond),
-		"longest_gap", x.longestGap.Round(time.Millisecond), "took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "queued", x.queued.Round(time.Millisecond), "queue_cause", string(x.queueCause), "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "blocked_part", x.blockedPart, "sends", x.formatAttempts())
+		"longest_gap", x.longestGap.Round(time.Millisecond), "took", elapsed.Round(time.Millisecond), "time_left", x.head.TimeLeft, "waited", x.waited, "queued", x.queued.Round(time.Millisecond), "queue_cause", string(x.queueCause), "phase", x.phase.String(), "ran", x.possibleRuns, "last_event", x.lastEvent, "relayed", x.relayed.String(), "not_sent_again", string(x.notSentAgain), "blocked_part", x.blockedPart, "sends", x.formatAttempts())
 }
 
 // formatAttempts returns all attempts as one text for the log.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssophaven/hyssophaven/catalog"
 	"github.com/hyssophaven/hyssophaven/dispatch"
+	"github.com/hyssophaven/hyssophaven/failover"
 	"github.com/hyssophaven/hyssophaven/heldbytes"
 	"github.com/hyssophaven/hyssophaven/memorybudget"
 	"github.com/hyssophaven/hyssophaven/upstream"
@@ -59,7 +60,7 @@
 	if x.route.Kind == catalog.Stream && a.Status == http.StatusOK {
 		return x.relayStream(ctx, s)
 	}
-	if x.headSent {
+	if x.relayed != failover.Nothing {
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
 	}
 	x.reportFirstByte(s)
@@ -185,7 +186,7 @@
 // memory, while it is being read.
 // prefix holds the bytes that were read already.
 func (x *exchange) relayLarge(a *upstream.Answer, prefix *bufferedAnswer) (dispatch.Outcome, bool, error) {
-	if err := x.beginAnswer(); err != nil {
+	if err := x.beginAnswer(failover.Plain); err != nil {
 		return dispatch.Canceled, false, err
 	}
 	x.service.protocol.CopyAnswer(x.w.Header(), prefix.header)
@@ -267,8 +268,8 @@
 // writeEvents writes events to the caller and flushes them. Before the first events of
 // a stream, it writes the head of the answer.
 func (x *exchange) writeEvents(a *upstream.Answer, events []byte) error {
-	if !x.headSent {
-		if err := x.beginAnswer(); err != nil {
+	if x.relayed == failover.Nothing {
+		if err := x.beginAnswer(failover.Events); err != nil {
 			return err
 		}
 		x.service.protocol.CopyAnswer(x.w.Header(), a.Header)
