ingress: reset cut answers of HTTP/1.0 at the end of a stop

A caller of HTTP/1.0 whose stream or large plain answer was still being relayed at the end of a stop got a part of it and an orderly end of the connection, which looks like the end of the answer.

Cause: only the request path made the connection end with a reset. At the end of a stop the server closes the connections itself, with a FIN.

The connection is set to end with a reset when the head of such an answer is relayed, and set back after the whole answer has been flushed, so that it does not matter who closes it. This replaces abort.

Evidence: edge.TestPartOfAnswerAtEndOfStopIsNotComplete failed in its three cases for HTTP/1.0 before and passes; TestWholeAnswerEndsInOrderForHTTP10 passes before and after.

--- a/ingress/connmemory.go
+++ b/ingress/connmemory.go
@@ -25,9 +25,15 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) *trackedConn {
+	c, _ := ctx.Value(connContextKey{}).(*trackedConn)
+	return c
+}
+
 // accountOf returns the account of a request's connection, or nil.
 func accountOf(ctx context.Context) *memorybudget.Account {
-	if c, ok := ctx.Value(connContextKey{}).(*trackedConn); ok {
+	if c := connOf(ctx); c != nil {
 		return &c.account
 	}
 	return nil
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -288,11 +288,15 @@
 	return nil
 }
 
-// resetOnClose makes Close send a reset, so that the caller doesn't take the end of the
-// connection for the end of an answer.
-func (c *trackedConn) resetOnClose() {
+// setResetOnClose sets whether Close sends a reset, so that the caller doesn't take the end
+// of the connection for the end of an answer.
+func (c *trackedConn) setResetOnClose(reset bool) {
+	seconds := -1 // the default of the operating system
+	if reset {
+		seconds = 0
+	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+		_ = tcp.SetLinger(seconds)
 	}
 }
 
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/controlplane"
@@ -83,9 +84,33 @@
 		return errStopping
 	}
 	x.relayed, x.firstByte = relayed, time.Now()
+	if conn := x.http10Conn(); conn != nil {
+		conn.setResetOnClose(true)
+	}
 	return nil
 }
 
+// completeAnswer must be called after the whole of an answer has been relayed.
+func (x *exchange) completeAnswer() {
+	conn := x.http10Conn()
+	if conn == nil || x.relayed == failover.Nothing {
+		return
+	}
+	if err := http.NewResponseController(x.w).Flush(); err == nil {
+		conn.setResetOnClose(false)
+	}
+}
+
+// http10Conn returns the connection of a caller of HTTP/1.0, or nil. Such a caller takes the
+// end of the connection for the end of the answer, unless it is a reset. The connection can
+// end at any time, also with the instance.
+func (x *exchange) http10Conn() *trackedConn {
+	if x.r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	return connOf(x.r.Context())
+}
+
 // cutByDrain reports whether the end of the drain has canceled the request.
 func (x *exchange) cutByDrain() bool {
 	return x.relayed == failover.Nothing && x.service.drained.Err() != nil
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -126,6 +126,7 @@
 		switch action {
 		case failover.SendAgain:
 		case failover.Finish:
+			x.completeAnswer()
 			x.finish(x.status, "")
 			return
 		case failover.BreakOff, failover.Fail:
@@ -291,7 +292,7 @@
 		panic(http.ErrAbortHandler)
 	case x.relayed != failover.Nothing:
 		x.finish(0, "broken-off: "+cause)
-		x.abort()
+		panic(http.ErrAbortHandler)
 	case x.failedAnswer != nil:
 		x.deliver(x.failedAnswer)
 		x.finish(x.status, "")
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -250,21 +250,6 @@
 	return a.IsSilent() && time.Until(x.request.Deadline) > 0
 }
 
-// abort ends an answer that has begun so that it does not look complete. A caller of
-// HTTP/1.0 takes the end of the connection for the end of the answer, except for a
-// reset.
-func (x *exchange) abort() {
-	if !x.r.ProtoAtLeast(1, 1) {
-		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
-			if tracked, ok := conn.(*trackedConn); ok {
-				tracked.resetOnClose()
-			}
-			_ = conn.Close()
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // writeEvents writes events to the caller and flushes them. Before the first events of
 // a stream, it writes the head of the answer.
 func (x *exchange) writeEvents(a *upstream.Answer, events []byte) error {
