ingress: don't continue a stream with another media type

A caller of a stream got, behind the events of its first replica, the bytes of a resumed answer with status 200 and another media type, such as JSON, as far as they could be read as events. The answer looked complete.

Cause: only the status decided whether an answer can continue a stream, both where a broken stream is resumed and where a silent one is taken over.

checkHead, which both paths use, rejects an answer whose head names another media type than the relayed one. The send counts as broken.

--- a/edge/partialanswer_test.go
+++ b/edge/partialanswer_test.go
@@ -285,3 +285,32 @@
 		}
 	}
 }
+
+// Guards against a resumed stream that continues with an answer of another media type or
+// status or with an encoded one, after its replica broke off or fell silent.
+func TestStreamIsNotContinuedWithAnotherType(t *testing.T) {
+	for name, answer := range map[string]func(head string) string{
+		"type":     func(head string) string { return head + "Content-Type: application/json\r\n\r\n" },
+		"encoding": func(head string) string { return head + "Content-Encoding: gzip\r\n" + streamHead },
+		"status":   func(head string) string { return strings.Replace(head, " 200 ", " 404 ", 1) + streamHead },
+	} {
+		for end, finish := range map[string]func(c net.Conn){
+			"broken": func(c net.Conn) { _, _ = io.WriteString(c, "id: 2\nda") },
+			"silent": func(c net.Conn) { _, _ = io.ReadAll(c) },
+		} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				t.Parallel()
+				is := is.NewRelaxed(t)
+				d := startDeployment(t, 1)
+				setRawAnswers(d.Engines, func(c net.Conn, head string, _ int) {
+					_, _ = io.WriteString(c, head+streamHead+firstEvent)
+					finish(c)
+				}, func(c net.Conn, head string, _ int) { _, _ = io.WriteString(c, answer(head)+lastEvent) })
+				got := d.do(0, request{Method: "POST", Path: "/chat/x", ID: "typed", Model: "m1", Body: "p", TimeLeft: 4 * time.Second})
+				is.True(got.Err != nil)
+				is.Equal(got.Body, firstEvent)
+				is.Equal(len(d.Runs("typed")), 2)
+			})
+		}
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -59,7 +59,9 @@
 	relayed      failover.Progress
 	notSentAgain failover.Reason // why the request ended without a whole answer, if a send ended it
 	firstByte    time.Time       // time at which the answer to the caller began
-	lastEvent    string          // id of the last relayed event that has one
+	// streamType is the media type in the relayed head of a stream, or "".
+	streamType string
+	lastEvent  string // id of the last relayed event that has one
 	// eventAt is the time at which the last event was relayed, and longestGap the longest
 	// time between two events.
 	eventAt    time.Time
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hyssophaven/hyssophaven/catalog"
@@ -20,6 +21,7 @@
 var (
 	errEncoded    = errors.New("answer has a content encoding")
 	errUnsigned   = errors.New("successful answer lacks the replica's signature")
+	errOtherType  = errors.New("resumed stream has another media type")
 	errEventOrder = errors.New("event id is not greater than the last one")
 	// errTruncatedEvent is needed for answers without a declared length: such an
 	// answer is truncated if it ends within an event, even if the connection was
@@ -34,7 +36,7 @@
 // connection was still open.
 func isInvalid(err error) bool {
 	var limit *upstream.LimitError
-	for _, invalid := range []error{upstream.ErrForeignAnswer, errEncoded, errUnsigned, errEventOrder} {
+	for _, invalid := range []error{upstream.ErrForeignAnswer, errEncoded, errUnsigned, errOtherType, errEventOrder} {
 		if errors.Is(err, invalid) {
 			return true
 		}
@@ -88,10 +90,22 @@
 		return errEncoded
 	case success && !head.Signed:
 		return errUnsigned
+	case success && x.relayed == failover.Events && !sameType(x.streamType, mediaType(a.Header)):
+		return errOtherType
 	}
 	return nil
 }
 
+// mediaType returns the media type of an answer without its parameters, or "" if the head
+// names none.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// sameType reports whether two media types are the same or either is missing.
+func sameType(a, b string) bool { return a == "" || b == "" || a == b }
+
 // discard reads an answer without relaying it, so that its connection can be reused.
 // It fails if the answer has maxBufferedBytes or more.
 func (x *exchange) discard(a *upstream.Answer) error {
@@ -257,6 +271,7 @@
 		if err := x.beginAnswer(failover.Events); err != nil {
 			return err
 		}
+		x.streamType = mediaType(a.Header)
 		x.service.protocol.CopyAnswer(x.w.Header(), a.Header)
 		x.setConnectionHeaders()
 		x.w.WriteHeader(a.Status)
