ingress: count large whole failures as failures

Cause: relayLarge reported any whole answer as answered, where relayBuffered reports a failure as failed, so that the replica was never put aside.

Both take the outcome from the status.

--- a/edge/partialanswer_test.go
+++ b/edge/partialanswer_test.go
@@ -314,3 +314,18 @@
 		}
 	}
 }
+
+// Guards against a replica that fails with large answers and goes on getting requests,
+// because a failure that is relayed while it is being read counts as an answer.
+func TestReplicaWithLargeFailuresIsPutAside(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t, 1)
+	failures := largeAnswers()["ends with its length"]
+	d.Apps[0].SetRawAnswer(func(c net.Conn, head string, _ int) { failures.send(c, head, "500") })
+	for n := 0; !d.logged("replica put aside", "replica="+d.Apps[0].ID, "outcome=failed"); n++ {
+		is.True(n < 50)
+		got := d.do(0, request{Method: "POST", Path: "/book/x", ID: fmt.Sprint("large-", n)})
+		is.NoErr(got.Err)
+		is.True(got.Status == http.StatusOK || got.Body == failures.body)
+	}
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -145,16 +145,20 @@
 // relayBuffered relays an answer that was read completely. It keeps a failure of the
 // replica (status 5xx) in failedAnswer while the request can be retried.
 func (x *exchange) relayBuffered(answer *bufferedAnswer) (dispatch.Outcome, bool, error) {
-	if answer.status >= 500 {
-		if x.route.Repeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
-			x.failedAnswer = answer
-			return dispatch.Failed, false, nil
-		}
-		x.deliver(answer)
-		return dispatch.Failed, true, nil
+	if outcome := outcomeOfStatus(answer.status); outcome == dispatch.Failed && x.route.Repeatable() && x.possibleRuns+1 < x.route.MaxAttempts {
+		x.failedAnswer = answer
+		return outcome, false, nil
 	}
 	x.deliver(answer)
-	return dispatch.Answered, true, nil
+	return outcomeOfStatus(answer.status), true, nil
+}
+
+// outcomeOfStatus returns the outcome of a complete answer.
+func outcomeOfStatus(status int) dispatch.Outcome {
+	if status >= 500 {
+		return dispatch.Failed
+	}
+	return dispatch.Answered
 }
 
 // deliver writes a complete answer to the caller.
@@ -222,7 +226,7 @@
 		return x.outcomeOf(err), false, err
 	}
 	x.status = prefix.status
-	return dispatch.Answered, true, nil
+	return outcomeOfStatus(prefix.status), true, nil
 }
 
 // relayStream relays events as they arrive, each as soon as it is complete.
