--- a/gateway/rawanswer_test.go
+++ b/gateway/rawanswer_test.go
@@ -113,3 +113,44 @@
 		})
 	}
 }
+
+// Guards against a part of a service's answer that is relayed, alone or before the answer of
+// another endpoint, after it has broken off or has been cut off.
+func TestPartOfServiceAnswerIsNotRelayed(t *testing.T) {
+	const partBytes = 600 << 10
+	part := strings.Repeat("f", partBytes)
+	for name, end := range map[string]func(c net.Conn, head string){
+		"breaks off in chunks": func(c net.Conn, head string) {
+			_, _ = fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, partBytes, part)
+		},
+		"lacks a byte of its length": func(c net.Conn, head string) {
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, partBytes+1, part)
+		},
+		"is reset, without a length": func(c net.Conn, head string) {
+			_, _ = io.WriteString(c, head+"\r\n"+part)
+			_ = rawservertest.Reset(c)
+		},
+		"never ends": func(c net.Conn, head string) { _ = rawservertest.WriteEndlessly(c, head+"\r\n", []byte(part)) },
+	} {
+		for _, status := range []string{"200", "404", "500"} {
+			t.Run(name+", "+status, func(t *testing.T) {
+				r, _ := newRawGateway(t, func(c net.Conn, _ int64) {
+					end(c, "HTTP/1.1 "+status+" Answer\r\n")
+					_ = c.Close()
+				})
+				sound := rawservertest.Start(t, func(c net.Conn, _ int64) {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				})
+				r.control.endpoints = append(r.control.endpoints, fleet.Endpoint{ID: "sound", Pool: "desk", Address: sound.Address})
+				a := r.call("GET", "/services/booking/x", "") // may be repeated
+				if name == "never ends" {
+					r.is.True(a.status >= 500) // too large an answer is not asked for again
+					r.is.True(!strings.Contains(a.body, "fff"))
+					return
+				}
+				r.is.Equal(a.status, http.StatusOK)
+				r.is.Equal(a.body, "ok")
+			})
+		}
+	}
+}
