edge, platformtest: large failures in the soak

Replicas of the soak answer with failures that break off after 300 KB or never end. Callers may get them broken off, never with an end or with events behind them; what a replica itself breaks off does not count as lost.

--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -44,6 +45,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	failed   []failedRequest
+	cut      int         // failures that their replica did not end, and that were broken off
 	statuses map[int]int // number of complete answers, by status
 	stops    int
 }
@@ -159,7 +161,8 @@
 		zone := rng.IntN(len(s.Engines))
 		zoneName := []string{"z1", "z2"}[zone]
 		engine, app := s.Engines[zone], s.Apps[zone]
-		engine.QueueFaults([]platformtest.Fault{platformtest.PauseStream, platformtest.Shed}[rng.IntN(2)])
+		engine.QueueFaults([]platformtest.Fault{platformtest.PauseStream, platformtest.Shed, platformtest.CutFailure, platformtest.EndlessFailure}[rng.IntN(4)])
+		app.QueueFaults([]platformtest.Fault{platformtest.None, platformtest.CutFailure, platformtest.EndlessFailure}[rng.IntN(3)])
 		s.Store.Put(platform.ReplicaTable, engine.ID, engine.Row("llm", zoneName, states[rng.IntN(len(states))]))
 		s.Store.Put(platform.ReplicaTable, app.ID, app.Row("app", zoneName, states[rng.IntN(len(states))]))
 	}
@@ -238,6 +241,10 @@
 	status, keep, err := readReply(conn, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, errCutFailure) {
+		s.cut++
+		return false
+	}
 	if err != nil {
 		s.failed = append(s.failed, failedRequest{request: r, err: err, elapsed: time.Since(sent)})
 		return false
@@ -261,6 +268,9 @@
 // promptNumber makes the last parts of prompts differ.
 var promptNumber atomic.Int64
 
+// errCutFailure means that a large failure, which its replica did not end, was broken off.
+var errCutFailure = errors.New("failure was broken off")
+
 // readReply reads the answer to a request, and fails if it is not complete. keep reports
 // whether the instance keeps the connection.
 func readReply(conn net.Conn, r request) (status int, keep bool, err error) {
@@ -270,6 +280,15 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	if large := resp.StatusCode >= 500 && strings.HasPrefix(string(body), platformtest.LargeFailureText); large {
+		if err == nil {
+			return resp.StatusCode, false, errors.New("a part of a failure looks complete")
+		}
+		if strings.Contains(string(body), "\nid: ") {
+			return resp.StatusCode, false, errors.New("a part of a failure is followed by events")
+		}
+		return resp.StatusCode, false, errCutFailure
+	}
 	whole := string(body) == platformtest.StreamBody(r.ID, 6)
 	if r.Model == "" {
 		whole = strings.HasPrefix(string(body), "answer of ")
@@ -297,7 +316,7 @@
 			s.t.Errorf("request %s %s %s was lost %v after its last byte: %d runs, error %v", f.ID, f.Path, f.Model, f.elapsed, runs, f.err)
 		}
 	}
-	s.t.Logf("seed %d: answers by status %v, %d crossed a close, %d late, %d stops", s.seed, s.statuses, crossed, late, s.stops)
+	s.t.Logf("seed %d: answers by status %v, %d failures broken off, %d crossed a close, %d late, %d stops", s.seed, s.statuses, s.cut, crossed, late, s.stops)
 	if s.statuses[http.StatusOK] == 0 || s.stops == 0 {
 		s.t.Error("no request was served or no instance was stopped")
 	}
