catalog: hold back heartbeats that the store performs late

Cause: within an era of the store the list compared the versions of rows only. They order what the store has performed, not what a replica has said; the start time and the sequence of its heartbeats do, and were compared only across restores.

A row whose description is older for certain is held back as the copies of a new era are, until a newer row, a removal, or three heartbeats and 2 s. It is not discarded: a replica that has returned to the state it describes does not write the row again.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -170,6 +171,72 @@
 	}
 }
 
+// Guards against a heartbeat that the store performs late, after newer ones, and that is taken
+// for the state of its replica, which then seems to have room for a model, or to be in service
+// again. The next heartbeat replaces it, and so does time if the row stays.
+func TestLateHeartbeatIsNoNewState(t *testing.T) {
+	row := func(version uint64, start, sequence int64, models ...string) Entry {
+		e := entry("r", rowstore.NewVersion(1, version), "x:1", start)
+		e.Replica.Sequence = sequence
+		for _, m := range models {
+			e.Replica.Models = append(e.Replica.Models, LoadedModel{Name: m})
+		}
+		return e
+	}
+	leaving := func(e Entry) Entry { e.Replica.Leaving = true; return e }
+	for _, test := range []struct {
+		name  string
+		known Entry
+		late  Entry
+		next  Entry // the next row, or no entry if time passes
+		while string
+		after string
+	}{
+		{"loaded model", row(5, 7, 4, "a", "b"), row(6, 7, 3, "a"), row(7, 7, 5, "a", "b"), "a b", "a b"},
+		{"model unloaded meanwhile", row(5, 7, 4, "a", "b"), row(6, 7, 3, "a"), Entry{}, "a b", "a"},
+		{"leaving", leaving(row(5, 7, 4, "a")), row(6, 7, 3, "a"), Entry{}, "leaving a", "leaving a"},
+		{"earlier process", row(5, 8, 1), row(6, 7, 9, "a"), Entry{}, "", ""},
+		{"later process", row(5, 7, 4, "a"), row(6, 8, 1, "b"), Entry{}, "b", "b"},
+		{"sequence unknown", row(5, 7, 0, "a"), row(6, 7, 3, "b"), Entry{}, "b", "b"},
+		{"removed", Entry{ID: "r", Version: rowstore.NewVersion(1, 6)}, row(7, 7, 3, "a"), Entry{ID: "r", Version: rowstore.NewVersion(1, 8)}, "none", "none"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := NewReplicaList()
+			describe := func() string {
+				replica := r.Replica("r")
+				if replica == nil {
+					return "none"
+				}
+				var words []string
+				if replica.Leaving {
+					words = append(words, "leaving")
+				}
+				for _, m := range replica.Models {
+					words = append(words, m.Name)
+				}
+				return strings.Join(words, " ")
+			}
+			r.Apply([]Entry{row(4, 7, 4, "a", "b")}, rowstore.NewVersion(1, 4))
+			r.Apply([]Entry{test.known}, test.known.Version)
+			r.Apply([]Entry{test.late}, test.late.Version)
+			is.Equal(describe(), test.while)
+			is.Equal(r.entries["r"].Version, test.late.Version) // the row is not read again and again
+			switch {
+			case test.next.ID == "":
+				r.ReleaseHeld(epoch, time.Second)
+				r.ReleaseHeld(epoch.Add(time.Second), time.Second)
+			case test.next.Replica == nil:
+				r.Remove("r", test.next.Version, time.Time{})
+			default:
+				r.Apply([]Entry{test.next}, test.next.Version)
+			}
+			is.Equal(describe(), test.after)
+			is.Equal(len(r.held), 0)
+		})
+	}
+}
+
 // Guards against replicas that joined after the copy and are dropped at once or kept
 // forever when the store is restored, and against a whole list that is not relayed to an
 // instance of an earlier era.
--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// knownNewerThan reports whether r describes a later state of the replica than other for
+// certain, by the start times and sequences of both.
+func (r *Replica) knownNewerThan(other *Replica) bool {
+	if r.StartMillis != other.StartMillis {
+		return r.StartMillis > other.StartMillis && other.StartMillis != 0
+	}
+	return r.Sequence > other.Sequence && other.Sequence != 0
+}
+
 // withWeightsOf returns r with the lists of local weights of the same process.
 func (r *Replica) withWeightsOf(other *Replica) *Replica {
 	out := *r
@@ -92,12 +101,17 @@
 }
 
 // mayBeOlderThan reports whether e can describe an earlier state than current although
-// it supersedes current: it can be a copy, and its description is not newer.
+// it supersedes current. In a new era it can be a copy, if its description is not newer.
+// Within an era it is a heartbeat that the store has performed late, if its description is
+// older.
 func (e Entry) mayBeOlderThan(current Entry) bool {
-	if e.Replica == nil || e.Version != current.Version && e.Version.Era() == current.Version.Era() {
+	if e.Replica == nil {
 		return false
 	}
 	known := current.known()
+	if e.Version != current.Version && e.Version.Era() == current.Version.Era() {
+		return known != nil && known.knownNewerThan(e.Replica)
+	}
 	return known == nil || !e.Replica.newerThan(known)
 }
 
@@ -120,6 +134,11 @@
 // of the replica from an earlier era stays until the row is written again in the new era.
 // The row is held back until ReleaseHeld: by then the replica has written it again if it
 // is outdated, and the store has dropped it if the replica has left.
+//
+// Versions order what the store has performed, not what a replica has said: the store can
+// perform a heartbeat late, after newer ones. A row with an older description than the
+// known one is held back in the same way. It is not discarded, because the replica can be
+// in the state that it describes again, and then does not write the row anew.
 type ReplicaList struct {
 	entries map[string]Entry
 	// pendingRemovals holds the entries, by id, that disappeared from the store and are
--- a/catalog/restore_test.go
+++ b/catalog/restore_test.go
@@ -19,6 +19,7 @@
 	era      uint64
 	copies   []modelState
 	replicas map[string]*Replica // the processes that run now
+	late     []Replica           // heartbeats that have got no answer and can be performed later
 }
 
 type modelState struct {
@@ -54,6 +55,20 @@
 	}
 }
 
+// delay begins a heartbeat that the store performs later, if at all.
+func (s *modelStore) delay(id string) {
+	if replica := s.replicas[id]; replica != nil {
+		replica.Sequence++
+		s.late = append(s.late, *replica)
+	}
+}
+
+// performLate performs the delayed heartbeat with index n.
+func (s *modelStore) performLate(n int) {
+	s.write(s.late[n].ID, &s.late[n])
+	s.late = slices.Delete(s.late, n, n+1)
+}
+
 func (s modelState) clone() modelState {
 	return modelState{s.counter, maps.Clone(s.rows), slices.Clone(s.changes)}
 }
@@ -199,7 +214,7 @@
 			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "replica")
 			k := rapid.IntRange(0, 2).Draw(t, "instance")
 			replica := s.replicas[id]
-			switch rapid.IntRange(0, 10).Draw(t, "event") {
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
 			case 0, 1: // the replica starts, loads or unloads a model, or begins to leave
 				switch {
 				case replica == nil:
@@ -245,6 +260,12 @@
 				}
 				readers[k].read(s)
 				readers[k].list.ReleaseHeld(epoch, 0)
+			case 11:
+				s.delay(id)
+			case 12:
+				if len(s.late) > 0 {
+					s.performLate(rapid.IntRange(0, len(s.late)-1).Draw(t, "late"))
+				}
 			}
 			check()
 		}
