leader: wait for late orders of the own instance

The holder of the order lease was killed while a packet of one of its orders was lost.

Cause: only another instance waited until the last orders of its predecessor had arrived or were lost. The connection of an order goes on sending it after the end of its process, and each acquisition gives a new epoch.

After a release there is nothing to wait for, so that a planned restart costs nothing.

--- a/leader/lateorders_test.go
+++ b/leader/lateorders_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/hyssophaven/hyssophaven/rowstore"
@@ -37,7 +38,7 @@
 	case "kill":
 		i.frozenUntil = math.MaxInt64
 	case "restart":
-		c.restart(k)
+		c.restart(now, k)
 	case "freeze":
 		i.frozenUntil = now + time.Duration(rapid.IntRange(1, 60).Draw(t, "frozen"))*100*time.Millisecond
 	case "partition":
@@ -50,15 +51,46 @@
 }
 
 // repair ends the faults of instance k. A process that was stopped or killed is replaced.
-func (c *cluster) repair(k int) {
+func (c *cluster) repair(now time.Duration, k int) {
 	i := c.instances[k]
 	i.partitioned, i.storeUnreachable = false, false
 	if i.state.stopping || i.frozenUntil == math.MaxInt64 {
-		c.restart(k)
+		c.restart(now, k)
 		i.frozenUntil = 0
 	}
 }
 
+// Guards against an order of a killed process that arrives after one that the next process of
+// its instance sent under a higher epoch, and against a wait after a planned restart.
+func TestNextProcessWaitsForLateOrders(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(c *cluster, now time.Duration) time.Duration // of the first process
+		wait time.Duration
+	}{
+		"killed": {func(_ *cluster, now time.Duration) time.Duration { return now }, maxOrderDelay},
+		"stopped": {func(c *cluster, now time.Duration) time.Duration {
+			c.instances[0].state.Stop()
+			return c.advance(now, Term)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(1)
+			now := c.advance(0, Term)
+			is.Equal(c.lastToOrder(), 0)
+			restarted := test.end(c, now)
+			sent := len(c.orders)
+			c.restart(restarted, 0)
+			c.advance(restarted, 2*Term)
+			is.True(len(c.orders) > sent)
+			waited := c.orders[sent].at - restarted
+			is.True(waited >= test.wait)
+			is.True(waited <= test.wait+4*stepTime) // the lease is read and written in steps of their own
+			c.checkOrders(t)
+		})
+	}
+}
+
 // Guards against an order that is still on its way when its holder gives up the lease or
 // loses it, and that arrives among the orders of a successor. All orders between two faults
 // have the same delay, of up to a Term; most faults strike the holder.
@@ -85,7 +117,7 @@
 		}
 		c.disrupt(t, now, k)
 		now = c.advance(now, time.Duration(rapid.IntRange(0, 20).Draw(t, "steps"))*stepTime)
-		c.repair(rapid.IntRange(0, 2).Draw(t, "repaired"))
+		c.repair(now, rapid.IntRange(0, 2).Draw(t, "repaired"))
 	}
 	delay = 0
 	c.advance(now, 2*(orderWindow+maxOrderDelay+handoverGap))
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -323,7 +323,7 @@
 		return
 	}
 	if !s.held {
-		s.orderFrom = s.firstOrderTime(now)
+		s.orderFrom = max(s.firstOrderTime(now), s.ownOrdersArriveBy(now))
 		if !s.neverHeld() && !s.released() {
 			s.orders.waitUntil(ordersArriveBy(s.rowSince))
 		}
--- a/leader/leader_test.go
+++ b/leader/leader_test.go
@@ -192,8 +192,9 @@
 }
 
 // restart replaces the process of instance k.
-func (c *cluster) restart(k int) {
-	c.instances[k].state, c.instances[k].unanswered = newState(k, Options{}), nil
+func (c *cluster) restart(now time.Duration, k int) {
+	i := c.instances[k]
+	i.state, i.unanswered = newState(k, Options{StartedAt: i.now(now)}), nil
 }
 
 func (c *cluster) write(t time.Duration, i *instance, callResult string) {
@@ -273,7 +274,7 @@
 		case 5:
 			c.instances[k].state.Stop()
 		case 6:
-			c.restart(k)
+			c.restart(now, k)
 		case 20:
 			c.store.copy()
 		case 21:
@@ -282,7 +283,7 @@
 			}
 			c.store.restore(rapid.IntRange(0, len(c.store.copies)-1).Draw(t, "copy"))
 		case 22:
-			c.restart(k)
+			c.restart(now, k)
 		default:
 			for n := range c.instances {
 				c.tick(now, n, "")
@@ -309,7 +310,7 @@
 			t.Fatalf("instances %d and %d order with epoch %d", by, o.by, o.epoch)
 		}
 		holders[o.epoch] = o.by
-		if n > 0 && o.by != arrived[n-1].by && o.epoch < arrived[n-1].epoch {
+		if n > 0 && o.epoch < arrived[n-1].epoch {
 			t.Fatalf("an order of instance %d with epoch %d, sent at %s, arrives after one of instance %d with epoch %d", o.by, o.epoch, o.at, arrived[n-1].by, arrived[n-1].epoch)
 		}
 	}
--- a/leader/orders.go
+++ b/leader/orders.go
@@ -23,8 +23,10 @@
 // orderFates records what is known about the orders of this instance and of the holders
 // before it that can still arrive at a replica.
 type orderFates struct {
-	inFlight int            // orders of this instance without a recorded outcome
+	inFlight int            // orders of this process without a recorded outcome
 	arriveBy bootclock.Time // time by which all other orders have arrived or are lost
+	// ownArriveBy is arriveBy of the orders of this process alone.
+	ownArriveBy bootclock.Time
 }
 
 // RecordOrderSent records that an order is about to be sent.
@@ -35,7 +37,8 @@
 func (s *State) RecordOrderOutcome(now bootclock.Time, known bool) {
 	s.orders.inFlight--
 	if !known {
-		s.orders.waitUntil(now.Add(maxOrderDelay))
+		s.orders.ownArriveBy = now.Add(maxOrderDelay)
+		s.orders.waitUntil(s.orders.ownArriveBy)
 	}
 }
 
@@ -105,6 +108,20 @@
 	return s.successorOrderTime()
 }
 
+// ownOrdersArriveBy returns the time by which no order of this instance under an earlier
+// epoch can arrive any more: of this process, or of one before it, which ended before this
+// one started. Before a release, a holder has waited for its orders.
+func (s *State) ownOrdersArriveBy(now bootclock.Time) bootclock.Time {
+	if s.neverHeld() || s.released() {
+		return 0
+	}
+	by := max(s.orders.ownArriveBy, s.options.StartedAt.Add(maxOrderDelay))
+	if s.orders.inFlight > 0 {
+		by = max(by, now.Add(maxOrderDelay))
+	}
+	return by
+}
+
 // successorOrderTime returns the time from which a successor of the current holder
 // may order: Options.HandoverGap and the margin after the release, or
 // Options.HandoverGap after the time at which the holder's last order has arrived.
