loopbacktest, edge: use hosts of ended tests again

The tests of this issue start more than 200 deployments, each with a host of its own, and a process had 508 of them.

HostFor returns a host until its test has ended, and the tests of edge use it.

--- a/edge/deployment_test.go
+++ b/edge/deployment_test.go
@@ -90,7 +90,7 @@
 // addInstance starts one more instance and waits until it serves requests.
 func (d *deployment) addInstance() *Instance {
 	d.t.Helper()
-	host := loopbacktest.Host()
+	host := loopbacktest.HostFor(d.t)
 	node := nodeconfig.Node{
 		ID: "edge-" + host, DataCentre: "z1", FirstStart: true, Callers: loopbacktest.Address(d.t, host), Readiness: loopbacktest.Address(d.t, host), PeerHost: host,
 		FirstPeerPort: 17380, LastPeerPort: 17390, Store: d.Store.Address(), Bounds: d.bounds, MemoryBytes: d.memory,
--- a/internal/loopbacktest/loopbacktest.go
+++ b/internal/loopbacktest/loopbacktest.go
@@ -32,6 +32,7 @@
 var (
 	mu          sync.Mutex
 	hostsIssued int
+	freeHosts   []string               // hosts of HostFor whose tests have ended
 	nextPort    = make(map[string]int) // next port to allocate, by host
 )
 
@@ -49,6 +50,34 @@
 	return fmt.Sprintf("127.%d.%d.%d", second, pid%256, 1+(hostsIssued-1)%hostsPerBlock)
 }
 
+// HostFor returns a loopback address that is not returned again before t has ended, and
+// thereby lets a process have more than maxHosts deployments, one after the other. What
+// listens on it must be closed when t ends.
+func HostFor(t testing.TB) string {
+	host := takeFreeHost()
+	if host == "" {
+		host = Host()
+	}
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		freeHosts = append(freeHosts, host)
+	})
+	return host
+}
+
+// takeFreeHost returns the host that has been free for the longest time, or "".
+func takeFreeHost() string {
+	mu.Lock()
+	defer mu.Unlock()
+	if len(freeHosts) == 0 {
+		return ""
+	}
+	host := freeHosts[0]
+	freeHosts = freeHosts[1:]
+	return host
+}
+
 // Address returns an unused address of host, as host:port. It never returns the
 // same address twice, because the listener may be opened much later. It probes
 // the port by dialing and not by listening: a child process that is started
