ingress, platform: reserve memory for lists in heads

Cause: the budget counted the bytes and lines of a head, not what is decoded from its lists, and a head was decoded before its size was checked.

--- a/ingress/connmemory.go
+++ b/ingress/connmemory.go
@@ -60,15 +60,26 @@
 	headLineBytes = 256
 	// usualHeadLines is the number of lines that need no reservation.
 	usualHeadLines = 64
+	// headElementBytes covers what is kept of an element of a list in a head, such as a part
+	// of the prompt, besides its bytes. Elements are separated by commas and can be empty.
+	headElementBytes = 48
+	// usualHeadElements is the number of elements that need no reservation.
+	usualHeadElements = 64
 )
 
+// headSize counts what of a head takes memory.
+type headSize struct{ bytes, lines, elements int }
+
 // reserveHead reserves memory for bytes of a head that were read, and for what is decoded
 // from them. The usual head needs no reservation.
 func (c *trackedConn) reserveHead(now time.Time, b []byte) bool {
-	bytesBefore, linesBefore := c.headBytes, c.headLines
-	c.headBytes += len(b)
-	c.headLines += bytes.Count(b, []byte{'\n'})
-	more := 2*int64(beyond(memorybudget.BufferBytes, bytesBefore, c.headBytes)) + headLineBytes*int64(beyond(usualHeadLines, linesBefore, c.headLines))
+	before := c.headSize
+	c.headSize.bytes += len(b)
+	c.headSize.lines += bytes.Count(b, []byte{'\n'})
+	c.headSize.elements += bytes.Count(b, []byte{','})
+	more := 2*int64(beyond(memorybudget.BufferBytes, before.bytes, c.headSize.bytes)) +
+		headLineBytes*int64(beyond(usualHeadLines, before.lines, c.headSize.lines)) +
+		headElementBytes*int64(beyond(usualHeadElements, before.elements, c.headSize.elements))
 	return more == 0 || c.head.Grow(now, more, memorybudget.Other)
 }
 
@@ -77,7 +88,7 @@
 
 // releaseHead gives back the memory of a head.
 func (c *trackedConn) releaseHead() {
-	c.headBytes, c.headLines = 0, 0
+	c.headSize = headSize{}
 	c.head.Release()
 }
 
--- a/ingress/conntracker.go
+++ b/ingress/conntracker.go
@@ -183,8 +183,7 @@
 	// the caller has read it.
 	halfClosed bool
 	head       memorybudget.Reservation // of the head of the request
-	// headBytes and headLines have been read of it. Only the goroutine that reads it uses them.
-	headBytes, headLines int
+	headSize   headSize                 // of the part that has been read; only the goroutine that reads it uses it
 }
 
 // lastReadTime limits the last read of a connection that is about to be closed, and the
--- a/ingress/protocol.go
+++ b/ingress/protocol.go
@@ -85,6 +85,8 @@
 // Protocol reads and writes the headers of requests and answers. Its methods are safe
 // for concurrent use.
 type Protocol interface {
+	// RequestID returns the ID of a caller's request, or "" if the head names none.
+	RequestID(r *http.Request) string
 	// ReadRequest reads the head of a caller's request. It returns an error if the head
 	// is malformed.
 	ReadRequest(r *http.Request) (RequestHead, error)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -38,27 +38,27 @@
 	arrived := time.Now()
 	snapshot := s.control.Snapshot()
 	config := snapshot.Config
-	head, err := s.protocol.ReadRequest(r)
-	x := &exchange{service: s, w: w, r: r, head: head, arrived: arrived}
+	x := &exchange{service: s, w: w, r: r, head: RequestHead{ID: s.protocol.RequestID(r)}, arrived: arrived}
 	x.memory.Account = accountOf(r.Context())
 	defer x.memory.Release()
 	x.limitBodyTime()
 	x.setConnectionHeaders()
 	x.countOpen()
 	defer x.countClosed()
-	switch {
-	case config == nil:
+	if config == nil {
 		x.refuse(http.StatusServiceUnavailable, "no-config", noConfigRetry)
 		return
-	case err != nil:
-		x.refuse(http.StatusBadRequest, "malformed-head", 0)
-		return
 	}
 	if limit := snapshot.Limits.MaxHeaderBytes; limit > 0 && headBytes(r) > limit {
 		closeConnection(w.Header())
 		x.refuse(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", 0)
 		return
 	}
+	var err error
+	if x.head, err = s.protocol.ReadRequest(r); err != nil {
+		x.refuse(http.StatusBadRequest, "malformed-head", 0)
+		return
+	}
 	target, _, _ := strings.Cut(r.RequestURI, "?")
 	x.route = config.FindRoute(r.Host, target)
 	if s.refusing.Load() && (x.route == nil || x.route.Kind == catalog.Stream) {
@@ -71,7 +71,7 @@
 		return
 	}
 	if x.byCustomer = config.HasCustomers(); x.byCustomer && !x.route.Public {
-		if x.customer = config.FindCustomer(head.Key); x.customer == nil {
+		if x.customer = config.FindCustomer(x.head.Key); x.customer == nil {
 			s.metrics.Counter(keysRejectedMetric).Add(1)
 			x.refuse(http.StatusUnauthorized, "unknown-key", 0)
 			return
--- a/integration/crowds_test.go
+++ b/integration/crowds_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -275,23 +276,23 @@
 }
 
 // check asserts that the process stayed within its limits.
-func (u usage) check(t *testing.T) {
+func (u usage) check(t *testing.T, maxFDs int) {
 	t.Helper()
 	t.Logf("%s: at most %d KB resident, %d descriptors", u.name, u.peakKB, u.fds)
 	if limit := crowdMemoryShare * crowdMemoryMB * 1024; float64(u.peakKB) >= limit {
 		t.Errorf("%s: %d KB were resident, want under %.0f", u.name, u.peakKB, limit)
 	}
-	if u.fds >= crowdMaxFDs {
-		t.Errorf("%s: %d descriptors were open, want under %d", u.name, u.fds, crowdMaxFDs)
+	if u.fds >= maxFDs {
+		t.Errorf("%s: %d descriptors were open, want under %d", u.name, u.fds, maxFDs)
 	}
 }
 
-// startCrowdedFleet returns a fleet whose instances have little memory.
-func startCrowdedFleet(t *testing.T, instances int) *edgeFleet {
+// startCrowdedFleet returns a fleet whose instances have little memory and maxFDs descriptors.
+func startCrowdedFleet(t *testing.T, instances, maxFDs int) *edgeFleet {
 	f := newEdgeFleet(t)
 	f.PutConfigWithBodies(2, "", crowdBodyBytes)
 	for range instances {
-		f.addLimitedInstance(crowdMemoryMB, crowdMaxFDs)
+		f.addLimitedInstance(crowdMemoryMB, maxFDs)
 	}
 	return f
 }
@@ -315,10 +316,14 @@
 		name    string
 		crowd   crowd
 		prepare func(*edgeFleet)
+		maxFDs  int // limits.max-fds of the instance; 0 selects crowdMaxFDs
 	}{
 		{name: "HeadsOverTheLimit", crowd: crowd{clients: 300, ports: everyPort, misbehave: headOverLimit}},
 		{name: "HeadsWithoutEnd", crowd: crowd{clients: 40, ports: everyPort, misbehave: headWithoutEnd}},
 		{name: "HeadsOfShortLines", crowd: crowd{clients: 200, misbehave: shortLines}},
+		{name: "EmptyPromptParts", crowd: crowd{clients: 600, misbehave: emptyParts}, maxFDs: 4000},
+		{name: "ShortPromptParts", crowd: crowd{clients: 900, misbehave: shortParts}, maxFDs: 4000},
+		{name: "PromptPartsOverTheLimit", crowd: crowd{clients: 300, misbehave: partsOverLimit}},
 		{name: "EmptyLinesWithoutEnd", crowd: crowd{clients: 40, ports: everyPort, misbehave: emptyLinesWithoutEnd}},
 		{name: "LargeChunks", crowd: crowd{clients: 60, misbehave: largeChunks}},
 		{name: "SmallChunks", crowd: crowd{clients: 60, misbehave: smallChunks}},
@@ -343,7 +348,7 @@
 		{name: "SilentConnectionsToAllPorts", crowd: crowd{clients: 700, ports: everyPort, misbehave: silent}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := startCrowdedFleet(t, 1)
+			f := startCrowdedFleet(t, 1, cmp.Or(c.maxFDs, crowdMaxFDs))
 			if c.prepare != nil {
 				c.prepare(f)
 			}
@@ -355,7 +360,7 @@
 			time.Sleep(crowdTime)
 			close(stop)
 			clients.Wait()
-			(<-most).check(t)
+			(<-most).check(t, cmp.Or(c.maxFDs, crowdMaxFDs))
 			for _, r := range f.Apps {
 				r.SetRawAnswer(nil)
 				r.SetIgnoresBodies(false)
@@ -368,7 +373,7 @@
 // Guards against an instance that all kinds of such clients end together, also while the
 // instances of its deployment are restarted one after another.
 func TestCrowdsDuringRollingRestart(t *testing.T) {
-	f := startCrowdedFleet(t, 2)
+	f := startCrowdedFleet(t, 2, crowdMaxFDs)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for _, i := range f.instances {
@@ -408,7 +413,7 @@
 	close(stop)
 	clients.Wait()
 	for _, w := range watches {
-		(<-w).check(t)
+		(<-w).check(t, crowdMaxFDs)
 	}
 	for _, i := range f.instances {
 		f.checkServes(i)
