failover, ingress: say what the reasons and the ends of answers mean

Read as a newcomer: the reasons that stand in logs have comments, Action has no names that nothing uses, and beginAnswer and completeAnswer say what they are given and what they do for callers of HTTP/1.0.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -64,19 +64,18 @@
 	Fail
 )
 
-var actionNames = [...]string{"finish", "send-again", "break-off", "fail"}
-
-// String returns the name for logs.
-func (a Action) String() string { return actionNames[a] }
-
-// Reason tells why a request is not sent to another replica.
+// Reason tells why a request is not sent to another replica. Its values stand in logs.
 type Reason string
 
 const (
-	ReasonPlainBegun    Reason = "plain-answer-begun"
-	ReasonUnnumbered    Reason = "event-without-id"
+	// ReasonPlainBegun means that Progress is Plain.
+	ReasonPlainBegun Reason = "plain-answer-begun"
+	// ReasonUnnumbered means that the last event has no ID to go on from.
+	ReasonUnnumbered Reason = "event-without-id"
+	// ReasonNotRepeatable means that a replica may have run a request that must not run twice.
 	ReasonNotRepeatable Reason = "may-run-once"
-	ReasonExpired       Reason = "expired"
+	// ReasonExpired means that the request is Expired or was canceled.
+	ReasonExpired Reason = "expired"
 )
 
 // Next returns what follows the end of a send and, for BreakOff and Fail, the reason.
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -78,7 +78,8 @@
 }
 
 // beginAnswer must be called before the head of an answer is relayed if its body has not
-// been read completely. It fails if the drain has ended.
+// been read completely, with what will have been relayed then. It fails if the drain has
+// ended.
 func (x *exchange) beginAnswer(relayed failover.Progress) error {
 	if !x.outliveDrain() {
 		return errStopping
@@ -90,7 +91,8 @@
 	return nil
 }
 
-// completeAnswer must be called after the whole of an answer has been relayed.
+// completeAnswer must be called when the whole of an answer has been relayed. It writes what
+// is still buffered for a caller of HTTP/1.0 before its connection can end in order again.
 func (x *exchange) completeAnswer() {
 	conn := x.http10Conn()
 	if conn == nil || x.relayed == failover.Nothing {
