ingress: relay large failures again if no other replica has the request

What stays: such a failure counts as a failure of its replica, it is left while another replica has the request, and a part of it is never continued. The tests of edge want the relayed failure again; those of callers of HTTP/1.0 keep their file.

--- a/ingress/handover.go
+++ b/ingress/handover.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/hyssophaven/hyssophaven/controlplane"
 	"github.com/hyssophaven/hyssophaven/dispatch"
 	"github.com/hyssophaven/hyssophaven/failover"
 	"github.com/hyssophaven/hyssophaven/upstream"
@@ -41,15 +40,20 @@
 // The silent replica is left only for the head of an answer that can be relayed. Until
 // then both connections stay open, and whichever continues first has the request.
 func (x *exchange) handOver(ctx context.Context, silent *send) bool {
+	query := x.query()
+	query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], silent.flight.Decision.Replica.ID)
+	query.PossibleRuns++
+	query.FromSilent = true
 	x.service.control.Silent(silent.flight)
-	next := x.admitBeside(ctx, silent, true)
-	if next == nil {
+	next, err := x.service.control.Admit(ctx, query)
+	if err != nil || next.Decision.Verdict != dispatch.Send {
 		return false
 	}
+	x.logRetry(next.Decision)
 	defer x.enter(x.phase)
 	sendCtx, cancel := context.WithCancel(ctx) // ends at the latest with the request
 	more := x.awaitSilent(silent, cancel)
-	s := x.prepare(sendCtx, next)
+	s := x.prepare(sendCtx, next.Flight)
 	s.earlierRuns++
 	s.fromSilent = true
 	x.transmit(sendCtx, s)
@@ -73,44 +77,6 @@
 	return false
 }
 
-// admitBeside asks for another replica while current, which may run the request, has not
-// ended. It returns nil if no replica gets the request now.
-func (x *exchange) admitBeside(ctx context.Context, current *send, fromSilent bool) *controlplane.Flight {
-	query := x.query()
-	query.Tried = append(query.Tried[:len(query.Tried):len(query.Tried)], current.flight.Decision.Replica.ID)
-	query.PossibleRuns++
-	query.FromSilent = fromSilent
-	next, err := x.service.control.Admit(ctx, query)
-	if err != nil || next.Decision.Verdict != dispatch.Send {
-		return nil
-	}
-	x.logRetry(next.Decision)
-	return next.Flight
-}
-
-// replaceFailure sends a request again whose replica has answered with a failure of which
-// nothing has been relayed, if it may be sent again and another replica can get it now. It
-// then leaves the failure and sets the successor. Otherwise it returns false.
-func (x *exchange) replaceFailure(ctx context.Context, failed *send) bool {
-	action, _ := failover.Next(failover.Request{
-		Progress: x.relayed, Outcome: dispatch.Failed, MayHaveRun: true, Repeatable: x.route.Repeatable(), Expired: ctx.Err() != nil,
-	})
-	if action != failover.SendAgain {
-		return false
-	}
-	x.lastOutcome = dispatch.Failed
-	next := x.admitBeside(ctx, failed, false)
-	if next == nil {
-		return false
-	}
-	failed.answer.Abort()
-	s := x.prepare(ctx, next)
-	s.earlierRuns++
-	x.transmit(ctx, s)
-	x.successor = s
-	return true
-}
-
 // awaitSilent waits in another goroutine for more of a silent answer, as upstream.Answer.Await
 // does. If the answer has begun, it calls cancel when more has arrived, which ends the send
 // to the other replica whatever it waits for.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -66,7 +66,7 @@
 		return dispatch.Failed, false, x.discard(a) // can't be appended to the events that were relayed
 	}
 	x.reportFirstByte(s)
-	return x.relayPlain(ctx, s)
+	return x.relayPlain(s)
 }
 
 // isShared reports whether another replica has the request while a send answers it: the
@@ -122,9 +122,9 @@
 
 // relayPlain relays an answer that is not a stream.
 //
-// A failure too large to be held is left if another replica has the request or gets it now,
-// because no other answer can follow it once a part of it was relayed.
-func (x *exchange) relayPlain(ctx context.Context, s *send) (dispatch.Outcome, bool, error) {
+// A failure too large to be held is left if another replica has the request, because no other
+// answer can follow it once a part of it was relayed.
+func (x *exchange) relayPlain(s *send) (dispatch.Outcome, bool, error) {
 	a, timeout := s.answer, time.Until(x.request.Deadline)
 	if x.isShared(s) {
 		timeout = min(timeout, minAnswerTimeout) // the other replica can go on meanwhile
@@ -146,7 +146,7 @@
 	if len(body) < maxBufferedBytes && !noRoom {
 		return x.relayBuffered(whole)
 	}
-	if outcome := outcomeOfStatus(a.Status); outcome == dispatch.Failed && (x.isShared(s) || x.replaceFailure(ctx, s)) {
+	if outcome := outcomeOfStatus(a.Status); outcome == dispatch.Failed && x.isShared(s) {
 		return outcome, false, a.LimitExceeded("failure", maxBufferedBytes)
 	}
 	return x.relayLarge(a, whole)
